--- /dev/null
+++ b/src/base/enum_names.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace bramleyspoke {
+
+/// One row of a table of names.
+template <typename Enum>
+struct EnumName {
+  Enum value;
+  std::string_view name;
+};
+
+/// Table that maps the values of an `enum class` to names and back.
+template <typename Enum, std::size_t Count>
+struct EnumNames {
+  std::array<EnumName<Enum>, Count> rows;
+
+  constexpr std::string_view NameOf(Enum value) const {
+    for (const auto& row : rows) {
+      if (row.value == value) {
+        return row.name;
+      }
+    }
+    return "unknown";
+  }
+
+  constexpr std::optional<Enum> ValueOf(std::string_view name) const {
+    for (const auto& row : rows) {
+      if (row.name == name) {
+        return row.value;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/event_loop.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/time.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace bramleyspoke {
+
+/// A pending call; destroying it cancels the call.
+class Timer {
+ public:
+  virtual ~Timer() = default;
+};
+
+/// One thread that runs traffic: sockets, timers and posted calls.
+class EventLoop {
+ public:
+  static std::unique_ptr<EventLoop> Create();
+  virtual ~EventLoop() = default;
+
+  /// Runs `call` on the loop's thread, later; from any thread.
+  virtual void Post(std::function<void()> call) = 0;
+  /// Runs `call` on the loop's thread at `when`; from the loop's thread.
+  [[nodiscard]] virtual std::unique_ptr<Timer> At(
+      TimePoint when,
+      std::function<void()> call) = 0;
+  /// Starts the loop's thread.
+  virtual void Start() = 0;
+  /// Runs the loop on the calling thread until `Stop`.
+  virtual void Run() = 0;
+  /// Ends the loop and joins its thread; from any other thread.
+  virtual void Stop() = 0;
+  virtual boost::asio::io_context& Context() = 0;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/http_client.cc
@@ -0,0 +1,381 @@
+#include "connection/http_client.h"
+
+#include <array>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "connection/event_loop.h"
+
+namespace bramleyspoke {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr std::size_t kResponseBytes = std::size_t{64} * 1024 * 1024;
+
+std::optional<tcp::endpoint> Resolve(const Endpoint& server) {
+  beast::error_code error;
+  const auto address = asio::ip::make_address(server.host, error);
+  if (error) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(address, server.port);
+}
+
+http::request<http::string_body> MakeMessage(HttpRequest request,
+                                             const std::string& host) {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(request.target);
+  message.version(11);
+  message.set(http::field::host, host);
+  for (const HttpHeader& header : request.headers) {
+    message.set(header.name, header.value);
+  }
+  if (!request.body.empty() && message.count(http::field::content_type) == 0) {
+    message.set(http::field::content_type, "application/json");
+  }
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse TakeResponse(http::response<http::string_body>&& message) {
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  response.content_type = std::string(message[http::field::content_type]);
+  for (const auto& field : message) {
+    response.headers.push_back(HttpHeader{std::string(field.name_string()),
+                                          std::string(field.value())});
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+HttpFailure FailureOf(beast::error_code error) {
+  if (error == beast::error::timeout) {
+    return HttpFailure::kTimeout;
+  }
+  if (error.category() ==
+      http::make_error_code(http::error::bad_method).category()) {
+    return error == http::error::end_of_stream ||
+                   error == http::error::partial_message
+               ? HttpFailure::kClosed
+               : HttpFailure::kMalformed;
+  }
+  return HttpFailure::kClosed;
+}
+
+// State of one connection, shared with its pending handlers.
+struct Link {
+  explicit Link(asio::io_context& context) : stream(context) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  http::request<http::string_body> request;
+  std::optional<http::response_parser<http::string_body>> parser;
+  HttpCallback done;
+  std::string host;
+  bool is_open = false;
+};
+
+void FinishCall(Link& link, HttpOutcome outcome) {
+  const HttpCallback done = std::exchange(link.done, nullptr);
+  if (done) {
+    done(std::move(outcome));
+  }
+}
+
+void FailCall(Link& link, beast::error_code error) {
+  link.is_open = false;
+  link.stream.close();
+  FinishCall(link, HttpOutcome{std::nullopt, FailureOf(error)});
+}
+
+// Closed connections and unasked bytes both end an idle connection.
+void WatchIdle(const std::shared_ptr<Link>& link) {
+  link->stream.socket().async_wait(tcp::socket::wait_read,
+                                   [weak = std::weak_ptr(link)](auto error) {
+                                     const auto link = weak.lock();
+                                     if (!link || error || link->done) {
+                                       return;
+                                     }
+                                     link->is_open = false;
+                                     link->stream.close();
+                                   });
+}
+
+void OnAnswer(const std::shared_ptr<Link>& link, beast::error_code error) {
+  if (error) {
+    FailCall(*link, error);
+    return;
+  }
+  link->stream.expires_never();
+  const bool keep_alive = link->parser->keep_alive();
+  HttpOutcome outcome{TakeResponse(link->parser->release()), {}};
+  if (keep_alive) {
+    WatchIdle(link);
+  } else {
+    link->is_open = false;
+    link->stream.close();
+  }
+  FinishCall(*link, std::move(outcome));
+}
+
+void ReadAnswer(const std::shared_ptr<Link>& link) {
+  link->parser.emplace();
+  link->parser->body_limit(kResponseBytes);
+  http::async_read(link->stream, link->buffer, *link->parser,
+                   [link](auto error, std::size_t) { OnAnswer(link, error); });
+}
+
+class BeastConnection final : public HttpConnection {
+ public:
+  explicit BeastConnection(std::shared_ptr<Link> link)
+      : m_link(std::move(link)) {
+    m_link->is_open = true;
+    WatchIdle(m_link);
+  }
+
+  ~BeastConnection() override {
+    m_link->done = nullptr;
+    m_link->is_open = false;
+    m_link->stream.close();
+  }
+
+  void Send(HttpRequest request,
+            TimePoint deadline,
+            HttpCallback done) override {
+    if (!m_link->is_open) {
+      done(HttpOutcome{std::nullopt, HttpFailure::kConnect});
+      return;
+    }
+    m_link->done = std::move(done);
+    m_link->request = MakeMessage(std::move(request), m_link->host);
+    m_link->stream.socket().cancel();
+    m_link->stream.expires_at(deadline);
+    http::async_write(m_link->stream, m_link->request,
+                      [link = m_link](auto error, std::size_t) {
+                        if (error) {
+                          FailCall(*link, error);
+                          return;
+                        }
+                        ReadAnswer(link);
+                      });
+  }
+
+  bool IsOpen() const override { return m_link->is_open; }
+
+ private:
+  std::shared_ptr<Link> m_link;
+};
+
+class BeastStream final : public HttpStream,
+                          public std::enable_shared_from_this<BeastStream> {
+ public:
+  BeastStream(asio::io_context& context,
+              std::string host,
+              HttpRequest request,
+              std::function<void(std::string_view)> on_data,
+              std::function<void()> on_end)
+      : m_stream(context),
+        m_request(MakeMessage(std::move(request), host)),
+        m_on_data(std::move(on_data)),
+        m_on_end(std::move(on_end)) {
+    m_parser.body_limit(boost::none);
+  }
+
+  void Start(const tcp::endpoint& server) {
+    m_stream.expires_after(kConnectTime);
+    m_stream.async_connect(server, [self = shared_from_this()](auto error) {
+      if (error) {
+        self->End();
+        return;
+      }
+      http::async_write(self->m_stream, self->m_request,
+                        [self](auto error, std::size_t) {
+                          if (error) {
+                            self->End();
+                            return;
+                          }
+                          self->ReadHead();
+                        });
+    });
+  }
+
+  void Drop() {
+    m_on_data = nullptr;
+    m_on_end = nullptr;
+    m_stream.close();
+  }
+
+  void End() {
+    const auto on_end = std::exchange(m_on_end, nullptr);
+    Drop();
+    if (on_end) {
+      on_end();
+    }
+  }
+
+ private:
+  void ReadHead() {
+    http::async_read_header(
+        m_stream, m_buffer, m_parser,
+        [self = shared_from_this()](auto error, std::size_t) {
+          if (error) {
+            self->End();
+            return;
+          }
+          self->m_stream.expires_never();
+          self->ReadPart();
+        });
+  }
+
+  void ReadPart() {
+    m_parser.get().body().data = m_part.data();
+    m_parser.get().body().size = m_part.size();
+    http::async_read_some(m_stream, m_buffer, m_parser,
+                          [self = shared_from_this()](auto error, std::size_t) {
+                            self->OnPart(error);
+                          });
+  }
+
+  void OnPart(beast::error_code error) {
+    const bool is_part = !error || error == http::error::need_buffer;
+    const std::size_t size = m_part.size() - m_parser.get().body().size;
+    if (size > 0 && m_on_data) {
+      m_on_data(std::string_view(m_part.data(), size));
+    }
+    if (!is_part || m_parser.is_done()) {
+      End();
+      return;
+    }
+    if (m_on_data) {
+      ReadPart();
+    }
+  }
+
+  static constexpr std::chrono::seconds kConnectTime{5};
+
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  http::request<http::string_body> m_request;
+  http::response_parser<http::buffer_body> m_parser;
+  std::array<char, 16384> m_part{};
+  std::function<void(std::string_view)> m_on_data;
+  std::function<void()> m_on_end;
+};
+
+// The caller's handle; the stream itself lives as long as its handlers.
+class StreamHandle final : public HttpStream {
+ public:
+  explicit StreamHandle(std::shared_ptr<BeastStream> stream)
+      : m_stream(std::move(stream)) {}
+  ~StreamHandle() override { m_stream->Drop(); }
+
+ private:
+  std::shared_ptr<BeastStream> m_stream;
+};
+
+}  // namespace
+
+void HttpConnection::Open(
+    EventLoop& loop,
+    const Endpoint& server,
+    TimePoint deadline,
+    std::function<void(std::unique_ptr<HttpConnection>)> done) {
+  const auto endpoint = Resolve(server);
+  if (!endpoint) {
+    loop.Post([done = std::move(done)] { done(nullptr); });
+    return;
+  }
+  auto link = std::make_shared<Link>(loop.Context());
+  link->host = ToString(server);
+  link->stream.expires_at(deadline);
+  link->stream.async_connect(
+      *endpoint, [link, done = std::move(done)](auto error) {
+        if (error) {
+          done(nullptr);
+          return;
+        }
+        beast::error_code ignored;
+        link->stream.socket().set_option(tcp::no_delay(true), ignored);
+        link->stream.expires_never();
+        done(std::make_unique<BeastConnection>(link));
+      });
+}
+
+std::unique_ptr<HttpStream> HttpStream::Open(
+    EventLoop& loop,
+    const Endpoint& server,
+    HttpRequest request,
+    std::function<void(std::string_view)> on_data,
+    std::function<void()> on_end) {
+  auto stream = std::make_shared<BeastStream>(
+      loop.Context(), ToString(server), std::move(request), std::move(on_data),
+      std::move(on_end));
+  const auto endpoint = Resolve(server);
+  if (endpoint) {
+    stream->Start(*endpoint);
+  } else {
+    loop.Post([stream] { stream->End(); });
+  }
+  return std::make_unique<StreamHandle>(std::move(stream));
+}
+
+void HttpCall(EventLoop& loop,
+              const Endpoint& server,
+              HttpRequest request,
+              TimePoint deadline,
+              HttpCallback done) {
+  HttpConnection::Open(
+      loop, server, deadline,
+      [&loop, request = std::move(request), deadline,
+       done = std::move(done)](std::unique_ptr<HttpConnection> opened) mutable {
+        if (!opened) {
+          done(HttpOutcome{std::nullopt, HttpFailure::kConnect});
+          return;
+        }
+        // The connection is dropped after its callback, not inside it.
+        std::shared_ptr<HttpConnection> connection = std::move(opened);
+        connection->Send(std::move(request), deadline,
+                         [&loop, connection, done](HttpOutcome outcome) {
+                           loop.Post([connection] {});
+                           done(std::move(outcome));
+                         });
+      });
+}
+
+HttpOutcome HttpCallAndWait(const Endpoint& server,
+                            const HttpRequest& request,
+                            Duration timeout) {
+  const auto loop = EventLoop::Create();
+  HttpOutcome result;
+  bool is_done = false;
+  HttpCall(*loop, server, request, std::chrono::steady_clock::now() + timeout,
+           [&](HttpOutcome outcome) {
+             result = std::move(outcome);
+             is_done = true;
+           });
+  while (!is_done) {
+    loop->Context().run_one();
+  }
+  loop->Context().poll();
+  return result;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/peer.capnp
@@ -0,0 +1,52 @@
+@0xd7c1f0a8b35e4921;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("bramleyspoke::wire");
+
+# What daemons say of one daemon; the highest incarnation wins, then the state.
+struct Member {
+  peerAddress @0 :Text;
+  callerAddress @1 :Text;
+  incarnation @2 :UInt64;
+  state @3 :UInt8;
+  failureDomain @4 :Text;
+  region @5 :Text;
+}
+
+# Crash evidence against a request's fingerprint.
+struct Evidence {
+  service @0 :Text;
+  fingerprint @1 :UInt64;
+  crashes @2 :UInt32;
+}
+
+# A leaf that gave its drain word.
+struct Drain {
+  leaf @0 :Text;
+  incarnation @1 :Text;
+}
+
+struct Gossip {
+  sender @0 :Member;
+  members @1 :List(Member);
+  # The manifest generation in force at the sender, its root part and how long
+  # ago the store confirmed it, in milliseconds.
+  generation @2 :UInt64;
+  root @3 :Text;
+  confirmedAgoMs @4 :UInt32;
+  evidence @5 :List(Evidence);
+  drains @6 :List(Drain);
+  # Asks for the whole member list in the reply.
+  wantAll @7 :Bool;
+}
+
+interface Peer {
+  gossip @0 (message :Gossip) -> (reply :Gossip);
+  # Pings another daemon for one that could not reach it.
+  pingVia @1 (target :Text) -> (alive :Bool);
+  # A caller's request handed to the daemon that holds the service or issued
+  # the id. Body and answer are the caller protocol's JSON.
+  forward @2 (body :Data, deadlineMs :UInt32) -> (status :UInt16, body :Data);
+  # Manifest parts by hash; absent ones come back empty.
+  fetchParts @3 (hashes :List(Text)) -> (parts :List(Data));
+}
--- /dev/null
+++ b/src/connection/peer.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "version/routing_table.h"
+
+namespace bramleyspoke {
+
+/// A member's state; for one incarnation a higher value wins.
+enum class MemberState : std::uint8_t {
+  kAlive,
+  kSuspect,
+  kLeaving,
+  kDead,
+};
+
+/// What daemons say of one daemon.
+struct MemberUpdate {
+  DaemonAddress address;
+  MemberState state = MemberState::kAlive;
+
+  bool operator==(const MemberUpdate&) const = default;
+};
+
+/// Crash evidence against a request's fingerprint, for one service.
+struct EvidenceNotice {
+  std::string service;
+  std::uint64_t fingerprint = 0;
+  std::uint32_t crashes = 0;
+
+  bool operator==(const EvidenceNotice&) const = default;
+};
+
+/// A leaf process that gave its drain word.
+struct DrainNotice {
+  Endpoint leaf;
+  std::string incarnation;
+
+  bool operator==(const DrainNotice&) const = default;
+};
+
+/// One exchange between two daemons.
+struct GossipMessage {
+  MemberUpdate sender;
+  std::vector<MemberUpdate> members;
+  std::uint64_t generation = 0;
+  std::string root;
+  /// How long ago the store confirmed `generation`.
+  Duration confirmed_ago = Duration::zero();
+  std::vector<EvidenceNotice> evidence;
+  std::vector<DrainNotice> drains;
+  /// Asks for the whole member list in the reply.
+  bool want_all = false;
+};
+
+/// A forwarded caller request's answer, as the caller protocol has it.
+struct ForwardReply {
+  int status = 0;
+  std::string body;
+};
+
+/// What a forward came to.
+enum class ForwardResult {
+  kReplied,
+  /// Never sent: the peer did not run it.
+  kNotSent,
+  /// Sent, no answer: may have run.
+  kLost,
+};
+
+struct ForwardOutcome {
+  ForwardResult result = ForwardResult::kNotSent;
+  ForwardReply reply;
+};
+
+/// Calls to other daemons; callbacks come on the implementation's thread.
+class PeerNetwork {
+ public:
+  virtual ~PeerNetwork() = default;
+  /// `done` gets nothing when no reply came within `timeout`.
+  virtual void Gossip(
+      const Endpoint& peer,
+      const GossipMessage& message,
+      Duration timeout,
+      std::function<void(std::optional<GossipMessage>)> done) = 0;
+  /// Asks `peer` whether `target` answers it.
+  virtual void PingVia(const Endpoint& peer,
+                       const Endpoint& target,
+                       Duration timeout,
+                       std::function<void(bool)> done) = 0;
+  virtual void Forward(const Endpoint& peer,
+                       const std::string& body,
+                       Duration timeout,
+                       std::function<void(ForwardOutcome)> done) = 0;
+  /// `done` gets nothing when the call failed; absent parts are empty.
+  virtual void FetchParts(
+      const Endpoint& peer,
+      const std::vector<std::string>& hashes,
+      Duration timeout,
+      std::function<void(std::optional<std::vector<std::string>>)> done) = 0;
+};
+
+/// Answers other daemons' calls; called on the implementation's thread.
+class PeerHandler {
+ public:
+  virtual ~PeerHandler() = default;
+  virtual void OnGossip(GossipMessage message,
+                        std::function<void(GossipMessage)> reply) = 0;
+  virtual void OnPingVia(const Endpoint& target,
+                         std::function<void(bool)> reply) = 0;
+  virtual void OnForward(std::string body,
+                         Duration time_left,
+                         std::function<void(ForwardReply)> reply) = 0;
+  virtual void OnFetchParts(
+      std::vector<std::string> hashes,
+      std::function<void(std::vector<std::string>)> reply) = 0;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/query_engine.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "connection/backend_server.h"
+#include "request/search.h"
+#include "version/routing_table.h"
+
+namespace bramleyspoke {
+
+/// Number of a query, given by whoever submits it; unique in the process.
+using QueryNumber = std::uint64_t;
+
+struct SendAction {
+  Endpoint leaf;
+  Attempt attempt;
+};
+
+struct CancelAction {
+  Endpoint leaf;
+  std::string attempt_id;
+};
+
+struct FinishAction {
+  QueryNumber query = 0;
+  SearchOutcome outcome;
+};
+
+/// What is to be done after an event, in this order.
+struct EngineActions {
+  std::vector<SendAction> sends;
+  std::vector<CancelAction> cancels;
+  std::vector<FinishAction> finishes;
+};
+
+/// Fingerprint of a request that crashed leafs, for the peers.
+struct CrashEvidence {
+  std::uint64_t fingerprint = 0;
+  std::uint32_t crashes = 0;
+};
+
+/// All decisions about one service's queries, on one traffic thread.
+///
+/// Pure: takes events with the time, returns actions; reads no clock and no
+/// socket.
+class QueryEngine {
+ public:
+  /// `attempt_prefix` makes attempt ids unique over all daemons.
+  static std::unique_ptr<QueryEngine> Create(
+      std::shared_ptr<const ServiceRoute> route,
+      std::string attempt_prefix,
+      std::uint64_t seed);
+  virtual ~QueryEngine() = default;
+
+  virtual EngineActions Submit(QueryNumber query,
+                               SearchRequest request,
+                               TimePoint now) = 0;
+  virtual EngineActions OnAttempt(const std::string& attempt_id,
+                                  AttemptOutcome outcome,
+                                  TimePoint now) = 0;
+  virtual EngineActions OnLeafStatus(const Endpoint& leaf,
+                                     std::optional<LeafStatus> status,
+                                     TimePoint now) = 0;
+  virtual EngineActions OnRoute(std::shared_ptr<const ServiceRoute> route,
+                                TimePoint now) = 0;
+  virtual EngineActions OnCallerGone(QueryNumber query, TimePoint now) = 0;
+  virtual EngineActions OnPeerEvidence(const CrashEvidence& evidence,
+                                       TimePoint now) = 0;
+  virtual EngineActions OnTimer(TimePoint now) = 0;
+
+  /// When `OnTimer` is due next.
+  virtual std::optional<TimePoint> NextTimer() const = 0;
+  /// Crash evidence found here since the last call.
+  virtual std::vector<CrashEvidence> TakeEvidence() = 0;
+  /// Queries neither finished nor refused yet.
+  virtual std::size_t InFlight() const = 0;
+  /// The whole state as a JSON object.
+  virtual std::string DumpJson(TimePoint now) const = 0;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/http_test.cc
@@ -0,0 +1,131 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "connection/event_loop.h"
+#include "connection/http_client.h"
+#include "connection/http_server.h"
+
+namespace bramleyspoke {
+namespace {
+
+class EchoHandler final : public HttpHandler {
+ public:
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    if (exchange->Request().target == "/abort") {
+      exchange->Abort();
+      return;
+    }
+    if (exchange->Request().target == "/silent") {
+      m_held.push_back(exchange);
+      return;
+    }
+    if (exchange->Request().target == "/stream") {
+      exchange->StreamBegin(HttpResponse{});
+      exchange->StreamChunk("one\n");
+      exchange->StreamChunk("two\n");
+      m_held.push_back(exchange);
+      return;
+    }
+    HttpResponse response;
+    response.body = exchange->Request().body;
+    exchange->Respond(std::move(response));
+  }
+
+ private:
+  std::vector<std::shared_ptr<HttpExchange>> m_held;
+};
+
+class HttpFixture {
+ public:
+  HttpFixture()
+      : m_loop(EventLoop::Create()),
+        m_server(HttpServer::Create(*m_loop,
+                                    Endpoint{"127.0.0.1", 0},
+                                    HttpServerLimits{.body_bytes = 100},
+                                    m_handler)
+                     .value()) {
+    m_loop->Start();
+  }
+  ~HttpFixture() { m_loop->Stop(); }
+
+  HttpOutcome Call(const std::string& target, const std::string& body) const {
+    return HttpCallAndWait(m_server->Address(),
+                           HttpRequest{"POST", target, {}, body},
+                           std::chrono::milliseconds(300));
+  }
+
+  EventLoop& Loop() { return *m_loop; }
+  Endpoint Address() const { return m_server->Address(); }
+
+ private:
+  std::unique_ptr<EventLoop> m_loop;
+  EchoHandler m_handler;
+  std::unique_ptr<HttpServer> m_server;
+};
+
+}  // namespace
+
+TEST_CASE("an HTTP call ends with its answer or with how far it got") {
+  const HttpFixture fixture;
+
+  SUBCASE("answered") {
+    const HttpOutcome outcome = fixture.Call("/", "body");
+    REQUIRE(outcome.response);
+    CHECK(outcome.response->body == "body");
+  }
+  SUBCASE("closed without an answer") {
+    const HttpOutcome outcome = fixture.Call("/abort", "");
+    CHECK_FALSE(outcome.response);
+    CHECK(outcome.failure == HttpFailure::kClosed);
+  }
+  SUBCASE("no answer in time") {
+    const HttpOutcome outcome = fixture.Call("/silent", "");
+    CHECK_FALSE(outcome.response);
+    CHECK(outcome.failure == HttpFailure::kTimeout);
+  }
+  SUBCASE("body over the limit") {
+    const HttpOutcome outcome = fixture.Call("/", std::string(101, 'x'));
+    REQUIRE(outcome.response);
+    CHECK(outcome.response->status == 413);
+  }
+  SUBCASE("nobody listens") {
+    const HttpOutcome outcome =
+        HttpCallAndWait(Endpoint{"127.0.0.1", 1}, HttpRequest{},
+                        std::chrono::milliseconds(300));
+    CHECK(outcome.failure == HttpFailure::kConnect);
+  }
+}
+
+TEST_CASE("a stream hands over each part as it comes") {
+  HttpFixture fixture;
+  std::string received;
+  std::unique_ptr<HttpStream> stream;
+  std::atomic<bool> is_complete = false;
+  fixture.Loop().Post([&] {
+    stream = HttpStream::Open(
+        fixture.Loop(), fixture.Address(),
+        HttpRequest{"GET", "/stream", {}, ""},
+        [&](std::string_view part) {
+          received += part;
+          is_complete = received == "one\ntwo\n";
+        },
+        [] {});
+  });
+  while (!is_complete) {
+    std::this_thread::yield();
+  }
+  std::atomic<bool> is_dropped = false;
+  fixture.Loop().Post([&] {
+    stream.reset();
+    is_dropped = true;
+  });
+  while (!is_dropped) {
+    std::this_thread::yield();
+  }
+}
+
+}  // namespace bramleyspoke
