Manifest, settings, log and metrics

Cause: nothing read the operators' files, and the daemon had neither log nor metrics.

Change: a checked reader over Boost.JSON collects every fault with its path, range and unit, refuses unknown and doubled keys and deep nesting; manifest and settings are read through it. Log lines are JSON objects with typed fields through log4cxx; metrics go through prometheus-cpp behind a typed header. ServiceSpec::connections defaults to 4, as the old default of 1 could not take the default of two holders.

Ruled out: log4cxx's JSONLayout, whose fields are strings of the thread's MDC.

--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -13,6 +13,7 @@
   std::string host;
   std::uint16_t port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads <=>.
   auto operator<=>(const Endpoint&) const = default;
 };
 
--- /dev/null
+++ b/src/process/log.cc
@@ -0,0 +1,145 @@
+#include "process/log.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <array>
+#include <atomic>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <memory>
+
+namespace bramleyspoke {
+namespace {
+
+namespace json = boost::json;
+
+// log4cxx's JSONLayout takes fields from the thread's MDC alone: all of them
+// strings, nested in "context_map", set and removed one by one around each
+// call. So the line is built here as one JSON object with typed fields, and
+// log4cxx does the rest: levels, the appender and its lock.
+constexpr const char* kLinePattern = "%m%n";
+constexpr const char* kLoggerName = "bramleyspoke";
+
+std::atomic<LogLevel> g_level = LogLevel::kInfo;
+
+log4cxx::LoggerPtr Logger() {
+  static const log4cxx::LoggerPtr kLogger =
+      log4cxx::Logger::getLogger(kLoggerName);
+  return kLogger;
+}
+
+log4cxx::LevelPtr LevelOf(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::kInfo:
+      return log4cxx::Level::getInfo();
+    case LogLevel::kWarning:
+      return log4cxx::Level::getWarn();
+    case LogLevel::kError:
+      break;
+  }
+  return log4cxx::Level::getError();
+}
+
+std::string WallTime() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  const std::time_t seconds = millis / 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 32> text{};
+  const std::size_t length =
+      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::array<char, 8> fraction{};
+  std::snprintf(fraction.data(), fraction.size(), ".%03dZ",
+                static_cast<int>(millis % 1000));
+  return std::string(text.data(), length) + fraction.data();
+}
+
+json::value FieldValue(const LogField& field) {
+  if (const auto* text = std::get_if<std::string_view>(&field.value)) {
+    return json::string(text->data(), text->size());
+  }
+  if (const auto* integer = std::get_if<std::int64_t>(&field.value)) {
+    return *integer;
+  }
+  if (const auto* real = std::get_if<double>(&field.value)) {
+    return *real;
+  }
+  return std::get<bool>(field.value);
+}
+
+json::string Text(std::string_view text) {
+  return json::string(text.data(), text.size());
+}
+
+}  // namespace
+
+std::string_view ToString(LogLevel level) {
+  return kLogLevelNames.NameOf(level);
+}
+
+std::optional<LogLevel> ParseLogLevel(std::string_view name) {
+  return kLogLevelNames.ValueOf(name);
+}
+
+void StartLog(LogLevel level) {
+  const auto layout = std::make_shared<log4cxx::PatternLayout>(kLinePattern);
+  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+      layout, log4cxx::ConsoleAppender::getSystemErr());
+  Logger()->removeAllAppenders();
+  Logger()->addAppender(appender);
+  Logger()->setAdditivity(false);
+  SetLogLevel(level);
+}
+
+void SetLogLevel(LogLevel level) {
+  Logger()->setLevel(LevelOf(level));
+  g_level = level;
+}
+
+LogLevel GetLogLevel() {
+  return g_level;
+}
+
+bool IsLogged(LogLevel level) {
+  return level >= g_level.load(std::memory_order_relaxed);
+}
+
+void WriteLog(LogLevel level,
+              std::string_view event,
+              std::initializer_list<LogField> fields) {
+  if (!IsLogged(level)) {
+    return;
+  }
+  Logger()->log(LevelOf(level),
+                Detail::FormatLogLine(WallTime(), level, event, fields));
+}
+
+namespace Detail {
+
+std::string FormatLogLine(std::string_view time,
+                          LogLevel level,
+                          std::string_view event,
+                          std::initializer_list<LogField> fields) {
+  json::object line;
+  line["time"] = Text(time);
+  line["level"] = Text(ToString(level));
+  line["event"] = Text(event);
+  for (const LogField& field : fields) {
+    line[json::string_view(field.name.data(), field.name.size())] =
+        FieldValue(field);
+  }
+  return json::serialize(line);
+}
+
+}  // namespace Detail
+
+}  // namespace bramleyspoke
--- a/src/version/manifest.h
+++ b/src/version/manifest.h
@@ -52,7 +52,7 @@
   /// Requests that a leaf runs at a time.
   std::uint32_t slots = 1;
   /// Connections that a leaf takes, from all daemons together.
-  std::uint32_t connections = 1;
+  std::uint32_t connections = 4;
   /// Daemons that hold connections to the service's leafs.
   std::uint32_t holders = 2;
   /// Most hits a caller may ask for.
@@ -93,4 +93,8 @@
 /// JSON that `ParseManifest` takes back; equal manifests, equal text.
 std::string ToJson(const Manifest& manifest);
 
+/// Same for one service on its own; names are not compared with others.
+Result<ServiceSpec> ParseService(std::string_view json);
+std::string ToJson(const ServiceSpec& service);
+
 }  // namespace bramleyspoke
