Query engine, thin: fan-out, merge, coverage, retry after not run

Cause: the daemon needs an engine to link against while the decisions are built. This one sends an attempt a shard on a replica that is not leaving, merges, counts coverage, tries another replica after "not run" and ends each query once.

Interface additions: EngineOptions (fourth parameter of Create, defaults given), Counters(), TakeDrains(), OnPeerDrain(); OnCallerGone ends idempotent queries only, with a FinishAction like every other end.

No hedges, budgets, slots, canaries or admission yet.

--- a/src/request/query_engine.h
+++ b/src/request/query_engine.h
@@ -9,6 +9,8 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "connection/backend_server.h"
+#include "request/engine_counters.h"
+#include "request/engine_options.h"
 #include "request/search.h"
 #include "version/routing_table.h"
 
@@ -42,9 +44,16 @@
 /// Fingerprint of a request that crashed leafs, for the peers.
 struct CrashEvidence {
   std::uint64_t fingerprint = 0;
+  /// Crashes seen since the last notice; receivers add them up.
   std::uint32_t crashes = 0;
 };
 
+/// A leaf's own word that this run of its process is leaving, for the peers.
+struct DrainNotice {
+  Endpoint leaf;
+  std::string incarnation;
+};
+
 /// All decisions about one service's queries, on one traffic thread.
 ///
 /// Pure: takes events with the time, returns actions; reads no clock and no
@@ -55,9 +64,11 @@
   static std::unique_ptr<QueryEngine> Create(
       std::shared_ptr<const ServiceRoute> route,
       std::string attempt_prefix,
-      std::uint64_t seed);
+      std::uint64_t seed,
+      EngineOptions options = {});
   virtual ~QueryEngine() = default;
 
+  /// Every query submitted gets exactly one `FinishAction`.
   virtual EngineActions Submit(QueryNumber query,
                                SearchRequest request,
                                TimePoint now) = 0;
@@ -69,15 +80,22 @@
                                      TimePoint now) = 0;
   virtual EngineActions OnRoute(std::shared_ptr<const ServiceRoute> route,
                                 TimePoint now) = 0;
+  /// Ends an idempotent query; another one goes on, so that its outcome is
+  /// known when the caller sends it again.
   virtual EngineActions OnCallerGone(QueryNumber query, TimePoint now) = 0;
   virtual EngineActions OnPeerEvidence(const CrashEvidence& evidence,
                                        TimePoint now) = 0;
+  virtual EngineActions OnPeerDrain(const DrainNotice& notice,
+                                    TimePoint now) = 0;
   virtual EngineActions OnTimer(TimePoint now) = 0;
 
   /// When `OnTimer` is due next.
   virtual std::optional<TimePoint> NextTimer() const = 0;
   /// Crash evidence found here since the last call.
   virtual std::vector<CrashEvidence> TakeEvidence() = 0;
+  /// Drain words heard from leafs since the last call.
+  virtual std::vector<DrainNotice> TakeDrains() = 0;
+  virtual const EngineCounters& Counters() const = 0;
   /// Queries neither finished nor refused yet.
   virtual std::size_t InFlight() const = 0;
   /// The whole state as a JSON object.
