--- /dev/null
+++ b/src/stand_in/leaf.cc
@@ -0,0 +1,531 @@
+#include "stand_in/leaf.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include "connection/event_loop.h"
+#include "connection/http_server.h"
+#include "connection/leaf_message.h"
+#include "stand_in/json_response.h"
+#include "stand_in/leaf_answer.h"
+
+namespace bramleyspoke::StandIn {
+namespace {
+
+constexpr Duration kIdleTime = std::chrono::minutes(10);
+
+// An attempt at this leaf, from its arrival to its answer.
+struct Work {
+  std::shared_ptr<HttpExchange> exchange;
+  Attempt attempt;
+  bool is_running = false;
+  std::unique_ptr<Timer> timer;
+};
+
+using WorkPtr = std::shared_ptr<Work>;
+
+Duration Scaled(Duration duration, double factor) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::nano>(
+          static_cast<double>(duration.count()) * factor));
+}
+
+Duration Milliseconds(double count) {
+  return Scaled(std::chrono::milliseconds(1), count);
+}
+
+class LeafImpl final : public Leaf, public HttpHandler {
+ public:
+  LeafImpl(EventLoop& loop, ExecutionLog& log, LeafConfig config)
+      : m_loop(loop),
+        m_log(log),
+        m_config(std::move(config)),
+        m_random(m_config.seed),
+        m_address(m_config.listen) {}
+
+  Result<void> Listen() {
+    HttpServerLimits limits;
+    limits.connections = m_config.connections;
+    limits.accept_delay = m_config.new_connection;
+    limits.idle_time = kIdleTime;
+    BOOST_LEAF_ASSIGN(m_server,
+                      HttpServer::Create(m_loop, m_address, limits, *this));
+    m_address = m_server->Address();
+    m_name = ToString(m_address);
+    m_started = Now();
+    m_incarnation = m_name + "#" + std::to_string(m_counts.crashes) + "-" +
+                    std::to_string(m_started.time_since_epoch().count());
+    return {};
+  }
+
+  Endpoint Address() const override { return m_address; }
+
+  LeafCounts Counts() const override {
+    LeafCounts counts = m_counts;
+    counts.leaf = m_address;
+    counts.connections =
+        m_server ? static_cast<std::uint32_t>(m_server->ConnectionCount()) : 0;
+    return counts;
+  }
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    m_counts.connections_max =
+        std::max(m_counts.connections_max,
+                 static_cast<std::uint32_t>(m_server->ConnectionCount()));
+    WhenThawed([this, exchange = std::move(exchange)] { Route(exchange); });
+  }
+
+  void Apply(const LeafFault& fault) override;
+
+ private:
+  static TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+  // Runs `call` at once, or when the freeze ends.
+  void WhenThawed(std::function<void()> call) {
+    if (m_is_frozen) {
+      m_held.push_back(std::move(call));
+    } else {
+      call();
+    }
+  }
+
+  void Route(const std::shared_ptr<HttpExchange>& exchange) {
+    const std::string& target = exchange->Request().target;
+    if (target == "/search") {
+      Receive(exchange);
+    } else if (target == "/cancel") {
+      Cancel(ParseCancelledId(exchange->Request().body));
+      exchange->Respond(JsonResponse(200));
+    } else if (target == "/status") {
+      exchange->Respond(JsonResponse(200, StatusBody()));
+    } else {
+      exchange->Respond(JsonResponse(404));
+    }
+  }
+
+  void Receive(const std::shared_ptr<HttpExchange>& exchange) {
+    std::optional<Attempt> attempt =
+        ParseAttempt(exchange->Request().body, Now());
+    if (!attempt) {
+      exchange->Respond(JsonResponse(400));
+      return;
+    }
+    ++m_counts.received;
+    const auto work = std::make_shared<Work>();
+    work->exchange = exchange;
+    work->attempt = std::move(*attempt);
+    m_log.Add(m_name, ExecutionEvent::kReceived, work->attempt);
+    const LeafReason reason = ReasonToRefuse(work->attempt);
+    if (reason != LeafReason::kNone) {
+      Refuse(*work, reason);
+      return;
+    }
+    m_work[work->attempt.attempt_id] = work;
+    m_queue.push_back(work);
+    StartNext();
+  }
+
+  LeafReason ReasonToRefuse(const Attempt& attempt) {
+    if (m_refusal != LeafReason::kNone) {
+      return m_refusal;
+    }
+    if (m_is_draining && m_refuses_when_draining) {
+      return LeafReason::kDraining;
+    }
+    if (!Serves(attempt)) {
+      return LeafReason::kVersionMissing;
+    }
+    if (m_shed_share > 0 && Fraction() < m_shed_share) {
+      return LeafReason::kShed;
+    }
+    if (m_running >= m_config.slots && m_queue.size() >= m_config.queue) {
+      return LeafReason::kNoSlot;
+    }
+    if (Now() + WaitFor(m_queue.size()) > attempt.deadline) {
+      return LeafReason::kDeadline;
+    }
+    return LeafReason::kNone;
+  }
+
+  bool Serves(const Attempt& attempt) const {
+    const auto& versions = m_config.versions;
+    const auto& shards = m_config.shards;
+    return attempt.service == m_config.service &&
+           std::find(versions.begin(), versions.end(), attempt.version) !=
+               versions.end() &&
+           std::find(shards.begin(), shards.end(), attempt.shard) !=
+               shards.end();
+  }
+
+  // Expected time until an attempt with `ahead` others before it is answered.
+  Duration WaitFor(std::size_t ahead) const {
+    const bool has_free_slot = m_running < m_config.slots;
+    const double rounds =
+        has_free_slot ? 1 : 1 + static_cast<double>(ahead + 1) / m_config.slots;
+    return Scaled(m_config.service_time, rounds * SpeedFactor()) +
+           m_config.latency;
+  }
+
+  double SpeedFactor() const {
+    const bool is_cold = Now() < m_started + m_config.cold_time;
+    return m_slow_factor * (is_cold ? m_config.cold_factor : 1);
+  }
+
+  double Fraction() {
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+  }
+
+  Duration NextServiceTime() {
+    double factor = SpeedFactor();
+    factor *= 1 + m_config.jitter * (2 * Fraction() - 1);
+    if (m_config.tail_share > 0 && Fraction() < m_config.tail_share) {
+      factor *= m_config.tail_factor;
+    }
+    return Scaled(m_config.service_time, factor);
+  }
+
+  void StartNext() {
+    while (m_running < m_config.slots && !m_queue.empty()) {
+      const WorkPtr work = m_queue.front();
+      m_queue.pop_front();
+      if (Now() >= work->attempt.deadline) {
+        m_work.erase(work->attempt.attempt_id);
+        Refuse(*work, LeafReason::kDeadline);
+        continue;
+      }
+      Start(work);
+      if (m_server == nullptr) {
+        return;
+      }
+    }
+  }
+
+  void Start(const WorkPtr& work) {
+    work->is_running = true;
+    ++m_running;
+    ++m_counts.started;
+    m_counts.concurrent_max = std::max(m_counts.concurrent_max, m_running);
+    m_log.Add(m_name, ExecutionEvent::kStarted, work->attempt);
+    if (!m_crash_query.empty() && work->attempt.query == m_crash_query) {
+      Crash(m_crash_time);
+      return;
+    }
+    work->timer = m_loop.At(Now() + NextServiceTime(), [this, work] {
+      WhenThawed([this, work] { Finish(work); });
+    });
+  }
+
+  void Finish(const WorkPtr& work) {
+    if (!work->is_running) {
+      return;
+    }
+    Release(*work);
+    ++m_counts.finished;
+    m_log.Add(m_name, ExecutionEvent::kFinished, work->attempt);
+    const Duration delay = m_config.latency + LateBy();
+    if (delay == Duration::zero()) {
+      Answer(*work);
+    } else {
+      // The answer is on its way; a crash still takes it along.
+      m_leaving[work->attempt.attempt_id] = work;
+      work->timer = m_loop.At(Now() + delay, [this, work] {
+        WhenThawed([this, work] {
+          if (m_leaving.erase(work->attempt.attempt_id) > 0) {
+            Answer(*work);
+          }
+        });
+      });
+    }
+    StartNext();
+  }
+
+  void Release(Work& work) {
+    work.is_running = false;
+    work.timer = nullptr;
+    m_work.erase(work.attempt.attempt_id);
+    --m_running;
+  }
+
+  Duration LateBy() {
+    return m_spoil.kind == LeafFaultKind::kLateAnswer && TakeSpoil()
+               ? Milliseconds(m_spoil.number)
+               : Duration::zero();
+  }
+
+  // True for as many answers as the fault is ordered for.
+  bool TakeSpoil() {
+    if (m_spoil.count > 0 && m_spoiled >= m_spoil.count) {
+      return false;
+    }
+    ++m_spoiled;
+    return true;
+  }
+
+  void Answer(const Work& work) {
+    AttemptOutcome outcome = Word();
+    outcome.result = AttemptResult::kAnswered;
+    outcome.hits = MakeHits(work.attempt, m_config.hits);
+    outcome.covered = m_partial;
+    const bool is_spoiled = m_spoil.kind != LeafFaultKind::kNone &&
+                            m_spoil.kind != LeafFaultKind::kLateAnswer &&
+                            TakeSpoil();
+    SendAnswer(m_loop, work.exchange, work.attempt, outcome,
+               is_spoiled ? m_spoil : LeafFault{});
+  }
+
+  void Refuse(const Work& work, LeafReason reason) {
+    ++m_counts.refused;
+    m_log.Add(m_name, ExecutionEvent::kRefused, work.attempt);
+    SendRefusal(work, reason, Verdict::kNotRun);
+  }
+
+  void SendRefusal(const Work& work, LeafReason reason, Verdict verdict) {
+    AttemptOutcome outcome = Word();
+    outcome.result = AttemptResult::kRefused;
+    outcome.reason = reason;
+    outcome.verdict = verdict;
+    work.exchange->Respond(
+        JsonResponse(StatusOf(reason), EncodeOutcome(work.attempt, outcome)));
+  }
+
+  // What every answer says about the leaf.
+  AttemptOutcome Word() {
+    AttemptOutcome outcome;
+    outcome.draining = m_is_draining;
+    outcome.reported_load = ReportedLoad();
+    outcome.incarnation = m_incarnation;
+    return outcome;
+  }
+
+  double ReportedLoad() {
+    if (m_load_lie) {
+      return *m_load_lie;
+    }
+    if (Now() >= m_load_seen + m_config.status_lag) {
+      const double used = m_running + static_cast<double>(m_queue.size());
+      m_load = std::min(1.0, used / m_config.slots);
+      m_load_seen = Now();
+    }
+    return m_load;
+  }
+
+  std::string StatusBody() {
+    if (!m_status_lie.empty()) {
+      return m_status_lie;
+    }
+    if (m_status.empty() || Now() >= m_status_seen + m_config.status_lag) {
+      m_status = EncodeStatus(LeafStatus{m_config.versions, m_is_draining,
+                                         ReportedLoad(), m_incarnation});
+      m_status_seen = Now();
+    }
+    return m_status;
+  }
+
+  void Cancel(const std::string& attempt_id) {
+    const auto found = m_work.find(attempt_id);
+    if (found == m_work.end()) {
+      return;
+    }
+    const WorkPtr work = found->second;
+    ++m_counts.cancelled;
+    m_log.Add(m_name, ExecutionEvent::kCancelled, work->attempt);
+    if (work->is_running) {
+      Release(*work);
+      SendRefusal(*work, LeafReason::kCancelled, Verdict::kMayHaveRun);
+    } else {
+      m_work.erase(found);
+      m_queue.erase(std::find(m_queue.begin(), m_queue.end(), work));
+      SendRefusal(*work, LeafReason::kCancelled, Verdict::kNotRun);
+    }
+    StartNext();
+  }
+
+  void Crash(Duration down_time);
+  void Restart();
+  void Thaw();
+  void Clear();
+  void SetDraining(bool is_draining, bool refuses);
+
+  EventLoop& m_loop;
+  ExecutionLog& m_log;
+  LeafConfig m_config;
+  std::mt19937_64 m_random;
+  Endpoint m_address;
+  std::string m_name;
+  std::string m_incarnation;
+  TimePoint m_started;
+  std::unique_ptr<HttpServer> m_server;
+  LeafCounts m_counts;
+
+  std::uint32_t m_running = 0;
+  std::deque<WorkPtr> m_queue;
+  // Queued and running attempts.
+  std::unordered_map<std::string, WorkPtr> m_work;
+  // Attempts that ran and whose answer is delayed.
+  std::unordered_map<std::string, WorkPtr> m_leaving;
+
+  bool m_is_draining = false;
+  bool m_refuses_when_draining = false;
+  bool m_is_frozen = false;
+  std::vector<std::function<void()>> m_held;
+  std::unique_ptr<Timer> m_thaw_timer;
+  std::unique_ptr<Timer> m_restart_timer;
+  double m_slow_factor = 1;
+  double m_shed_share = 0;
+  double m_partial = 1;
+  LeafReason m_refusal = LeafReason::kNone;
+  std::string m_crash_query;
+  Duration m_crash_time = Duration::zero();
+  std::optional<double> m_load_lie;
+  std::string m_status_lie;
+  // The fault of answers and how many it has spoiled.
+  LeafFault m_spoil;
+  std::uint32_t m_spoiled = 0;
+
+  double m_load = 0;
+  TimePoint m_load_seen;
+  std::string m_status;
+  TimePoint m_status_seen;
+};
+
+void LeafImpl::Crash(Duration down_time) {
+  if (m_server == nullptr) {
+    return;
+  }
+  ++m_counts.crashes;
+  for (const auto& [id, work] : m_work) {
+    work->is_running = false;
+    work->timer = nullptr;
+    m_log.Add(m_name, ExecutionEvent::kCrashed, work->attempt);
+  }
+  m_work.clear();
+  m_leaving.clear();
+  m_queue.clear();
+  m_held.clear();
+  m_running = 0;
+  m_is_frozen = false;
+  m_server->AbortAll();
+  m_server = nullptr;
+  m_restart_timer = nullptr;
+  if (down_time > Duration::zero()) {
+    m_restart_timer = m_loop.At(Now() + down_time, [this] { Restart(); });
+  }
+}
+
+void LeafImpl::Restart() {
+  if (m_server != nullptr) {
+    Crash(Duration::zero());
+  }
+  m_status.clear();
+  m_load_seen = {};
+  SetDraining(false, false);
+  if (!Listen()) {
+    m_restart_timer =
+        m_loop.At(Now() + std::chrono::milliseconds(10), [this] { Restart(); });
+  }
+}
+
+void LeafImpl::Thaw() {
+  m_is_frozen = false;
+  m_thaw_timer = nullptr;
+  const auto held = std::exchange(m_held, {});
+  for (const auto& call : held) {
+    WhenThawed(call);
+  }
+}
+
+void LeafImpl::Clear() {
+  Thaw();
+  m_slow_factor = 1;
+  m_shed_share = 0;
+  m_partial = 1;
+  m_refusal = LeafReason::kNone;
+  m_crash_query.clear();
+  m_load_lie.reset();
+  m_status_lie.clear();
+  m_spoil = {};
+}
+
+void LeafImpl::SetDraining(bool is_draining, bool refuses) {
+  m_is_draining = is_draining;
+  m_refuses_when_draining = refuses;
+}
+
+void LeafImpl::Apply(const LeafFault& fault) {
+  switch (fault.kind) {
+    case LeafFaultKind::kNone:
+      Clear();
+      break;
+    case LeafFaultKind::kSlow:
+      m_slow_factor = fault.number;
+      break;
+    case LeafFaultKind::kFreeze:
+      m_is_frozen = true;
+      m_thaw_timer = fault.number > 0
+                         ? m_loop.At(Now() + Milliseconds(fault.number),
+                                     [this] { Thaw(); })
+                         : nullptr;
+      break;
+    case LeafFaultKind::kCrash:
+      Crash(Milliseconds(fault.number));
+      break;
+    case LeafFaultKind::kRestart:
+      Restart();
+      break;
+    case LeafFaultKind::kCrashOn:
+      m_crash_query = fault.text;
+      m_crash_time = Milliseconds(fault.number);
+      break;
+    case LeafFaultKind::kRefuse:
+      m_refusal = ParseLeafReason(fault.text).value_or(LeafReason::kOther);
+      break;
+    case LeafFaultKind::kShed:
+      m_shed_share = fault.number;
+      break;
+    case LeafFaultKind::kLieLoad:
+      m_load_lie = fault.number;
+      break;
+    case LeafFaultKind::kLieStatus:
+      m_status_lie = fault.text;
+      break;
+    case LeafFaultKind::kPartial:
+      m_partial = fault.number;
+      break;
+    case LeafFaultKind::kDrain:
+      SetDraining(true, fault.number > 0);
+      break;
+    case LeafFaultKind::kUndrain:
+      SetDraining(false, false);
+      break;
+    case LeafFaultKind::kSetVersions:
+      m_config.versions = fault.versions;
+      break;
+    case LeafFaultKind::kSetShards:
+      m_config.shards = fault.shards;
+      break;
+    case LeafFaultKind::kDropAnswer:
+    case LeafFaultKind::kHalfAnswer:
+    case LeafFaultKind::kWrongId:
+    case LeafFaultKind::kWrongEcho:
+    case LeafFaultKind::kLateAnswer:
+      m_spoil = fault;
+      m_spoiled = 0;
+      break;
+  }
+}
+
+}  // namespace
+
+Result<std::unique_ptr<Leaf>> Leaf::Create(EventLoop& loop,
+                                           ExecutionLog& log,
+                                           LeafConfig config) {
+  auto leaf = std::make_unique<LeafImpl>(loop, log, std::move(config));
+  BOOST_LEAF_CHECK(leaf->Listen());
+  return std::unique_ptr<Leaf>(std::move(leaf));
+}
+
+}  // namespace bramleyspoke::StandIn
--- /dev/null
+++ b/src/stand_in/leaf.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "stand_in/execution_log.h"
+#include "stand_in/leaf_config.h"
+#include "stand_in/leaf_fault.h"
+
+namespace bramleyspoke {
+class EventLoop;
+}
+
+namespace bramleyspoke::StandIn {
+
+/// What a leaf has seen so far.
+struct LeafCounts {
+  Endpoint leaf;
+  std::uint64_t received = 0;
+  std::uint64_t started = 0;
+  std::uint64_t finished = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t crashes = 0;
+  std::uint32_t concurrent_max = 0;
+  std::uint32_t connections = 0;
+  std::uint32_t connections_max = 0;
+};
+
+/// A backend server that answers from its configuration.
+class Leaf {
+ public:
+  /// Listens at once; `loop` and `log` must outlive the leaf.
+  static Result<std::unique_ptr<Leaf>> Create(EventLoop& loop,
+                                              ExecutionLog& log,
+                                              LeafConfig config);
+  virtual ~Leaf() = default;
+
+  /// Address listened on; differs from the configured one for port 0.
+  virtual Endpoint Address() const = 0;
+  /// On the loop's thread.
+  virtual void Apply(const LeafFault& fault) = 0;
+  /// On the loop's thread.
+  virtual LeafCounts Counts() const = 0;
+};
+
+}  // namespace bramleyspoke::StandIn
