History checker: decides each promise from a run's history alone

Cause: the promises need a judge that doesn't ask the daemon. Change: typed events of callers, leafs, store and operators; a checker for the eight promises; 23 forged histories, each rejected for its promise, and three good ones that pass.

--- /dev/null
+++ b/tests/history_checker.cc
@@ -0,0 +1,431 @@
+#include "history_checker.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+#include "base/enum_names.h"
+
+namespace bramleyspoke {
+namespace {
+
+constexpr EnumNames<Promise, 8> kPromiseNames{{{
+    {Promise::kOneSnapshot, "one snapshot"},
+    {Promise::kTrueCoverage, "true coverage"},
+    {Promise::kOwnWholeAnswer, "own whole answer"},
+    {Promise::kNotRun, "not run"},
+    {Promise::kAtMostOnce, "at most once"},
+    {Promise::kNoWorkToLeaving, "no work to leaving"},
+    {Promise::kGracefulStop, "graceful stop"},
+    {Promise::kManifestInForce, "manifest in force"},
+}}};
+
+constexpr double kCoverageError = 1e-6;
+
+// A hit's id taken apart: "service/shard/version/number".
+struct HitSource {
+  std::string service;
+  std::uint32_t shard = 0;
+  std::uint64_t version = 0;
+};
+
+std::optional<HitSource> ParseHitId(const std::string& id) {
+  const std::size_t number = id.rfind('/');
+  const std::size_t version = id.rfind('/', number - 1);
+  const std::size_t shard = id.rfind('/', version - 1);
+  if (number == std::string::npos || version == std::string::npos ||
+      shard == std::string::npos) {
+    return std::nullopt;
+  }
+  HitSource source;
+  source.service = id.substr(0, shard);
+  const char* text = id.data();
+  const auto first =
+      std::from_chars(text + shard + 1, text + version, source.shard);
+  const auto second =
+      std::from_chars(text + version + 1, text + number, source.version);
+  if (first.ec != std::errc() || second.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return source;
+}
+
+// What the leafs' log says of one request.
+struct Execution {
+  std::vector<const LeafEvent*> starts;
+  std::vector<const LeafEvent*> finishes;
+};
+
+class Checker {
+ public:
+  explicit Checker(const History& history) : m_history(history) {
+    for (const LeafEvent& event : history.leafs) {
+      Execution& execution = m_executions[event.request_id];
+      if (event.kind == LeafEventKind::kStarted) {
+        execution.starts.push_back(&event);
+      } else if (event.kind == LeafEventKind::kFinished) {
+        execution.finishes.push_back(&event);
+      }
+    }
+    for (const CallerEvent& event : history.callers) {
+      m_sends[IdOf(event)].push_back(&event);
+    }
+  }
+
+  std::vector<Violation> Run() {
+    for (const CallerEvent& event : m_history.callers) {
+      if (event.end == CallerEnd::kAnswered) {
+        CheckSnapshot(event);
+        CheckCoverage(event);
+        CheckOwnWholeAnswer(event);
+      }
+      if (event.verdict == Verdict::kNotRun) {
+        CheckNotRun(event);
+      }
+    }
+    CheckAtMostOnce();
+    CheckLeaving();
+    CheckStops();
+    CheckGenerations();
+    CheckAcceptedReach();
+    CheckPublishes();
+    return std::move(m_violations);
+  }
+
+ private:
+  static const std::string& IdOf(const CallerEvent& event) {
+    return event.sent_id.empty() ? event.request_id : event.sent_id;
+  }
+
+  void Add(Promise promise, std::string detail) {
+    m_violations.push_back(Violation{promise, std::move(detail)});
+  }
+
+  const Execution& ExecutionOf(const CallerEvent& event) const {
+    static const Execution kNone;
+    const auto found = m_executions.find(event.request_id);
+    return found == m_executions.end() ? kNone : found->second;
+  }
+
+  // A leaf that finished the shard in time, at the answer's snapshot.
+  bool HasFinished(const CallerEvent& event, std::uint32_t shard) const {
+    const auto& finishes = ExecutionOf(event).finishes;
+    return std::any_of(
+        finishes.begin(), finishes.end(), [&](const LeafEvent* finish) {
+          return finish->shard == shard && finish->service == event.service &&
+                 finish->version == event.answer.version &&
+                 finish->at <= event.ended_at;
+        });
+  }
+
+  void CheckSnapshot(const CallerEvent& event) {
+    for (const Hit& hit : event.answer.hits) {
+      const auto source = ParseHitId(hit.id);
+      if (!source || source->service != event.service) {
+        continue;
+      }
+      if (source->version != event.answer.version.number) {
+        Add(Promise::kOneSnapshot,
+            event.request_id + ": hit " + hit.id + " is not of version " +
+                std::to_string(event.answer.version.number));
+      }
+    }
+    const auto facts = m_history.services.find(event.service);
+    if (facts != m_history.services.end() &&
+        facts->second.layouts.count(event.answer.version.layout) == 0) {
+      Add(Promise::kOneSnapshot, event.request_id + ": unknown layout \"" +
+                                     event.answer.version.layout + "\"");
+    }
+  }
+
+  std::optional<std::uint32_t> ShardCount(const CallerEvent& event) const {
+    const auto facts = m_history.services.find(event.service);
+    if (facts == m_history.services.end()) {
+      return std::nullopt;
+    }
+    const auto layout = facts->second.layouts.find(event.answer.version.layout);
+    if (layout == facts->second.layouts.end()) {
+      return std::nullopt;
+    }
+    return layout->second;
+  }
+
+  static std::map<std::uint32_t, double> CoveredOf(const CallerEvent& event,
+                                                   std::uint32_t shards) {
+    std::map<std::uint32_t, double> covered;
+    for (std::uint32_t shard = 0; shard < shards; ++shard) {
+      covered[shard] = 1;
+    }
+    for (const MissingShard& missing : event.answer.missing) {
+      covered[missing.shard] = missing.covered;
+    }
+    return covered;
+  }
+
+  static std::map<std::uint32_t, std::uint32_t> HitsByShard(
+      const CallerEvent& event) {
+    std::map<std::uint32_t, std::uint32_t> counts;
+    for (const Hit& hit : event.answer.hits) {
+      const auto source = ParseHitId(hit.id);
+      if (source) {
+        ++counts[source->shard];
+      }
+    }
+    return counts;
+  }
+
+  void CheckCoverage(const CallerEvent& event) {
+    const auto shards = ShardCount(event);
+    if (!shards) {
+      return;
+    }
+    const auto covered = CoveredOf(event, *shards);
+    const auto hits = HitsByShard(event);
+    double sum = 0;
+    for (const auto& [shard, share] : covered) {
+      sum += share;
+      if (share > 0 && !HasFinished(event, shard)) {
+        Add(Promise::kTrueCoverage, event.request_id + ": shard " +
+                                        std::to_string(shard) +
+                                        " counts but no leaf finished it");
+      }
+      if (share == 0 && hits.count(shard) > 0) {
+        Add(Promise::kTrueCoverage, event.request_id + ": shard " +
+                                        std::to_string(shard) +
+                                        " is missing but has hits");
+      }
+    }
+    if (covered.size() != *shards ||
+        std::abs(sum / *shards - event.answer.coverage) > kCoverageError) {
+      Add(Promise::kTrueCoverage, event.request_id + ": reports coverage " +
+                                      std::to_string(event.answer.coverage) +
+                                      ", is " + std::to_string(sum / *shards));
+    }
+  }
+
+  void CheckOwnWholeAnswer(const CallerEvent& event) {
+    if (!event.sent_id.empty() && event.sent_id != event.request_id) {
+      Add(Promise::kOwnWholeAnswer,
+          event.sent_id + ": got the answer to " + event.request_id);
+    }
+    std::set<std::string> seen;
+    for (const Hit& hit : event.answer.hits) {
+      const auto source = ParseHitId(hit.id);
+      if (!source || source->service != event.service ||
+          hit.text.find(event.query) == std::string::npos) {
+        Add(Promise::kOwnWholeAnswer,
+            event.request_id + ": hit " + hit.id + " belongs to another");
+      }
+      if (!seen.insert(hit.id).second) {
+        Add(Promise::kOwnWholeAnswer,
+            event.request_id + ": hit " + hit.id + " came twice");
+      }
+    }
+    CheckNoHitLost(event);
+  }
+
+  // With room left below the limit, each covered shard's hits must be there.
+  void CheckNoHitLost(const CallerEvent& event) {
+    const auto shards = ShardCount(event);
+    if (!shards || event.answer.hits.size() >= event.limit) {
+      return;
+    }
+    const std::uint32_t expected =
+        m_history.services.at(event.service).hits_per_shard;
+    auto hits = HitsByShard(event);
+    for (const auto& [shard, share] : CoveredOf(event, *shards)) {
+      if (share == 1 && hits[shard] < expected) {
+        Add(Promise::kOwnWholeAnswer,
+            event.request_id + ": has " + std::to_string(hits[shard]) + " of " +
+                std::to_string(expected) + " hits of shard " +
+                std::to_string(shard));
+      }
+    }
+  }
+
+  // Another send of the same request that may have caused `start`.
+  bool HasOtherCause(const CallerEvent& refused, const LeafEvent& start) const {
+    const auto& sends = m_sends.at(IdOf(refused));
+    return std::any_of(sends.begin(), sends.end(), [&](const CallerEvent* s) {
+      return s != &refused && s->verdict != Verdict::kNotRun &&
+             s->sent_at <= start.at;
+    });
+  }
+
+  void CheckNotRun(const CallerEvent& event) {
+    const auto found = m_executions.find(IdOf(event));
+    if (IdOf(event).empty() || found == m_executions.end()) {
+      return;
+    }
+    for (const LeafEvent* start : found->second.starts) {
+      if (start->at >= event.sent_at && HasOtherCause(event, *start)) {
+        continue;
+      }
+      Add(Promise::kNotRun, IdOf(event) + ": refused as not run (" +
+                                event.reason + "), started on " + start->leaf);
+      return;
+    }
+  }
+
+  void CheckAtMostOnce() {
+    for (const auto& [request, execution] : m_executions) {
+      std::set<std::uint32_t> shards;
+      std::set<std::string> layouts;
+      for (const LeafEvent* start : execution.starts) {
+        if (IsIdempotent(*start)) {
+          continue;
+        }
+        layouts.insert(start->version.layout);
+        if (!shards.insert(start->shard).second || layouts.size() > 1) {
+          Add(Promise::kAtMostOnce, request + ": ran again on shard " +
+                                        std::to_string(start->shard) + " at " +
+                                        start->leaf);
+        }
+      }
+    }
+  }
+
+  bool IsIdempotent(const LeafEvent& event) const {
+    const auto facts = m_history.services.find(event.service);
+    return facts == m_history.services.end() ? event.is_idempotent
+                                             : facts->second.is_idempotent;
+  }
+
+  void CheckLeaving() {
+    for (const LeavingEvent& leaving : m_history.leaving) {
+      for (const LeafEvent& event : m_history.leafs) {
+        if (event.leaf == leaving.leaf &&
+            event.kind == LeafEventKind::kReceived &&
+            event.at > leaving.at + kLeavingBound) {
+          Add(Promise::kNoWorkToLeaving,
+              leaving.leaf + ": received " + event.attempt_id + " " +
+                  std::to_string(ToMilliseconds(event.at - leaving.at)) +
+                  " ms after it began to leave");
+          break;
+        }
+      }
+    }
+  }
+
+  void CheckStops() {
+    for (const StopEvent& stop : m_history.stops) {
+      if (stop.exit_status != 0) {
+        Add(Promise::kGracefulStop, ToString(stop.daemon) + ": exit status " +
+                                        std::to_string(stop.exit_status));
+      }
+      for (const CallerEvent& event : m_history.callers) {
+        if (event.daemon == stop.daemon && IsCutOff(event, stop)) {
+          Add(Promise::kGracefulStop,
+              event.query + ": cut off by the stop of " +
+                  ToString(stop.daemon) + ", sent " +
+                  std::to_string(
+                      ToMilliseconds(event.sent_at - stop.began_at)) +
+                  " ms after it began");
+        }
+      }
+    }
+  }
+
+  // A caller may connect for as long as its address answer is valid.
+  static bool IsCutOff(const CallerEvent& event, const StopEvent& stop) {
+    if (event.ended_at < stop.began_at || event.sent_at > stop.ended_at) {
+      return event.end == CallerEnd::kNotSent &&
+             event.sent_at >= stop.began_at &&
+             event.sent_at < event.address_valid_until;
+    }
+    return event.end == CallerEnd::kLost || event.end == CallerEnd::kTimedOut ||
+           (event.end == CallerEnd::kNotSent &&
+            event.sent_at < event.address_valid_until);
+  }
+
+  void CheckGenerations() {
+    std::map<std::string, std::uint64_t> highest;
+    for (const GenerationEvent& event : m_history.generations) {
+      std::uint64_t& last = highest[event.daemon];
+      if (event.generation < last) {
+        Add(Promise::kManifestInForce, event.daemon +
+                                           ": generation went back from " +
+                                           std::to_string(last) + " to " +
+                                           std::to_string(event.generation));
+      }
+      last = std::max(last, event.generation);
+    }
+  }
+
+  void CheckAcceptedReach() {
+    for (const PublishEvent& publish : m_history.publishes) {
+      if (publish.end != PublishEnd::kAccepted) {
+        continue;
+      }
+      for (const GenerationEvent& event : m_history.generations) {
+        if (event.at > publish.ended_at + kManifestBound &&
+            event.generation < publish.generation) {
+          Add(Promise::kManifestInForce,
+              event.daemon + ": still at generation " +
+                  std::to_string(event.generation) + ", " +
+                  std::to_string(ToMilliseconds(event.at - publish.ended_at)) +
+                  " ms after generation " + std::to_string(publish.generation) +
+                  " was accepted");
+          break;
+        }
+      }
+    }
+  }
+
+  void CheckPublishes() {
+    std::map<std::string, std::uint64_t> written;
+    std::uint64_t last = 0;
+    for (const StoreEvent& event : m_history.store) {
+      if (event.generation <= last) {
+        Add(Promise::kManifestInForce, "store: generation " +
+                                           std::to_string(event.generation) +
+                                           " follows " + std::to_string(last));
+      }
+      last = event.generation;
+      written[event.publish_id] = event.generation;
+    }
+    for (const PublishEvent& publish : m_history.publishes) {
+      const auto found = written.find(publish.publish_id);
+      const bool is_written = found != written.end();
+      const bool agrees =
+          publish.end == PublishEnd::kUnknown ||
+          (publish.end == PublishEnd::kConflict && !is_written) ||
+          (publish.end == PublishEnd::kAccepted && is_written &&
+           found->second == publish.generation);
+      if (!agrees) {
+        Add(Promise::kManifestInForce, "publish " + publish.publish_id +
+                                           ": reported outcome is not the "
+                                           "store's");
+      }
+    }
+  }
+
+  const History& m_history;
+  std::unordered_map<std::string, Execution> m_executions;
+  std::unordered_map<std::string, std::vector<const CallerEvent*>> m_sends;
+  std::vector<Violation> m_violations;
+};
+
+}  // namespace
+
+std::string_view ToString(Promise promise) {
+  return kPromiseNames.NameOf(promise);
+}
+
+std::vector<Violation> CheckHistory(const History& history) {
+  return Checker(history).Run();
+}
+
+std::string Describe(const std::vector<Violation>& violations) {
+  std::string text;
+  for (const Violation& violation : violations) {
+    text += std::string(ToString(violation.promise)) + ": " + violation.detail;
+    text += '\n';
+  }
+  return text;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/history_checker_test.cc
@@ -0,0 +1,222 @@
+#include "history_checker.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+
+namespace bramleyspoke {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+TimePoint After(int milliseconds) {
+  return kStart + std::chrono::milliseconds(milliseconds);
+}
+
+LeafEvent MakeLeafEvent(LeafEventKind kind, std::uint32_t shard, int at) {
+  LeafEvent event;
+  event.kind = kind;
+  event.at = After(at);
+  event.leaf = "127.0.2.1:7000";
+  event.request_id = "r1";
+  event.attempt_id = "a" + std::to_string(shard);
+  event.service = "desk";
+  event.shard = shard;
+  event.version = IndexVersion{41, "a"};
+  return event;
+}
+
+CallerEvent MakeCallerEvent() {
+  CallerEvent event;
+  event.daemon = Endpoint{"127.0.1.1", 8080};
+  event.service = "desk";
+  event.sent_id = "r1";
+  event.request_id = "r1";
+  event.query = "q-1;";
+  event.limit = 10;
+  event.sent_at = After(0);
+  event.ended_at = After(20);
+  event.address_valid_until = After(10'000);
+  event.end = CallerEnd::kAnswered;
+  event.verdict = Verdict::kRan;
+  event.answer.version = IndexVersion{41, "a"};
+  event.answer.coverage = 1;
+  event.answer.hits = {Hit{"desk/0/41/1", 1, "q-1; x"},
+                       Hit{"desk/1/41/1", 1, "q-1; y"}};
+  return event;
+}
+
+// A request over two shards, a publish, a drained leaf and a planned stop.
+History MakeGoodHistory() {
+  History history;
+  history.services["desk"] = ServiceFacts{false, 1, {{"a", 2}}};
+  history.callers = {MakeCallerEvent()};
+  for (const std::uint32_t shard : {0U, 1U}) {
+    history.leafs.push_back(MakeLeafEvent(LeafEventKind::kReceived, shard, 5));
+    history.leafs.push_back(MakeLeafEvent(LeafEventKind::kStarted, shard, 6));
+    history.leafs.push_back(MakeLeafEvent(LeafEventKind::kFinished, shard, 10));
+  }
+  history.store = {StoreEvent{1, "p1"}, StoreEvent{2, "p2"}};
+  history.publishes = {
+      PublishEvent{After(0), "p1", PublishEnd::kAccepted, 1},
+      PublishEvent{After(100), "p2", PublishEnd::kAccepted, 2},
+      PublishEvent{After(100), "p3", PublishEnd::kConflict, 0}};
+  history.generations = {GenerationEvent{After(50), "d1", "i1", 1},
+                         GenerationEvent{After(14'050), "d1", "i1", 2},
+                         GenerationEvent{After(15'000), "d1", "i2", 2}};
+  history.leaving = {LeavingEvent{After(0), "127.0.2.1:7000"}};
+  history.stops = {
+      StopEvent{Endpoint{"127.0.1.1", 8080}, After(10), After(9'000), 0}};
+  return history;
+}
+
+struct ForgedHistory {
+  const char* name;
+  Promise promise;
+  std::function<void(History&)> forge;
+};
+
+void RefuseAsNotRun(History& history) {
+  CallerEvent& event = history.callers.front();
+  event.end = CallerEnd::kRefused;
+  event.verdict = Verdict::kNotRun;
+}
+
+// Runs the request's shards again on another leaf.
+void RunAgain(History& history) {
+  LeafEvent again = MakeLeafEvent(LeafEventKind::kStarted, 1, 300);
+  again.leaf = "127.0.2.2:7000";
+  history.leafs.push_back(again);
+}
+
+const std::vector<ForgedHistory>& ForgedHistories() {
+  static const std::vector<ForgedHistory> kForged = {
+      {"a hit of another version", Promise::kOneSnapshot,
+       [](History& h) { h.callers[0].answer.hits[1].id = "desk/1/40/1"; }},
+      {"a layout that is nowhere", Promise::kOneSnapshot,
+       [](History& h) { h.callers[0].answer.version.layout = "b"; }},
+      {"a shard counted that ran another version", Promise::kTrueCoverage,
+       [](History& h) { h.leafs[5].version.number = 40; }},
+      {"a shard counted that finished after the answer", Promise::kTrueCoverage,
+       [](History& h) { h.leafs[5].at = After(21); }},
+      {"coverage that its own list denies", Promise::kTrueCoverage,
+       [](History& h) { h.callers[0].answer.coverage = 0.5; }},
+      {"a missing shard with hits", Promise::kTrueCoverage,
+       [](History& h) {
+         h.callers[0].answer.missing = {MissingShard{1, 0}};
+         h.callers[0].answer.coverage = 0.5;
+       }},
+      {"another caller's hit", Promise::kOwnWholeAnswer,
+       [](History& h) { h.callers[0].answer.hits[0].text = "q-2; x"; }},
+      {"another request's id", Promise::kOwnWholeAnswer,
+       [](History& h) { h.callers[0].sent_id = "r2"; }},
+      {"a lost hit", Promise::kOwnWholeAnswer,
+       [](History& h) { h.callers[0].answer.hits.pop_back(); }},
+      {"a hit that came twice", Promise::kOwnWholeAnswer,
+       [](History& h) {
+         h.callers[0].answer.hits.push_back(h.callers[0].answer.hits[0]);
+       }},
+      {"not run, but started", Promise::kNotRun, RefuseAsNotRun},
+      {"not run to the resend of one that ran", Promise::kNotRun,
+       [](History& h) {
+         CallerEvent resend = MakeCallerEvent();
+         resend.sent_at = After(500);
+         resend.ended_at = After(501);
+         resend.end = CallerEnd::kRefused;
+         resend.verdict = Verdict::kNotRun;
+         h.callers.push_back(resend);
+       }},
+      {"a second run", Promise::kAtMostOnce, RunAgain},
+      {"a second run in another layout", Promise::kAtMostOnce,
+       [](History& h) {
+         LeafEvent again = MakeLeafEvent(LeafEventKind::kStarted, 7, 300);
+         again.version.layout = "b";
+         h.leafs.push_back(again);
+       }},
+      {"new work to a leaving leaf", Promise::kNoWorkToLeaving,
+       [](History& h) {
+         h.leafs.push_back(MakeLeafEvent(LeafEventKind::kReceived, 1, 3'001));
+       }},
+      {"a request lost in a stop", Promise::kGracefulStop,
+       [](History& h) { h.callers[0].end = CallerEnd::kLost; }},
+      {"an address gone while callers keep it", Promise::kGracefulStop,
+       [](History& h) {
+         CallerEvent& event = h.callers[0];
+         event.end = CallerEnd::kNotSent;
+         event.sent_at = After(9'500);
+         event.ended_at = After(9'501);
+       }},
+      {"a stop that failed", Promise::kGracefulStop,
+       [](History& h) { h.stops[0].exit_status = 137; }},
+      {"a generation that went back", Promise::kManifestInForce,
+       [](History& h) {
+         h.generations.push_back(GenerationEvent{After(15'001), "d1", "i2", 1});
+       }},
+      {"a generation not reached in time", Promise::kManifestInForce,
+       [](History& h) {
+         h.generations = {GenerationEvent{After(14'101), "d1", "i1", 1}};
+       }},
+      {"accepted, but never written", Promise::kManifestInForce,
+       [](History& h) { h.store.pop_back(); }},
+      {"a conflict that was written", Promise::kManifestInForce,
+       [](History& h) {
+         h.store.push_back(StoreEvent{3, "p3"});
+       }},
+      {"two writes of one generation", Promise::kManifestInForce,
+       [](History& h) {
+         h.store.push_back(StoreEvent{2, "p4"});
+       }},
+  };
+  return kForged;
+}
+
+}  // namespace
+
+TEST_CASE("a history that keeps every promise passes") {
+  CHECK(Describe(CheckHistory(MakeGoodHistory())).empty());
+
+  SUBCASE("also when a refused send is followed by one that runs") {
+    History history = MakeGoodHistory();
+    CallerEvent refused = MakeCallerEvent();
+    refused.sent_at = After(-20);
+    refused.ended_at = After(-10);
+    refused.end = CallerEnd::kRefused;
+    refused.verdict = Verdict::kNotRun;
+    history.callers.push_back(refused);
+    CHECK(Describe(CheckHistory(history)).empty());
+  }
+  SUBCASE("also when an idempotent request runs twice") {
+    History history = MakeGoodHistory();
+    history.services["desk"].is_idempotent = true;
+    RunAgain(history);
+    CHECK(Describe(CheckHistory(history)).empty());
+  }
+}
+
+TEST_CASE("a forged history is rejected for the promise that it breaks") {
+  for (const ForgedHistory& forged : ForgedHistories()) {
+    CAPTURE(forged.name);
+    History history = MakeGoodHistory();
+    forged.forge(history);
+    const auto violations = CheckHistory(history);
+    REQUIRE_FALSE(violations.empty());
+    const bool is_found =
+        std::any_of(violations.begin(), violations.end(),
+                    [&](const auto& v) { return v.promise == forged.promise; });
+    CHECK_MESSAGE(is_found, Describe(violations));
+  }
+}
+
+TEST_CASE("an execution log is read line by line") {
+  const auto events = ParseLeafLog(
+      R"({"seq":1,"at_ns":5,"leaf":"127.0.2.1:7000","event":"started",)"
+      R"("request_id":"r","attempt_id":"a","service":"desk","shard":3,)"
+      R"("version":41,"layout":"b","idempotent":false})"
+      "\n");
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].kind == LeafEventKind::kStarted);
+  CHECK(events[0].version == IndexVersion{41, "b"});
+  CHECK_FALSE(events[0].is_idempotent);
+}
+
+}  // namespace bramleyspoke
