Daemon: request ids, routing between daemons, caller interface, planned stop (not linked yet)

Cause: the path from a caller to a service's holder, its issuer and back, and a stop that cuts nothing off. Change: RequestIds (at most once under the issuing process), AdmissionLimits, SearchRouter, TrafficThreads and ServiceRunner around the query engine, CallerApi, PlannedStop, PeerGateway, Daemon. Traffic checks a freshness lease that the control thread renews before each request and each attempt, so that a process that was paused sends nothing by its old view. Ruled out: a claim in the store for each non-idempotent request, as the store takes a few hundred writes a second and has outages.

--- a/src/connection/backend_server.h
+++ b/src/connection/backend_server.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -96,6 +97,14 @@
   std::string incarnation;
 };
 
+/// A leaf's own word that this run of its process is leaving, for the peers.
+struct DrainNotice {
+  Endpoint leaf;
+  std::string incarnation;
+
+  bool operator==(const DrainNotice&) const = default;
+};
+
 std::string_view ToString(AttemptResult result);
 std::string_view ToString(LeafReason reason);
 std::optional<LeafReason> ParseLeafReason(std::string_view name);
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -203,6 +203,8 @@
     for (const HttpHeader& header : response.headers) {
       head.set(header.name, header.value);
     }
+    const bool is_last = HeaderValue(response.headers, "Connection") == "close";
+    m_keep_alive = m_keep_alive && !is_last;
     head.keep_alive(m_keep_alive && !m_state->is_shutting_down);
     return head;
   }
@@ -297,7 +299,9 @@
   }
 
   void OnClientGone(std::function<void()> callback) override {
-    m_session->SetOnGone(std::move(callback));
+    if (!m_is_done) {
+      m_session->SetOnGone(std::move(callback));
+    }
   }
 
   void StreamBegin(HttpResponse head) override {
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -8,6 +8,7 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "connection/backend_server.h"
 #include "version/routing_table.h"
 
 namespace bramleyspoke {
@@ -37,14 +38,6 @@
   bool operator==(const EvidenceNotice&) const = default;
 };
 
-/// A leaf process that gave its drain word.
-struct DrainNotice {
-  Endpoint leaf;
-  std::string incarnation;
-
-  bool operator==(const DrainNotice&) const = default;
-};
-
 /// One exchange between two daemons.
 struct GossipMessage {
   MemberUpdate sender;
--- /dev/null
+++ b/src/process/caller_api.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "connection/http_server.h"
+
+namespace bramleyspoke {
+
+class SearchRouter;
+
+/// What the operators' requests need of the process.
+class OperatorActions {
+ public:
+  virtual ~OperatorActions() = default;
+  /// JSON of the whole process; `done` is called on the front thread.
+  virtual void Dump(std::function<void(std::string)> done) = 0;
+  /// Short JSON for `bramleyspoke status`.
+  virtual std::string Status() = 0;
+  /// Prometheus text.
+  virtual std::string Metrics() = 0;
+  virtual bool IsReady() const = 0;
+  virtual bool IsStopping() const = 0;
+  virtual void BeginStop() = 0;
+  /// False for an unknown level.
+  virtual bool SetLogLevel(const std::string& name) = 0;
+};
+
+/// The daemon's HTTP interface: callers' and operators' requests.
+class CallerApi final : public HttpHandler {
+ public:
+  CallerApi(SearchRouter& router, OperatorActions& actions)
+      : m_router(router), m_actions(actions) {}
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override;
+
+ private:
+  void Search(const std::shared_ptr<HttpExchange>& exchange);
+  void Entries(HttpExchange& exchange, const std::string& parameters);
+  void SetLogLevel(HttpExchange& exchange);
+
+  SearchRouter& m_router;
+  OperatorActions& m_actions;
+};
+
+}  // namespace bramleyspoke
--- a/src/process/daemon_main.cc
+++ b/src/process/daemon_main.cc
@@ -1,3 +1,119 @@
-int main() {
-  return 0;
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/program_options/options_description.hpp>
+#include <boost/program_options/parsers.hpp>
+#include <boost/program_options/variables_map.hpp>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include "process/daemon.h"
+#include "process/log.h"
+#include "process/settings.h"
+
+namespace {
+
+using bramleyspoke::Problem;
+using bramleyspoke::Problems;
+using bramleyspoke::Result;
+using bramleyspoke::Settings;
+
+constexpr int kExitCutOff = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+constexpr int kExitBind = 4;
+
+struct CommandLine {
+  std::string settings_file;
+  bool is_check = false;
+  bool is_help = false;
+};
+
+CommandLine ParseCommandLine(int count, char** words, std::string& usage) {
+  namespace options = boost::program_options;
+  CommandLine line;
+  options::options_description description(
+      "bramleyspoked: a daemon of the query tier\n\nOptions");
+  description.add_options()("help", options::bool_switch(&line.is_help),
+                            "print this and exit")(
+      "settings",
+      options::value<std::string>(&line.settings_file)->value_name("FILE"),
+      "settings in JSON with comments")(
+      "check", options::bool_switch(&line.is_check),
+      "check the settings and exit without starting");
+  std::ostringstream text;
+  text << description
+       << "\nExit codes: 0 stopped as asked, 1 stopped but cut requests off, "
+          "2 usage,\n3 settings refused, 4 an address can't be had.\n";
+  usage = text.str();
+  options::variables_map values;
+  options::store(options::parse_command_line(count, words, description),
+                 values);
+  options::notify(values);
+  return line;
+}
+
+void PrintProblems(const Problems& problems) {
+  for (const Problem& problem : problems.list) {
+    std::cerr << problem.path << (problem.path.empty() ? "" : ": ")
+              << "expected " << problem.expected << '\n';
+  }
+}
+
+Result<Settings> ReadSettings(const std::string& file) {
+  std::ifstream stream(file);
+  if (!stream) {
+    return bramleyspoke::Fail("", "a readable file: " + file);
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return bramleyspoke::ParseSettings(text.str());
+}
+
+Result<int> Serve(const Settings& settings) {
+  BOOST_LEAF_AUTO(daemon, bramleyspoke::Daemon::Create(settings));
+  return daemon->Run() ? EXIT_SUCCESS : kExitCutOff;
+}
+
+int CheckAndServe(const CommandLine& line) {
+  int failure = kExitSettings;
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<int> {
+        BOOST_LEAF_AUTO(settings, ReadSettings(line.settings_file));
+        if (line.is_check) {
+          std::cout << "settings: ok\n";
+          return EXIT_SUCCESS;
+        }
+        bramleyspoke::StartLog(settings.log_level);
+        failure = kExitBind;
+        return Serve(settings);
+      },
+      [&](const Problems& problems) {
+        PrintProblems(problems);
+        return failure;
+      },
+      [&] { return failure; });
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  std::string usage;
+  try {
+    const CommandLine line = ParseCommandLine(count, words, usage);
+    if (line.is_help) {
+      std::cout << usage;
+      return EXIT_SUCCESS;
+    }
+    if (line.settings_file.empty()) {
+      std::cerr << usage;
+      return kExitUsage;
+    }
+    return CheckAndServe(line);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << '\n' << usage;
+    return kExitUsage;
+  }
 }
--- /dev/null
+++ b/src/process/search_router.cc
@@ -0,0 +1,468 @@
+#include "process/search_router.h"
+
+#include <algorithm>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <utility>
+
+#include "base/enum_names.h"
+#include "connection/event_loop.h"
+#include "process/freshness_lease.h"
+
+namespace bramleyspoke {
+namespace {
+
+namespace json = boost::json;
+
+// How long a caller may keep an address answer.
+constexpr std::chrono::milliseconds kEntryKeep{10'000};
+constexpr std::chrono::milliseconds kRetryAfter{500};
+// Left of a forwarded request's time for its answer's way back.
+constexpr std::chrono::milliseconds kReturnTime{25};
+
+/// What a daemon asks of another with a forwarded request.
+enum class ForwardMode {
+  /// Run it: the receiver holds the service.
+  kRun,
+  /// Decide on its id: the receiver issued it.
+  kDecide,
+};
+
+constexpr EnumNames<ForwardMode, 2> kModeNames{{{
+    {ForwardMode::kRun, "run"},
+    {ForwardMode::kDecide, "decide"},
+}}};
+
+struct ForwardBody {
+  ForwardMode mode = ForwardMode::kRun;
+  std::string search;
+};
+
+std::string ToJson(const ForwardBody& body) {
+  return json::serialize(json::object{{"mode", kModeNames.NameOf(body.mode)},
+                                      {"search", body.search}});
+}
+
+std::optional<ForwardBody> ParseForwardBody(const std::string& text) {
+  json::error_code error;
+  const json::value value = json::parse(text, error);
+  const json::object* object = error ? nullptr : value.if_object();
+  if (object == nullptr || !object->contains("mode") ||
+      !object->contains("search") || !object->at("mode").is_string() ||
+      !object->at("search").is_string()) {
+    return std::nullopt;
+  }
+  const auto mode =
+      kModeNames.ValueOf(std::string(object->at("mode").get_string()));
+  if (!mode) {
+    return std::nullopt;
+  }
+  return ForwardBody{*mode, std::string(object->at("search").get_string())};
+}
+
+// Whether a holder's reply says that another holder should be asked.
+bool IsRefusedByHolder(const CallerReply& reply) {
+  return reply.verdict == Verdict::kNotRun &&
+         (reply.reason == RefusalReason::kHolderUnreachable ||
+          reply.reason == RefusalReason::kNotReady ||
+          reply.reason == RefusalReason::kShuttingDown);
+}
+
+bool IsSameProcess(const DaemonAddress& daemon, const IssuedId& id) {
+  return daemon.peer == id.issuer && daemon.incarnation == id.incarnation;
+}
+
+}  // namespace
+
+// One request on its way; shared by the callbacks that move it on.
+struct SearchRouter::Pending {
+  QueryNumber query = 0;
+  CallerSearch search;
+  Reply reply;
+  TimePoint start;
+  TimePoint deadline;
+  std::shared_ptr<const ServiceRoute> route;
+  /// Holders not asked yet, the next one last.
+  std::vector<DaemonAddress> holders;
+  /// What is known of holders asked before.
+  Verdict verdict = Verdict::kNotRun;
+  std::optional<SearchOutcome> outcome;
+  bool is_admitted = false;
+  bool is_decided_here = false;
+  bool is_forwarded_here = false;
+  bool is_running_here = false;
+};
+
+SearchRouter::SearchRouter(RouterContext context)
+    : m_context(std::move(context)),
+      m_table(std::make_shared<RoutingTable>()),
+      m_limits(m_context.max_in_flight),
+      m_ids(m_context.self.peer,
+            m_context.self.incarnation,
+            m_context.clock.Now()) {}
+
+QueryNumber SearchRouter::Search(CallerSearch search, Reply reply) {
+  const PendingPtr pending = Start(std::move(search), std::move(reply));
+  if (Admit(pending)) {
+    Route(pending);
+  }
+  return pending->query;
+}
+
+void SearchRouter::CallerGone(QueryNumber query) {
+  const auto found = m_pending.find(query);
+  if (found == m_pending.end() || !found->second->route) {
+    return;
+  }
+  const Pending& pending = *found->second;
+  if (pending.route->spec.idempotent && pending.is_running_here) {
+    m_context.executor.CallerGone(pending.search.service, query);
+  }
+}
+
+void SearchRouter::Forwarded(const std::string& body,
+                             Duration time_left,
+                             Reply reply) {
+  const std::optional<ForwardBody> forward = ParseForwardBody(body);
+  Result<CallerSearch> search =
+      forward ? ParseCallerSearch(forward->search) : Result<CallerSearch>{};
+  if (!forward || !search) {
+    reply(MakeReply("", Refusal{RefusalReason::kBadRequest, Verdict::kNotRun,
+                                "malformed forward", std::nullopt}));
+    return;
+  }
+  search->time_left = time_left;
+  const PendingPtr pending = Start(std::move(*search), std::move(reply));
+  pending->is_forwarded_here = true;
+  if (!Admit(pending)) {
+    return;
+  }
+  if (forward->mode == ForwardMode::kDecide) {
+    Route(pending);
+    return;
+  }
+  if (!pending->route->is_held_here) {
+    Refuse(pending, RefusalReason::kHolderUnreachable, Verdict::kNotRun,
+           "this daemon does not hold the service");
+    return;
+  }
+  RunHere(pending);
+}
+
+EntryAnswer SearchRouter::Entries(const std::string& service) const {
+  EntryAnswer answer;
+  answer.service = service;
+  answer.keep = kEntryKeep;
+  answer.generation = m_table->generation;
+  answer.is_confirmed = m_table->is_confirmed;
+  answer.request_id_prefix = m_ids.Prefix(m_context.clock.Now());
+  const auto found = m_table->services.find(service);
+  if (found == m_table->services.end()) {
+    return answer;
+  }
+  const bool is_usable = !m_is_leaving && m_table->is_confirmed;
+  for (const DaemonAddress& holder : found->second->holders) {
+    if (is_usable || holder.peer != m_context.self.peer) {
+      answer.entries.push_back(holder);
+    }
+  }
+  if (answer.entries.empty() && !m_is_leaving) {
+    answer.entries.push_back(m_context.self);
+  }
+  return answer;
+}
+
+void SearchRouter::SetTable(std::shared_ptr<const RoutingTable> table) {
+  m_table = std::move(table);
+  m_limits.SetCallers(m_table->callers);
+}
+
+SearchRouter::PendingPtr SearchRouter::Start(CallerSearch search, Reply reply) {
+  auto pending = std::make_shared<Pending>();
+  pending->query = ++m_last_query;
+  pending->search = std::move(search);
+  pending->reply = std::move(reply);
+  pending->start = m_context.clock.Now();
+  m_pending.emplace(pending->query, pending);
+  return pending;
+}
+
+// Everything that can be said without running or asking anyone.
+bool SearchRouter::Admit(const PendingPtr& pending) {
+  CallerSearch& search = pending->search;
+  if (!m_context.lease.IsValid(pending->start) || m_table->generation == 0) {
+    Refuse(pending, RefusalReason::kNotReady, Verdict::kNotRun,
+           "this daemon has no current manifest yet");
+    return false;
+  }
+  const auto found = m_table->services.find(search.service);
+  if (found == m_table->services.end()) {
+    Refuse(pending, RefusalReason::kUnknownService, Verdict::kNotRun,
+           "generation " + std::to_string(m_table->generation) +
+               " has no such service");
+    return false;
+  }
+  pending->route = found->second;
+  const ServiceSpec& spec = pending->route->spec;
+  search.limit = search.limit.value_or(std::min(10U, spec.max_hits));
+  if (*search.limit > spec.max_hits) {
+    Refuse(pending, RefusalReason::kBadRequest, Verdict::kNotRun,
+           "limit: expected at most " + std::to_string(spec.max_hits));
+    return false;
+  }
+  pending->deadline =
+      pending->start + search.time_left.value_or(spec.default_deadline);
+  std::optional<Refusal> refusal =
+      m_limits.Admit(spec.service_class, search.caller);
+  if (refusal) {
+    End(pending, MakeReply(search.request_id, *refusal));
+    return false;
+  }
+  pending->is_admitted = true;
+  return true;
+}
+
+void SearchRouter::Route(const PendingPtr& pending) {
+  if (pending->route->spec.idempotent) {
+    RunOrHandOver(pending);
+    return;
+  }
+  RouteById(pending);
+}
+
+void SearchRouter::RouteById(const PendingPtr& pending) {
+  const IdDecision decision =
+      m_ids.Check(pending->search.request_id, Fingerprint(pending->search),
+                  m_context.clock.Now());
+  switch (decision) {
+    case IdDecision::kRun:
+      RunOnce(pending);
+      return;
+    case IdDecision::kRunning:
+      m_attached[pending->search.request_id].push_back(pending);
+      return;
+    case IdDecision::kEnded:
+      AnswerEnded(pending);
+      return;
+    case IdDecision::kIssuedElsewhere:
+      HandToIssuer(pending);
+      return;
+    case IdDecision::kIssuerGone:
+      Refuse(pending, RefusalReason::kHolderGone, Verdict::kMayHaveRun,
+             "the process that issued the id is gone");
+      return;
+    case IdDecision::kExpired:
+      Refuse(pending, RefusalReason::kIdExpired, Verdict::kMayHaveRun,
+             "the id was issued too long ago");
+      return;
+    case IdDecision::kReused:
+      Refuse(pending, RefusalReason::kIdReused, Verdict::kNotRun,
+             "the id was used with another request");
+      return;
+    case IdDecision::kNotIssued:
+      Refuse(pending, RefusalReason::kIdNotIssued, Verdict::kNotRun,
+             "request_id: expected the request_id_prefix of an address "
+             "answer and a suffix of the caller's");
+      return;
+    case IdDecision::kFull:
+      Refuse(pending, RefusalReason::kOverloaded, Verdict::kNotRun,
+             "too many request ids are remembered");
+      return;
+  }
+}
+
+void SearchRouter::RunOnce(const PendingPtr& pending) {
+  pending->is_decided_here = true;
+  RunOrHandOver(pending);
+}
+
+void SearchRouter::AnswerEnded(const PendingPtr& pending) {
+  const EndedRequest& ended = *m_ids.Ended(pending->search.request_id);
+  if (ended.body.empty()) {
+    Refuse(pending, RefusalReason::kIdReused, ended.verdict,
+           "the request ended before; its answer is no longer kept");
+    return;
+  }
+  End(pending, ReadReply(ended.status, ended.body));
+}
+
+void SearchRouter::HandToIssuer(const PendingPtr& pending) {
+  const std::optional<IssuedId> id = ParseIssuedId(pending->search.request_id);
+  const bool is_member = std::any_of(
+      m_table->members.begin(), m_table->members.end(),
+      [&](const DaemonAddress& member) { return IsSameProcess(member, *id); });
+  if (!is_member || pending->is_forwarded_here) {
+    Refuse(pending, RefusalReason::kHolderGone, Verdict::kMayHaveRun,
+           "the daemon that issued the id is not among the members");
+    return;
+  }
+  const Duration left = pending->deadline - m_context.clock.Now();
+  CallerSearch search = pending->search;
+  search.time_left = left;
+  m_context.peers.Forward(
+      id->issuer, ToJson(ForwardBody{ForwardMode::kDecide, ToJson(search)}),
+      left, [this, pending](ForwardOutcome outcome) {
+        m_context.front.Post([this, pending, outcome = std::move(outcome)] {
+          if (outcome.result == ForwardResult::kReplied) {
+            End(pending, ReadReply(outcome.reply.status, outcome.reply.body));
+            return;
+          }
+          Refuse(pending, RefusalReason::kHolderGone, Verdict::kMayHaveRun,
+                 "the daemon that issued the id did not answer");
+        });
+      });
+}
+
+void SearchRouter::RunOrHandOver(const PendingPtr& pending) {
+  if (pending->route->is_held_here) {
+    RunHere(pending);
+    return;
+  }
+  for (const DaemonAddress& holder : pending->route->holders) {
+    if (holder.peer != m_context.self.peer) {
+      pending->holders.push_back(holder);
+    }
+  }
+  // Spread over the holders; the order is the same for one query.
+  if (!pending->holders.empty()) {
+    const std::size_t first =
+        (pending->query + m_context.seed) % pending->holders.size();
+    std::rotate(pending->holders.begin(),
+                pending->holders.begin() + static_cast<std::ptrdiff_t>(first),
+                pending->holders.end());
+  }
+  HandToHolder(pending);
+}
+
+void SearchRouter::RunHere(const PendingPtr& pending) {
+  pending->is_running_here = true;
+  SearchRequest request;
+  request.request_id = pending->search.request_id;
+  request.caller = pending->search.caller;
+  request.service = pending->search.service;
+  request.query = pending->search.query;
+  request.limit = *pending->search.limit;
+  request.deadline = pending->deadline;
+  if (request.request_id.empty()) {
+    request.request_id = ToString(m_context.self.peer) + "/" +
+                         std::to_string(m_context.self.incarnation) + "/" +
+                         std::to_string(pending->query);
+    pending->search.request_id = request.request_id;
+  }
+  m_context.executor.Execute(
+      pending->query, std::move(request),
+      [this, pending](const SearchOutcome& outcome) {
+        pending->outcome = outcome;
+        End(pending, MakeReply(pending->search.request_id, outcome));
+      });
+}
+
+void SearchRouter::HandToHolder(const PendingPtr& pending) {
+  const Duration left = pending->deadline - m_context.clock.Now();
+  if (left <= Duration::zero()) {
+    Refuse(pending, RefusalReason::kDeadlinePassed, pending->verdict,
+           "no holder answered in time");
+    return;
+  }
+  if (pending->holders.empty()) {
+    Refuse(pending, RefusalReason::kHolderUnreachable, pending->verdict,
+           "no holder of the service can be reached");
+    return;
+  }
+  const Endpoint holder = pending->holders.back().peer;
+  pending->holders.pop_back();
+  // While others remain, one that hangs must leave time to ask them.
+  const bool may_ask_again =
+      pending->route->spec.idempotent && !pending->holders.empty();
+  const Duration timeout = may_ask_again ? left / 2 : left;
+  CallerSearch search = pending->search;
+  search.time_left = timeout - std::min<Duration>(kReturnTime, timeout / 10);
+  m_context.peers.Forward(
+      holder, ToJson(ForwardBody{ForwardMode::kRun, ToJson(search)}), timeout,
+      [this, pending](ForwardOutcome outcome) {
+        m_context.front.Post(
+            [this, pending, outcome = std::move(outcome)]() mutable {
+              OnHolderReply(pending, std::move(outcome));
+            });
+      });
+}
+
+void SearchRouter::OnHolderReply(const PendingPtr& pending,
+                                 ForwardOutcome outcome) {
+  if (outcome.result == ForwardResult::kReplied) {
+    CallerReply reply =
+        ReadReply(outcome.reply.status, std::move(outcome.reply.body));
+    if (!IsRefusedByHolder(reply)) {
+      End(pending, std::move(reply));
+      return;
+    }
+  }
+  if (outcome.result == ForwardResult::kLost) {
+    pending->verdict = Verdict::kMayHaveRun;
+  }
+  const bool may_ask_again =
+      pending->route->spec.idempotent || pending->verdict == Verdict::kNotRun;
+  if (may_ask_again) {
+    HandToHolder(pending);
+    return;
+  }
+  Refuse(pending, RefusalReason::kLost, pending->verdict,
+         "the holder did not answer");
+}
+
+void SearchRouter::Refuse(const PendingPtr& pending,
+                          RefusalReason reason,
+                          Verdict verdict,
+                          std::string detail) {
+  Refusal refusal{reason, verdict, std::move(detail), std::nullopt};
+  const bool is_temporary = reason == RefusalReason::kNotReady ||
+                            reason == RefusalReason::kOverloaded ||
+                            reason == RefusalReason::kHolderUnreachable ||
+                            reason == RefusalReason::kDeadlinePassed;
+  if (is_temporary) {
+    refusal.retry_after = kRetryAfter;
+  }
+  End(pending, MakeReply(pending->search.request_id, refusal));
+}
+
+void SearchRouter::End(const PendingPtr& pending, CallerReply reply) {
+  if (m_pending.erase(pending->query) == 0) {
+    return;
+  }
+  if (pending->is_admitted) {
+    m_limits.Release(pending->search.caller);
+  }
+  if (pending->is_decided_here) {
+    EndOnce(pending, reply);
+  }
+  m_context.observer.OnRequestEnd(
+      pending->search,
+      RequestEnd{reply.verdict, reply.reason, reply.response.status,
+                 m_context.clock.Now() - pending->start, pending->outcome});
+  pending->reply(std::move(reply));
+}
+
+// Remembers how an id's one run ended, and tells those who sent it again.
+void SearchRouter::EndOnce(const PendingPtr& pending,
+                           const CallerReply& reply) {
+  const std::string& id = pending->search.request_id;
+  if (reply.verdict == Verdict::kNotRun) {
+    m_ids.Forget(id);
+  } else {
+    m_ids.Finish(id, EndedRequest{reply.response.status, reply.response.body,
+                                  reply.verdict});
+  }
+  const auto attached = m_attached.find(id);
+  if (attached == m_attached.end()) {
+    return;
+  }
+  const std::vector<PendingPtr> waiting = std::move(attached->second);
+  m_attached.erase(attached);
+  for (const PendingPtr& resend : waiting) {
+    End(resend, reply);
+  }
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/service_runner.cc
@@ -0,0 +1,178 @@
+#include "process/service_runner.h"
+
+#include <set>
+#include <utility>
+
+#include "connection/event_loop.h"
+#include "process/freshness_lease.h"
+
+namespace bramleyspoke {
+namespace {
+
+// Drain words and index versions reach us within this time at the latest.
+constexpr std::chrono::milliseconds kStatusInterval{1000};
+
+std::set<Endpoint> LeafsOf(const ServiceRoute& route) {
+  std::set<Endpoint> leafs;
+  for (const Layout& layout : route.spec.layouts) {
+    for (const Shard& shard : layout.shards) {
+      for (const Replica& replica : shard.replicas) {
+        leafs.insert(replica.leaf);
+      }
+    }
+  }
+  return leafs;
+}
+
+AttemptOutcome NotSent() {
+  AttemptOutcome outcome;
+  outcome.result = AttemptResult::kNotSent;
+  outcome.verdict = Verdict::kNotRun;
+  return outcome;
+}
+
+}  // namespace
+
+std::shared_ptr<ServiceRunner> ServiceRunner::Create(
+    RunnerContext context,
+    std::shared_ptr<const ServiceRoute> route,
+    std::string attempt_prefix,
+    std::uint64_t seed) {
+  auto engine = QueryEngine::Create(route, std::move(attempt_prefix), seed,
+                                    context.engine_options);
+  return std::shared_ptr<ServiceRunner>(new ServiceRunner(
+      std::move(context), std::move(route), std::move(engine)));
+}
+
+ServiceRunner::ServiceRunner(RunnerContext context,
+                             std::shared_ptr<const ServiceRoute> route,
+                             std::unique_ptr<QueryEngine> engine)
+    : m_context(std::move(context)),
+      m_route(std::move(route)),
+      m_engine(std::move(engine)) {}
+
+void ServiceRunner::Start() {
+  AskStatus();
+}
+
+void ServiceRunner::Submit(QueryNumber query,
+                           SearchRequest request,
+                           Done done) {
+  m_waiting.emplace(query, std::move(done));
+  Apply(m_engine->Submit(query, std::move(request), m_context.clock.Now()));
+}
+
+void ServiceRunner::SetRoute(std::shared_ptr<const ServiceRoute> route) {
+  if (route == m_route) {
+    return;
+  }
+  const std::set<Endpoint> known = LeafsOf(*m_route);
+  m_route = route;
+  Apply(m_engine->OnRoute(std::move(route), m_context.clock.Now()));
+  for (const Endpoint& leaf : LeafsOf(*m_route)) {
+    if (!known.contains(leaf)) {
+      AskStatusOf(leaf);
+    }
+  }
+}
+
+void ServiceRunner::CallerGone(QueryNumber query) {
+  Apply(m_engine->OnCallerGone(query, m_context.clock.Now()));
+}
+
+void ServiceRunner::TakePeerEvidence(const CrashEvidence& evidence) {
+  Apply(m_engine->OnPeerEvidence(evidence, m_context.clock.Now()));
+}
+
+void ServiceRunner::TakePeerDrain(const DrainNotice& drain) {
+  Apply(m_engine->OnPeerDrain(drain, m_context.clock.Now()));
+}
+
+void ServiceRunner::Apply(EngineActions actions) {
+  for (SendAction& send : actions.sends) {
+    Send(std::move(send));
+  }
+  for (const CancelAction& cancel : actions.cancels) {
+    m_context.backend.Cancel(cancel.leaf, cancel.attempt_id);
+  }
+  for (FinishAction& finish : actions.finishes) {
+    Finish(std::move(finish));
+  }
+  ArmTimer();
+}
+
+// The outcome comes back through the loop, never from inside `Apply`. Without
+// a valid lease nothing is sent: the leaf may have been leaving for long.
+void ServiceRunner::Send(SendAction action) {
+  auto on_done = [weak = weak_from_this(),
+                  id = action.attempt.attempt_id](AttemptOutcome outcome) {
+    if (const auto self = weak.lock()) {
+      self->Apply(self->m_engine->OnAttempt(id, std::move(outcome),
+                                            self->m_context.clock.Now()));
+    }
+  };
+  if (!m_context.lease.IsValid(m_context.clock.Now())) {
+    m_context.loop.Post([on_done] { on_done(NotSent()); });
+    return;
+  }
+  m_context.backend.Send(
+      action.leaf, action.attempt,
+      [&loop = m_context.loop, on_done](AttemptOutcome outcome) {
+        loop.Post([on_done, outcome = std::move(outcome)]() mutable {
+          on_done(std::move(outcome));
+        });
+      });
+}
+
+void ServiceRunner::Finish(FinishAction action) {
+  const auto found = m_waiting.find(action.query);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  const Done done = std::move(found->second);
+  m_waiting.erase(found);
+  done(std::move(action.outcome));
+}
+
+void ServiceRunner::ArmTimer() {
+  const std::optional<TimePoint> next = m_engine->NextTimer();
+  const TimePoint at = next.value_or(TimePoint::max());
+  if (at == m_timer_at) {
+    return;
+  }
+  m_timer_at = at;
+  m_timer.reset();
+  if (!next) {
+    return;
+  }
+  m_timer = m_context.loop.At(at, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->m_timer_at = TimePoint::max();
+      self->Apply(self->m_engine->OnTimer(self->m_context.clock.Now()));
+    }
+  });
+}
+
+void ServiceRunner::AskStatus() {
+  for (const Endpoint& leaf : LeafsOf(*m_route)) {
+    AskStatusOf(leaf);
+  }
+  m_status_timer = m_context.loop.At(m_context.clock.Now() + kStatusInterval,
+                                     [weak = weak_from_this()] {
+                                       if (const auto self = weak.lock()) {
+                                         self->AskStatus();
+                                       }
+                                     });
+}
+
+void ServiceRunner::AskStatusOf(const Endpoint& leaf) {
+  m_context.backend.FetchStatus(
+      leaf, [weak = weak_from_this(), leaf](std::optional<LeafStatus> status) {
+        if (const auto self = weak.lock()) {
+          self->Apply(self->m_engine->OnLeafStatus(
+              leaf, std::move(status), self->m_context.clock.Now()));
+        }
+      });
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/stop_signal.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+namespace bramleyspoke {
+
+class EventLoop;
+
+/// Calls back on SIGTERM and SIGINT; destroying it ends that.
+class StopSignal {
+ public:
+  static std::unique_ptr<StopSignal> Create(EventLoop& loop,
+                                            std::function<void()> on_signal);
+  virtual ~StopSignal() = default;
+};
+
+}  // namespace bramleyspoke
--- a/src/request/query_engine.h
+++ b/src/request/query_engine.h
@@ -48,12 +48,6 @@
   std::uint32_t crashes = 0;
 };
 
-/// A leaf's own word that this run of its process is leaving, for the peers.
-struct DrainNotice {
-  Endpoint leaf;
-  std::string incarnation;
-};
-
 /// All decisions about one service's queries, on one traffic thread.
 ///
 /// Pure: takes events with the time, returns actions; reads no clock and no
--- /dev/null
+++ b/src/request/search_executor.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "request/query_engine.h"
+#include "request/search.h"
+
+namespace bramleyspoke {
+
+/// Runs searches of the services that this daemon holds.
+class SearchExecutor {
+ public:
+  using Done = std::function<void(SearchOutcome)>;
+
+  virtual ~SearchExecutor() = default;
+  /// `done` is called once, on the front thread.
+  virtual void Execute(QueryNumber query, SearchRequest request, Done done) = 0;
+  /// Nobody waits for an idempotent query's answer any longer.
+  virtual void CallerGone(const std::string& service, QueryNumber query) = 0;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/planned_stop_test.cc
@@ -0,0 +1,52 @@
+#include "process/planned_stop.h"
+
+#include <doctest/doctest.h>
+
+namespace bramleyspoke {
+namespace {
+
+constexpr TimePoint kStart{};
+constexpr std::chrono::seconds kKeepServing{12};
+constexpr std::chrono::seconds kBound{60};
+
+PlannedStop MakeStop() {
+  PlannedStop stop(PlannedStopOptions{kKeepServing, kBound});
+  CHECK(stop.Update(3, kStart) == StopStep::kServing);
+  stop.Begin(kStart);
+  return stop;
+}
+
+}  // namespace
+
+TEST_CASE("a planned stop serves on while callers may hold its address") {
+  PlannedStop stop = MakeStop();
+  CHECK(stop.Update(0, kStart + kKeepServing - Duration(1)) ==
+        StopStep::kLeaving);
+  CHECK(stop.Update(0, kStart + kKeepServing) == StopStep::kFinishing);
+  CHECK(stop.Update(0, kStart + kKeepServing) == StopStep::kDone);
+  CHECK_FALSE(stop.HasCutOff());
+}
+
+TEST_CASE("a planned stop waits for requests in flight, up to its bound") {
+  PlannedStop stop = MakeStop();
+  CHECK(stop.Update(1, kStart + kKeepServing) == StopStep::kFinishing);
+  CHECK(stop.Update(1, kStart + kBound - Duration(1)) == StopStep::kFinishing);
+
+  SUBCASE("the last one ends in time") {
+    CHECK(stop.Update(0, kStart + kBound - Duration(1)) == StopStep::kDone);
+    CHECK_FALSE(stop.HasCutOff());
+  }
+  SUBCASE("one is left at the bound") {
+    CHECK(stop.Update(1, kStart + kBound) == StopStep::kDone);
+    CHECK(stop.HasCutOff());
+  }
+}
+
+TEST_CASE("a second request to stop does not start the stop again") {
+  PlannedStop stop = MakeStop();
+  CHECK(stop.Update(0, kStart + kKeepServing) == StopStep::kFinishing);
+  stop.Begin(kStart + kKeepServing);
+  CHECK(stop.Step() == StopStep::kFinishing);
+}
+
+}  // namespace bramleyspoke
