--- /dev/null
+++ b/src/connection/capnp_peers.cc
@@ -0,0 +1,129 @@
+#include "connection/capnp_peers.h"
+
+#include <kj/async-io.h>
+#include <kj/exception.h>
+
+#include <string>
+#include <utility>
+
+#include "connection/kj_thread.h"
+#include "connection/peer_client.h"
+#include "connection/peer_server.h"
+#include "connection/socket_address.h"
+
+namespace bramleyspoke {
+namespace {
+
+// Hands calls over to the client on the kj thread.
+class PostedNetwork final : public PeerNetwork {
+ public:
+  PostedNetwork(std::shared_ptr<KjQueue> queue,
+                std::unique_ptr<PeerClient>& client)
+      : m_queue(std::move(queue)), m_client(client) {}
+
+  void Gossip(const Endpoint& peer,
+              const GossipMessage& message,
+              Duration timeout,
+              std::function<void(std::optional<GossipMessage>)> done) override {
+    m_queue->Post([this, peer, message, timeout, done = std::move(done)] {
+      m_client->Gossip(peer, message, timeout, done);
+    });
+  }
+
+  void PingVia(const Endpoint& peer,
+               const Endpoint& target,
+               Duration timeout,
+               std::function<void(bool)> done) override {
+    m_queue->Post([this, peer, target, timeout, done = std::move(done)] {
+      m_client->PingVia(peer, target, timeout, done);
+    });
+  }
+
+  void Forward(const Endpoint& peer,
+               const std::string& body,
+               Duration timeout,
+               std::function<void(ForwardOutcome)> done) override {
+    m_queue->Post([this, peer, body, timeout, done = std::move(done)] {
+      m_client->Forward(peer, body, timeout, done);
+    });
+  }
+
+  void FetchParts(const Endpoint& peer,
+                  const std::vector<std::string>& hashes,
+                  Duration timeout,
+                  std::function<void(std::optional<std::vector<std::string>>)>
+                      done) override {
+    m_queue->Post([this, peer, hashes, timeout, done = std::move(done)] {
+      m_client->FetchParts(peer, hashes, timeout, done);
+    });
+  }
+
+ private:
+  std::shared_ptr<KjQueue> m_queue;
+  // Set and reset on the kj thread, where posted calls run.
+  std::unique_ptr<PeerClient>& m_client;
+};
+
+class CapnpPeersImpl final : public CapnpPeers {
+ public:
+  CapnpPeersImpl() : m_network(m_thread.Queue(), m_client) {}
+  ~CapnpPeersImpl() override { CapnpPeersImpl::Stop(); }
+
+  /// False when `listen` can't be bound.
+  bool Listen(const Endpoint& listen, PeerHandler& handler) {
+    bool is_bound = false;
+    m_thread.Run([&] {
+      is_bound =
+          kj::runCatchingExceptions([&] { Bind(listen, handler); }) == nullptr;
+    });
+    return is_bound;
+  }
+
+  void Start() override {
+    m_thread.Run([this] { m_server->Start(); });
+  }
+
+  void Stop() override {
+    m_thread.Stop([this] {
+      m_server.reset();
+      m_client.reset();
+    });
+  }
+
+  Endpoint Address() const override { return m_address; }
+  PeerNetwork& Network() override { return m_network; }
+
+ private:
+  void Bind(const Endpoint& listen, PeerHandler& handler) {
+    const SocketAddress address = ToSocketAddress(listen);
+    auto receiver = m_thread.Io()
+                        .provider->getNetwork()
+                        .getSockaddr(&address.storage, address.length)
+                        ->listen();
+    m_address = {listen.host, static_cast<std::uint16_t>(receiver->getPort())};
+    m_server =
+        std::make_unique<PeerServer>(m_thread, kj::mv(receiver), handler);
+    m_client = std::make_unique<PeerClient>(m_thread);
+    m_client->Start();
+  }
+
+  KjThread m_thread;
+  Endpoint m_address;
+  std::unique_ptr<PeerServer> m_server;
+  std::unique_ptr<PeerClient> m_client;
+  PostedNetwork m_network;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<CapnpPeers>> CapnpPeers::Create(const Endpoint& listen,
+                                                       PeerHandler& handler) {
+  auto peers = std::make_unique<CapnpPeersImpl>();
+  if (!peers->Listen(listen, handler)) {
+    return Fail("peer_address",
+                "an address that can be bound, got " + ToString(listen));
+  }
+  return std::unique_ptr<CapnpPeers>(std::move(peers));
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/kj_queue.cc
@@ -0,0 +1,64 @@
+#include "connection/kj_queue.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <exception>
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+// One call's fault must not end the loop that serves all others.
+void RunGuarded(const std::function<void()>& call) {
+  try {
+    call();
+  } catch (const std::exception&) {
+    return;
+  }
+}
+
+}  // namespace
+
+KjQueue::KjQueue() : m_wake_fd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
+
+KjQueue::~KjQueue() {
+  close(m_wake_fd);
+}
+
+void KjQueue::Post(std::function<void()> call) {
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_is_closed) {
+      return;
+    }
+    m_calls.push_back(std::move(call));
+    if (m_calls.size() > 1) {
+      return;
+    }
+  }
+  const std::uint64_t one = 1;
+  // A full counter means that the loop is being woken already.
+  [[maybe_unused]] const ssize_t written = write(m_wake_fd, &one, sizeof(one));
+}
+
+void KjQueue::RunPosted() {
+  std::vector<std::function<void()>> calls;
+  {
+    const std::lock_guard lock(m_mutex);
+    calls.swap(m_calls);
+  }
+  for (const std::function<void()>& call : calls) {
+    RunGuarded(call);
+  }
+}
+
+void KjQueue::Close() {
+  std::vector<std::function<void()>> dropped;
+  const std::lock_guard lock(m_mutex);
+  m_is_closed = true;
+  dropped.swap(m_calls);
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/kj_thread.cc
@@ -0,0 +1,88 @@
+#include "connection/kj_thread.h"
+
+#include <fcntl.h>
+
+#include <kj/debug.h>
+#include <cstdint>
+
+#include <future>
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+// Reads the wake descriptor until told to stop; each wake runs what was posted.
+class WakeReader {
+ public:
+  WakeReader(kj::AsyncIoContext& io, KjQueue& queue, const bool& is_stopping)
+      : m_queue(queue),
+        m_is_stopping(is_stopping),
+        m_stream(io.lowLevelProvider->wrapInputFd(
+            fcntl(queue.WakeFd(), F_DUPFD_CLOEXEC, 0),
+            kFdFlags)) {}
+
+  kj::Promise<void> Loop() {
+    return m_stream->read(&m_count, sizeof(m_count))
+        .then([this]() -> kj::Promise<void> {
+          m_queue.RunPosted();
+          return m_is_stopping ? kj::READY_NOW : Loop();
+        });
+  }
+
+ private:
+  static constexpr unsigned kFdFlags =
+      kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP |
+      kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC |
+      kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK;
+
+  KjQueue& m_queue;
+  const bool& m_is_stopping;
+  kj::Own<kj::AsyncInputStream> m_stream;
+  std::uint64_t m_count = 0;
+};
+
+}  // namespace
+
+KjThread::KjThread() : m_queue(std::make_shared<KjQueue>()) {
+  std::promise<void> is_ready;
+  m_thread = std::thread([this, &is_ready] {
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    m_io = &io;
+    is_ready.set_value();
+    Loop();
+    m_queue->Close();
+    m_io = nullptr;
+  });
+  is_ready.get_future().wait();
+}
+
+KjThread::~KjThread() {
+  Stop([] {});
+}
+
+void KjThread::Loop() {
+  WakeReader reader(*m_io, *m_queue, m_is_stopping);
+  reader.Loop().wait(m_io->waitScope);
+}
+
+void KjThread::Run(std::function<void()> call) {
+  std::promise<void> is_done;
+  m_queue->Post([&] {
+    call();
+    is_done.set_value();
+  });
+  is_done.get_future().wait();
+}
+
+void KjThread::Stop(std::function<void()> cleanup) {
+  if (!m_thread.joinable()) {
+    return;
+  }
+  m_queue->Post([this, cleanup = std::move(cleanup)] {
+    cleanup();
+    m_is_stopping = true;
+  });
+  m_thread.join();
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/kj_thread.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <kj/async-io.h>
+
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include "connection/kj_queue.h"
+
+namespace bramleyspoke {
+
+/// A thread that runs a kj event loop and calls posted from other threads.
+class KjThread {
+ public:
+  /// Starts the thread.
+  KjThread();
+  ~KjThread();
+  KjThread(const KjThread&) = delete;
+  KjThread& operator=(const KjThread&) = delete;
+
+  /// Runs `call` on the thread and waits for it; not from the thread itself.
+  void Run(std::function<void()> call);
+  /// Runs `cleanup` on the thread, ends the loop and joins.
+  void Stop(std::function<void()> cleanup);
+
+  std::shared_ptr<KjQueue> Queue() const { return m_queue; }
+  /// Only on the thread itself.
+  kj::AsyncIoContext& Io() { return *m_io; }
+
+ private:
+  void Loop();
+
+  std::shared_ptr<KjQueue> m_queue;
+  kj::AsyncIoContext* m_io = nullptr;
+  bool m_is_stopping = false;
+  std::thread m_thread;
+};
+
+}  // namespace bramleyspoke
--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -38,6 +38,12 @@
   drains @6 :List(Drain);
   # Asks for the whole member list in the reply.
   wantAll @7 :Bool;
+  # Anti-entropy: digest of the sender's members whose hash falls into one of
+  # bucketCount buckets (a power of two; 0: none given). A receiver whose own
+  # digest differs sends its members of that bucket in the reply.
+  bucketCount @8 :UInt32;
+  bucket @9 :UInt32;
+  bucketDigest @10 :UInt64;
 }
 
 interface Peer {
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -45,6 +45,16 @@
   bool operator==(const DrainNotice&) const = default;
 };
 
+/// Digest of a part of a daemon's members, by which two find differences.
+struct BucketDigest {
+  /// Number of buckets, a power of two; 0: no digest.
+  std::uint32_t count = 0;
+  std::uint32_t bucket = 0;
+  std::uint64_t digest = 0;
+
+  bool operator==(const BucketDigest&) const = default;
+};
+
 /// One exchange between two daemons.
 struct GossipMessage {
   MemberUpdate sender;
@@ -57,6 +67,8 @@
   std::vector<DrainNotice> drains;
   /// Asks for the whole member list in the reply.
   bool want_all = false;
+  /// The reply brings the members of this bucket if the digests differ.
+  BucketDigest bucket;
 };
 
 /// A forwarded caller request's answer, as the caller protocol has it.
--- /dev/null
+++ b/src/connection/peer_client.cc
@@ -0,0 +1,286 @@
+#include "connection/peer_client.h"
+
+#include <arpa/inet.h>
+#include <capnp/rpc-twoparty.h>
+#include <netinet/in.h>
+
+#include <utility>
+
+#include "connection/peer_messages.h"
+#include "connection/socket_address.h"
+
+namespace bramleyspoke {
+namespace {
+
+constexpr std::size_t kMaxPooled = 64;
+constexpr auto kIdleClose = 10 * kj::SECONDS;
+constexpr auto kSweepInterval = 1 * kj::SECONDS;
+constexpr std::uint64_t kMaxMessageWords = 2 * 1024 * 1024;
+
+capnp::ReaderOptions MessageLimits() {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kMaxMessageWords;
+  return options;
+}
+
+// A connection with its RPC state, once the peer has accepted it.
+class Session {
+ public:
+  explicit Session(kj::Own<kj::AsyncIoStream> stream)
+      : m_stream(kj::mv(stream)),
+        m_network(*m_stream,
+                  capnp::rpc::twoparty::Side::CLIENT,
+                  MessageLimits()),
+        m_rpc(capnp::makeRpcClient(m_network)) {}
+
+  wire::Peer::Client Bootstrap() {
+    capnp::MallocMessageBuilder message;
+    auto server = message.getRoot<capnp::rpc::twoparty::VatId>();
+    server.setSide(capnp::rpc::twoparty::Side::SERVER);
+    return m_rpc.bootstrap(server).castAs<wire::Peer>();
+  }
+  kj::Promise<void> OnDisconnect() { return m_network.onDisconnect(); }
+
+ private:
+  kj::Own<kj::AsyncIoStream> m_stream;
+  capnp::TwoPartyVatNetwork m_network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+};
+
+}  // namespace
+
+class PeerClient::Connection {
+ public:
+  Connection(kj::AsyncIoContext& io, const Endpoint& peer)
+      : m_last_used(io.provider->getTimer().now()),
+        m_connected(Connect(io, peer).fork()) {}
+
+  kj::Promise<void> Connected() { return m_connected.addBranch(); }
+  wire::Peer::Client Peer() { return m_session->Bootstrap(); }
+  kj::Promise<void> OnDisconnect() { return m_session->OnDisconnect(); }
+
+  void Begin() { ++m_running; }
+  void End(kj::TimePoint now) {
+    --m_running;
+    m_last_used = now;
+  }
+  bool IsRunning() const { return m_running > 0; }
+  kj::TimePoint LastUsed() const { return m_last_used; }
+
+ private:
+  kj::Promise<void> Connect(kj::AsyncIoContext& io, const Endpoint& peer) {
+    const SocketAddress address = ToSocketAddress(peer);
+    auto target =
+        io.provider->getNetwork().getSockaddr(&address.storage, address.length);
+    // Turns a fault such as no descriptors left into a failed promise.
+    auto connecting = kj::evalNow([&] { return target->connect(); });
+    return connecting.attach(kj::mv(target))
+        .then([this](kj::Own<kj::AsyncIoStream> stream) {
+          m_session = std::make_unique<Session>(kj::mv(stream));
+        });
+  }
+
+  std::size_t m_running = 0;
+  kj::TimePoint m_last_used;
+  std::unique_ptr<Session> m_session;
+  kj::ForkedPromise<void> m_connected;
+};
+
+PeerClient::PeerClient(KjThread& thread) : m_thread(thread), m_tasks(*this) {}
+
+PeerClient::~PeerClient() = default;
+
+void PeerClient::Start() {
+  m_tasks.add(SweepLoop());
+}
+
+// Every call reports its own failure; nothing else may fail here.
+void PeerClient::taskFailed(kj::Exception&& /*exception*/) {}
+
+PeerClient::ConnectionPtr PeerClient::Open(const Endpoint& peer) {
+  const auto pooled = m_pool.find(peer);
+  if (pooled != m_pool.end()) {
+    return pooled->second;
+  }
+  if (m_pool.size() >= kMaxPooled) {
+    CloseOldestIdle();
+  }
+  auto connection = std::make_shared<Connection>(m_thread.Io(), peer);
+  m_pool.emplace(peer, connection);
+  std::weak_ptr<Connection> weak = connection;
+  const auto retire = [this, peer, weak] {
+    if (const ConnectionPtr gone = weak.lock()) {
+      Retire(peer, gone);
+    }
+  };
+  m_tasks.add(connection->Connected()
+                  .then([weak]() -> kj::Promise<void> {
+                    const ConnectionPtr open = weak.lock();
+                    return open ? open->OnDisconnect() : kj::READY_NOW;
+                  })
+                  .then(retire, [retire](kj::Exception&&) { retire(); }));
+  return connection;
+}
+
+// Calls that run keep the connection; it closes with the last of them.
+void PeerClient::Retire(const Endpoint& peer, const ConnectionPtr& connection) {
+  const auto pooled = m_pool.find(peer);
+  if (pooled != m_pool.end() && pooled->second == connection) {
+    m_pool.erase(pooled);
+  }
+  // Not from within the connection's own promise.
+  m_tasks.add(kj::evalLater([connection] {}));
+}
+
+void PeerClient::CloseOldestIdle() {
+  auto oldest = m_pool.end();
+  for (auto entry = m_pool.begin(); entry != m_pool.end(); ++entry) {
+    const bool is_older =
+        oldest == m_pool.end() ||
+        entry->second->LastUsed() < oldest->second->LastUsed();
+    if (!entry->second->IsRunning() && is_older) {
+      oldest = entry;
+    }
+  }
+  if (oldest != m_pool.end()) {
+    m_pool.erase(oldest);
+  }
+}
+
+kj::Promise<void> PeerClient::SweepLoop() {
+  return m_thread.Io()
+      .provider->getTimer()
+      .afterDelay(kSweepInterval)
+      .then([this] {
+        CloseIdle();
+        return SweepLoop();
+      });
+}
+
+void PeerClient::CloseIdle() {
+  const kj::TimePoint now = m_thread.Io().provider->getTimer().now();
+  for (auto entry = m_pool.begin(); entry != m_pool.end();) {
+    const Connection& connection = *entry->second;
+    const bool is_idle =
+        !connection.IsRunning() && now - connection.LastUsed() > kIdleClose;
+    entry = is_idle ? m_pool.erase(entry) : std::next(entry);
+  }
+}
+
+template <typename Reply, typename Send>
+void PeerClient::Call(
+    const Endpoint& peer,
+    Duration timeout,
+    Send send,
+    std::function<void(std::optional<Reply>, bool is_sent)> done) {
+  const ConnectionPtr connection = Open(peer);
+  connection->Begin();
+  auto is_sent = std::make_shared<bool>(false);
+  kj::Timer& timer = m_thread.Io().provider->getTimer();
+  kj::Promise<std::optional<Reply>> reply = connection->Connected().then(
+      [connection, is_sent, send = std::move(send)]() mutable {
+        *is_sent = true;
+        return send(connection->Peer());
+      });
+  auto expired = timer.afterDelay(ToKj(timeout)).then([] {
+    return std::optional<Reply>();
+  });
+  auto finish = [this, peer, connection, is_sent, &timer,
+                 done = std::move(done)](std::optional<Reply> result) {
+    connection->End(timer.now());
+    // A silent connection may be half-cut: the next call opens another.
+    if (!result) {
+      Retire(peer, connection);
+    }
+    done(std::move(result), *is_sent);
+  };
+  m_tasks.add(reply.exclusiveJoin(kj::mv(expired))
+                  .then(finish, [finish](kj::Exception&&) { finish({}); }));
+}
+
+void PeerClient::Gossip(
+    const Endpoint& peer,
+    const GossipMessage& message,
+    Duration timeout,
+    std::function<void(std::optional<GossipMessage>)> done) {
+  Call<GossipMessage>(
+      peer, timeout,
+      [message](wire::Peer::Client server) {
+        auto request = server.gossipRequest();
+        WriteGossip(message, request.initMessage());
+        return request.send().then(
+            [](auto&& response) { return ReadGossip(response.getReply()); });
+      },
+      [done = std::move(done)](std::optional<GossipMessage> reply, bool) {
+        done(std::move(reply));
+      });
+}
+
+void PeerClient::PingVia(const Endpoint& peer,
+                         const Endpoint& target,
+                         Duration timeout,
+                         std::function<void(bool)> done) {
+  Call<bool>(
+      peer, timeout,
+      [target](wire::Peer::Client server) {
+        auto request = server.pingViaRequest();
+        request.setTarget(ToString(target));
+        return request.send().then([](auto&& response) {
+          return std::optional<bool>(response.getAlive());
+        });
+      },
+      [done = std::move(done)](std::optional<bool> reply, bool) {
+        done(reply.value_or(false));
+      });
+}
+
+void PeerClient::Forward(const Endpoint& peer,
+                         std::string body,
+                         Duration timeout,
+                         std::function<void(ForwardOutcome)> done) {
+  const auto deadline_ms = static_cast<std::uint32_t>(ToMilliseconds(timeout));
+  Call<ForwardReply>(
+      peer, timeout,
+      [body = std::move(body), deadline_ms](wire::Peer::Client server) {
+        auto request = server.forwardRequest();
+        request.setBody(AsData(body));
+        request.setDeadlineMs(deadline_ms);
+        return request.send().then([](auto&& response) {
+          return std::optional<ForwardReply>(
+              ForwardReply{response.getStatus(), FromData(response.getBody())});
+        });
+      },
+      [done = std::move(done)](std::optional<ForwardReply> reply,
+                               bool is_sent) {
+        ForwardOutcome outcome;
+        outcome.result =
+            is_sent ? ForwardResult::kLost : ForwardResult::kNotSent;
+        if (reply) {
+          outcome.result = ForwardResult::kReplied;
+          outcome.reply = std::move(*reply);
+        }
+        done(std::move(outcome));
+      });
+}
+
+void PeerClient::FetchParts(
+    const Endpoint& peer,
+    std::vector<std::string> hashes,
+    Duration timeout,
+    std::function<void(std::optional<std::vector<std::string>>)> done) {
+  using Parts = std::vector<std::string>;
+  Call<Parts>(
+      peer, timeout,
+      [hashes = std::move(hashes)](wire::Peer::Client server) {
+        auto request = server.fetchPartsRequest();
+        WriteTexts(hashes, request.initHashes(hashes.size()));
+        return request.send().then([](auto&& response) {
+          return std::optional<Parts>(ReadBlobs(response.getParts()));
+        });
+      },
+      [done = std::move(done)](std::optional<Parts> reply, bool) {
+        done(std::move(reply));
+      });
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/peer_client.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <kj/async-io.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "connection/kj_thread.h"
+#include "connection/peer.h"
+
+namespace bramleyspoke {
+
+/// Calls to peers over pooled connections; lives on the kj thread.
+///
+/// One connection a peer, closed when idle; the number of open ones is
+/// bounded, as a daemon gossips with random peers of a large fleet.
+class PeerClient final : private kj::TaskSet::ErrorHandler {
+ public:
+  explicit PeerClient(KjThread& thread);
+  ~PeerClient();
+
+  void Start();
+  void Gossip(const Endpoint& peer,
+              const GossipMessage& message,
+              Duration timeout,
+              std::function<void(std::optional<GossipMessage>)> done);
+  void PingVia(const Endpoint& peer,
+               const Endpoint& target,
+               Duration timeout,
+               std::function<void(bool)> done);
+  void Forward(const Endpoint& peer,
+               std::string body,
+               Duration timeout,
+               std::function<void(ForwardOutcome)> done);
+  void FetchParts(
+      const Endpoint& peer,
+      std::vector<std::string> hashes,
+      Duration timeout,
+      std::function<void(std::optional<std::vector<std::string>>)> done);
+
+ private:
+  class Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  void taskFailed(kj::Exception&& exception) override;
+  ConnectionPtr Open(const Endpoint& peer);
+  void Retire(const Endpoint& peer, const ConnectionPtr& connection);
+  void CloseOldestIdle();
+  kj::Promise<void> SweepLoop();
+  void CloseIdle();
+
+  template <typename Reply, typename Send>
+  void Call(const Endpoint& peer,
+            Duration timeout,
+            Send send,
+            std::function<void(std::optional<Reply>, bool is_sent)> done);
+
+  KjThread& m_thread;
+  std::map<Endpoint, ConnectionPtr> m_pool;
+  kj::TaskSet m_tasks;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/peer_messages.cc
@@ -0,0 +1,159 @@
+#include "connection/peer_messages.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+std::string ToStd(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
+
+void WriteMember(const MemberUpdate& update, wire::Member::Builder builder) {
+  const DaemonAddress& address = update.address;
+  builder.setPeerAddress(ToString(address.peer));
+  builder.setCallerAddress(ToString(address.caller));
+  builder.setIncarnation(address.incarnation);
+  builder.setState(static_cast<std::uint8_t>(update.state));
+  builder.setFailureDomain(address.failure_domain);
+  builder.setRegion(address.region);
+}
+
+std::optional<MemberUpdate> ReadMember(wire::Member::Reader reader) {
+  const auto peer = ParseEndpoint(ToStd(reader.getPeerAddress()));
+  const auto caller = ParseEndpoint(ToStd(reader.getCallerAddress()));
+  if (!peer || !caller ||
+      reader.getState() > static_cast<std::uint8_t>(MemberState::kDead)) {
+    return std::nullopt;
+  }
+  MemberUpdate update;
+  update.address.peer = *peer;
+  update.address.caller = *caller;
+  update.address.incarnation = reader.getIncarnation();
+  update.address.failure_domain = ToStd(reader.getFailureDomain());
+  update.address.region = ToStd(reader.getRegion());
+  update.state = static_cast<MemberState>(reader.getState());
+  return update;
+}
+
+std::uint32_t ToWireMilliseconds(Duration duration) {
+  constexpr long long kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(
+      std::clamp(ToMilliseconds(duration), 0LL, kMost));
+}
+
+void WriteNotices(const GossipMessage& message, wire::Gossip::Builder builder) {
+  auto evidence = builder.initEvidence(message.evidence.size());
+  for (unsigned i = 0; i < evidence.size(); ++i) {
+    evidence[i].setService(message.evidence[i].service);
+    evidence[i].setFingerprint(message.evidence[i].fingerprint);
+    evidence[i].setCrashes(message.evidence[i].crashes);
+  }
+  auto drains = builder.initDrains(message.drains.size());
+  for (unsigned i = 0; i < drains.size(); ++i) {
+    drains[i].setLeaf(ToString(message.drains[i].leaf));
+    drains[i].setIncarnation(message.drains[i].incarnation);
+  }
+}
+
+void ReadNotices(wire::Gossip::Reader reader, GossipMessage& message) {
+  for (const auto evidence : reader.getEvidence()) {
+    message.evidence.push_back({ToStd(evidence.getService()),
+                                evidence.getFingerprint(),
+                                evidence.getCrashes()});
+  }
+  for (const auto drain : reader.getDrains()) {
+    if (const auto leaf = ParseEndpoint(ToStd(drain.getLeaf()))) {
+      message.drains.push_back({*leaf, ToStd(drain.getIncarnation())});
+    }
+  }
+}
+
+}  // namespace
+
+void WriteGossip(const GossipMessage& message, wire::Gossip::Builder builder) {
+  WriteMember(message.sender, builder.initSender());
+  auto members = builder.initMembers(message.members.size());
+  for (unsigned i = 0; i < members.size(); ++i) {
+    WriteMember(message.members[i], members[i]);
+  }
+  builder.setGeneration(message.generation);
+  builder.setRoot(message.root);
+  builder.setConfirmedAgoMs(ToWireMilliseconds(message.confirmed_ago));
+  WriteNotices(message, builder);
+  builder.setWantAll(message.want_all);
+  builder.setBucketCount(message.bucket.count);
+  builder.setBucket(message.bucket.bucket);
+  builder.setBucketDigest(message.bucket.digest);
+}
+
+std::optional<GossipMessage> ReadGossip(wire::Gossip::Reader reader) {
+  const auto sender = ReadMember(reader.getSender());
+  if (!sender) {
+    return std::nullopt;
+  }
+  GossipMessage message;
+  message.sender = *sender;
+  message.members.reserve(reader.getMembers().size());
+  for (const auto member : reader.getMembers()) {
+    if (auto update = ReadMember(member)) {
+      message.members.push_back(std::move(*update));
+    }
+  }
+  message.generation = reader.getGeneration();
+  message.root = ToStd(reader.getRoot());
+  message.confirmed_ago = std::chrono::milliseconds(reader.getConfirmedAgoMs());
+  ReadNotices(reader, message);
+  message.want_all = reader.getWantAll();
+  message.bucket = {reader.getBucketCount(), reader.getBucket(),
+                    reader.getBucketDigest()};
+  return message;
+}
+
+void WriteTexts(const std::vector<std::string>& texts,
+                capnp::List<capnp::Text>::Builder builder) {
+  for (unsigned i = 0; i < builder.size(); ++i) {
+    builder.set(i, texts[i]);
+  }
+}
+
+std::vector<std::string> ReadTexts(capnp::List<capnp::Text>::Reader reader) {
+  std::vector<std::string> texts;
+  texts.reserve(reader.size());
+  for (const auto text : reader) {
+    texts.push_back(ToStd(text));
+  }
+  return texts;
+}
+
+void WriteBlobs(const std::vector<std::string>& blobs,
+                capnp::List<capnp::Data>::Builder builder) {
+  for (unsigned i = 0; i < builder.size(); ++i) {
+    builder.set(i, AsData(blobs[i]));
+  }
+}
+
+std::vector<std::string> ReadBlobs(capnp::List<capnp::Data>::Reader reader) {
+  std::vector<std::string> blobs;
+  blobs.reserve(reader.size());
+  for (const auto blob : reader) {
+    blobs.push_back(FromData(blob));
+  }
+  return blobs;
+}
+
+capnp::Data::Reader AsData(const std::string& text) {
+  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+}
+
+std::string FromData(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+
+kj::Duration ToKj(Duration duration) {
+  return duration.count() * kj::NANOSECONDS;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/peer_messages.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <kj/time.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "connection/peer.h"
+#include "peer.capnp.h"
+
+namespace bramleyspoke {
+
+/// Conversions between typed messages and Cap'n Proto's.
+
+void WriteGossip(const GossipMessage& message, wire::Gossip::Builder builder);
+/// Members and notices with malformed addresses are left out; empty when the
+/// sender itself is malformed.
+std::optional<GossipMessage> ReadGossip(wire::Gossip::Reader reader);
+
+void WriteTexts(const std::vector<std::string>& texts,
+                capnp::List<capnp::Text>::Builder builder);
+std::vector<std::string> ReadTexts(capnp::List<capnp::Text>::Reader reader);
+
+void WriteBlobs(const std::vector<std::string>& blobs,
+                capnp::List<capnp::Data>::Builder builder);
+std::vector<std::string> ReadBlobs(capnp::List<capnp::Data>::Reader reader);
+
+capnp::Data::Reader AsData(const std::string& text);
+std::string FromData(capnp::Data::Reader data);
+
+kj::Duration ToKj(Duration duration);
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/peer_server.cc
@@ -0,0 +1,122 @@
+#include "connection/peer_server.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "connection/peer_service.h"
+
+namespace bramleyspoke {
+namespace {
+
+constexpr std::size_t kMaxConnections = 2000;
+constexpr auto kIdleClose = 60 * kj::SECONDS;
+constexpr auto kSweepInterval = 10 * kj::SECONDS;
+constexpr auto kAcceptRetry = 100 * kj::MILLISECONDS;
+// Larger messages are refused and end the connection.
+constexpr std::uint64_t kMaxMessageWords = 2 * 1024 * 1024;
+
+capnp::ReaderOptions MessageLimits() {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords = kMaxMessageWords;
+  return options;
+}
+
+}  // namespace
+
+class PeerServer::Connection {
+ public:
+  Connection(KjThread& thread,
+             kj::Own<kj::AsyncIoStream> stream,
+             PeerHandler& handler)
+      : m_activity(std::make_shared<CallActivity>()),
+        m_stream(kj::mv(stream)),
+        m_network(*m_stream,
+                  capnp::rpc::twoparty::Side::SERVER,
+                  MessageLimits()),
+        m_rpc(capnp::makeRpcServer(
+            m_network,
+            kj::heap<PeerService>(thread.Queue(),
+                                  handler,
+                                  thread.Io().provider->getTimer(),
+                                  m_activity))) {
+    m_activity->last_end = thread.Io().provider->getTimer().now();
+  }
+
+  kj::Promise<void> OnDisconnect() { return m_network.onDisconnect(); }
+  bool IsIdle(kj::TimePoint now) const {
+    return m_activity->running == 0 && now - m_activity->last_end > kIdleClose;
+  }
+
+ private:
+  std::shared_ptr<CallActivity> m_activity;
+  kj::Own<kj::AsyncIoStream> m_stream;
+  capnp::TwoPartyVatNetwork m_network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+};
+
+PeerServer::PeerServer(KjThread& thread,
+                       kj::Own<kj::ConnectionReceiver> receiver,
+                       PeerHandler& handler)
+    : m_thread(thread),
+      m_receiver(kj::mv(receiver)),
+      m_handler(handler),
+      m_tasks(*this) {}
+
+PeerServer::~PeerServer() = default;
+
+void PeerServer::Start() {
+  m_tasks.add(AcceptLoop());
+  m_tasks.add(SweepLoop());
+}
+
+// A peer's fault ends that peer's connection, nothing else.
+void PeerServer::taskFailed(kj::Exception&& /*exception*/) {}
+
+kj::Promise<void> PeerServer::AcceptLoop() {
+  return m_receiver->accept().then(
+      [this](kj::Own<kj::AsyncIoStream> stream) {
+        Add(kj::mv(stream));
+        return AcceptLoop();
+      },
+      [this](kj::Exception&& /*no descriptors left*/) {
+        return m_thread.Io()
+            .provider->getTimer()
+            .afterDelay(kAcceptRetry)
+            .then([this] { return AcceptLoop(); });
+      });
+}
+
+void PeerServer::Add(kj::Own<kj::AsyncIoStream> stream) {
+  if (m_connections.size() >= kMaxConnections) {
+    return;
+  }
+  const std::uint64_t number = m_next_connection++;
+  auto connection =
+      std::make_unique<Connection>(m_thread, kj::mv(stream), m_handler);
+  m_tasks.add(connection->OnDisconnect().then([this, number] {
+    m_tasks.add(kj::evalLater([this, number] { m_connections.erase(number); }));
+  }));
+  m_connections.emplace(number, std::move(connection));
+}
+
+kj::Promise<void> PeerServer::SweepLoop() {
+  return m_thread.Io()
+      .provider->getTimer()
+      .afterDelay(kSweepInterval)
+      .then([this] {
+        CloseIdle();
+        return SweepLoop();
+      });
+}
+
+void PeerServer::CloseIdle() {
+  const kj::TimePoint now = m_thread.Io().provider->getTimer().now();
+  for (auto entry = m_connections.begin(); entry != m_connections.end();) {
+    entry = entry->second->IsIdle(now) ? m_connections.erase(entry)
+                                       : std::next(entry);
+  }
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/peer_server.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <kj/async-io.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+#include "base/endpoint.h"
+#include "connection/kj_thread.h"
+#include "connection/peer.h"
+
+namespace bramleyspoke {
+
+/// Accepts peers' connections and hands their calls to a `PeerHandler`.
+///
+/// Lives on the kj thread; `handler` may reply from any thread.
+class PeerServer final : private kj::TaskSet::ErrorHandler {
+ public:
+  /// `receiver` listens already.
+  PeerServer(KjThread& thread,
+             kj::Own<kj::ConnectionReceiver> receiver,
+             PeerHandler& handler);
+  ~PeerServer();
+
+  void Start();
+
+ private:
+  class Connection;
+
+  void taskFailed(kj::Exception&& exception) override;
+  kj::Promise<void> AcceptLoop();
+  void Add(kj::Own<kj::AsyncIoStream> stream);
+  kj::Promise<void> SweepLoop();
+  void CloseIdle();
+
+  KjThread& m_thread;
+  kj::Own<kj::ConnectionReceiver> m_receiver;
+  PeerHandler& m_handler;
+  std::uint64_t m_next_connection = 0;
+  std::map<std::uint64_t, std::unique_ptr<Connection>> m_connections;
+  kj::TaskSet m_tasks;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/peer_service.cc
@@ -0,0 +1,100 @@
+#include "connection/peer_service.h"
+
+#include <kj/debug.h>
+
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+// A fulfiller may be touched and destroyed only on the kj thread, a reply comes
+// from any: the reply holds a slot that the running call empties when it ends.
+template <typename Reply>
+struct ReplySlot {
+  kj::Own<kj::PromiseFulfiller<Reply>> fulfiller;
+};
+
+}  // namespace
+
+PeerService::PeerService(std::shared_ptr<KjQueue> queue,
+                         PeerHandler& handler,
+                         kj::Timer& timer,
+                         std::shared_ptr<CallActivity> activity)
+    : m_queue(std::move(queue)),
+      m_handler(handler),
+      m_timer(timer),
+      m_activity(std::move(activity)) {}
+
+template <typename Reply>
+kj::Promise<Reply> PeerService::Ask(
+    const std::function<void(std::function<void(Reply)>)>& call) {
+  auto pair = kj::newPromiseAndFulfiller<Reply>();
+  auto slot = std::make_shared<ReplySlot<Reply>>();
+  slot->fulfiller = kj::mv(pair.fulfiller);
+  ++m_activity->running;
+  call([queue = m_queue, slot](Reply reply) {
+    queue->Post([slot, reply = std::move(reply)]() mutable {
+      if (slot->fulfiller.get() != nullptr) {
+        slot->fulfiller->fulfill(std::move(reply));
+      }
+    });
+  });
+  return pair.promise.attach(
+      kj::defer([slot, activity = m_activity, &timer = m_timer] {
+        slot->fulfiller = nullptr;
+        --activity->running;
+        activity->last_end = timer.now();
+      }));
+}
+
+kj::Promise<void> PeerService::gossip(GossipContext context) {
+  auto message = ReadGossip(context.getParams().getMessage());
+  KJ_REQUIRE(message.has_value(), "malformed gossip");
+  context.releaseParams();
+  return Ask<GossipMessage>([&](std::function<void(GossipMessage)> reply) {
+           m_handler.OnGossip(std::move(*message), std::move(reply));
+         })
+      .then([context](GossipMessage reply) mutable {
+        WriteGossip(reply, context.getResults().initReply());
+      });
+}
+
+kj::Promise<void> PeerService::pingVia(PingViaContext context) {
+  const auto text = context.getParams().getTarget();
+  const auto target = ParseEndpoint({text.cStr(), text.size()});
+  KJ_REQUIRE(target.has_value(), "malformed target");
+  return Ask<bool>([&](std::function<void(bool)> reply) {
+           m_handler.OnPingVia(*target, std::move(reply));
+         })
+      .then([context](bool is_alive) mutable {
+        context.getResults().setAlive(is_alive);
+      });
+}
+
+kj::Promise<void> PeerService::forward(ForwardContext context) {
+  const auto params = context.getParams();
+  const Duration time_left = std::chrono::milliseconds(params.getDeadlineMs());
+  std::string body = FromData(params.getBody());
+  context.releaseParams();
+  return Ask<ForwardReply>([&](std::function<void(ForwardReply)> reply) {
+           m_handler.OnForward(std::move(body), time_left, std::move(reply));
+         })
+      .then([context](const ForwardReply& reply) mutable {
+        context.getResults().setStatus(
+            static_cast<std::uint16_t>(reply.status));
+        context.getResults().setBody(AsData(reply.body));
+      });
+}
+
+kj::Promise<void> PeerService::fetchParts(FetchPartsContext context) {
+  std::vector<std::string> hashes = ReadTexts(context.getParams().getHashes());
+  return Ask<std::vector<std::string>>(
+             [&](std::function<void(std::vector<std::string>)> reply) {
+               m_handler.OnFetchParts(std::move(hashes), std::move(reply));
+             })
+      .then([context](const std::vector<std::string>& parts) mutable {
+        WriteBlobs(parts, context.getResults().initParts(parts.size()));
+      });
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/peer_service.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <kj/async.h>
+#include <kj/timer.h>
+
+#include <cstddef>
+#include <memory>
+
+#include "connection/kj_queue.h"
+#include "connection/peer.h"
+#include "connection/peer_messages.h"
+
+namespace bramleyspoke {
+
+/// Calls of one connection: running ones and when the last one ended.
+struct CallActivity {
+  std::size_t running = 0;
+  kj::TimePoint last_end = kj::origin<kj::TimePoint>();
+};
+
+/// One connection's side of the peer interface: turns calls into typed ones.
+class PeerService final : public wire::Peer::Server {
+ public:
+  PeerService(std::shared_ptr<KjQueue> queue,
+              PeerHandler& handler,
+              kj::Timer& timer,
+              std::shared_ptr<CallActivity> activity);
+
+ protected:
+  kj::Promise<void> gossip(GossipContext context) override;
+  kj::Promise<void> pingVia(PingViaContext context) override;
+  kj::Promise<void> forward(ForwardContext context) override;
+  kj::Promise<void> fetchParts(FetchPartsContext context) override;
+
+ private:
+  template <typename Reply>
+  kj::Promise<Reply> Ask(
+      const std::function<void(std::function<void(Reply)>)>& call);
+
+  std::shared_ptr<KjQueue> m_queue;
+  PeerHandler& m_handler;
+  kj::Timer& m_timer;
+  std::shared_ptr<CallActivity> m_activity;
+};
+
+}  // namespace bramleyspoke
--- a/src/version/manifest_parts.h
+++ b/src/version/manifest_parts.h
@@ -49,8 +49,8 @@
 std::optional<ManifestHead> ParseManifestHead(std::string_view json);
 
 /// Content of parts by hash.
-using PartMap = std::map<std::string, std::shared_ptr<const std::string>,
-                         std::less<>>;
+using PartMap =
+    std::map<std::string, std::shared_ptr<const std::string>, std::less<>>;
 
 /// A manifest as content-addressed parts, so that a change travels as the
 /// changed parts only.
