--- /dev/null
+++ b/src/version/manifest_publisher.cc
@@ -0,0 +1,484 @@
+#include "version/manifest_publisher.h"
+
+#include <deque>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "base/enum_names.h"
+
+namespace bramleyspoke {
+namespace {
+
+constexpr int kMaxCallsAtOnce = 8;
+constexpr int kMaxRetries = 4;
+
+constexpr EnumNames<PublishResult, 4> kResultNames{{{
+    {PublishResult::kAccepted, "accepted"},
+    {PublishResult::kConflict, "conflict"},
+    {PublishResult::kNotPublished, "not_published"},
+    {PublishResult::kUnknown, "unknown"},
+}}};
+
+using PartsDone = std::function<void(StoreOutcome, PartMap)>;
+
+// Fetches parts, a few at a time; ends at the first one that can't be had.
+class PartFetch : public std::enable_shared_from_this<PartFetch> {
+ public:
+  PartFetch(ConfigStore& store,
+            const std::vector<std::string>& hashes,
+            PartsDone done)
+      : m_store(store),
+        m_waiting(hashes.begin(), hashes.end()),
+        m_done(std::move(done)) {}
+
+  void Run() {
+    while (!m_is_done && m_running < kMaxCallsAtOnce && !m_waiting.empty()) {
+      FetchNext();
+    }
+    if (!m_is_done && m_running == 0 && m_waiting.empty()) {
+      Finish(StoreOutcome::kOk);
+    }
+  }
+
+ private:
+  void FetchNext() {
+    const std::string hash = m_waiting.front();
+    m_waiting.pop_front();
+    ++m_running;
+    m_store.Get(PartKey(hash),
+                [self = shared_from_this(), hash](const StoreRead& read) {
+                  --self->m_running;
+                  self->OnRead(hash, read);
+                });
+  }
+
+  void OnRead(const std::string& hash, const StoreRead& read) {
+    if (m_is_done) {
+      return;
+    }
+    const bool is_good =
+        read.outcome == StoreOutcome::kOk && PartHash(read.value.value) == hash;
+    if (!is_good) {
+      Finish(read.outcome == StoreOutcome::kOk ? StoreOutcome::kConflict
+                                               : read.outcome);
+      return;
+    }
+    m_parts.emplace(hash,
+                    std::make_shared<const std::string>(read.value.value));
+    Run();
+  }
+
+  void Finish(StoreOutcome outcome) {
+    m_is_done = true;
+    m_done(outcome, std::move(m_parts));
+  }
+
+  ConfigStore& m_store;
+  std::deque<std::string> m_waiting;
+  PartsDone m_done;
+  PartMap m_parts;
+  int m_running = 0;
+  bool m_is_done = false;
+};
+
+void FetchParts(ConfigStore& store,
+                const std::vector<std::string>& hashes,
+                PartsDone done) {
+  std::make_shared<PartFetch>(store, hashes, std::move(done))->Run();
+}
+
+// One publish, from reading the head to the outcome.
+class PublishRun : public std::enable_shared_from_this<PublishRun> {
+ public:
+  PublishRun(ConfigStore& store,
+             ManifestParts parts,
+             PublishOptions options,
+             std::function<void(PublishOutcome)> done)
+      : m_store(store),
+        m_new(std::move(parts)),
+        m_options(std::move(options)),
+        m_done(std::move(done)) {}
+
+  void Start() {
+    m_store.Get(std::string(kHeadKey),
+                [self = shared_from_this()](const StoreRead& read) {
+                  self->OnFirstHead(read);
+                });
+  }
+
+ private:
+  void OnFirstHead(const StoreRead& read) {
+    if (read.outcome != StoreOutcome::kOk) {
+      Finish(PublishResult::kNotPublished, "the store does not answer");
+      return;
+    }
+    if (!TakeHead(read.value)) {
+      Finish(PublishResult::kNotPublished, "the store's head is malformed");
+      return;
+    }
+    if (const PublishRecord* record = m_head.Find(m_options.publish_id)) {
+      FinishAccepted(record->generation, "published before under this id");
+      return;
+    }
+    const auto expected = m_options.expected_generation;
+    if (expected && *expected != m_head.generation) {
+      m_meant_generation = *expected + 1;
+      FinishConflict(m_head.generation);
+      return;
+    }
+    m_meant_generation = m_head.generation + 1;
+    ReadKnownRoot();
+  }
+
+  // Parts that the current manifest refers to are in the store already: a
+  // change of one service then costs three writes, not one for each service.
+  void ReadKnownRoot() {
+    if (m_head.generation == 0 || m_new.parts.contains(m_head.root)) {
+      WriteParts();
+      return;
+    }
+    FetchParts(m_store, {m_head.root},
+               [self = shared_from_this()](StoreOutcome, const PartMap& parts) {
+                 self->ReadKnownGroups(self->NoteKnown(parts));
+               });
+  }
+
+  void ReadKnownGroups(const std::vector<std::string>& listed) {
+    std::vector<std::string> unlike;
+    for (const std::string& hash : listed) {
+      if (!m_new.parts.contains(hash)) {
+        unlike.push_back(hash);
+      }
+    }
+    AddUnchangedGroups();
+    FetchParts(m_store, unlike,
+               [self = shared_from_this()](StoreOutcome, const PartMap& parts) {
+                 self->NoteKnown(parts);
+                 self->WriteParts();
+               });
+  }
+
+  std::vector<std::string> NoteKnown(const PartMap& parts) {
+    std::vector<std::string> listed;
+    for (const auto& [hash, content] : parts) {
+      const auto list = ParsePartList(*content);
+      if (list) {
+        listed.insert(listed.end(), list->begin(), list->end());
+      }
+    }
+    m_known.insert(listed.begin(), listed.end());
+    return listed;
+  }
+
+  // A group that is known with the same hash lists services that are known.
+  void AddUnchangedGroups() {
+    const std::set<std::string> known = m_known;
+    for (const std::string& hash : known) {
+      const auto part = m_new.parts.find(hash);
+      if (part == m_new.parts.end()) {
+        continue;
+      }
+      if (const auto list = ParsePartList(*part->second)) {
+        m_known.insert(list->begin(), list->end());
+      }
+    }
+  }
+
+  void WriteParts() {
+    for (const auto& [hash, content] : m_new.parts) {
+      if (!m_known.contains(hash)) {
+        m_to_write.push_back(hash);
+      }
+    }
+    WriteMore();
+  }
+
+  void WriteMore() {
+    while (!m_is_done && m_running < kMaxCallsAtOnce && !m_to_write.empty()) {
+      const std::string hash = m_to_write.front();
+      m_to_write.pop_front();
+      ++m_running;
+      WritePart(hash, 0);
+    }
+    if (!m_is_done && m_running == 0 && m_to_write.empty()) {
+      SwapHead();
+    }
+  }
+
+  // A conflict says that the part is there: its name is its content's hash.
+  void WritePart(const std::string& hash, int tries) {
+    m_store.CompareAndSwap(
+        PartKey(hash), 0, *m_new.parts.at(hash),
+        [self = shared_from_this(), hash, tries](const StoreWrite& write) {
+          self->OnPartWritten(hash, tries, write.outcome);
+        });
+  }
+
+  void OnPartWritten(const std::string& hash, int tries, StoreOutcome outcome) {
+    if (m_is_done) {
+      return;
+    }
+    if (outcome == StoreOutcome::kUnknown && tries < kMaxRetries) {
+      WritePart(hash, tries + 1);
+      return;
+    }
+    if (outcome != StoreOutcome::kOk && outcome != StoreOutcome::kConflict) {
+      Finish(PublishResult::kNotPublished,
+             "the store went away before the head was written");
+      return;
+    }
+    --m_running;
+    WriteMore();
+  }
+
+  void SwapHead() {
+    if (m_is_swapping) {
+      return;
+    }
+    m_is_swapping = true;
+    m_value = ToJson(m_head.Next(m_options.publish_id, m_new.root));
+    TrySwap();
+  }
+
+  void TrySwap() {
+    m_store.CompareAndSwap(
+        std::string(kHeadKey), m_revision, m_value,
+        [self = shared_from_this()](const StoreWrite& write) {
+          self->OnSwapped(write.outcome);
+        });
+  }
+
+  // After a lost answer the same swap is sent again: it compares with the same
+  // revision, so of all copies one at most takes effect, and one that is still
+  // underway can't come after another outcome was reported.
+  void OnSwapped(StoreOutcome outcome) {
+    switch (outcome) {
+      case StoreOutcome::kOk:
+        FinishAccepted(m_meant_generation, "");
+        return;
+      case StoreOutcome::kConflict:
+        ReadHeadAfterConflict();
+        return;
+      case StoreOutcome::kUnknown:
+        m_may_have_swapped = true;
+        break;
+      case StoreOutcome::kUnavailable:
+        break;
+    }
+    if (++m_swaps <= kMaxRetries) {
+      TrySwap();
+      return;
+    }
+    FinishWithoutWord();
+  }
+
+  void ReadHeadAfterConflict() {
+    m_store.Get(std::string(kHeadKey),
+                [self = shared_from_this()](const StoreRead& read) {
+                  self->OnHeadAfterConflict(read);
+                });
+  }
+
+  void OnHeadAfterConflict(const StoreRead& read) {
+    if (read.outcome != StoreOutcome::kOk || !TakeHead(read.value)) {
+      if (++m_reads <= kMaxRetries) {
+        ReadHeadAfterConflict();
+      } else if (m_may_have_swapped) {
+        FinishWithoutWord();
+      } else {
+        FinishConflict(0);
+      }
+      return;
+    }
+    if (const PublishRecord* record = m_head.Find(m_options.publish_id)) {
+      FinishAccepted(record->generation, "");
+      return;
+    }
+    const bool is_forgotten =
+        m_head.publishes.empty() ||
+        m_head.publishes.front().generation > m_meant_generation;
+    if (m_may_have_swapped && is_forgotten) {
+      FinishWithoutWord();
+      return;
+    }
+    FinishConflict(m_head.generation);
+  }
+
+  bool TakeHead(const StoreValue& value) {
+    m_revision = value.revision;
+    if (value.revision == 0) {
+      m_head = ManifestHead();
+      return true;
+    }
+    const auto head = ParseManifestHead(value.value);
+    if (!head) {
+      return false;
+    }
+    m_head = *head;
+    return true;
+  }
+
+  void FinishAccepted(std::uint64_t generation, std::string detail) {
+    m_meant_generation = generation;
+    Finish(PublishResult::kAccepted, std::move(detail));
+  }
+
+  void FinishConflict(std::uint64_t current) {
+    m_current_generation = current;
+    Finish(PublishResult::kConflict, "another publish came first");
+  }
+
+  void FinishWithoutWord() {
+    if (!m_may_have_swapped) {
+      Finish(PublishResult::kNotPublished,
+             "the store went away before the head was written");
+      return;
+    }
+    Finish(PublishResult::kUnknown,
+           "no answer from the store: once it is back, publish again with "
+           "publish id " +
+               m_options.publish_id +
+               ", which publishes once at most, or look for the id in the "
+               "head's list of publishes");
+  }
+
+  void Finish(PublishResult result, std::string detail) {
+    m_is_done = true;
+    m_done(
+        {result, m_meant_generation, m_current_generation, std::move(detail)});
+  }
+
+  ConfigStore& m_store;
+  ManifestParts m_new;
+  PublishOptions m_options;
+  std::function<void(PublishOutcome)> m_done;
+  ManifestHead m_head;
+  std::int64_t m_revision = 0;
+  std::uint64_t m_meant_generation = 0;
+  std::uint64_t m_current_generation = 0;
+  std::set<std::string> m_known;
+  std::deque<std::string> m_to_write;
+  std::string m_value;
+  int m_running = 0;
+  int m_swaps = 0;
+  int m_reads = 0;
+  bool m_is_swapping = false;
+  bool m_may_have_swapped = false;
+  bool m_is_done = false;
+};
+
+// One read: the head, then parts level by level until the manifest is whole.
+class ReadRun : public std::enable_shared_from_this<ReadRun> {
+ public:
+  ReadRun(ConfigStore& store,
+          std::optional<std::uint64_t> generation,
+          std::function<void(ManifestReadOutcome)> done)
+      : m_store(store), m_generation(generation), m_done(std::move(done)) {}
+
+  void Start() {
+    m_store.Get(std::string(kHeadKey),
+                [self = shared_from_this()](const StoreRead& read) {
+                  self->OnHead(read);
+                });
+  }
+
+ private:
+  void OnHead(const StoreRead& read) {
+    m_outcome.outcome = read.outcome;
+    if (read.outcome != StoreOutcome::kOk) {
+      Finish("the store does not answer");
+      return;
+    }
+    const auto head = ParseManifestHead(read.value.value);
+    if (!head) {
+      Finish(read.value.revision == 0 ? "nothing was published yet"
+                                      : "the store's head is malformed");
+      return;
+    }
+    m_outcome.head = *head;
+    if (!PickRoot()) {
+      Finish("that generation is not among the last publishes");
+      return;
+    }
+    Continue();
+  }
+
+  bool PickRoot() {
+    const ManifestHead& head = m_outcome.head;
+    if (!m_generation || *m_generation == head.generation) {
+      m_root = head.root;
+      return true;
+    }
+    for (const PublishRecord& record : head.publishes) {
+      if (record.generation == *m_generation) {
+        m_root = record.root;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void Continue() {
+    const Assembly assembly = ManifestAssembler().Assemble(m_root, m_parts);
+    if (!assembly.fault.empty()) {
+      Finish(assembly.fault);
+      return;
+    }
+    if (assembly.manifest) {
+      m_outcome.manifest = assembly.manifest->ToManifest();
+      Finish("");
+      return;
+    }
+    FetchParts(
+        m_store, assembly.missing,
+        [self = shared_from_this()](StoreOutcome outcome, PartMap parts) {
+          self->OnParts(outcome, std::move(parts));
+        });
+  }
+
+  void OnParts(StoreOutcome outcome, PartMap parts) {
+    m_outcome.outcome = outcome;
+    if (outcome != StoreOutcome::kOk) {
+      Finish("a part could not be read");
+      return;
+    }
+    m_parts.merge(parts);
+    Continue();
+  }
+
+  void Finish(std::string detail) {
+    m_outcome.detail = std::move(detail);
+    m_done(std::move(m_outcome));
+  }
+
+  ConfigStore& m_store;
+  std::optional<std::uint64_t> m_generation;
+  std::function<void(ManifestReadOutcome)> m_done;
+  std::string m_root;
+  PartMap m_parts;
+  ManifestReadOutcome m_outcome;
+};
+
+}  // namespace
+
+std::string_view ToString(PublishResult result) {
+  return kResultNames.NameOf(result);
+}
+
+void ManifestPublisher::Publish(ConfigStore& store,
+                                const Manifest& manifest,
+                                PublishOptions options,
+                                std::function<void(PublishOutcome)> done) {
+  std::make_shared<PublishRun>(store, SplitManifest(manifest),
+                               std::move(options), std::move(done))
+      ->Start();
+}
+
+void ManifestReader::Read(ConfigStore& store,
+                          std::optional<std::uint64_t> generation,
+                          std::function<void(ManifestReadOutcome)> done) {
+  std::make_shared<ReadRun>(store, generation, std::move(done))->Start();
+}
+
+}  // namespace bramleyspoke
