--- /dev/null
+++ b/src/connection/base64.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bramleyspoke {
+
+/// Base64 with padding (RFC 4648, section 4).
+std::string EncodeBase64(std::string_view bytes);
+/// Empty unless `text` is whole and well-formed.
+std::optional<std::string> DecodeBase64(std::string_view text);
+
+}  // namespace bramleyspoke
