--- /dev/null
+++ b/bench/fleet_network.cc
@@ -0,0 +1,106 @@
+#include "fleet_network.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+
+namespace bramleyspoke::Harness {
+namespace {
+
+constexpr int kFirstNumber = 20;
+constexpr int kLastNumber = 250;
+constexpr std::uint16_t kClaimPort = 7999;
+constexpr std::uint16_t kStorePort = 2379;
+constexpr std::uint16_t kVmListPort = 8500;
+constexpr std::uint16_t kControlPort = 7900;
+constexpr std::uint16_t kCallerPort = 8080;
+constexpr std::uint16_t kPeerPort = 9000;
+constexpr std::size_t kPlatformNet = 0;
+constexpr std::size_t kDaemonNet = 1;
+constexpr std::size_t kFirstControl = 10;
+constexpr std::size_t kDaemonsPerNet = 250;
+// Beyond 250 daemons the nets after those of the leafs are used.
+constexpr std::size_t kSecondDaemonNet = 100;
+
+// A bound socket, or -1 when another fleet has the number.
+int Claim(int number) {
+  const int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kClaimPort);
+  address.sin_addr.s_addr =
+      htonl(0x7F000001U | (static_cast<unsigned>(number) << 16U));
+  if (bind(file, reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) == 0) {
+    return file;
+  }
+  close(file);
+  return -1;
+}
+
+std::string MakeDirectory() {
+  const char* base = std::getenv("TMPDIR");
+  std::string name = std::string(base != nullptr ? base : "/tmp") +
+                     "/bramleyspoke-fleet-XXXXXX";
+  return mkdtemp(name.data()) != nullptr ? name : std::string();
+}
+
+}  // namespace
+
+Result<std::unique_ptr<FleetNetwork>> FleetNetwork::Create() {
+  for (int number = kFirstNumber; number <= kLastNumber; ++number) {
+    const int file = Claim(number);
+    if (file >= 0) {
+      return std::unique_ptr<FleetNetwork>(new FleetNetwork(number, file));
+    }
+  }
+  return Fail("127.0.0.0/8", "an address range that no other fleet uses");
+}
+
+FleetNetwork::FleetNetwork(int number, int socket)
+    : m_number(number), m_socket(socket), m_directory(MakeDirectory()) {}
+
+FleetNetwork::~FleetNetwork() {
+  close(m_socket);
+  if (std::getenv("BRAMLEYSPOKE_KEEP_OUTPUT") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(m_directory, ignored);
+  }
+}
+
+Endpoint FleetNetwork::Address(std::size_t third,
+                               std::size_t fourth,
+                               std::uint16_t port) const {
+  return Endpoint{"127." + std::to_string(m_number) + "." +
+                      std::to_string(third) + "." + std::to_string(fourth),
+                  port};
+}
+
+Endpoint FleetNetwork::Store() const {
+  return Address(kPlatformNet, 1, kStorePort);
+}
+
+Endpoint FleetNetwork::VmList() const {
+  return Address(kPlatformNet, 2, kVmListPort);
+}
+
+Endpoint FleetNetwork::LeafControl(std::size_t process) const {
+  return Address(kPlatformNet, kFirstControl + process, kControlPort);
+}
+
+Endpoint FleetNetwork::Caller(std::size_t daemon) const {
+  const std::size_t net =
+      daemon < kDaemonsPerNet ? kDaemonNet : kSecondDaemonNet;
+  return Address(net, daemon % kDaemonsPerNet + 1, kCallerPort);
+}
+
+Endpoint FleetNetwork::Peer(std::size_t daemon) const {
+  return Endpoint{Caller(daemon).host, kPeerPort};
+}
+
+}  // namespace bramleyspoke::Harness
--- a/tests/history.cc
+++ b/tests/history.cc
@@ -23,6 +23,7 @@
 LeafEvent ParseLeafEvent(std::string_view line) {
   const json::value row = json::parse(line);
   LeafEvent event;
+  event.sequence = row.at("seq").to_number<std::uint64_t>();
   event.kind = kKindNames.ValueOf(row.at("event").as_string()).value();
   event.at = TimePoint(Duration(row.at("at_ns").to_number<std::int64_t>()));
   event.leaf = json::value_to<std::string>(row.at("leaf"));
--- a/tests/history.h
+++ b/tests/history.h
@@ -37,6 +37,8 @@
   /// Unique to the request; each hit's text repeats it.
   std::string query;
   std::uint32_t limit = 0;
+  /// When the first send was due.
+  TimePoint intended_at;
   TimePoint sent_at;
   TimePoint ended_at;
   /// End of the time for which the caller may use the daemon's address.
@@ -62,6 +64,8 @@
 
 /// One row of a leaf's execution log.
 struct LeafEvent {
+  /// Position in the log of its process.
+  std::uint64_t sequence = 0;
   LeafEventKind kind = LeafEventKind::kReceived;
   TimePoint at;
   std::string leaf;
