--- /dev/null
+++ b/src/connection/etcd_message.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "connection/config_store.h"
+
+namespace bramleyspoke {
+
+/// Body of POST /v3/kv/range for one key.
+std::string EncodeRange(const std::string& key);
+/// Value in a range answer, with revision 0 if the key is absent; empty if
+/// malformed.
+std::optional<StoreValue> ParseRange(std::string_view body);
+
+/// Body of POST /v3/kv/txn: put if the key's revision is `expected`.
+std::string EncodeSwap(const std::string& key,
+                       std::int64_t expected,
+                       const std::string& value);
+/// `kOk` or `kConflict`; empty if malformed.
+std::optional<StoreWrite> ParseSwap(std::string_view body);
+
+/// Body of POST /v3/watch for one key, from `revision` on.
+std::string EncodeWatch(const std::string& key, std::int64_t revision);
+
+/// One line of a watch stream.
+struct WatchMessage {
+  std::vector<StoreValue> changes;
+  /// The store ended the watch, for instance since its history is gone.
+  bool is_cancelled = false;
+};
+
+/// Empty if malformed.
+std::optional<WatchMessage> ParseWatchMessage(std::string_view line);
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/etcd_store.cc
@@ -0,0 +1,275 @@
+#include "connection/etcd_store.h"
+
+#include <string_view>
+#include <utility>
+
+#include "connection/etcd_message.h"
+#include "connection/event_loop.h"
+#include "connection/http_client.h"
+
+// Which outcomes leave a write in doubt: once sending has begun only an answer
+// settles it. Of the error answers, only those that the gateway gives before it
+// proposes the write mean that nothing was written; a server that lost its
+// leader or its patience (5xx) may still see the write applied.
+//
+// A call goes on to the next server only while no connection was had, so a
+// write is never sent twice.
+
+namespace bramleyspoke {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpTooManyRequests = 429;
+
+bool IsRefusal(int status) {
+  switch (status) {
+    case 400:
+    case 401:
+    case 403:
+    case 404:
+    case 405:
+    case 413:
+    case kHttpTooManyRequests:
+      return true;
+    default:
+      return false;
+  }
+}
+
+HttpRequest Post(std::string target, std::string body) {
+  return HttpRequest{"POST", std::move(target), {}, std::move(body)};
+}
+
+StoreOutcome FailureOfWrite(const HttpOutcome& outcome) {
+  if (!outcome.response) {
+    return MayHaveArrived(outcome.failure) ? StoreOutcome::kUnknown
+                                           : StoreOutcome::kUnavailable;
+  }
+  return IsRefusal(outcome.response->status) ? StoreOutcome::kUnavailable
+                                             : StoreOutcome::kUnknown;
+}
+
+bool IsAnswered(const HttpOutcome& outcome) {
+  return outcome.response && outcome.response->status == kHttpOk;
+}
+
+StoreRead ReadOf(const HttpOutcome& outcome) {
+  if (IsAnswered(outcome)) {
+    if (auto value = ParseRange(outcome.response->body)) {
+      return StoreRead{StoreOutcome::kOk, std::move(*value)};
+    }
+  }
+  return StoreRead{StoreOutcome::kUnavailable, {}};
+}
+
+StoreWrite WriteOf(const HttpOutcome& outcome) {
+  if (IsAnswered(outcome)) {
+    const auto write = ParseSwap(outcome.response->body);
+    return write ? *write : StoreWrite{StoreOutcome::kUnknown, 0};
+  }
+  return StoreWrite{FailureOfWrite(outcome), 0};
+}
+
+// One watch stream; ends for good when it breaks.
+class EtcdWatch final : public StoreWatch {
+ public:
+  EtcdWatch(std::int64_t revision,
+            std::function<void(StoreValue)> on_change,
+            std::function<void()> on_end)
+      : m_alive(std::make_shared<EtcdWatch*>(this)),
+        m_last_revision(revision),
+        m_on_change(std::move(on_change)),
+        m_on_end(std::move(on_end)) {}
+
+  ~EtcdWatch() override { *m_alive = nullptr; }
+
+  void Start(EventLoop& loop,
+             const std::optional<Endpoint>& server,
+             const std::string& key) {
+    m_loop = &loop;
+    if (!server) {
+      EndLater();
+      return;
+    }
+    m_stream = HttpStream::Open(
+        loop, *server, Post("/v3/watch", EncodeWatch(key, m_last_revision + 1)),
+        [alive = m_alive](std::string_view part) {
+          if (*alive != nullptr) {
+            (*alive)->OnData(part);
+          }
+        },
+        [alive = m_alive] {
+          if (*alive != nullptr) {
+            (*alive)->End();
+          }
+        });
+  }
+
+ private:
+  void OnData(std::string_view part) {
+    m_buffer.append(part);
+    const auto alive = m_alive;
+    std::size_t end = m_buffer.find('\n');
+    while (end != std::string::npos) {
+      const std::string line = m_buffer.substr(0, end);
+      m_buffer.erase(0, end + 1);
+      OnLine(line);
+      if (*alive == nullptr || !m_on_end) {
+        return;
+      }
+      end = m_buffer.find('\n');
+    }
+  }
+
+  void OnLine(const std::string& line) {
+    const auto message = ParseWatchMessage(line);
+    if (!message || message->is_cancelled) {
+      EndLater();
+      return;
+    }
+    const auto alive = m_alive;
+    for (const StoreValue& change : message->changes) {
+      if (change.revision > m_last_revision) {
+        m_last_revision = change.revision;
+        m_on_change(change);
+      }
+      if (*alive == nullptr) {
+        return;
+      }
+    }
+  }
+
+  // Not from within the stream's own callback, which still uses the stream.
+  void EndLater() {
+    m_loop->Post([alive = m_alive] {
+      if (*alive != nullptr) {
+        (*alive)->End();
+      }
+    });
+  }
+
+  void End() {
+    const auto on_end = std::exchange(m_on_end, nullptr);
+    if (on_end) {
+      on_end();
+    }
+  }
+
+  std::shared_ptr<EtcdWatch*> m_alive;
+  EventLoop* m_loop = nullptr;
+  std::int64_t m_last_revision;
+  std::function<void(StoreValue)> m_on_change;
+  std::function<void()> m_on_end;
+  std::unique_ptr<HttpStream> m_stream;
+  std::string m_buffer;
+};
+
+class EtcdStoreImpl final : public EtcdStore {
+ public:
+  EtcdStoreImpl(EventLoop& loop,
+                std::vector<Endpoint> servers,
+                Duration call_timeout)
+      : m_loop(loop),
+        m_call_timeout(call_timeout),
+        m_state(std::make_shared<State>()) {
+    m_state->servers = std::move(servers);
+  }
+
+  ~EtcdStoreImpl() override { m_state->is_closed = true; }
+
+  void Get(const std::string& key,
+           std::function<void(StoreRead)> done) override {
+    Call(Post("/v3/kv/range", EncodeRange(key)),
+         [done = std::move(done)](const HttpOutcome& outcome) {
+           done(ReadOf(outcome));
+         });
+  }
+
+  void CompareAndSwap(const std::string& key,
+                      std::int64_t expected,
+                      const std::string& value,
+                      std::function<void(StoreWrite)> done) override {
+    Call(Post("/v3/kv/txn", EncodeSwap(key, expected, value)),
+         [done = std::move(done)](const HttpOutcome& outcome) {
+           done(WriteOf(outcome));
+         });
+  }
+
+  std::unique_ptr<StoreWatch> Watch(const std::string& key,
+                                    std::int64_t revision,
+                                    std::function<void(StoreValue)> on_change,
+                                    std::function<void()> on_end) override {
+    auto watch = std::make_unique<EtcdWatch>(revision, std::move(on_change),
+                                             std::move(on_end));
+    watch->Start(m_loop, CurrentServer(), key);
+    return watch;
+  }
+
+ private:
+  // Outlives the store while calls are under way.
+  struct State {
+    std::vector<Endpoint> servers;
+    std::size_t current = 0;
+    bool is_closed = false;
+  };
+
+  using Reply = std::function<void(const HttpOutcome&)>;
+
+  std::optional<Endpoint> CurrentServer() const {
+    const auto& servers = m_state->servers;
+    return servers.empty() ? std::nullopt
+                           : std::optional(servers[m_state->current]);
+  }
+
+  void Call(HttpRequest request, Reply reply) {
+    const TimePoint deadline =
+        std::chrono::steady_clock::now() + m_call_timeout;
+    TryServer(m_loop, m_state, std::move(request), deadline, 1,
+              std::move(reply));
+  }
+
+  static void TryServer(EventLoop& loop,
+                        const std::shared_ptr<State>& state,
+                        const HttpRequest& request,
+                        TimePoint deadline,
+                        std::size_t tries,
+                        const Reply& reply) {
+    if (state->servers.empty()) {
+      loop.Post([reply] { reply(HttpOutcome{}); });
+      return;
+    }
+    HttpCall(loop, state->servers[state->current], request, deadline,
+             [&loop, state, request, deadline, tries,
+              reply](const HttpOutcome& outcome) {
+               if (state->is_closed) {
+                 return;
+               }
+               const bool was_sent =
+                   outcome.response || MayHaveArrived(outcome.failure);
+               if (!was_sent) {
+                 state->current = (state->current + 1) % state->servers.size();
+               }
+               if (was_sent || tries >= state->servers.size() ||
+                   std::chrono::steady_clock::now() >= deadline) {
+                 reply(outcome);
+                 return;
+               }
+               TryServer(loop, state, request, deadline, tries + 1, reply);
+             });
+  }
+
+  EventLoop& m_loop;
+  Duration m_call_timeout;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace
+
+std::unique_ptr<EtcdStore> EtcdStore::Create(EventLoop& loop,
+                                             std::vector<Endpoint> servers,
+                                             Duration call_timeout) {
+  return std::make_unique<EtcdStoreImpl>(loop, std::move(servers),
+                                         call_timeout);
+}
+
+}  // namespace bramleyspoke
