Pool of connections to leafs

Attempts go over pooled keep-alive connections, at most as many per leaf as its limit says; cancellations and status have one of their own. A new connection proves itself with GET /status before it carries an attempt, so that a leaf which closes connections over its limit costs a 'not sent' and no 'lost'. A connection whose answer was given up waits for that answer, for a bounded time, before it is used again.

--- /dev/null
+++ b/src/connection/leaf_connections.cc
@@ -0,0 +1,384 @@
+#include "connection/leaf_connections.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "connection/event_loop.h"
+#include "connection/http_client.h"
+#include "connection/leaf_message.h"
+
+// A new connection answers GET /status before it carries an attempt. A leaf at
+// its connection limit may accept and then close: an attempt lost that way may
+// have run for all we know, while a lost status costs nothing.
+//
+// An attempt that is given up leaves its connection with an answer to come. The
+// connection is kept, unused, until that answer was read, and closed only when
+// it is overdue by `late_answer_time`: late answers mostly follow soon, and a
+// new connection costs milliseconds and one of the leaf's few connections, in
+// which the closed one may still be counted.
+//
+// The deadline is checked again before the attempt is written, since the
+// process may have been paused since it was decided on.
+
+namespace bramleyspoke::Detail {
+namespace {
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+AttemptOutcome NotSent(LeafReason reason = LeafReason::kNone) {
+  AttemptOutcome outcome;
+  outcome.result = AttemptResult::kNotSent;
+  outcome.reason = reason;
+  outcome.verdict = Verdict::kNotRun;
+  return outcome;
+}
+
+AttemptOutcome MayHaveRun(AttemptResult result) {
+  AttemptOutcome outcome;
+  outcome.result = result;
+  outcome.verdict = Verdict::kMayHaveRun;
+  return outcome;
+}
+
+AttemptOutcome OutcomeOf(const Attempt& attempt, const HttpOutcome& outcome) {
+  if (outcome.response) {
+    return ParseOutcome(attempt, outcome.response->status,
+                        outcome.response->body);
+  }
+  switch (outcome.failure) {
+    case HttpFailure::kConnect:
+      return NotSent();
+    case HttpFailure::kClosed:
+      return MayHaveRun(AttemptResult::kLost);
+    case HttpFailure::kTimeout:
+      return MayHaveRun(AttemptResult::kTimedOut);
+    case HttpFailure::kMalformed:
+      break;
+  }
+  return MayHaveRun(AttemptResult::kWrongAnswer);
+}
+
+}  // namespace
+
+struct LeafConnections::Connection {
+  std::unique_ptr<HttpConnection> http;
+  bool is_proven = false;
+  /// An attempt was written and its answer not yet read.
+  bool is_answer_due = false;
+  Attempt attempt;
+  /// Empty once the attempt was given up.
+  AttemptCallback done;
+  std::unique_ptr<Timer> deadline;
+  TimePoint idle_since;
+};
+
+struct LeafConnections::Waiting {
+  Attempt attempt;
+  AttemptCallback done;
+  std::unique_ptr<Timer> timer;
+};
+
+LeafConnections::LeafConnections(EventLoop& loop,
+                                 const LeafPoolOptions& options,
+                                 LeafPoolCounters& totals,
+                                 Endpoint leaf)
+    : m_loop(loop),
+      m_options(options),
+      m_totals(totals),
+      m_leaf(std::move(leaf)),
+      m_limit(options.default_limit),
+      m_self(std::make_shared<LeafConnections*>(this)) {}
+
+LeafConnections::~LeafConnections() {
+  *m_self = nullptr;
+}
+
+void LeafConnections::SetLimit(std::uint32_t limit) {
+  m_limit = limit;
+  while (m_connections.size() > m_limit && !m_idle.empty()) {
+    Close(m_idle.front());
+  }
+  if (m_limit == 0) {
+    GiveUpAll();
+  }
+}
+
+void LeafConnections::KeepOpen(std::uint32_t count) {
+  m_kept_open = count;
+  Maintain();
+}
+
+void LeafConnections::Send(const Attempt& attempt, AttemptCallback done) {
+  if (Now() >= attempt.deadline) {
+    FinishLater(std::move(done), NotSent(LeafReason::kDeadline));
+    return;
+  }
+  if (const ConnectionPtr connection = TakeIdle()) {
+    Write(connection, attempt, std::move(done));
+    return;
+  }
+  if (m_limit == 0 || m_waiting.size() >= m_options.max_waiting) {
+    FinishLater(std::move(done), NotSent());
+    return;
+  }
+  Wait(attempt, std::move(done));
+  OpenFor(m_waiting.size());
+}
+
+bool LeafConnections::Cancel(const std::string& attempt_id) {
+  const auto waiting = std::find_if(
+      m_waiting.begin(), m_waiting.end(), [&](const WaitingPtr& item) {
+        return item->attempt.attempt_id == attempt_id;
+      });
+  if (waiting != m_waiting.end()) {
+    AttemptOutcome outcome;
+    outcome.result = AttemptResult::kCancelled;
+    outcome.reason = LeafReason::kCancelled;
+    GiveUp(*waiting, std::move(outcome));
+    return false;
+  }
+  return std::any_of(m_connections.begin(), m_connections.end(),
+                     [&](const ConnectionPtr& connection) {
+                       return connection->is_answer_due &&
+                              connection->attempt.attempt_id == attempt_id;
+                     });
+}
+
+void LeafConnections::Maintain() {
+  const TimePoint oldest = Now() - m_options.idle_time;
+  const auto idle = m_idle;
+  for (const ConnectionPtr& connection : idle) {
+    const bool is_unused =
+        connection->idle_since < oldest && m_connections.size() > m_kept_open;
+    if (is_unused || !connection->http->IsOpen()) {
+      Close(connection);
+    }
+  }
+  const std::size_t wanted = std::min(m_kept_open, m_limit);
+  const std::size_t present = m_connections.size() + m_opening;
+  if (wanted > present) {
+    OpenFor(m_opening + wanted - present);
+  }
+}
+
+LeafConnectionCounts LeafConnections::Counts() const {
+  LeafConnectionCounts counts;
+  counts.opening = m_opening;
+  counts.idle = m_idle.size();
+  counts.waiting = m_waiting.size();
+  for (const ConnectionPtr& connection : m_connections) {
+    if (connection->is_answer_due) {
+      ++(connection->done ? counts.busy : counts.late);
+    }
+  }
+  return counts;
+}
+
+// Sees to it that `wanted` connections are being opened, within the limit.
+void LeafConnections::OpenFor(std::size_t wanted) {
+  const bool has_none = m_connections.empty() && m_opening == 0;
+  if (!has_none && Now() < m_no_open_before) {
+    return;
+  }
+  while (m_opening < wanted && m_connections.size() + m_opening < m_limit) {
+    OpenOne();
+  }
+}
+
+void LeafConnections::OpenOne() {
+  ++m_opening;
+  const TimePoint deadline = Now() + m_options.connect_time;
+  HttpConnection::Open(
+      m_loop, m_leaf, deadline,
+      [self = m_self, deadline](std::unique_ptr<HttpConnection> http) {
+        if (*self != nullptr) {
+          (*self)->OnOpened(std::move(http), deadline);
+        }
+      });
+}
+
+void LeafConnections::OnOpened(std::unique_ptr<HttpConnection> http,
+                               TimePoint deadline) {
+  --m_opening;
+  if (!http) {
+    OnOpenFailed();
+    return;
+  }
+  ++m_totals.opened;
+  ++m_totals.open;
+  const auto connection = std::make_shared<Connection>();
+  connection->http = std::move(http);
+  m_connections.push_back(connection);
+  connection->http->Send(
+      HttpRequest{"GET", "/status", {}, ""}, deadline,
+      [this, weak = std::weak_ptr(connection)](const HttpOutcome& outcome) {
+        if (const ConnectionPtr connection = weak.lock()) {
+          OnProven(connection, outcome);
+        }
+      });
+}
+
+void LeafConnections::OnProven(const ConnectionPtr& connection,
+                               const HttpOutcome& outcome) {
+  if (!outcome.response) {
+    Close(connection);
+    OnOpenFailed();
+    return;
+  }
+  connection->is_proven = true;
+  Release(connection);
+}
+
+void LeafConnections::OnOpenFailed() {
+  ++m_totals.open_failures;
+  m_no_open_before = Now() + m_options.connect_retry_time;
+  // With others open or opening, the attempts may still get one of them.
+  if (m_connections.empty() && m_opening == 0) {
+    GiveUpAll();
+  }
+}
+
+LeafConnections::ConnectionPtr LeafConnections::TakeIdle() {
+  while (!m_idle.empty()) {
+    const ConnectionPtr connection = m_idle.back();
+    if (connection->http->IsOpen()) {
+      m_idle.pop_back();
+      return connection;
+    }
+    Close(connection);
+  }
+  return nullptr;
+}
+
+void LeafConnections::Write(const ConnectionPtr& connection,
+                            const Attempt& attempt,
+                            AttemptCallback done) {
+  const TimePoint now = Now();
+  connection->attempt = attempt;
+  connection->done = std::move(done);
+  connection->is_answer_due = true;
+  connection->deadline =
+      m_loop.At(attempt.deadline, [this, weak = std::weak_ptr(connection)] {
+        if (const ConnectionPtr connection = weak.lock()) {
+          OnDeadline(connection);
+        }
+      });
+  connection->http->Send(
+      HttpRequest{"POST", "/search", {}, EncodeAttempt(attempt, now)},
+      attempt.deadline + m_options.late_answer_time,
+      [this, weak = std::weak_ptr(connection)](const HttpOutcome& outcome) {
+        if (const ConnectionPtr connection = weak.lock()) {
+          OnAnswer(connection, outcome);
+        }
+      });
+}
+
+void LeafConnections::OnDeadline(const ConnectionPtr& connection) {
+  const AttemptCallback done = std::exchange(connection->done, nullptr);
+  if (done) {
+    done(MayHaveRun(AttemptResult::kTimedOut));
+  }
+}
+
+void LeafConnections::OnAnswer(const ConnectionPtr& connection,
+                               const HttpOutcome& outcome) {
+  AttemptOutcome ended = OutcomeOf(connection->attempt, outcome);
+  const AttemptCallback done = std::exchange(connection->done, nullptr);
+  connection->deadline = nullptr;
+  connection->is_answer_due = false;
+  if (!done && outcome.response) {
+    ++m_totals.late_answers;
+  }
+  if (ended.result == AttemptResult::kWrongAnswer) {
+    Close(connection);
+    ServeWaiting();
+  } else {
+    Release(connection);
+  }
+  if (done) {
+    done(std::move(ended));
+  }
+}
+
+void LeafConnections::Release(const ConnectionPtr& connection) {
+  if (!connection->http->IsOpen() || m_connections.size() > m_limit) {
+    Close(connection);
+  } else {
+    connection->idle_since = Now();
+    m_idle.push_back(connection);
+  }
+  ServeWaiting();
+}
+
+void LeafConnections::Close(const ConnectionPtr& connection) {
+  ++m_totals.closed;
+  --m_totals.open;
+  const ConnectionPtr kept = connection;
+  m_idle.erase(std::remove(m_idle.begin(), m_idle.end(), kept), m_idle.end());
+  m_connections.erase(
+      std::remove(m_connections.begin(), m_connections.end(), kept),
+      m_connections.end());
+}
+
+void LeafConnections::ServeWaiting() {
+  while (!m_waiting.empty()) {
+    const WaitingPtr waiting = m_waiting.front();
+    if (Now() >= waiting->attempt.deadline) {
+      GiveUp(waiting, NotSent(LeafReason::kDeadline));
+      continue;
+    }
+    const ConnectionPtr connection = TakeIdle();
+    if (!connection) {
+      OpenFor(m_waiting.size());
+      return;
+    }
+    m_waiting.pop_front();
+    --m_totals.waiting;
+    Write(connection, waiting->attempt, std::move(waiting->done));
+  }
+}
+
+void LeafConnections::Wait(const Attempt& attempt, AttemptCallback done) {
+  const auto waiting = std::make_shared<Waiting>();
+  waiting->attempt = attempt;
+  waiting->done = std::move(done);
+  const TimePoint until =
+      std::min(attempt.deadline, Now() + m_options.wait_time);
+  waiting->timer = m_loop.At(until, [this, weak = std::weak_ptr(waiting)] {
+    if (const WaitingPtr waiting = weak.lock()) {
+      GiveUp(waiting, NotSent());
+    }
+  });
+  m_waiting.push_back(waiting);
+  ++m_totals.waiting;
+}
+
+void LeafConnections::GiveUp(const WaitingPtr& waiting,
+                             AttemptOutcome outcome) {
+  const WaitingPtr kept = waiting;
+  m_waiting.erase(std::remove(m_waiting.begin(), m_waiting.end(), kept),
+                  m_waiting.end());
+  --m_totals.waiting;
+  FinishLater(std::move(kept->done), std::move(outcome));
+}
+
+void LeafConnections::GiveUpAll() {
+  while (!m_waiting.empty()) {
+    GiveUp(m_waiting.front(), NotSent());
+  }
+}
+
+// Callers aren't called back from within their own call.
+void LeafConnections::FinishLater(AttemptCallback done,
+                                  AttemptOutcome outcome) {
+  m_loop.Post([self = m_self, done = std::move(done),
+               outcome = std::move(outcome)]() mutable {
+    if (*self != nullptr) {
+      done(std::move(outcome));
+    }
+  });
+}
+
+}  // namespace bramleyspoke::Detail
--- /dev/null
+++ b/src/connection/leaf_connections.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "connection/backend_server.h"
+#include "connection/leaf_pool.h"
+
+namespace bramleyspoke {
+
+class EventLoop;
+class HttpConnection;
+class Timer;
+struct HttpOutcome;
+
+namespace Detail {
+
+using AttemptCallback = std::function<void(AttemptOutcome)>;
+
+/// How many connections of a leaf are in which state.
+struct LeafConnectionCounts {
+  std::size_t opening = 0;
+  std::size_t idle = 0;
+  std::size_t busy = 0;
+  /// Waiting for the answer to an attempt that was given up.
+  std::size_t late = 0;
+  std::size_t waiting = 0;
+};
+
+/// Connections to one leaf that carry attempts, each one at a time.
+class LeafConnections {
+ public:
+  LeafConnections(EventLoop& loop,
+                  const LeafPoolOptions& options,
+                  LeafPoolCounters& totals,
+                  Endpoint leaf);
+  ~LeafConnections();
+
+  void SetLimit(std::uint32_t limit);
+  void KeepOpen(std::uint32_t count);
+  void Send(const Attempt& attempt, AttemptCallback done);
+  /// Ends an attempt that waits for a connection; true if the leaf has to be
+  /// told instead.
+  bool Cancel(const std::string& attempt_id);
+  /// Closes what was idle too long; opens what is to be kept open.
+  void Maintain();
+  LeafConnectionCounts Counts() const;
+
+ private:
+  struct Connection;
+  struct Waiting;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+  using WaitingPtr = std::shared_ptr<Waiting>;
+
+  void OpenFor(std::size_t wanted);
+  void OpenOne();
+  void OnOpened(std::unique_ptr<HttpConnection> http, TimePoint deadline);
+  void OnProven(const ConnectionPtr& connection, const HttpOutcome& outcome);
+  void OnOpenFailed();
+  ConnectionPtr TakeIdle();
+  void Write(const ConnectionPtr& connection,
+             const Attempt& attempt,
+             AttemptCallback done);
+  void OnDeadline(const ConnectionPtr& connection);
+  void OnAnswer(const ConnectionPtr& connection, const HttpOutcome& outcome);
+  void Release(const ConnectionPtr& connection);
+  void Close(const ConnectionPtr& connection);
+  void ServeWaiting();
+  void Wait(const Attempt& attempt, AttemptCallback done);
+  void GiveUp(const WaitingPtr& waiting, AttemptOutcome outcome);
+  void GiveUpAll();
+  void FinishLater(AttemptCallback done, AttemptOutcome outcome);
+
+  EventLoop& m_loop;
+  const LeafPoolOptions& m_options;
+  LeafPoolCounters& m_totals;
+  Endpoint m_leaf;
+  std::uint32_t m_limit;
+  std::uint32_t m_kept_open = 0;
+  std::size_t m_opening = 0;
+  TimePoint m_no_open_before;
+  std::vector<ConnectionPtr> m_connections;
+  // Of `m_connections`, the one used last at the back.
+  std::vector<ConnectionPtr> m_idle;
+  std::deque<WaitingPtr> m_waiting;
+  std::shared_ptr<LeafConnections*> m_self;
+};
+
+}  // namespace Detail
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/leaf_control.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "connection/backend_server.h"
+#include "connection/http_client.h"
+#include "connection/leaf_pool.h"
+
+namespace bramleyspoke::Detail {
+
+/// The one connection to a leaf for cancellations and status, so that they
+/// don't wait behind attempts.
+class LeafControl {
+ public:
+  LeafControl(EventLoop& loop,
+              const LeafPoolOptions& options,
+              LeafPoolCounters& totals,
+              Endpoint leaf);
+  ~LeafControl();
+
+  void Cancel(const std::string& attempt_id);
+  void FetchStatus(std::function<void(std::optional<LeafStatus>)> done);
+  /// Opens the connection ahead of its first call.
+  void Open();
+  /// Closes the connection when it was idle too long.
+  void Maintain();
+  bool IsOpen() const { return m_http != nullptr; }
+  bool IsIdle() const { return m_calls.empty() && !m_is_opening; }
+
+ private:
+  struct Call {
+    HttpRequest request;
+    HttpCallback done;
+  };
+
+  void Add(Call call);
+  void SendNext();
+  void OnOpened(std::unique_ptr<HttpConnection> http);
+  void OnAnswer(HttpOutcome outcome);
+  void FailAll();
+  void Close();
+
+  EventLoop& m_loop;
+  const LeafPoolOptions& m_options;
+  LeafPoolCounters& m_totals;
+  Endpoint m_leaf;
+  std::unique_ptr<HttpConnection> m_http;
+  bool m_is_opening = false;
+  bool m_is_busy = false;
+  // The first one is under way when `m_is_busy`.
+  std::deque<Call> m_calls;
+  TimePoint m_last_use;
+  std::shared_ptr<LeafControl*> m_self;
+};
+
+}  // namespace bramleyspoke::Detail
