--- /dev/null
+++ b/bench/bench_main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- a/bench/load.cc
+++ b/bench/load.cc
@@ -51,6 +51,7 @@
       : m_options(std::move(options)),
         m_loop(EventLoop::Create()),
         m_random(m_options.seed),
+        m_choice(m_options.seed + 1),
         m_books(m_options.services.size()),
         m_timers(m_options.services.size()) {}
 
@@ -134,10 +135,12 @@
     }
     book.is_asking = true;
     const auto& daemons = m_options.daemons;
-    const Endpoint& daemon = daemons[m_random() % daemons.size()];
+    const Endpoint& daemon = daemons[m_choice() % daemons.size()];
     const HttpRequest question{
-        "GET", "/v1/entries?service=" + m_options.services[service].service,
-        {}, ""};
+        "GET",
+        "/v1/entries?service=" + m_options.services[service].service,
+        {},
+        ""};
     HttpCall(*m_loop, daemon, question, Now() + kAskTimeout,
              [this, service](HttpOutcome outcome) {
                OnEntries(service, std::move(outcome));
@@ -164,10 +167,10 @@
 
   void AskLater(std::size_t service) {
     auto& waiting = m_books[service].waiting;
-    const auto late = std::stable_partition(
-        waiting.begin(), waiting.end(), [this](const PendingPtr& request) {
-          return Now() < GiveUpAt(*request);
-        });
+    const auto late = std::stable_partition(waiting.begin(), waiting.end(),
+                                            [this](const PendingPtr& request) {
+                                              return Now() < GiveUpAt(*request);
+                                            });
     const std::vector<PendingPtr> given_up(late, waiting.end());
     waiting.erase(late, waiting.end());
     for (const PendingPtr& request : given_up) {
@@ -256,8 +259,7 @@
         }
       });
     } else {
-      event.end = outcome.failure == HttpFailure::kConnect
-                      ? CallerEnd::kNotSent
+      event.end = outcome.failure == HttpFailure::kConnect ? CallerEnd::kNotSent
                   : outcome.failure == HttpFailure::kTimeout
                       ? CallerEnd::kTimedOut
                       : CallerEnd::kLost;
@@ -305,7 +307,9 @@
 
   LoadOptions m_options;
   std::unique_ptr<EventLoop> m_loop;
+  // Of the arrivals only, so that a seed always gives the same ones.
   std::mt19937_64 m_random;
+  std::mt19937_64 m_choice;
   std::vector<AddressBook> m_books;
   std::vector<std::unique_ptr<Timer>> m_timers;
   std::map<std::uint64_t, std::unique_ptr<Timer>> m_calls;
--- /dev/null
+++ b/bench/operator.cc
@@ -0,0 +1,62 @@
+#include "operator.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <boost/json/value_to.hpp>
+#include <exception>
+#include <optional>
+
+#include "child_process.h"
+#include "connection/base64.h"
+#include "fleet.h"
+
+namespace bramleyspoke::Harness {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kHeadKey = "bramleyspoke/head";
+
+std::string RangeBody() {
+  return json::serialize(json::object{{"key", EncodeBase64(kHeadKey)}});
+}
+
+std::vector<StoreEvent> ParseHead(const std::string& text) {
+  const json::value reply = json::parse(text);
+  const json::value* pairs = reply.as_object().if_contains("kvs");
+  if (pairs == nullptr || pairs->as_array().empty()) {
+    return {};
+  }
+  const auto head = DecodeBase64(
+      json::value_to<std::string>(pairs->as_array()[0].at("value")));
+  const json::value parsed = json::parse(head.value());
+  std::vector<StoreEvent> events;
+  for (const json::value& publish : parsed.at("publishes").as_array()) {
+    events.push_back(
+        StoreEvent{publish.at("generation").to_number<std::uint64_t>(),
+                   json::value_to<std::string>(publish.at("id"))});
+  }
+  return events;
+}
+
+}  // namespace
+
+bool IsStoreUp(const Endpoint& store) {
+  return Call(store, "POST", "/v3/kv/range", RangeBody()).status == 200;
+}
+
+std::vector<StoreEvent> ReadHeadHistory(const Endpoint& store) {
+  const HttpResponse response =
+      Call(store, "POST", "/v3/kv/range", RangeBody());
+  if (response.status != 200) {
+    return {};
+  }
+  try {
+    return ParseHead(response.body);
+  } catch (const std::exception&) {
+    return {};
+  }
+}
+
+}  // namespace bramleyspoke::Harness
