--- /dev/null
+++ b/src/tool/command.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <iosfwd>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "tool/exit_code.h"
+
+namespace bramleyspoke {
+
+class CommandOptions;
+
+/// Where a command writes to, and in which form.
+struct CommandOutput {
+  std::ostream& out;
+  std::ostream& error;
+  /// JSON in place of text for people.
+  bool is_json = false;
+};
+
+/// One of the tool's commands.
+class Command {
+ public:
+  virtual ~Command() = default;
+  virtual std::string_view Name() const = 0;
+  /// One line on what it does.
+  virtual std::string_view Summary() const = 0;
+  /// Declares the options; they are kept in the command.
+  virtual void Declare(CommandOptions& options) = 0;
+  virtual ExitCode Run(CommandOutput& output) = 0;
+};
+
+std::unique_ptr<Command> MakeValidateCommand();
+std::unique_ptr<Command> MakePublishCommand();
+std::unique_ptr<Command> MakeManifestCommand();
+std::unique_ptr<Command> MakeStatusCommand();
+std::unique_ptr<Command> MakeDumpCommand();
+std::unique_ptr<Command> MakeEntriesCommand();
+std::unique_ptr<Command> MakeSearchCommand();
+std::unique_ptr<Command> MakeDrainCommand();
+
+/// All commands, in the order in which the help lists them.
+std::vector<std::unique_ptr<Command>> MakeAllCommands();
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/tool/search_command.cc
@@ -0,0 +1,157 @@
+#include <array>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <cstdio>
+#include <ostream>
+#include <random>
+
+#include "tool/command.h"
+#include "tool/command_options.h"
+#include "tool/search_caller.h"
+
+namespace bramleyspoke {
+namespace {
+
+namespace json = boost::json;
+
+std::string MakeSuffix() {
+  std::random_device device;
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%08x%08x", device(), device());
+  return text.data();
+}
+
+std::string_view OutcomeName(const CallerResult& result) {
+  if (result.answer) {
+    return "answered";
+  }
+  const bool is_refused = !result.tries.empty() &&
+                          result.tries.back().result == TryResult::kRefused;
+  return is_refused ? "refused" : "lost";
+}
+
+json::object TryJson(const SearchTry& attempt) {
+  json::object object{{"entry", ToString(attempt.entry)},
+                      {"result", ToString(attempt.result)}};
+  if (attempt.refusal) {
+    object["verdict"] = ToString(attempt.refusal->verdict);
+    object["reason"] = attempt.refusal->reason;
+    object["detail"] = attempt.refusal->detail;
+  }
+  return object;
+}
+
+double CoverageOf(const json::value& answer) {
+  json::error_code error;
+  const json::value* coverage = answer.find_pointer("/coverage", error);
+  return coverage == nullptr ? 0 : coverage->to_number<double>(error);
+}
+
+void PrintJson(const CallerResult& result, CommandOutput& output) {
+  json::array tries;
+  for (const SearchTry& attempt : result.tries) {
+    tries.push_back(TryJson(attempt));
+  }
+  json::object object{{"outcome", OutcomeName(result)},
+                      {"request_id", result.request_id},
+                      {"verdict", ToString(result.verdict)},
+                      {"tries", std::move(tries)}};
+  if (result.answer) {
+    object["answer"] = json::parse(*result.answer);
+  }
+  output.out << json::serialize(object) << '\n';
+}
+
+void PrintTries(const CallerResult& result, CommandOutput& output) {
+  for (const SearchTry& attempt : result.tries) {
+    output.out << ToString(attempt.entry) << ": " << ToString(attempt.result);
+    if (attempt.refusal) {
+      output.out << " (" << attempt.refusal->reason << ", "
+                 << ToString(attempt.refusal->verdict)
+                 << "): " << attempt.refusal->detail;
+    }
+    output.out << '\n';
+  }
+}
+
+void PrintText(const CallerResult& result, CommandOutput& output) {
+  PrintTries(result, output);
+  output.out << "request " << result.request_id << ": " << OutcomeName(result)
+             << ", verdict " << ToString(result.verdict) << '\n';
+  if (!result.answer) {
+    return;
+  }
+  const json::value parsed = json::parse(*result.answer);
+  const json::object& answer = parsed.as_object();
+  output.out << "snapshot " << json::serialize(answer.at("snapshot"))
+             << ", coverage " << CoverageOf(parsed) << ", missing "
+             << json::serialize(answer.at("missing")) << '\n';
+  for (const json::value& hit : answer.at("hits").as_array()) {
+    output.out << "  " << json::serialize(hit) << '\n';
+  }
+}
+
+class SearchCommand final : public Command {
+ public:
+  std::string_view Name() const override { return "search"; }
+  std::string_view Summary() const override {
+    return "searches as a caller would, and shows coverage and verdict";
+  }
+
+  void Declare(CommandOptions& options) override {
+    options.AddWord("SERVICE", m_plan.service, "name of the service");
+    options.AddEndpoints("daemon", m_plan.daemons,
+                         "daemon to ask which addresses to use; the next if "
+                         "it doesn't answer");
+    options.AddText("query", m_plan.query, "text to search for");
+    options.AddText("caller", m_plan.caller, "name of the caller");
+    options.AddNumber("limit", m_plan.limit, "most hits wanted");
+    options.AddNumber("deadline-ms", m_plan.deadline_ms,
+                      "time for the answer; the service's own if not given");
+    options.AddText("request-id-suffix", m_plan.request_id_suffix,
+                    "caller's part of the request id; random if not given");
+    options.AddNumber("tries", m_tries, "most tries (5)");
+    options.AddShare("min-coverage", m_min_coverage,
+                     "below it the exit code is 7 (1)");
+    options.AddMilliseconds("timeout-ms", m_plan.timeout,
+                            "for each call (10000)");
+  }
+
+  ExitCode Run(CommandOutput& output) override {
+    m_plan.tries = m_tries.value_or(m_plan.tries);
+    if (m_plan.request_id_suffix.empty()) {
+      m_plan.request_id_suffix = MakeSuffix();
+    }
+    const CallerResult result = SearchAsCaller(m_plan);
+    if (output.is_json) {
+      PrintJson(result, output);
+    } else {
+      PrintText(result, output);
+    }
+    return ExitCodeOf(result);
+  }
+
+ private:
+  ExitCode ExitCodeOf(const CallerResult& result) const {
+    if (result.answer) {
+      const bool is_enough =
+          CoverageOf(json::parse(*result.answer)) >= m_min_coverage;
+      return is_enough ? ExitCode::kDone : ExitCode::kPartial;
+    }
+    return result.verdict == Verdict::kNotRun ? ExitCode::kNotDone
+                                              : ExitCode::kUnknown;
+  }
+
+  CallerPlan m_plan;
+  std::optional<std::uint64_t> m_tries;
+  double m_min_coverage = 1;
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeSearchCommand() {
+  return std::make_unique<SearchCommand>();
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/tool/tool.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace bramleyspoke {
+
+/// Runs the command that `words` name; returns the exit status.
+int RunTool(const std::vector<std::string>& words,
+            std::ostream& out,
+            std::ostream& error);
+
+}  // namespace bramleyspoke
