--- a/src/process/traffic_threads.cc
+++ b/src/process/traffic_threads.cc
@@ -132,10 +132,12 @@
 
   void SetLimits(const ServiceRoute& route) {
     const std::uint32_t share = ConnectionShare(route);
+    const std::uint32_t kept_open = std::min(share, route.spec.slots + 1);
     for (const Layout& layout : route.spec.layouts) {
       for (const Shard& shard : layout.shards) {
         for (const Replica& replica : shard.replicas) {
           m_pool->SetConnectionLimit(replica.leaf, share);
+          m_pool->KeepOpen(replica.leaf, kept_open);
         }
       }
     }
