--- a/src/connection/etcd_store.cc
+++ b/src/connection/etcd_store.cc
@@ -127,11 +127,13 @@
       EndLater();
       return;
     }
+    // Copies, since the watch may be destroyed by its own callback.
     const auto alive = m_alive;
+    const auto on_change = m_on_change;
     for (const StoreValue& change : message->changes) {
       if (change.revision > m_last_revision) {
         m_last_revision = change.revision;
-        m_on_change(change);
+        on_change(change);
       }
       if (*alive == nullptr) {
         return;
