--- a/bench/caller_message.cc
+++ b/bench/caller_message.cc
@@ -79,12 +79,12 @@
 std::string EncodeSearch(const CallerEvent& event,
                          const std::string& caller,
                          Duration time_left) {
-  json::object body{{"service", event.service},
-                    {"query", event.query},
-                    {"limit", event.limit},
-                    {"caller", caller},
-                    {"deadline_ms",
-                     std::max<long long>(1, ToMilliseconds(time_left))}};
+  json::object body{
+      {"service", event.service},
+      {"query", event.query},
+      {"limit", event.limit},
+      {"caller", caller},
+      {"deadline_ms", std::max<long long>(1, ToMilliseconds(time_left))}};
   if (!event.sent_id.empty()) {
     body["request_id"] = event.sent_id;
   }
--- a/bench/child_process.cc
+++ b/bench/child_process.cc
@@ -43,8 +43,8 @@
 Result<std::unique_ptr<ChildProcess>> ChildProcess::Start(
     const std::vector<std::string>& arguments,
     const std::string& output) {
-  const int file = open(output.c_str(),
-                        O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  const int file =
+      open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   if (file < 0) {
     return Fail(output, "a file that can be written");
   }
--- a/bench/deployment.cc
+++ b/bench/deployment.cc
@@ -27,9 +27,9 @@
   return {{"listen", ToString(leaf.address)},
           {"service", plan.name},
           {"shards", json::array{leaf.shard}},
-          {"versions", json::array{json::object{
-                           {"version", deployment.version.number},
-                           {"layout", deployment.version.layout}}}},
+          {"versions",
+           json::array{json::object{{"version", deployment.version.number},
+                                    {"layout", deployment.version.layout}}}},
           {"slots", plan.slots},
           {"queue", plan.queue},
           {"connections", plan.connections},
@@ -176,10 +176,9 @@
 std::map<std::string, ServiceFacts> MakeFacts(const Deployment& deployment) {
   std::map<std::string, ServiceFacts> facts;
   for (const ServicePlan& plan : deployment.services) {
-    facts[plan.name] =
-        ServiceFacts{plan.is_idempotent,
-                     plan.hits_per_shard,
-                     {{deployment.version.layout, plan.shards}}};
+    facts[plan.name] = ServiceFacts{plan.is_idempotent,
+                                    plan.hits_per_shard,
+                                    {{deployment.version.layout, plan.shards}}};
   }
   return facts;
 }
--- a/bench/fleet.cc
+++ b/bench/fleet.cc
@@ -35,11 +35,10 @@
         m_daemons(m_options.daemons) {}
 
   Result<void> StartPlatform() {
-    BOOST_LEAF_ASSIGN(m_store, Run("config_store", {"config_store", "--listen",
-                                                    Arg(Store())}));
-    BOOST_LEAF_ASSIGN(
-        m_vm_list, Run("vm_list", {"vm_list", "--listen",
-                                   Arg(m_network->VmList())}));
+    BOOST_LEAF_ASSIGN(m_store, Run("config_store",
+                                   {"config_store", "--listen", Arg(Store())}));
+    BOOST_LEAF_ASSIGN(m_vm_list, Run("vm_list", {"vm_list", "--listen",
+                                                 Arg(m_network->VmList())}));
     for (std::size_t i = 0; i < m_options.leaf_processes; ++i) {
       BOOST_LEAF_CHECK(StartLeafs(i));
     }
@@ -222,22 +221,20 @@
         {"failure_domain", plan.FailureDomain(region, domain)},
         {"region", plan.regions[region]},
         {"seeds", std::move(seeds)},
-        {"store",
-         json::object{{"endpoints", json::array{Arg(Store())}}}},
+        {"store", json::object{{"endpoints", json::array{Arg(Store())}}}},
         {"vm_list", Arg(m_network->VmList())},
-        {"stop", json::object{{"keep_serving_ms",
-                               ToMilliseconds(m_options.keep_serving)},
-                              {"bound_ms",
-                               ToMilliseconds(m_options.stop_bound)}}}});
+        {"stop",
+         json::object{
+             {"keep_serving_ms", ToMilliseconds(m_options.keep_serving)},
+             {"bound_ms", ToMilliseconds(m_options.stop_bound)}}}});
   }
 
   void TakeLeafLogOf(std::size_t process, std::vector<LeafEvent>& events) {
     while (true) {
       const std::string target =
           "/log?since=" + std::to_string(m_log_positions[process]);
-      const HttpResponse response =
-          Call(m_network->LeafControl(process), "GET", target, "",
-               std::chrono::seconds(20));
+      const HttpResponse response = Call(m_network->LeafControl(process), "GET",
+                                         target, "", std::chrono::seconds(20));
       auto part = ParseLeafLog(response.body);
       if (part.empty()) {
         return;
@@ -275,11 +272,11 @@
                   std::string_view target,
                   std::string_view body,
                   Duration timeout) {
-  const HttpOutcome outcome =
-      HttpCallAndWait(server,
-                      HttpRequest{std::string(method), std::string(target), {},
-                                  std::string(body)},
-                      timeout);
+  const HttpOutcome outcome = HttpCallAndWait(
+      server,
+      HttpRequest{
+          std::string(method), std::string(target), {}, std::string(body)},
+      timeout);
   return outcome.response.value_or(HttpResponse{0, {}, {}, {}});
 }
 
--- a/bench/load.cc
+++ b/bench/load.cc
@@ -136,8 +136,10 @@
     const auto& daemons = m_options.daemons;
     const Endpoint& daemon = daemons[m_random() % daemons.size()];
     const HttpRequest question{
-        "GET", "/v1/entries?service=" + m_options.services[service].service,
-        {}, ""};
+        "GET",
+        "/v1/entries?service=" + m_options.services[service].service,
+        {},
+        ""};
     HttpCall(*m_loop, daemon, question, Now() + kAskTimeout,
              [this, service](HttpOutcome outcome) {
                OnEntries(service, std::move(outcome));
@@ -164,10 +166,10 @@
 
   void AskLater(std::size_t service) {
     auto& waiting = m_books[service].waiting;
-    const auto late = std::stable_partition(
-        waiting.begin(), waiting.end(), [this](const PendingPtr& request) {
-          return Now() < GiveUpAt(*request);
-        });
+    const auto late = std::stable_partition(waiting.begin(), waiting.end(),
+                                            [this](const PendingPtr& request) {
+                                              return Now() < GiveUpAt(*request);
+                                            });
     const std::vector<PendingPtr> given_up(late, waiting.end());
     waiting.erase(late, waiting.end());
     for (const PendingPtr& request : given_up) {
@@ -256,8 +258,7 @@
         }
       });
     } else {
-      event.end = outcome.failure == HttpFailure::kConnect
-                      ? CallerEnd::kNotSent
+      event.end = outcome.failure == HttpFailure::kConnect ? CallerEnd::kNotSent
                   : outcome.failure == HttpFailure::kTimeout
                       ? CallerEnd::kTimedOut
                       : CallerEnd::kLost;
--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -3,7 +3,7 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("bramleyspoke::wire");
 
-# What daemons say of one daemon; the highest incarnation wins, then the state.
+# What daemons say of one daemon; the highest version wins, then the state.
 struct Member {
   peerAddress @0 :Text;
   callerAddress @1 :Text;
@@ -11,6 +11,8 @@
   state @3 :UInt8;
   failureDomain @4 :Text;
   region @5 :Text;
+  # Raised by the daemon itself only, to refute what others say of it.
+  version @6 :UInt64;
 }
 
 # Crash evidence against a request's fingerprint.
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -13,7 +13,7 @@
 
 namespace bramleyspoke {
 
-/// A member's state; for one incarnation a higher value wins.
+/// A member's state; for one version a higher value wins.
 enum class MemberState : std::uint8_t {
   kAlive,
   kSuspect,
@@ -25,6 +25,9 @@
 struct MemberUpdate {
   DaemonAddress address;
   MemberState state = MemberState::kAlive;
+  /// Raised by the daemon itself only, to refute what others say of it; the
+  /// higher one wins. Starts at the incarnation, which stays as it is.
+  std::uint64_t version = 0;
 
   bool operator==(const MemberUpdate&) const = default;
 };
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -19,6 +19,7 @@
   builder.setState(static_cast<std::uint8_t>(update.state));
   builder.setFailureDomain(address.failure_domain);
   builder.setRegion(address.region);
+  builder.setVersion(update.version);
 }
 
 std::optional<MemberUpdate> ReadMember(wire::Member::Reader reader) {
@@ -35,6 +36,7 @@
   update.address.failure_domain = ToStd(reader.getFailureDomain());
   update.address.region = ToStd(reader.getRegion());
   update.state = static_cast<MemberState>(reader.getState());
+  update.version = reader.getVersion();
   return update;
 }
 
--- /dev/null
+++ b/src/process/membership.cc
@@ -0,0 +1,404 @@
+#include "process/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+// News reaches all but a vanishing share of n members after a few times log n
+// sendings by each.
+constexpr double kRetransmitFactor = 2;
+constexpr std::size_t kPauseContacts = 3;
+constexpr std::size_t kLeavingContacts = 8;
+constexpr std::size_t kContactsWhenAlone = 3;
+// An answer to a differing digest; a larger bucket comes in several answers.
+constexpr std::size_t kMaxBucketUpdates = 256;
+
+}  // namespace
+
+Membership::Membership(MembershipOptions options,
+                       const DaemonAddress& self,
+                       std::uint64_t seed)
+    : m_options(options),
+      m_self{self, MemberState::kAlive, self.incarnation},
+      m_random(seed) {
+  m_table.Set(m_self);
+  m_changes[self.peer] = m_self;
+}
+
+void Membership::SetContacts(std::vector<Endpoint> contacts) {
+  std::erase(contacts, m_self.address.peer);
+  m_contacts = std::move(contacts);
+}
+
+MembershipActions Membership::OnTick(TimePoint now) {
+  MembershipActions actions;
+  ExpireSuspects(now);
+  ForgetDead(now);
+  if (!m_next_probe || now >= *m_next_probe) {
+    ProbeNext(now, actions);
+  }
+  if (!m_next_contact || now >= *m_next_contact) {
+    const bool is_alone = m_table.LiveCount() <= 1;
+    m_next_contact = now + (is_alone ? m_options.probe_interval
+                                     : m_options.contact_interval);
+    ContactLost(actions);
+  }
+  return actions;
+}
+
+void Membership::ProbeNext(TimePoint now, MembershipActions& actions) {
+  m_next_probe =
+      now + (m_is_behind ? m_options.sync_interval : m_options.probe_interval);
+  m_is_behind = false;
+  if (const auto target = NextProbeTarget()) {
+    actions.gossips.push_back(MakeGossip(*target));
+  }
+}
+
+// Round-robin in random order: every member is probed within two rounds.
+std::optional<Endpoint> Membership::NextProbeTarget() {
+  for (std::size_t round = 0; round < 2; ++round) {
+    while (m_probe_next < m_probe_order.size()) {
+      const Endpoint& peer = m_probe_order[m_probe_next++];
+      const MemberUpdate* known = m_table.Find(peer);
+      if (known != nullptr && known->state != MemberState::kDead) {
+        return peer;
+      }
+    }
+    m_probe_order.clear();
+    m_probe_next = 0;
+    for (const MemberUpdate& member : m_table.All()) {
+      if (member.state != MemberState::kDead &&
+          member.address.peer != m_self.address.peer) {
+        m_probe_order.push_back(member.address.peer);
+      }
+    }
+    std::shuffle(m_probe_order.begin(), m_probe_order.end(), m_random);
+  }
+  return std::nullopt;
+}
+
+// Seeds, listed VMs and dead members are tried now and then, so that parts of
+// the fleet that lost each other for long find together again.
+void Membership::ContactLost(MembershipActions& actions) {
+  std::vector<Endpoint> lost;
+  for (const Endpoint& contact : m_contacts) {
+    const MemberUpdate* known = m_table.Find(contact);
+    if (known == nullptr || known->state == MemberState::kDead) {
+      lost.push_back(contact);
+    }
+  }
+  for (const auto& [peer, since] : m_dead_since) {
+    lost.push_back(peer);
+  }
+  const std::size_t count = m_table.LiveCount() <= 1 ? kContactsWhenAlone : 1;
+  for (std::size_t i = 0; i < count && !lost.empty(); ++i) {
+    const std::size_t index = RandomBelow(lost.size());
+    actions.gossips.push_back(MakeGossip(lost[index]));
+    lost.erase(lost.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+}
+
+GossipAction Membership::MakeGossip(const Endpoint& peer) {
+  const std::uint64_t exchange = m_next_exchange++;
+  const MemberUpdate* known = m_table.Find(peer);
+  Probe probe;
+  probe.target = peer;
+  probe.version = known == nullptr ? 0 : known->version;
+  m_probes.emplace(exchange, probe);
+  GossipMessage message = NewMessage();
+  AddNews(message);
+  AddViewOf(peer, message);
+  message.want_all = m_table.Size() <= 1;
+  const std::uint32_t buckets = m_table.BucketCount();
+  message.bucket =
+      m_table.Digest(buckets, static_cast<std::uint32_t>(RandomBelow(buckets)));
+  return {exchange, peer, std::move(message), m_options.probe_timeout};
+}
+
+MembershipActions Membership::OnReply(std::uint64_t exchange,
+                                      const std::optional<GossipMessage>& reply,
+                                      TimePoint now) {
+  MembershipActions actions;
+  const auto probe = m_probes.find(exchange);
+  if (reply) {
+    const BucketDigest& theirs = reply->bucket;
+    m_is_behind =
+        m_is_behind || !(m_table.Digest(theirs.count, theirs.bucket) == theirs);
+    ApplyMessage(*reply, now);
+    if (probe != m_probes.end()) {
+      m_probes.erase(probe);
+    }
+    return actions;
+  }
+  if (probe != m_probes.end()) {
+    AskOthers(exchange, actions);
+    if (probe->second.waiting == 0) {
+      Suspect(probe->second, now);
+      m_probes.erase(probe);
+    }
+  }
+  return actions;
+}
+
+void Membership::AskOthers(std::uint64_t exchange, MembershipActions& actions) {
+  Probe& probe = m_probes.at(exchange);
+  const MemberUpdate* known = m_table.Find(probe.target);
+  if (known == nullptr || known->state != MemberState::kAlive) {
+    return;
+  }
+  probe.stage = ProbeStage::kIndirect;
+  for (const Endpoint& peer :
+       RandomLive(m_options.indirect_probes, probe.target)) {
+    actions.pings.push_back(
+        {exchange, peer, probe.target, 2 * m_options.probe_timeout});
+    ++probe.waiting;
+  }
+}
+
+MembershipActions Membership::OnPingViaReply(std::uint64_t exchange,
+                                             bool is_alive,
+                                             TimePoint now) {
+  const auto probe = m_probes.find(exchange);
+  if (probe == m_probes.end()) {
+    return {};
+  }
+  if (is_alive) {
+    m_probes.erase(probe);
+  } else if (--probe->second.waiting == 0) {
+    Suspect(probe->second, now);
+    m_probes.erase(probe);
+  }
+  return {};
+}
+
+void Membership::Suspect(const Probe& probe, TimePoint now) {
+  const MemberUpdate* known = m_table.Find(probe.target);
+  if (known == nullptr || known->version != probe.version) {
+    return;
+  }
+  MemberUpdate update = *known;
+  // One that said it leaves needs no time to refute.
+  update.state = known->state == MemberState::kLeaving ? MemberState::kDead
+                                                       : MemberState::kSuspect;
+  Apply(update, now);
+}
+
+void Membership::ExpireSuspects(TimePoint now) {
+  std::vector<MemberUpdate> expired;
+  for (const auto& [peer, since] : m_suspect_since) {
+    if (now - since >= SuspicionTimeout()) {
+      expired.push_back(*m_table.Find(peer));
+    }
+  }
+  for (MemberUpdate& update : expired) {
+    update.state = MemberState::kDead;
+    Apply(update, now);
+  }
+}
+
+void Membership::ForgetDead(TimePoint now) {
+  for (auto entry = m_dead_since.begin(); entry != m_dead_since.end();) {
+    if (now - entry->second < m_options.forget_after) {
+      ++entry;
+      continue;
+    }
+    m_table.Erase(entry->first);
+    m_news.Remove(entry->first);
+    entry = m_dead_since.erase(entry);
+  }
+}
+
+GossipMessage Membership::OnGossip(const GossipMessage& message,
+                                   TimePoint now) {
+  ApplyMessage(message, now);
+  GossipMessage reply = NewMessage();
+  AddNews(reply);
+  AddViewOf(message.sender.address.peer, reply);
+  const BucketDigest& theirs = message.bucket;
+  reply.bucket = m_table.Digest(theirs.count, theirs.bucket);
+  if (message.want_all) {
+    reply.members = m_table.All();
+  } else if (!(reply.bucket == theirs)) {
+    std::vector<MemberUpdate> bucket = m_table.Bucket(theirs);
+    std::shuffle(bucket.begin(), bucket.end(), m_random);
+    bucket.resize(std::min(bucket.size(), kMaxBucketUpdates));
+    reply.members.insert(reply.members.end(), bucket.begin(), bucket.end());
+  }
+  return reply;
+}
+
+void Membership::ApplyMessage(const GossipMessage& message, TimePoint now) {
+  Apply(message.sender, now);
+  for (const MemberUpdate& update : message.members) {
+    Apply(update, now);
+  }
+}
+
+void Membership::Apply(const MemberUpdate& update, TimePoint now) {
+  const Endpoint& peer = update.address.peer;
+  if (peer == m_self.address.peer) {
+    ApplyToSelf(update);
+    return;
+  }
+  const MemberUpdate* known = m_table.Find(peer);
+  // What is forgotten here must not come back as news of a death.
+  if (known == nullptr && update.state == MemberState::kDead) {
+    return;
+  }
+  const bool is_news =
+      known == nullptr || update.version > known->version ||
+      (update.version == known->version && update.state > known->state);
+  if (!is_news) {
+    return;
+  }
+  const bool was_live = known != nullptr && IsLive(known->state);
+  const bool is_moved = known == nullptr || !(known->address == update.address);
+  if (was_live != IsLive(update.state) || is_moved) {
+    m_changes[peer] = update;
+  }
+  if (known == nullptr || known->state == MemberState::kDead) {
+    InsertIntoProbeOrder(peer);
+  }
+  m_suspect_since.erase(peer);
+  m_dead_since.erase(peer);
+  if (update.state == MemberState::kSuspect) {
+    m_suspect_since[peer] = now;
+  }
+  if (update.state == MemberState::kDead) {
+    m_dead_since[peer] = now;
+  }
+  m_table.Set(update);
+  m_news.Add(peer);
+}
+
+// A member's word about itself beats others': it says a higher version.
+void Membership::ApplyToSelf(const MemberUpdate& update) {
+  const bool is_older = update.version < m_self.version;
+  if (is_older || update == m_self) {
+    return;
+  }
+  m_self.version = update.version + 1;
+  m_table.Set(m_self);
+  m_news.Add(m_self.address.peer);
+}
+
+MembershipActions Membership::OnPause(TimePoint now) {
+  m_probes.clear();
+  for (auto& [peer, since] : m_suspect_since) {
+    since = now;
+  }
+  ++m_self.version;
+  m_table.Set(m_self);
+  m_news.Add(m_self.address.peer);
+  return Push(kPauseContacts, now);
+}
+
+MembershipActions Membership::BeginLeaving(TimePoint now) {
+  m_self.state = MemberState::kLeaving;
+  ++m_self.version;
+  m_table.Set(m_self);
+  m_news.Add(m_self.address.peer);
+  m_changes[m_self.address.peer] = m_self;
+  return Push(kLeavingContacts, now);
+}
+
+MembershipActions Membership::Push(std::size_t count, TimePoint /*now*/) {
+  MembershipActions actions;
+  for (const Endpoint& peer : RandomLive(count, m_self.address.peer)) {
+    actions.gossips.push_back(MakeGossip(peer));
+  }
+  return actions;
+}
+
+std::vector<MemberUpdate> Membership::TakeChanges() {
+  std::vector<MemberUpdate> changes;
+  for (auto& [peer, update] : m_changes) {
+    changes.push_back(std::move(update));
+  }
+  m_changes.clear();
+  return changes;
+}
+
+std::vector<DaemonAddress> Membership::Live() const {
+  std::vector<DaemonAddress> live;
+  for (MemberUpdate& member : m_table.All()) {
+    if (IsLive(member.state)) {
+      live.push_back(std::move(member.address));
+    }
+  }
+  return live;
+}
+
+void Membership::InsertIntoProbeOrder(const Endpoint& peer) {
+  m_probe_order.push_back(peer);
+  const std::size_t waiting = m_probe_order.size() - m_probe_next;
+  const std::size_t place = m_probe_next + RandomBelow(waiting);
+  std::swap(m_probe_order[place], m_probe_order.back());
+}
+
+std::vector<Endpoint> Membership::RandomLive(std::size_t count,
+                                             const Endpoint& except) {
+  std::vector<Endpoint> chosen;
+  // Tries are bounded: the order may hold many that are gone.
+  const std::size_t tries = 4 * count + 8;
+  for (std::size_t i = 0; i < tries && chosen.size() < count; ++i) {
+    if (m_probe_order.empty()) {
+      break;
+    }
+    const Endpoint& peer = m_probe_order[RandomBelow(m_probe_order.size())];
+    const MemberUpdate* known = m_table.Find(peer);
+    const bool is_usable =
+        known != nullptr && IsLive(known->state) && peer != except &&
+        std::find(chosen.begin(), chosen.end(), peer) == chosen.end();
+    if (is_usable) {
+      chosen.push_back(peer);
+    }
+  }
+  return chosen;
+}
+
+void Membership::AddNews(GossipMessage& message) {
+  for (const Endpoint& peer :
+       m_news.Take(m_options.max_updates, RetransmitLimit())) {
+    if (peer != m_self.address.peer) {
+      message.members.push_back(*m_table.Find(peer));
+    }
+  }
+}
+
+// The receiver hears what is said of it, so that it can refute at once.
+void Membership::AddViewOf(const Endpoint& peer, GossipMessage& message) const {
+  const MemberUpdate* known = m_table.Find(peer);
+  if (known != nullptr && known->state != MemberState::kAlive) {
+    message.members.push_back(*known);
+  }
+}
+
+GossipMessage Membership::NewMessage() {
+  GossipMessage message;
+  message.sender = m_self;
+  return message;
+}
+
+std::size_t Membership::RetransmitLimit() const {
+  const auto members = static_cast<double>(m_table.Size());
+  return static_cast<std::size_t>(
+      std::ceil(kRetransmitFactor * std::log2(members + 1)));
+}
+
+Duration Membership::SuspicionTimeout() const {
+  const auto members = static_cast<double>(m_table.Size());
+  const double factor = std::max(1.0, std::log10(members));
+  return std::chrono::duration_cast<Duration>(m_options.suspicion_timeout *
+                                              factor);
+}
+
+std::size_t Membership::RandomBelow(std::size_t bound) {
+  return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/version/holder_sets.cc
@@ -0,0 +1,171 @@
+#include "version/holder_sets.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+// A holder uses a connection for each slot and one to cancel and ask status.
+constexpr std::uint32_t kConnectionsBesideSlots = 1;
+constexpr std::size_t kWantedFailureDomains = 2;
+
+std::uint64_t HashOf(const std::string& text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace
+
+std::size_t HolderSetSize(const ServiceSpec& spec) {
+  const std::uint32_t each = spec.slots + kConnectionsBesideSlots;
+  const std::uint32_t fitting = spec.connections / each;
+  // One share stays free for an overlapping restart.
+  const std::uint32_t bound = fitting > 1 ? fitting - 1 : 1;
+  return std::clamp<std::uint32_t>(spec.holders, 1, bound);
+}
+
+HolderSets::Service HolderSets::MakeService(
+    std::shared_ptr<const ServiceSpec> spec) {
+  Service service;
+  service.hash = HashOf(spec->name);
+  service.size = HolderSetSize(*spec);
+  for (const Layout& layout : spec->layouts) {
+    for (const Shard& shard : layout.shards) {
+      for (const Replica& replica : shard.replicas) {
+        service.failure_domains.insert(replica.failure_domain);
+        service.regions.insert(replica.region);
+      }
+    }
+  }
+  service.spec = std::move(spec);
+  return service;
+}
+
+HolderSets::Rank HolderSets::RankOf(const Service& service,
+                                    const Member& member) {
+  Rank rank;
+  if (!service.failure_domains.contains(member.address.failure_domain)) {
+    rank.distance = service.regions.contains(member.address.region) ? 1 : 2;
+  }
+  const std::uint64_t words[] = {service.hash, member.hash};
+  rank.score = XXH3_64bits(words, sizeof(words));
+  return rank;
+}
+
+// Whether `member` could change the set; else nothing has to be computed.
+bool HolderSets::MayJoin(const Service& service, const Member& member) {
+  const bool is_spread =
+      service.size < kWantedFailureDomains ||
+      std::any_of(service.holders.begin(), service.holders.end(),
+                  [&](const DaemonAddress& holder) {
+                    return holder.failure_domain !=
+                           service.holders.front().failure_domain;
+                  });
+  return service.holders.size() < service.size || !is_spread ||
+         RankOf(service, member) < service.worst;
+}
+
+void HolderSets::AddMember(const DaemonAddress& member) {
+  RemoveMember(member.peer);
+  Member added{member, HashOf(ToString(member.peer))};
+  for (auto& [name, service] : m_services) {
+    if (MayJoin(service, added)) {
+      m_members[member.peer] = added;
+      Compute(service);
+    }
+  }
+  m_members[member.peer] = std::move(added);
+}
+
+void HolderSets::RemoveMember(const Endpoint& peer) {
+  if (m_members.erase(peer) == 0) {
+    return;
+  }
+  for (auto& [name, service] : m_services) {
+    const bool is_holder =
+        std::any_of(service.holders.begin(), service.holders.end(),
+                    [&](const auto& holder) { return holder.peer == peer; });
+    if (is_holder) {
+      Compute(service);
+    }
+  }
+}
+
+void HolderSets::SetServices(const SpecMap& services) {
+  std::erase_if(m_services, [&](const auto& entry) {
+    return !services.contains(entry.first);
+  });
+  for (const auto& [name, spec] : services) {
+    const auto known = m_services.find(name);
+    if (known != m_services.end() && known->second.spec == spec) {
+      continue;
+    }
+    Service& service = m_services[name];
+    std::vector<DaemonAddress> holders = std::move(service.holders);
+    service = MakeService(spec);
+    service.holders = std::move(holders);
+    Compute(service);
+  }
+}
+
+void HolderSets::Compute(Service& service) {
+  struct Candidate {
+    Rank rank;
+    const Member* member;
+  };
+  std::vector<Candidate> candidates;
+  candidates.reserve(m_members.size());
+  for (const auto& [peer, member] : m_members) {
+    candidates.push_back({RankOf(service, member), &member});
+  }
+  const std::size_t size = std::min(service.size, candidates.size());
+  const auto by_rank = [](const Candidate& a, const Candidate& b) {
+    return a.rank < b.rank;
+  };
+  const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(size);
+  std::partial_sort(candidates.begin(), end, candidates.end(), by_rank);
+  // The last one makes way for the best of another failure domain.
+  const auto is_elsewhere = [&](const Candidate& candidate) {
+    return candidate.member->address.failure_domain !=
+           candidates.front().member->address.failure_domain;
+  };
+  if (size >= kWantedFailureDomains &&
+      std::none_of(candidates.begin(), end, is_elsewhere)) {
+    auto best = candidates.end();
+    for (auto other = end; other != candidates.end(); ++other) {
+      const bool is_better =
+          best == candidates.end() || other->rank < best->rank;
+      if (is_elsewhere(*other) && is_better) {
+        best = other;
+      }
+    }
+    if (best != candidates.end()) {
+      std::swap(*(end - 1), *best);
+    }
+  }
+  std::vector<DaemonAddress> holders;
+  for (auto chosen = candidates.begin(); chosen != end; ++chosen) {
+    holders.push_back(chosen->member->address);
+    service.worst = chosen->rank;
+  }
+  if (holders != service.holders) {
+    service.holders = std::move(holders);
+    m_changed.insert(service.spec->name);
+  }
+}
+
+const std::vector<DaemonAddress>& HolderSets::HoldersOf(
+    const std::string& service) const {
+  static const std::vector<DaemonAddress> kNone;
+  const auto found = m_services.find(service);
+  return found == m_services.end() ? kNone : found->second.holders;
+}
+
+std::set<std::string> HolderSets::TakeChanged() {
+  return std::exchange(m_changed, {});
+}
+
+}  // namespace bramleyspoke
--- a/src/version/manifest_parts.cc
+++ b/src/version/manifest_parts.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
+#include <boost/leaf/handle_errors.hpp>
 #include <cstdio>
 #include <utility>
 
