--- a/src/process/control.h
+++ b/src/process/control.h
@@ -26,7 +26,7 @@
   /// Heartbeat of the control thread.
   Duration tick = std::chrono::milliseconds(100);
   /// A gap between two heartbeats from which on the process was paused.
-  Duration pause_gap = std::chrono::seconds(3);
+  Duration pause_gap = std::chrono::seconds(2);
   /// One member is probed in each.
   Duration probe_interval = std::chrono::seconds(1);
   /// A suspect that doesn't refute is dead after this.
@@ -44,6 +44,8 @@
   virtual void OnEvidence(const EvidenceNotice& evidence) = 0;
   /// A leaf's drain word from another daemon.
   virtual void OnDrain(const DrainNotice& drain) = 0;
+  /// Control is alive, and up to date since a start or a pause.
+  virtual void OnHeartbeat(TimePoint now) = 0;
 };
 
 /// Membership, manifest and holder sets: one actor owns all of it.
--- /dev/null
+++ b/src/process/notice_board.cc
@@ -0,0 +1,122 @@
+#include "process/notice_board.h"
+
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+constexpr Duration kKept = std::chrono::minutes(10);
+constexpr Duration kResendAfter = std::chrono::seconds(1);
+constexpr std::size_t kMaxNotices = 10000;
+
+std::string KeyOf(const EvidenceNotice& evidence) {
+  return evidence.service + "#" + std::to_string(evidence.fingerprint);
+}
+
+std::string KeyOf(const DrainNotice& drain) {
+  return ToString(drain.leaf) + "~" + drain.incarnation;
+}
+
+}  // namespace
+
+bool NoticeBoard::Add(const EvidenceNotice& evidence, TimePoint now) {
+  const std::string key = KeyOf(evidence);
+  const auto known = m_notices.find(key);
+  if (known != m_notices.end() &&
+      known->second.evidence.front().crashes >= evidence.crashes) {
+    return false;
+  }
+  Notice notice;
+  notice.services = {evidence.service};
+  notice.evidence = {evidence};
+  notice.added_at = now;
+  Insert(key, std::move(notice));
+  return true;
+}
+
+bool NoticeBoard::Add(const DrainNotice& drain,
+                      const std::set<std::string>& services,
+                      TimePoint now) {
+  const std::string key = KeyOf(drain);
+  if (m_notices.contains(key)) {
+    return false;
+  }
+  Notice notice;
+  notice.services = services;
+  notice.drains = {drain};
+  notice.added_at = now;
+  Insert(key, std::move(notice));
+  return true;
+}
+
+void NoticeBoard::Insert(const std::string& key, Notice notice) {
+  if (m_notices.size() < kMaxNotices || m_notices.contains(key)) {
+    m_notices.insert_or_assign(key, std::move(notice));
+  }
+}
+
+void NoticeBoard::SetHolders(const std::string& service,
+                             std::set<Endpoint> holders) {
+  m_holders[service] = std::move(holders);
+}
+
+bool NoticeBoard::IsDue(const Notice& notice,
+                        const Endpoint& peer,
+                        TimePoint now) const {
+  if (notice.received.contains(peer)) {
+    return false;
+  }
+  const auto sent = notice.sent_at.find(peer);
+  return sent == notice.sent_at.end() || now - sent->second >= kResendAfter;
+}
+
+std::vector<NoticeDelivery> NoticeBoard::Due(TimePoint now) {
+  std::erase_if(m_notices, [&](const auto& entry) {
+    return now - entry.second.added_at >= kKept;
+  });
+  std::map<Endpoint, NoticeDelivery> due;
+  std::map<Endpoint, std::vector<std::string>> keys;
+  for (auto& [key, notice] : m_notices) {
+    for (const std::string& service : notice.services) {
+      for (const Endpoint& peer : m_holders[service]) {
+        if (!IsDue(notice, peer, now)) {
+          continue;
+        }
+        notice.sent_at[peer] = now;
+        NoticeDelivery& delivery = due[peer];
+        delivery.evidence.insert(delivery.evidence.end(),
+                                 notice.evidence.begin(),
+                                 notice.evidence.end());
+        delivery.drains.insert(delivery.drains.end(), notice.drains.begin(),
+                               notice.drains.end());
+        keys[peer].push_back(key);
+      }
+    }
+  }
+  std::vector<NoticeDelivery> deliveries;
+  for (auto& [peer, delivery] : due) {
+    delivery.peer = peer;
+    delivery.number = m_next_delivery++;
+    m_deliveries[delivery.number] = Delivery{peer, std::move(keys[peer])};
+    deliveries.push_back(std::move(delivery));
+  }
+  return deliveries;
+}
+
+void NoticeBoard::OnReply(std::uint64_t number, bool is_received) {
+  const auto delivery = m_deliveries.find(number);
+  if (delivery == m_deliveries.end()) {
+    return;
+  }
+  if (is_received) {
+    for (const std::string& key : delivery->second.notices) {
+      const auto notice = m_notices.find(key);
+      if (notice != m_notices.end()) {
+        notice->second.received.insert(delivery->second.peer);
+      }
+    }
+  }
+  m_deliveries.erase(delivery);
+}
+
+}  // namespace bramleyspoke
--- a/src/version/holder_sets.cc
+++ b/src/version/holder_sets.cc
@@ -70,14 +70,13 @@
 
 void HolderSets::AddMember(const DaemonAddress& member) {
   RemoveMember(member.peer);
-  Member added{member, HashOf(ToString(member.peer))};
+  const Member& added =
+      m_members[member.peer] = Member{member, HashOf(ToString(member.peer))};
   for (auto& [name, service] : m_services) {
     if (MayJoin(service, added)) {
-      m_members[member.peer] = added;
       Compute(service);
     }
   }
-  m_members[member.peer] = std::move(added);
 }
 
 void HolderSets::RemoveMember(const Endpoint& peer) {
@@ -112,44 +111,20 @@
 }
 
 void HolderSets::Compute(Service& service) {
-  struct Candidate {
-    Rank rank;
-    const Member* member;
-  };
   std::vector<Candidate> candidates;
   candidates.reserve(m_members.size());
   for (const auto& [peer, member] : m_members) {
     candidates.push_back({RankOf(service, member), &member});
   }
   const std::size_t size = std::min(service.size, candidates.size());
-  const auto by_rank = [](const Candidate& a, const Candidate& b) {
-    return a.rank < b.rank;
-  };
-  const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(size);
-  std::partial_sort(candidates.begin(), end, candidates.end(), by_rank);
-  // The last one makes way for the best of another failure domain.
-  const auto is_elsewhere = [&](const Candidate& candidate) {
-    return candidate.member->address.failure_domain !=
-           candidates.front().member->address.failure_domain;
-  };
-  if (size >= kWantedFailureDomains &&
-      std::none_of(candidates.begin(), end, is_elsewhere)) {
-    auto best = candidates.end();
-    for (auto other = end; other != candidates.end(); ++other) {
-      const bool is_better =
-          best == candidates.end() || other->rank < best->rank;
-      if (is_elsewhere(*other) && is_better) {
-        best = other;
-      }
-    }
-    if (best != candidates.end()) {
-      std::swap(*(end - 1), *best);
-    }
-  }
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(size),
+                    candidates.end());
+  SpreadOverFailureDomains(candidates, size);
   std::vector<DaemonAddress> holders;
-  for (auto chosen = candidates.begin(); chosen != end; ++chosen) {
-    holders.push_back(chosen->member->address);
-    service.worst = chosen->rank;
+  for (std::size_t i = 0; i < size; ++i) {
+    holders.push_back(candidates[i].member->address);
+    service.worst = candidates[i].rank;
   }
   if (holders != service.holders) {
     service.holders = std::move(holders);
@@ -157,6 +132,28 @@
   }
 }
 
+// If the first `size` are all of one failure domain, the last of them makes
+// way for the best of another.
+void HolderSets::SpreadOverFailureDomains(std::vector<Candidate>& candidates,
+                                          std::size_t size) {
+  const auto is_elsewhere = [&](const Candidate& candidate) {
+    return candidate.member->address.failure_domain !=
+           candidates.front().member->address.failure_domain;
+  };
+  const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(size);
+  if (size < kWantedFailureDomains ||
+      std::any_of(candidates.begin(), end, is_elsewhere)) {
+    return;
+  }
+  const auto best = std::min_element(
+      end, candidates.end(), [&](const Candidate& a, const Candidate& b) {
+        return is_elsewhere(a) != is_elsewhere(b) ? is_elsewhere(a) : a < b;
+      });
+  if (best != candidates.end() && is_elsewhere(*best)) {
+    std::swap(*(end - 1), *best);
+  }
+}
+
 const std::vector<DaemonAddress>& HolderSets::HoldersOf(
     const std::string& service) const {
   static const std::vector<DaemonAddress> kNone;
--- a/src/version/holder_sets.h
+++ b/src/version/holder_sets.h
@@ -57,10 +57,19 @@
     std::uint64_t hash = 0;
   };
 
+  struct Candidate {
+    Rank rank;
+    const Member* member = nullptr;
+
+    bool operator<(const Candidate& other) const { return rank < other.rank; }
+  };
+
   static Service MakeService(std::shared_ptr<const ServiceSpec> spec);
   static Rank RankOf(const Service& service, const Member& member);
   static bool MayJoin(const Service& service, const Member& member);
   void Compute(Service& service);
+  static void SpreadOverFailureDomains(std::vector<Candidate>& candidates,
+                                       std::size_t size);
 
   std::map<std::string, Service> m_services;
   std::map<Endpoint, Member> m_members;
