--- /dev/null
+++ b/bench/cases.cc
@@ -0,0 +1,27 @@
+#include "cases.h"
+
+#include "capacity_case.h"
+#include "fault_cases.h"
+#include "policy_cases.h"
+
+namespace bramleyspoke::Harness {
+
+const std::vector<BenchCase>& BenchCases() {
+  static const std::vector<BenchCase> kCases = {
+      {"base", "the base load, nothing wrong", RunBase},
+      {"target", "one straggler and one lost replica", RunTarget},
+      {"holders", "holder sets of 1, 2, 3 and all", RunHolders},
+      {"straggler", "slow replica and slow shard, hedge budgets", RunStraggler},
+      {"overload", "0.5 to 3 times what the slots carry", RunOverload},
+      {"replica_loss", "replicas killed and frozen", RunReplicaLoss},
+      {"cold_start", "cold leafs, and load that lies", RunColdStart},
+      {"crashing_request", "leafs lost to one request", RunCrashingRequest},
+      {"churn", "daemons killed, stopped, replaced", RunChurn},
+      {"repartition", "version and layout change", RunRepartition},
+      {"store_down", "outage, slowness, lost answers", RunStoreDown},
+      {"capacity", "processor time and memory by fleet size", RunCapacity},
+  };
+  return kCases;
+}
+
+}  // namespace bramleyspoke::Harness
--- /dev/null
+++ b/bench/fault_cases.cc
@@ -0,0 +1,208 @@
+#include "fault_cases.h"
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "case_setup.h"
+#include "child_process.h"
+
+namespace bramleyspoke::Harness {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::seconds kChurnInterval{3};
+constexpr std::chrono::seconds kStepInterval{2};
+constexpr const char* kPoison = "poison";
+constexpr const char* kCrashOnPoison =
+    R"("poison","ms":1000)";  // value, and the time until the leaf is back
+
+double CountEvents(const History& history, LeafEventKind kind) {
+  return static_cast<double>(std::count_if(
+      history.leafs.begin(), history.leafs.end(),
+      [&](const LeafEvent& event) { return event.kind == kind; }));
+}
+
+// Kills or stops one daemon after the other and starts each again.
+void Churn(Trial& trial) {
+  Fleet& fleet = trial.GetFleet();
+  std::mt19937_64 random(trial.Options().seed);
+  const TimePoint end =
+      std::chrono::steady_clock::now() + trial.Options().length;
+  while (std::chrono::steady_clock::now() < end) {
+    const std::size_t daemon = random() % kKalahariDaemons;
+    if (random() % 2 == 0) {
+      fleet.Kill(daemon);
+    } else {
+      trial.GetHistory().stops.push_back(fleet.Stop(daemon));
+    }
+    fleet.StartDaemon(daemon);
+    fleet.WaitReady(daemon);
+    std::this_thread::sleep_for(kChurnInterval);
+  }
+}
+
+// What a leaf of `shards` in the old layout serves, in both.
+std::string BothShards(std::uint32_t shard, std::uint32_t shards) {
+  return json::serialize(json::array{shard, shard + shards});
+}
+
+std::string Versions(const std::vector<IndexVersion>& versions) {
+  json::array values;
+  for (const IndexVersion& version : versions) {
+    values.push_back(
+        json::object{{"version", version.number}, {"layout", version.layout}});
+  }
+  return json::serialize(values);
+}
+
+// Twice the shards on the same leafs.
+Layout SplitInTwo(const Layout& layout, std::string id) {
+  Layout split{std::move(id), layout.shards};
+  const auto count = static_cast<std::uint32_t>(layout.shards.size());
+  for (Shard shard : layout.shards) {
+    shard.id += count;
+    split.shards.push_back(std::move(shard));
+  }
+  return split;
+}
+
+// Moves the restore desk's leafs from one version and layout to the next, one
+// leaf after the other.
+void Repartition(Trial& trial) {
+  Fleet& fleet = trial.GetFleet();
+  const auto& services = fleet.Plan().services;
+  const IndexVersion old_version = fleet.Plan().version;
+  const IndexVersion new_version{old_version.number + 1, "b"};
+  for (const auto& versions :
+       {std::vector{old_version, new_version}, std::vector{new_version}}) {
+    for (const LeafPlan& leaf : fleet.Leafs()) {
+      if (services[leaf.service].name != kDesk) {
+        continue;
+      }
+      const std::string name = ToString(leaf.address);
+      fleet.LeafFault(name, "set_shards",
+                      BothShards(leaf.shard, services[leaf.service].shards));
+      fleet.LeafFault(name, "set_versions", Versions(versions));
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+  }
+}
+
+void PublishUnder(Trial& trial, const char* fault, std::uint32_t holders) {
+  Fleet& fleet = trial.GetFleet();
+  fleet.StoreFault(fault);
+  Manifest manifest = BaseManifest(trial);
+  for (ServiceSpec& spec : manifest.services) {
+    spec.holders = holders;
+  }
+  trial.GetHistory().publishes.push_back(fleet.Publish(manifest));
+  fleet.Kill(holders);
+  fleet.StartDaemon(holders);
+  std::this_thread::sleep_for(kStepInterval);
+}
+
+}  // namespace
+
+Result<std::size_t> RunReplicaLoss(const BenchOptions& options) {
+  BOOST_LEAF_AUTO(trial, StartKalahari("replica_loss", options));
+  Fleet& fleet = trial->GetFleet();
+  trial->Measure("one killed", [&] {
+    fleet.LeafFault(LeafName(*trial, kDesk, 2, 0), "crash", "0");
+  });
+  trial->Measure("and one frozen", [&] {
+    fleet.LeafFault(LeafName(*trial, kDesk, 5, 1), "freeze", "0");
+  });
+  trial->Measure("and a whole shard", [&] {
+    fleet.LeafFault(LeafName(*trial, kDesk, 2, 1), "crash", "0");
+  });
+  return trial->Finish();
+}
+
+Result<std::size_t> RunColdStart(const BenchOptions& options) {
+  FleetOptions fleet_options = MakeKalahariFleet();
+  for (ServicePlan& plan : fleet_options.deployment.services) {
+    plan.cold_time = std::chrono::seconds(4);
+  }
+  BOOST_LEAF_AUTO(trial, Trial::Start("cold_start", options, fleet_options,
+                                      MakeBaseLoads()));
+  Fleet& fleet = trial->GetFleet();
+  const auto restart_replica = [&](std::uint32_t replica) {
+    for (const LeafPlan& leaf : fleet.Leafs()) {
+      if (leaf.replica == replica) {
+        fleet.LeafFault(ToString(leaf.address), "restart", "");
+      }
+    }
+  };
+  trial->Measure("warm");
+  trial->Measure("second replicas cold", [&] { restart_replica(1); });
+  fleet.LeafFault("*", "lie_load", "0");
+  trial->Measure("cold, load lies", [&] { restart_replica(1); });
+  return trial->Finish();
+}
+
+Result<std::size_t> RunCrashingRequest(const BenchOptions& options) {
+  BOOST_LEAF_AUTO(trial, StartKalahari("crashing", options));
+  Fleet& fleet = trial->GetFleet();
+  trial->Measure("no such request");
+  fleet.LeafFault("*", "crash_on", kCrashOnPoison);
+  std::vector<ServiceLoad> loads = MakeBaseLoads();
+  ServiceLoad poison = loads[0];
+  poison.rate = 0.2;
+  poison.mark = kPoison;
+  poison.resends = 2 * kKalahariDaemons;
+  loads.push_back(poison);
+  trial->SetLoads(loads);
+  trial->Measure("crashing request, resent");
+  trial->Figure("crashing request, resent", "attempts lost in crashes",
+                CountEvents(trial->GetHistory(), LeafEventKind::kCrashed));
+  return trial->Finish();
+}
+
+Result<std::size_t> RunChurn(const BenchOptions& options) {
+  BOOST_LEAF_AUTO(trial, StartKalahari("churn", options));
+  std::vector<ServiceLoad> loads = MakeBaseLoads();
+  for (ServiceLoad& load : loads) {
+    load.resends = 3;
+  }
+  trial->SetLoads(loads);
+  trial->Measure("churn", [&] { Churn(*trial); });
+  return trial->Finish();
+}
+
+Result<std::size_t> RunRepartition(const BenchOptions& options) {
+  BOOST_LEAF_AUTO(trial, StartKalahari("repartition", options));
+  Manifest manifest = BaseManifest(*trial);
+  ServiceSpec& desk = FindService(manifest, kDesk);
+  desk.layouts.push_back(SplitInTwo(desk.layouts[0], "b"));
+  trial->GetHistory().services[kDesk].layouts["b"] =
+      static_cast<std::uint32_t>(desk.layouts[1].shards.size());
+  trial->Publish(manifest);
+  trial->Measure("underway", [&] { Repartition(*trial); });
+  desk.layouts.erase(desk.layouts.begin());
+  trial->Publish(manifest);
+  trial->Measure("after");
+  return trial->Finish();
+}
+
+Result<std::size_t> RunStoreDown(const BenchOptions& options) {
+  BOOST_LEAF_AUTO(trial, StartKalahari("store_down", options));
+  trial->Measure("store up");
+  trial->Measure("store down",
+                 [&] { PublishUnder(*trial, R"({"mode":"down"})", 1); });
+  trial->Measure("store slow", [&] {
+    PublishUnder(*trial, R"({"mode":"slow","delay_ms":2000})", 3);
+  });
+  trial->Measure("answers lost", [&] {
+    PublishUnder(*trial, R"({"mode":"lose_answers","count":3})", 2);
+  });
+  trial->GetFleet().StoreFault(R"({"mode":"none"})");
+  trial->Measure("store back");
+  return trial->Finish();
+}
+
+}  // namespace bramleyspoke::Harness
