--- a/src/connection/event_loop.h
+++ b/src/connection/event_loop.h
@@ -34,7 +34,7 @@
   virtual void Start() = 0;
   /// Runs the loop on the calling thread until `Stop`.
   virtual void Run() = 0;
-  /// Ends the loop and joins its thread; from any other thread.
+  /// Ends the loop; joins its thread, if it has one, from any other thread.
   virtual void Stop() = 0;
   virtual boost::asio::io_context& Context() = 0;
 };
--- a/src/process/daemon.cc
+++ b/src/process/daemon.cc
@@ -308,7 +308,7 @@
     const StopStep before = m_stop.Step();
     const StopStep step = m_stop.Update(left, m_clock.Now());
     if (step == StopStep::kDone) {
-      m_front->Context().stop();
+      m_front->Stop();
       return;
     }
     if (step == StopStep::kFinishing && before != step) {
--- a/tests/request_ids_test.cc
+++ b/tests/request_ids_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <vector>
 
 namespace bramleyspoke {
 namespace {
