Query engine: decisions whole, history check over random events

Cause: the thin engine had no slots, hedges, budgets, canaries, ejection or admission. Replaced by FanOutEngine, one small module per decision: replica_book, layout_plan (waiting queues), slot_share, replica_chooser, ejection, latency_histogram, hedge_policy, extra_load_budget, admission, snapshot_chooser, coverage_counter, answer_merger, crash_guard, timer_queue.

Found by the history check and mended: a peer's drain word of an incarnation not known here yet was ignored, so a restarted, leaving leaf got new work.

The checker counts an attempt as extra load only if the leaf ran it or may have: a refused repeat costs no execution.

--- /dev/null
+++ b/src/request/admission.cc
@@ -0,0 +1,51 @@
+#include "request/admission.h"
+
+#include <algorithm>
+
+namespace bramleyspoke {
+namespace {
+
+constexpr std::size_t kMostQueries = 4096;
+constexpr Duration kOverloadMemory = std::chrono::seconds(1);
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(10);
+constexpr Duration kMostRetryAfter = std::chrono::seconds(5);
+
+Duration WaitAt(const ShardPlan& shard, const LoadView& load) {
+  const std::size_t drained_at_once =
+      std::max<std::size_t>(1, shard.replicas.size() * load.slot_share);
+  const auto turns = static_cast<std::int64_t>(shard.waiting.size());
+  return load.mean_latency * turns / static_cast<std::int64_t>(drained_at_once);
+}
+
+}  // namespace
+
+std::optional<Duration> Admission::Check(const LayoutPlan& plan,
+                                         const LoadView& load,
+                                         TimePoint deadline,
+                                         TimePoint now) {
+  if (load.waiting == 0 && load.queries < kMostQueries) {
+    return std::nullopt;
+  }
+  // One slow shard costs its own coverage; only when most shards are behind
+  // is the query as a whole refused.
+  const Duration left = deadline - now - load.mean_latency;
+  std::size_t late = 0;
+  Duration longest{0};
+  for (const ShardPlan& shard : plan.Shards()) {
+    const Duration wait = WaitAt(shard, load);
+    longest = std::max(longest, wait);
+    late += wait > left || shard.waiting.size() >= kMostWaiting ? 1 : 0;
+  }
+  if (late * 2 <= plan.Shards().size() && load.queries < kMostQueries) {
+    return std::nullopt;
+  }
+  m_last_refusal = now;
+  return std::clamp(longest, kLeastRetryAfter, kMostRetryAfter);
+}
+
+bool Admission::WasOverloaded(TimePoint now) const {
+  return m_last_refusal != TimePoint{} &&
+         now - m_last_refusal < kOverloadMemory;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/admission.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+#include "base/time.h"
+#include "request/layout_plan.h"
+
+namespace bramleyspoke {
+
+/// What admission weighs a query against.
+struct LoadView {
+  std::size_t queries = 0;
+  /// Tasks that wait for a slot, over all shards.
+  std::size_t waiting = 0;
+  std::uint32_t slot_share = 1;
+  /// How long a slot is taken by one attempt.
+  Duration mean_latency{0};
+};
+
+/// Refuses queries that could not be answered in time, before they cost.
+class Admission {
+ public:
+  /// Tasks that may wait at one shard.
+  static constexpr std::size_t kMostWaiting = 1024;
+
+  /// Nothing if the query may enter; else when its caller should come back.
+  std::optional<Duration> Check(const LayoutPlan& plan,
+                                const LoadView& load,
+                                TimePoint deadline,
+                                TimePoint now);
+  /// Whether a query was refused a moment ago.
+  bool WasOverloaded(TimePoint now) const;
+
+ private:
+  TimePoint m_last_refusal;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/ejection.cc
@@ -0,0 +1,56 @@
+#include "request/ejection.h"
+
+#include <algorithm>
+
+#include "request/layout_plan.h"
+
+namespace bramleyspoke {
+namespace {
+
+constexpr std::uint32_t kFailuresToEject = 3;
+constexpr Duration kFirstEjection = std::chrono::seconds(1);
+constexpr std::uint32_t kMostDoublings = 5;
+
+// Half of a shard's replicas, and one at least, stay in.
+bool IsAboveFloor(const ShardPlan& shard,
+                  const ReplicaBook& book,
+                  TimePoint now) {
+  std::size_t in = 0;
+  for (const ReplicaPlan& replica : shard.replicas) {
+    in += EjectionPolicy::IsEjected(book.At(replica.leaf), now) ? 0 : 1;
+  }
+  const std::size_t floor = std::max<std::size_t>(1, shard.replicas.size() / 2);
+  return in > floor;
+}
+
+}  // namespace
+
+bool EjectionPolicy::OnFailure(LeafState& leaf,
+                               const ReplicaBook& book,
+                               TimePoint now) {
+  ++leaf.failures_in_row;
+  if (leaf.failures_in_row < kFailuresToEject || IsEjected(leaf, now)) {
+    return false;
+  }
+  const bool may_eject = std::all_of(
+      leaf.serves.begin(), leaf.serves.end(),
+      [&](const ShardPlan* shard) { return IsAboveFloor(*shard, book, now); });
+  if (!may_eject) {
+    return false;
+  }
+  const std::uint32_t doublings =
+      std::min(leaf.ejections_in_row, kMostDoublings);
+  leaf.ejected_until = now + kFirstEjection * (1U << doublings);
+  ++leaf.ejections_in_row;
+  // One more failure after its return is enough.
+  leaf.failures_in_row = kFailuresToEject - 1;
+  return true;
+}
+
+void EjectionPolicy::OnSuccess(LeafState& leaf) {
+  leaf.failures_in_row = 0;
+  leaf.ejections_in_row = 0;
+  leaf.ejected_until = TimePoint{};
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/extra_load_budget.cc
@@ -0,0 +1,45 @@
+#include "request/extra_load_budget.h"
+
+#include <algorithm>
+
+namespace bramleyspoke {
+namespace {
+
+// A hedge only shortens a wait; a retry saves a shard's coverage.
+constexpr double kRetryReserve = 5;
+constexpr double kPercent = 100;
+
+}  // namespace
+
+void ExtraLoadBudget::SetPercent(double percent) {
+  const bool is_first = m_burst == 0;
+  m_share = percent / kPercent;
+  m_burst = percent > 0 ? kBurst : 0;
+  m_tokens = is_first ? m_burst : std::min(m_tokens, m_burst);
+}
+
+void ExtraLoadBudget::OnNeeded() {
+  m_tokens = std::min(m_burst, m_tokens + m_share);
+}
+
+bool ExtraLoadBudget::TakeForRetry() {
+  return Take(1);
+}
+
+bool ExtraLoadBudget::TakeForHedge() {
+  return Take(1 + kRetryReserve);
+}
+
+void ExtraLoadBudget::Return() {
+  m_tokens = std::min(m_burst, m_tokens + 1);
+}
+
+bool ExtraLoadBudget::Take(double least) {
+  if (m_tokens < least) {
+    return false;
+  }
+  m_tokens -= 1;
+  return true;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/fan_out_outcomes.cc
@@ -0,0 +1,237 @@
+// What outcomes of attempts say about leafs, requests and tasks.
+
+#include <algorithm>
+#include <utility>
+
+#include "request/ejection.h"
+#include "request/fan_out_engine.h"
+
+namespace bramleyspoke {
+namespace {
+
+constexpr double kNewLatencyWeight = 0.3;
+// An attempt that ran out of time says that its leaf fails only if others
+// would have answered long before.
+constexpr int kTimeoutsOverMean = 4;
+constexpr std::uint32_t kRefusedConnectionsToBeUnreachable = 2;
+
+RefusalReason ReasonOf(const AttemptOutcome& outcome) {
+  switch (outcome.result) {
+    case AttemptResult::kNotSent:
+      return RefusalReason::kNoReplica;
+    case AttemptResult::kRefused: {
+      const bool is_busy = outcome.reason == LeafReason::kShed ||
+                           outcome.reason == LeafReason::kNoSlot;
+      return is_busy ? RefusalReason::kOverloaded : RefusalReason::kNoReplica;
+    }
+    default:
+      return RefusalReason::kLost;
+  }
+}
+
+}  // namespace
+
+void FanOutEngine::ObserveLeaf(const AttemptRecord& record,
+                               const AttemptOutcome& outcome) {
+  if (outcome.reported_load) {
+    m_book.At(record.leaf).reported_load = outcome.reported_load;
+  }
+  bool has_changed = m_book.OnIncarnation(record.leaf, outcome.incarnation,
+                                          record.sent, m_now);
+  if (outcome.reason == LeafReason::kVersionMissing) {
+    const Query* query = Find(record.query);
+    const bool is_known = query != nullptr && query->epoch == record.epoch;
+    if (is_known && query->snapshot) {
+      has_changed |=
+          m_book.OnVersionMissing(record.leaf, query->snapshot->version);
+    }
+  }
+  const bool has_word = outcome.result == AttemptResult::kAnswered ||
+                        outcome.result == AttemptResult::kRefused;
+  if (has_word) {
+    has_changed |= m_book.OnReachable(record.leaf, true);
+  }
+  ObserveResult(record, outcome);
+  if (outcome.draining || outcome.reason == LeafReason::kDraining) {
+    NoteDrain(record.leaf, outcome.incarnation);
+  }
+  if (has_changed) {
+    OnLeafChanged(record.leaf);
+  }
+}
+
+void FanOutEngine::ObserveResult(const AttemptRecord& record,
+                                 const AttemptOutcome& outcome) {
+  LeafState& leaf = m_book.At(record.leaf);
+  const Duration age = m_now - record.sent;
+  bool has_failed = false;
+  switch (outcome.result) {
+    case AttemptResult::kAnswered:
+      ObserveLatency(leaf, age);
+      EjectionPolicy::OnSuccess(leaf);
+      break;
+    case AttemptResult::kRefused:
+    case AttemptResult::kCancelled:
+      // The answer would have come later than this.
+      if (record.is_cancelled && age > leaf.latency) {
+        ObserveLatency(leaf, age);
+      }
+      break;
+    case AttemptResult::kTimedOut:
+      ObserveLatency(leaf, std::max(age, leaf.latency));
+      has_failed = age > m_latencies.Mean() * kTimeoutsOverMean;
+      break;
+    case AttemptResult::kNotSent:
+      ++m_counters.not_sent;
+      has_failed = true;
+      break;
+    case AttemptResult::kLost:
+    case AttemptResult::kWrongAnswer:
+      has_failed = true;
+      break;
+  }
+  if (has_failed && EjectionPolicy::OnFailure(leaf, m_book, m_now)) {
+    ++m_counters.ejections;
+  }
+  if (outcome.result == AttemptResult::kNotSent &&
+      leaf.failures_in_row >= kRefusedConnectionsToBeUnreachable) {
+    m_is_snapshot_stale |= m_book.OnReachable(record.leaf, false);
+  }
+}
+
+void FanOutEngine::ObserveLatency(LeafState& leaf, Duration latency) {
+  m_latencies.Record(latency);
+  m_hedges.OnLatency(m_latencies, m_route->spec.extra_load_percent);
+  if (leaf.latency == Duration::zero()) {
+    leaf.latency = latency;
+  } else {
+    const Duration change = latency - leaf.latency;
+    leaf.latency += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, Duration::period>(change) *
+        kNewLatencyWeight);
+  }
+  leaf.latency_at = m_now;
+}
+
+void FanOutEngine::ObserveCrash(const AttemptRecord& record,
+                                const AttemptOutcome& outcome) {
+  const std::uint64_t fingerprint = record.fingerprint;
+  if (record.canary) {
+    m_guard.CloseCanary(fingerprint, *record.canary);
+  }
+  const LostAttempt lost{record.shard, record.leaf, record.incarnation,
+                         record.sent};
+  switch (outcome.result) {
+    case AttemptResult::kAnswered:
+      m_guard.OnSurvived(fingerprint, record.version, record.shard);
+      break;
+    case AttemptResult::kLost:
+      m_guard.OnLost(fingerprint, lost, m_now);
+      break;
+    case AttemptResult::kNotSent:
+      m_guard.OnLeafGone(record.leaf, m_now);
+      break;
+    case AttemptResult::kTimedOut:
+    case AttemptResult::kCancelled:
+    case AttemptResult::kWrongAnswer:
+      if (m_guard.Standing(fingerprint, record.version, m_now) ==
+          CrashStanding::kUnproven) {
+        m_guard.OnUnknown(fingerprint, lost, m_now);
+      }
+      break;
+    case AttemptResult::kRefused:
+      break;
+  }
+  m_guard.OnLeafAlive(record.leaf, outcome.incarnation, record.sent);
+}
+
+void FanOutEngine::ApplyOutcome(Query& query,
+                                AttemptNumber number,
+                                const AttemptRecord& record,
+                                AttemptOutcome outcome) {
+  --query.in_flight;
+  const Verdict verdict = VerdictOf(outcome);
+  query.verdict = Combine(query.verdict, verdict);
+  if (outcome.result == AttemptResult::kNotSent) {
+    --query.attempts;
+  }
+  const bool is_answer = outcome.result == AttemptResult::kAnswered;
+  if (record.epoch != query.epoch || query.IsOver()) {
+    m_counters.late_answers += is_answer ? 1 : 0;
+    return;
+  }
+  ShardTask& task = query.tasks[record.ordinal];
+  std::erase(task.running, number);
+  if (task.IsDone()) {
+    m_counters.late_answers += is_answer ? 1 : 0;
+    return;
+  }
+  if (is_answer) {
+    AcceptAnswer(query, record, std::move(outcome));
+    return;
+  }
+  task.is_version_missing |= outcome.reason == LeafReason::kVersionMissing;
+  query.worst = std::max(query.worst, ReasonOf(outcome));
+  if (record.is_hedge && verdict == Verdict::kNotRun) {
+    m_budget.Return();
+  }
+  if (task.running.empty()) {
+    Retry(query, record.ordinal, verdict);
+  }
+}
+
+void FanOutEngine::AcceptAnswer(Query& query,
+                                const AttemptRecord& record,
+                                AttemptOutcome outcome) {
+  ShardTask& task = query.tasks[record.ordinal];
+  task.state = TaskState::kAnswered;
+  --query.open_tasks;
+  m_touched.push_back(query.number);
+  m_counters.hedge_wins += record.is_hedge ? 1 : 0;
+  CancelRunning(task);
+  query.coverage->Add(record.ordinal, outcome.covered);
+  if (!query.merger->Add(std::move(outcome.hits))) {
+    EndWith(query, RefusalReason::kTooLarge,
+            "the answer takes more than " +
+                std::to_string(query.route->spec.max_answer_bytes) + " bytes");
+  }
+}
+
+// After "not run" another replica costs no extra execution; after anything
+// else it does, and a request that must run at most once is given up.
+void FanOutEngine::Retry(Query& query, std::uint32_t ordinal, Verdict verdict) {
+  ShardTask& task = query.tasks[ordinal];
+  if (verdict != Verdict::kNotRun) {
+    const CrashStanding standing = m_guard.Standing(
+        query.fingerprint, query.snapshot->version.number, m_now);
+    const bool may_repeat =
+        query.IsIdempotent() && standing != CrashStanding::kSuspect;
+    if (!may_repeat || !m_budget.TakeForRetry()) {
+      GiveUp(query, task);
+      return;
+    }
+  }
+  ++m_counters.retries;
+  if (query.is_held) {
+    // `ReviewHeld` sends it, or ends the query.
+    task.state = TaskState::kHeld;
+  } else {
+    Place(query, ordinal);
+  }
+}
+
+void FanOutEngine::CancelRunning(ShardTask& task) {
+  for (const AttemptNumber number : task.running) {
+    const auto found = m_attempts.find(number);
+    if (found == m_attempts.end()) {
+      continue;
+    }
+    found->second.is_cancelled = true;
+    ++m_counters.cancels;
+    m_actions.cancels.push_back({m_book.At(found->second.leaf).endpoint,
+                                 m_prefix + std::to_string(number)});
+  }
+  task.running.clear();
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/replica_book.cc
@@ -0,0 +1,172 @@
+#include "request/replica_book.h"
+
+#include <algorithm>
+
+namespace bramleyspoke {
+namespace {
+
+// Word of incarnations may come in any order; a few are kept so that a stale
+// one does not hide the current one.
+constexpr std::size_t kMostKept = 4;
+
+bool Contains(const std::vector<std::string>& list, const std::string& value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+void Append(std::vector<std::string>& list, const std::string& value) {
+  if (list.size() == kMostKept) {
+    list.erase(list.begin());
+  }
+  list.push_back(value);
+}
+
+// The known process still answers what was sent after the drain word, which
+// was of an earlier one.
+bool IsUnknownDrainOver(LeafState& leaf, TimePoint sent) {
+  if (!leaf.unknown_drain_at || sent <= *leaf.unknown_drain_at) {
+    return false;
+  }
+  leaf.unknown_drain_at.reset();
+  return true;
+}
+
+}  // namespace
+
+bool LeafState::IsOpen() const {
+  return !is_leaving && !unknown_drain_at && !Contains(drained, incarnation);
+}
+
+bool LeafState::Has(const IndexVersion& version) const {
+  return std::find(versions.begin(), versions.end(), version) != versions.end();
+}
+
+LeafIndex ReplicaBook::Intern(const Endpoint& endpoint,
+                              bool is_new,
+                              TimePoint now) {
+  if (const auto found = Find(endpoint)) {
+    return *found;
+  }
+  LeafIndex index = 0;
+  if (m_free.empty()) {
+    index = static_cast<LeafIndex>(m_leafs.size());
+    m_leafs.emplace_back();
+  } else {
+    index = m_free.back();
+    m_free.pop_back();
+  }
+  LeafState& leaf = m_leafs[index];
+  leaf = LeafState{};
+  leaf.endpoint = endpoint;
+  leaf.is_used = true;
+  if (is_new) {
+    leaf.cold_since = now;
+  }
+  m_by_endpoint[endpoint] = index;
+  return index;
+}
+
+std::optional<LeafIndex> ReplicaBook::Find(const Endpoint& endpoint) const {
+  const auto found = m_by_endpoint.find(endpoint);
+  if (found == m_by_endpoint.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void ReplicaBook::SetLeaving(const std::set<Endpoint>& leaving) {
+  for (LeafState& leaf : m_leafs) {
+    leaf.is_leaving = leaving.contains(leaf.endpoint);
+  }
+}
+
+void ReplicaBook::Sweep() {
+  for (LeafIndex index = 0; index < m_leafs.size(); ++index) {
+    LeafState& leaf = m_leafs[index];
+    if (leaf.is_used && leaf.serves.empty() && leaf.in_flight == 0) {
+      m_by_endpoint.erase(leaf.endpoint);
+      leaf = LeafState{};
+      m_free.push_back(index);
+    }
+  }
+}
+
+bool ReplicaBook::OnStatus(LeafIndex index,
+                           const std::optional<LeafStatus>& status,
+                           TimePoint now) {
+  if (!status) {
+    return OnReachable(index, false);
+  }
+  LeafState& leaf = m_leafs[index];
+  bool has_changed = OnReachable(index, true);
+  has_changed |= OnIncarnation(index, status->incarnation, now, now);
+  leaf.reported_load = status->reported_load;
+  if (leaf.versions != status->versions) {
+    leaf.versions = status->versions;
+    has_changed = true;
+  }
+  return has_changed;
+}
+
+bool ReplicaBook::OnVersionMissing(LeafIndex index,
+                                   const IndexVersion& version) {
+  return std::erase(m_leafs[index].versions, version) > 0;
+}
+
+bool ReplicaBook::OnReachable(LeafIndex index, bool is_reachable) {
+  LeafState& leaf = m_leafs[index];
+  const bool has_changed = leaf.is_reachable != is_reachable;
+  leaf.is_reachable = is_reachable;
+  return has_changed;
+}
+
+bool ReplicaBook::OnIncarnation(LeafIndex index,
+                                const std::string& incarnation,
+                                TimePoint sent,
+                                TimePoint now) {
+  LeafState& leaf = m_leafs[index];
+  if (incarnation.empty()) {
+    return false;
+  }
+  if (incarnation == leaf.incarnation) {
+    return IsUnknownDrainOver(leaf, sent);
+  }
+  // Late answers and status that lags speak of processes before this one.
+  const bool is_restart = !leaf.incarnation.empty();
+  if (is_restart && (sent < leaf.incarnation_since ||
+                     Contains(leaf.past_incarnations, incarnation))) {
+    return false;
+  }
+  if (is_restart) {
+    Append(leaf.past_incarnations, leaf.incarnation);
+  }
+  leaf.incarnation = incarnation;
+  leaf.incarnation_since = now;
+  leaf.unknown_drain_at.reset();
+  if (is_restart) {
+    leaf.cold_since = now;
+    leaf.latency = Duration::zero();
+    leaf.failures_in_row = 0;
+  }
+  return true;
+}
+
+bool ReplicaBook::OnDrain(LeafIndex index,
+                          const std::string& incarnation,
+                          TimePoint now) {
+  LeafState& leaf = m_leafs[index];
+  if (leaf.incarnation.empty()) {
+    leaf.incarnation = incarnation;
+  }
+  if (Contains(leaf.drained, incarnation)) {
+    return false;
+  }
+  Append(leaf.drained, incarnation);
+  const bool is_known = incarnation == leaf.incarnation ||
+                        Contains(leaf.past_incarnations, incarnation);
+  if (!is_known) {
+    leaf.unknown_drain_at = now;
+  }
+  return true;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/replica_chooser.cc
@@ -0,0 +1,126 @@
+#include "request/replica_chooser.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "request/ejection.h"
+
+namespace bramleyspoke {
+namespace {
+
+// What was seen of a leaf fades towards the typical latency, so that a leaf
+// which was slow gets asked again.
+constexpr double kLatencyHalfLifeSeconds = 3;
+constexpr Duration kWarmUp = std::chrono::seconds(10);
+constexpr std::uint32_t kWarmUpSteps = 1000;
+constexpr std::uint32_t kFirstWarmUpStep = 50;
+// Leafs report load late and wrongly: it decides between near equals only.
+constexpr double kLoadWeight = 0.1;
+constexpr double kFarWeight = 1.05;
+constexpr Duration kLeastLatency = std::chrono::microseconds(50);
+
+struct Candidates {
+  std::array<std::uint8_t, LayoutPlan::kMostReplicas> replicas{};
+  std::uint32_t count = 0;
+  bool are_any_usable = false;
+};
+
+Candidates Gather(const ShardPlan& shard,
+                  const ChoiceQuery& query,
+                  const ReplicaBook& book,
+                  bool with_ejected,
+                  TimePoint now) {
+  Candidates result;
+  for (std::size_t i = 0; i < shard.replicas.size(); ++i) {
+    const LeafState& leaf = book.At(shard.replicas[i].leaf);
+    const bool was_tried = ((query.tried >> i) & 1U) != 0;
+    const bool is_out = !with_ejected && EjectionPolicy::IsEjected(leaf, now);
+    if (was_tried || is_out || !leaf.IsOpen() || !leaf.Has(query.version)) {
+      continue;
+    }
+    result.are_any_usable = true;
+    if (leaf.in_flight < query.slot_share) {
+      result.replicas[result.count++] = static_cast<std::uint8_t>(i);
+    }
+  }
+  return result;
+}
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+double ExpectedLatency(const LeafState& leaf, Duration typical, TimePoint now) {
+  const double base = ToSeconds(std::max(typical, kLeastLatency));
+  if (leaf.latency == Duration::zero()) {
+    return base;
+  }
+  const double age = ToSeconds(now - leaf.latency_at);
+  const double weight = std::exp2(-age / kLatencyHalfLifeSeconds);
+  return base + (ToSeconds(leaf.latency) - base) * weight;
+}
+
+}  // namespace
+
+Choice ReplicaChooser::Choose(const ShardPlan& shard,
+                              const ChoiceQuery& query,
+                              TimePoint now) {
+  Candidates candidates = Gather(shard, query, m_book, false, now);
+  if (!candidates.are_any_usable && query.may_be_ejected) {
+    candidates = Gather(shard, query, m_book, true, now);
+  }
+  if (candidates.count == 0) {
+    return {
+        candidates.are_any_usable ? ChoiceKind::kAllBusy : ChoiceKind::kNone,
+        0};
+  }
+  if (candidates.count == 1) {
+    return {ChoiceKind::kReplica, candidates.replicas[0]};
+  }
+  const std::uint32_t first = Random(candidates.count);
+  std::uint32_t second = Random(candidates.count - 1);
+  second += second >= first ? 1 : 0;
+  std::uint32_t best = candidates.replicas[first];
+  std::uint32_t other = candidates.replicas[second];
+  if (CostOf(shard.replicas[other], query, now) <
+      CostOf(shard.replicas[best], query, now)) {
+    std::swap(best, other);
+  }
+  if (IsHeldBack(m_book.At(shard.replicas[best].leaf), now)) {
+    std::swap(best, other);
+  }
+  return {ChoiceKind::kReplica, best};
+}
+
+double ReplicaChooser::CostOf(const ReplicaPlan& replica,
+                              const ChoiceQuery& query,
+                              TimePoint now) const {
+  const LeafState& leaf = m_book.At(replica.leaf);
+  double cost = ExpectedLatency(leaf, query.typical_latency, now);
+  cost *= leaf.in_flight + 1;
+  cost *= 1 + kLoadWeight * std::clamp(leaf.reported_load.value_or(0), 0., 1.);
+  return replica.is_near ? cost : cost * kFarWeight;
+}
+
+std::uint32_t ReplicaChooser::Random(std::uint32_t bound) {
+  // SplitMix64: small, and good enough for spreading load.
+  m_state += 0x9e3779b97f4a7c15ULL;
+  std::uint64_t z = m_state;
+  z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  z = (z ^ (z >> 27U)) * 0x94d049bb133111ebULL;
+  z ^= z >> 31U;
+  return static_cast<std::uint32_t>(((z >> 32U) * bound) >> 32U);
+}
+
+// A cold leaf's share of its turns grows evenly while it warms up.
+bool ReplicaChooser::IsHeldBack(const LeafState& leaf, TimePoint now) {
+  if (!leaf.cold_since || now - *leaf.cold_since >= kWarmUp) {
+    return false;
+  }
+  const auto step = static_cast<std::uint32_t>((now - *leaf.cold_since) *
+                                               kWarmUpSteps / kWarmUp);
+  return Random(kWarmUpSteps) >= std::max(step, kFirstWarmUpStep);
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/snapshot_chooser.cc
@@ -0,0 +1,80 @@
+#include "request/snapshot_chooser.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace bramleyspoke {
+namespace {
+
+struct Rank {
+  double reachable = 0;
+  double known = 0;
+  std::uint64_t number = 0;
+
+  auto Key() const {
+    // Known coverage decides only while nothing can be reached.
+    const double fallback = reachable > 0 ? 0 : known;
+    return std::make_tuple(reachable, fallback, number);
+  }
+};
+
+std::set<std::uint64_t> NumbersOf(const LayoutPlan& plan,
+                                  const ReplicaBook& book) {
+  std::set<std::uint64_t> numbers;
+  for (const ShardPlan& shard : plan.Shards()) {
+    for (const ReplicaPlan& replica : shard.replicas) {
+      for (const IndexVersion& version : book.At(replica.leaf).versions) {
+        if (version.layout == plan.Source().id) {
+          numbers.insert(version.number);
+        }
+      }
+    }
+  }
+  return numbers;
+}
+
+Rank RankOf(const IndexVersion& version,
+            const LayoutPlan& plan,
+            const ReplicaBook& book) {
+  std::size_t reachable = 0;
+  std::size_t known = 0;
+  for (const ShardPlan& shard : plan.Shards()) {
+    bool is_known = false;
+    bool is_reachable = false;
+    for (const ReplicaPlan& replica : shard.replicas) {
+      const LeafState& leaf = book.At(replica.leaf);
+      if (leaf.IsOpen() && leaf.Has(version)) {
+        is_known = true;
+        is_reachable |= leaf.is_reachable;
+      }
+    }
+    known += is_known ? 1 : 0;
+    reachable += is_reachable ? 1 : 0;
+  }
+  const auto count = static_cast<double>(plan.Shards().size());
+  return {static_cast<double>(reachable) / count,
+          static_cast<double>(known) / count, version.number};
+}
+
+}  // namespace
+
+std::optional<Snapshot> ChooseSnapshot(
+    const std::vector<std::shared_ptr<LayoutPlan>>& plans,
+    const ReplicaBook& book) {
+  std::optional<Snapshot> best;
+  Rank best_rank;
+  for (const std::shared_ptr<LayoutPlan>& plan : plans) {
+    for (const std::uint64_t number : NumbersOf(*plan, book)) {
+      const IndexVersion version{number, plan->Source().id};
+      const Rank rank = RankOf(version, *plan, book);
+      if (rank.known > 0 && (!best || best_rank.Key() < rank.Key())) {
+        best = Snapshot{version, plan, std::max(rank.reachable, rank.known)};
+        best_rank = rank;
+      }
+    }
+  }
+  return best;
+}
+
+}  // namespace bramleyspoke
