Control actor, routing table builder; contract tests of peers

The contract test's first run crashed: kj keeps a handler that is passed as an lvalue by reference, so the call's end ran on a dead frame (SIGSEGV in PeerClient::Call). Handlers are now passed as temporaries; 5 of 5 cases pass, also under AddressSanitizer.

--- a/src/connection/peer_client.cc
+++ b/src/connection/peer_client.cc
@@ -118,7 +118,8 @@
                     const ConnectionPtr open = weak.lock();
                     return open ? open->OnDisconnect() : kj::READY_NOW;
                   })
-                  .then(retire, [retire](kj::Exception&&) { retire(); }));
+                  .then([retire] { retire(); },
+                        [retire](kj::Exception&&) { retire(); }));
   return connection;
 }
 
@@ -185,6 +186,7 @@
   auto expired = timer.afterDelay(ToKj(timeout)).then([] {
     return std::optional<Reply>();
   });
+  // Handlers are passed as temporaries: kj keeps a named one by reference.
   auto finish = [this, peer, connection, is_sent, &timer,
                  done = std::move(done)](std::optional<Reply> result) {
     connection->End(timer.now());
@@ -195,7 +197,11 @@
     done(std::move(result), *is_sent);
   };
   m_tasks.add(reply.exclusiveJoin(kj::mv(expired))
-                  .then(finish, [finish](kj::Exception&&) { finish({}); }));
+                  .then(
+                      [finish](std::optional<Reply> result) {
+                        finish(std::move(result));
+                      },
+                      [finish](kj::Exception&&) { finish({}); }));
 }
 
 void PeerClient::Gossip(
--- /dev/null
+++ b/src/process/control.cc
@@ -0,0 +1,157 @@
+#include "process/control.h"
+
+#include <caf/all.hpp>
+#include <utility>
+
+#include "process/control_core.h"
+
+namespace bramleyspoke {
+
+/// A call that the control actor runs.
+struct ControlCall {
+  std::function<void()> run;
+};
+
+}  // namespace bramleyspoke
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(bramleyspoke::ControlCall)
+
+namespace bramleyspoke {
+namespace {
+
+using TickAtom = caf::atom_constant<caf::atom("tick")>;
+
+// The one thread of control: every event is a message to this actor.
+class ControlActor final : public caf::event_based_actor {
+ public:
+  ControlActor(caf::actor_config& config,
+               const ControlOptions& options,
+               ControlContext context)
+      : caf::event_based_actor(config), m_tick(options.tick) {
+    context.now = [this] { return clock().now(); };
+    context.post = [self = caf::actor_cast<caf::actor>(address())](
+                       std::function<void()> call) {
+      caf::anon_send(self, ControlCall{std::move(call)});
+    };
+    m_core = std::make_unique<ControlCore>(options, std::move(context));
+  }
+
+  ControlCore& Core() { return *m_core; }
+
+  caf::behavior make_behavior() override {
+    delayed_send(this, m_tick, TickAtom::value);
+    return {[this](TickAtom) {
+              delayed_send(this, m_tick, TickAtom::value);
+              m_core->OnTick();
+            },
+            [](const ControlCall& call) { call.run(); }};
+  }
+
+  // Ends watches; the references that the core holds go away after this.
+  void on_exit() override { m_core.reset(); }
+
+ private:
+  Duration m_tick;
+  std::unique_ptr<ControlCore> m_core;
+};
+
+class ControlImpl final : public Control {
+ public:
+  ControlImpl(ControlOptions options,
+              ControlRuntime& runtime,
+              ControlContext context)
+      : m_options(std::move(options)),
+        m_runtime(runtime),
+        m_context(std::move(context)) {}
+
+  ~ControlImpl() override { ControlImpl::Stop(); }
+
+  void Start() override {
+    m_actor = m_runtime.System().spawn<ControlActor>(m_options, m_context);
+    m_core = &caf::actor_cast<ControlActor*>(m_actor)->Core();
+  }
+
+  void Stop() override {
+    if (!m_actor) {
+      return;
+    }
+    caf::anon_send_exit(m_actor, caf::exit_reason::user_shutdown);
+    if (m_runtime.IsPaused()) {
+      m_runtime.Advance(Duration::zero());
+    } else {
+      caf::scoped_actor self(m_runtime.System());
+      self->wait_for(m_actor);
+    }
+    m_actor = nullptr;
+  }
+
+  void BeginLeaving() override {
+    Post([core = m_core] { core->BeginLeaving(); });
+  }
+
+  void NoteEvidence(EvidenceNotice evidence) override {
+    Post([core = m_core, evidence = std::move(evidence)] {
+      core->NoteEvidence(evidence);
+    });
+  }
+
+  void NoteDrain(DrainNotice drain) override {
+    Post([core = m_core, drain = std::move(drain)] { core->NoteDrain(drain); });
+  }
+
+  void DumpJson(std::function<void(std::string)> done) override {
+    Post([core = m_core, done = std::move(done)] { done(core->DumpJson()); });
+  }
+
+  void OnGossip(GossipMessage message,
+                std::function<void(GossipMessage)> reply) override {
+    Post([core = m_core, message = std::move(message),
+          reply = std::move(reply)] { reply(core->OnGossip(message)); });
+  }
+
+  void OnPingVia(const Endpoint& target,
+                 std::function<void(bool)> reply) override {
+    Post([core = m_core, target, reply = std::move(reply)] {
+      core->OnPingVia(target, reply);
+    });
+  }
+
+  void OnFetchParts(
+      std::vector<std::string> hashes,
+      std::function<void(std::vector<std::string>)> reply) override {
+    Post([core = m_core, hashes = std::move(hashes), reply = std::move(reply)] {
+      reply(core->OnFetchParts(hashes));
+    });
+  }
+
+ private:
+  void Post(std::function<void()> call) {
+    caf::anon_send(m_actor, ControlCall{std::move(call)});
+  }
+
+  ControlOptions m_options;
+  ControlRuntime& m_runtime;
+  ControlContext m_context;
+  caf::actor m_actor;
+  // Lives as long as the actor, which runs all calls on it.
+  ControlCore* m_core = nullptr;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<Control>> Control::Create(ControlOptions options,
+                                                 ControlRuntime& runtime,
+                                                 ConfigStore& store,
+                                                 VmList& vm_list,
+                                                 PeerNetwork& peers,
+                                                 ControlListener& listener) {
+  if (options.tick <= Duration::zero() ||
+      options.pause_gap <= 2 * options.tick) {
+    return Fail("pause_gap", "more than two ticks, and a tick above 0 ms");
+  }
+  return std::unique_ptr<Control>(std::make_unique<ControlImpl>(
+      std::move(options), runtime,
+      ControlContext{store, vm_list, peers, listener, nullptr, nullptr}));
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/control_core.cc
@@ -0,0 +1,470 @@
+#include "process/control_core.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "process/watcher_choice.h"
+
+namespace bramleyspoke {
+namespace {
+
+namespace json = boost::json;
+
+// Daemons told at once of a new manifest, by each that puts it in force: of n,
+// about log4(n) rounds reach nearly all, and the probes the rest.
+constexpr std::size_t kSpreadFanOut = 4;
+constexpr Duration kFetchTimeout = std::chrono::seconds(3);
+constexpr Duration kNoticeTimeout = std::chrono::seconds(1);
+// A daemon that starts learns the others first: else each would watch.
+constexpr Duration kWatchDelay = std::chrono::seconds(1);
+// The VM list is fetched less often the longer it is.
+constexpr std::size_t kVmRecordsPerInterval = 1000;
+
+MembershipOptions MembershipOptionsOf(const ControlOptions& options) {
+  MembershipOptions membership;
+  membership.probe_interval = options.probe_interval;
+  membership.suspicion_timeout = options.suspicion_timeout;
+  return membership;
+}
+
+FollowerOptions FollowerOptionsOf(const ControlOptions& options) {
+  FollowerOptions follower;
+  follower.confirmation_limit = options.confirmation_limit;
+  return follower;
+}
+
+std::set<Endpoint> LeafsOf(const AssembledManifest& manifest) {
+  std::set<Endpoint> leafs;
+  for (const auto& [name, spec] : manifest.services) {
+    for (const Layout& layout : spec->layouts) {
+      for (const Shard& shard : layout.shards) {
+        for (const Replica& replica : shard.replicas) {
+          leafs.insert(replica.leaf);
+        }
+      }
+    }
+  }
+  return leafs;
+}
+
+bool HasLeaf(const ServiceSpec& spec, const Endpoint& leaf) {
+  for (const Layout& layout : spec.layouts) {
+    for (const Shard& shard : layout.shards) {
+      for (const Replica& replica : shard.replicas) {
+        if (replica.leaf == leaf) {
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+// Callbacks come on other threads, perhaps after the core is gone: they hold a
+// copy of `post`, which drops calls once the actor has ended, and touch the
+// core only in what they post.
+ControlCore::ControlCore(ControlOptions options, ControlContext context)
+    : m_options(std::move(options)),
+      m_context(std::move(context)),
+      m_membership(MembershipOptionsOf(m_options),
+                   m_options.self,
+                   m_options.seed),
+      m_follower(FollowerOptionsOf(m_options),
+                 m_options.seed + 1,
+                 m_context.now()),
+      m_builder(m_options.self),
+      m_started_at(m_context.now()) {
+  m_membership.SetContacts(m_options.seeds);
+}
+
+void ControlCore::OnTick() {
+  CheckPause();
+  const TimePoint now = m_context.now();
+  m_last_tick = now;
+  Run(m_membership.OnTick(now));
+  TakeMemberChanges();
+  Run(m_follower.OnTick(now));
+  SendNotices();
+  if (!m_next_vm_fetch || now >= *m_next_vm_fetch) {
+    m_next_vm_fetch = now + m_options.vm_list_interval;
+    FetchVmList();
+  }
+  if (m_is_table_old || !m_table ||
+      m_table->is_confirmed != m_follower.IsConfirmed(now)) {
+    PublishTable();
+  }
+  if (!m_follower.IsRefreshing()) {
+    m_context.listener.OnHeartbeat(now);
+  }
+}
+
+// Checked before anything else that happens: what waited while the process was
+// paused must not be taken for news.
+void ControlCore::CheckPause() {
+  const TimePoint now = m_context.now();
+  if (!m_last_tick || now - *m_last_tick <= m_options.pause_gap) {
+    return;
+  }
+  m_last_tick = now;
+  Run(m_follower.OnPause(now));
+  Run(m_membership.OnPause(now));
+}
+
+void ControlCore::BeginLeaving() {
+  Run(m_membership.BeginLeaving(m_context.now()));
+  TakeMemberChanges();
+  PublishTable();
+}
+
+void ControlCore::NoteEvidence(const EvidenceNotice& evidence) {
+  if (m_notices.Add(evidence, m_context.now())) {
+    SendNotices();
+  }
+}
+
+void ControlCore::NoteDrain(const DrainNotice& drain) {
+  if (m_notices.Add(drain, HeldServicesOf(drain.leaf), m_context.now())) {
+    SendNotices();
+  }
+}
+
+GossipMessage ControlCore::OnGossip(const GossipMessage& message) {
+  CheckPause();
+  GossipMessage reply = m_membership.OnGossip(message, m_context.now());
+  TakeMemberChanges();
+  TakeStatus(message, std::nullopt);
+  TakeNotices(message);
+  AddStatus(reply);
+  return reply;
+}
+
+void ControlCore::OnPingVia(const Endpoint& target,
+                            std::function<void(bool)> reply) {
+  GossipAction action = m_membership.MakeGossip(target);
+  AddStatus(action.message);
+  const TimePoint asked_at = m_context.now();
+  m_context.peers.Gossip(
+      target, action.message, action.timeout,
+      [this, post = m_context.post, action, asked_at,
+       reply = std::move(reply)](const std::optional<GossipMessage>& answer) {
+        reply(answer.has_value());
+        post([this, action, asked_at, answer] {
+          OnReply(action, asked_at, answer);
+        });
+      });
+}
+
+std::vector<std::string> ControlCore::OnFetchParts(
+    const std::vector<std::string>& hashes) const {
+  return m_follower.Parts(hashes);
+}
+
+void ControlCore::Run(const MembershipActions& actions) {
+  for (const GossipAction& action : actions.gossips) {
+    Send(action);
+  }
+  for (const PingViaAction& action : actions.pings) {
+    const std::uint64_t exchange = action.exchange;
+    m_context.peers.PingVia(
+        action.peer, action.target, action.timeout,
+        [this, post = m_context.post, exchange](bool is_alive) {
+          post([this, exchange, is_alive] {
+            CheckPause();
+            Run(m_membership.OnPingViaReply(exchange, is_alive,
+                                            m_context.now()));
+          });
+        });
+  }
+}
+
+void ControlCore::Send(const GossipAction& action) {
+  GossipMessage message = action.message;
+  AddStatus(message);
+  const TimePoint asked_at = m_context.now();
+  m_context.peers.Gossip(action.peer, message, action.timeout,
+                         [this, post = m_context.post, action,
+                          asked_at](const std::optional<GossipMessage>& reply) {
+                           post([this, action, asked_at, reply] {
+                             OnReply(action, asked_at, reply);
+                           });
+                         });
+}
+
+void ControlCore::OnReply(const GossipAction& action,
+                          TimePoint asked_at,
+                          const std::optional<GossipMessage>& reply) {
+  CheckPause();
+  Run(m_membership.OnReply(action.exchange, reply, m_context.now()));
+  TakeMemberChanges();
+  if (reply) {
+    TakeStatus(*reply, asked_at);
+    TakeNotices(*reply);
+  }
+}
+
+void ControlCore::AddStatus(GossipMessage& message) const {
+  const ManifestStatus status = m_follower.Status(m_context.now());
+  message.generation = status.generation;
+  message.root = status.root;
+  message.confirmed_ago = status.confirmed_ago;
+}
+
+void ControlCore::TakeStatus(const GossipMessage& message,
+                             std::optional<TimePoint> asked_at) {
+  const ManifestStatus status{message.generation, message.root,
+                              message.confirmed_ago};
+  Run(m_follower.OnPeerStatus(message.sender.address.peer, status, asked_at,
+                              m_context.now()));
+}
+
+void ControlCore::Run(FollowerActions actions) {
+  if (actions.stop_watch) {
+    m_watch.reset();
+  }
+  if (actions.watch) {
+    WatchHead(actions.watch->revision);
+  }
+  if (actions.read_head) {
+    ReadHead();
+  }
+  for (const FetchAction& action : actions.fetches) {
+    Fetch(action);
+  }
+  for (const ReadPartAction& action : actions.reads) {
+    ReadPart(action);
+  }
+  if (actions.is_changed) {
+    m_holders.SetServices(m_follower.Manifest()->services);
+    PublishTable();
+    Run(m_membership.Push(kSpreadFanOut, m_context.now()));
+  }
+}
+
+void ControlCore::Fetch(const FetchAction& action) {
+  const std::uint64_t fetch = action.fetch;
+  m_context.peers.FetchParts(
+      action.peer, action.hashes, kFetchTimeout,
+      [this, post = m_context.post,
+       fetch](const std::optional<std::vector<std::string>>& parts) {
+        post([this, fetch, parts] {
+          CheckPause();
+          Run(m_follower.OnPeerParts(fetch, parts, m_context.now()));
+        });
+      });
+}
+
+void ControlCore::ReadPart(const ReadPartAction& action) {
+  m_context.store.Get(PartKey(action.hash), [this, post = m_context.post,
+                                             action](const StoreRead& read) {
+    post([this, action, read] {
+      CheckPause();
+      Run(m_follower.OnStorePart(action.fetch, action.hash, read,
+                                 m_context.now()));
+    });
+  });
+}
+
+void ControlCore::ReadHead() {
+  const TimePoint asked_at = m_context.now();
+  m_context.store.Get(std::string(kHeadKey), [this, post = m_context.post,
+                                              asked_at](const StoreRead& read) {
+    post([this, asked_at, read] {
+      CheckPause();
+      Run(m_follower.OnStoreHead(read, asked_at, m_context.now()));
+    });
+  });
+}
+
+void ControlCore::WatchHead(std::int64_t revision) {
+  const std::uint64_t number = ++m_watch_number;
+  const auto on_change = [this, post = m_context.post,
+                          number](const StoreValue& value) {
+    post([this, number, value] {
+      CheckPause();
+      if (number == m_watch_number) {
+        Run(m_follower.OnWatchChange(value, m_context.now()));
+      }
+    });
+  };
+  const auto on_end = [this, post = m_context.post, number] {
+    post([this, number] {
+      CheckPause();
+      if (number == m_watch_number) {
+        Run(m_follower.OnWatchEnd(m_context.now()));
+      }
+    });
+  };
+  m_watch =
+      m_context.store.Watch(std::string(kHeadKey), revision, on_change, on_end);
+}
+
+void ControlCore::TakeNotices(const GossipMessage& message) {
+  const TimePoint now = m_context.now();
+  for (const EvidenceNotice& evidence : message.evidence) {
+    if (m_notices.Add(evidence, now)) {
+      m_context.listener.OnEvidence(evidence);
+    }
+  }
+  for (const DrainNotice& drain : message.drains) {
+    if (m_notices.Add(drain, HeldServicesOf(drain.leaf), now)) {
+      m_context.listener.OnDrain(drain);
+    }
+  }
+}
+
+void ControlCore::SendNotices() {
+  for (const NoticeDelivery& delivery : m_notices.Due(m_context.now())) {
+    GossipMessage message;
+    message.sender = m_membership.Self();
+    message.evidence = delivery.evidence;
+    message.drains = delivery.drains;
+    AddStatus(message);
+    const std::uint64_t number = delivery.number;
+    m_context.peers.Gossip(
+        delivery.peer, message, kNoticeTimeout,
+        [this, post = m_context.post,
+         number](const std::optional<GossipMessage>& reply) {
+          post([this, number, is_received = reply.has_value()] {
+            m_notices.OnReply(number, is_received);
+          });
+        });
+  }
+}
+
+std::set<std::string> ControlCore::HeldServicesOf(const Endpoint& leaf) const {
+  std::set<std::string> services;
+  if (!m_table) {
+    return services;
+  }
+  for (const auto& [name, route] : m_table->services) {
+    if (route->is_held_here && HasLeaf(route->spec, leaf)) {
+      services.insert(name);
+    }
+  }
+  return services;
+}
+
+void ControlCore::TakeMemberChanges() {
+  const std::vector<MemberUpdate> changes = m_membership.TakeChanges();
+  for (const MemberUpdate& update : changes) {
+    if (IsLive(update.state)) {
+      m_holders.AddMember(update.address);
+    } else {
+      m_holders.RemoveMember(update.address.peer);
+    }
+  }
+  const TimePoint now = m_context.now();
+  m_is_fleet_old = m_is_fleet_old || !changes.empty();
+  m_is_table_old = m_is_table_old || !changes.empty();
+  if (m_is_fleet_old && now - m_started_at >= kWatchDelay) {
+    m_is_fleet_old = false;
+    const std::vector<DaemonAddress> live = m_membership.Live();
+    Run(m_follower.OnFleet(IsWatcher(m_options.self, live), live.size(), now));
+  }
+}
+
+void ControlCore::TakeHolderChanges() {
+  for (const std::string& service : m_holders.TakeChanged()) {
+    std::set<Endpoint> others;
+    bool is_held_here = false;
+    for (const DaemonAddress& holder : m_holders.HoldersOf(service)) {
+      is_held_here = is_held_here || holder.peer == m_options.self.peer;
+      others.insert(holder.peer);
+    }
+    others.erase(m_options.self.peer);
+    m_notices.SetHolders(
+        service, is_held_here ? std::move(others) : std::set<Endpoint>());
+  }
+}
+
+void ControlCore::PublishTable() {
+  const TimePoint now = m_context.now();
+  TakeHolderChanges();
+  RoutingInput input;
+  input.generation = m_follower.Status(now).generation;
+  input.is_confirmed = m_follower.IsConfirmed(now);
+  input.manifest = m_follower.Manifest();
+  input.leaving_vms = m_leaving_vms;
+  input.members = m_membership.Live();
+  input.is_self_leaving = m_membership.Self().state == MemberState::kLeaving;
+  m_table = m_builder.Build(std::move(input), m_holders);
+  m_is_table_old = false;
+  m_context.listener.OnRoutingTable(m_table);
+}
+
+void ControlCore::FetchVmList() {
+  m_context.vm_list.Fetch(
+      [this, post = m_context.post](
+          const std::optional<std::vector<VmRecord>>& records) {
+        post([this, records] {
+          if (records) {
+            OnVmList(*records);
+          }
+        });
+      });
+}
+
+// The list seeds membership and marks leaving leafs; it lags, so it takes
+// nobody out of the members.
+void ControlCore::OnVmList(const std::vector<VmRecord>& records) {
+  const auto manifest = m_follower.Manifest();
+  const std::set<Endpoint> leafs =
+      manifest ? LeafsOf(*manifest) : std::set<Endpoint>();
+  std::vector<Endpoint> contacts = m_options.seeds;
+  std::set<Endpoint> leaving;
+  for (const VmRecord& record : records) {
+    const bool is_leaf = leafs.contains(record.address);
+    if (record.state == VmState::kLeaving) {
+      leaving.insert(record.address);
+    } else if (manifest && !is_leaf) {
+      contacts.push_back(record.address);
+    }
+  }
+  m_membership.SetContacts(std::move(contacts));
+  m_is_table_old = m_is_table_old || leaving != m_leaving_vms;
+  m_leaving_vms = std::move(leaving);
+  const std::size_t factor = 1 + records.size() / kVmRecordsPerInterval;
+  m_next_vm_fetch = m_context.now() + m_options.vm_list_interval * factor;
+}
+
+std::string ControlCore::DumpJson() const {
+  const TimePoint now = m_context.now();
+  const ManifestStatus status = m_follower.Status(now);
+  json::array members;
+  for (const MemberUpdate& member : m_membership.Table().All()) {
+    members.push_back(
+        json::object{{"peer", ToString(member.address.peer)},
+                     {"caller", ToString(member.address.caller)},
+                     {"incarnation", member.address.incarnation},
+                     {"version", member.version},
+                     {"state", json::string(ToString(member.state))},
+                     {"failure_domain", member.address.failure_domain},
+                     {"region", member.address.region}});
+  }
+  json::array held;
+  if (m_table) {
+    for (const auto& [name, route] : m_table->services) {
+      if (route->is_held_here) {
+        held.push_back(json::string(name));
+      }
+    }
+  }
+  return json::serialize(
+      json::object{{"generation", status.generation},
+                   {"root", status.root},
+                   {"confirmed", m_follower.IsConfirmed(now)},
+                   {"confirmed_ago_ms", ToMilliseconds(status.confirmed_ago)},
+                   {"refreshing", m_follower.IsRefreshing()},
+                   {"watcher", m_follower.IsWatcher()},
+                   {"manifest_fault", m_follower.Fault()},
+                   {"manifest_bytes", m_follower.PartBytes()},
+                   {"notices", m_notices.Size()},
+                   {"leaving_vms", m_leaving_vms.size()},
+                   {"held_services", held},
+                   {"members", members}});
+}
+
+}  // namespace bramleyspoke
--- a/src/process/control_runtime.h
+++ b/src/process/control_runtime.h
@@ -21,6 +21,7 @@
 
   /// Moves a paused clock and runs what is due; no effect on a running one.
   virtual void Advance(Duration duration) = 0;
+  virtual bool IsPaused() const = 0;
   virtual caf::actor_system& System() = 0;
 };
 
--- a/src/process/notice_board.cc
+++ b/src/process/notice_board.cc
@@ -10,7 +10,8 @@
 constexpr std::size_t kMaxNotices = 10000;
 
 std::string KeyOf(const EvidenceNotice& evidence) {
-  return evidence.service + "#" + std::to_string(evidence.fingerprint);
+  return evidence.service + "#" + std::to_string(evidence.fingerprint) + "#" +
+         std::to_string(evidence.crashes);
 }
 
 std::string KeyOf(const DrainNotice& drain) {
@@ -21,9 +22,7 @@
 
 bool NoticeBoard::Add(const EvidenceNotice& evidence, TimePoint now) {
   const std::string key = KeyOf(evidence);
-  const auto known = m_notices.find(key);
-  if (known != m_notices.end() &&
-      known->second.evidence.front().crashes >= evidence.crashes) {
+  if (m_notices.contains(key)) {
     return false;
   }
   Notice notice;
@@ -50,8 +49,8 @@
 }
 
 void NoticeBoard::Insert(const std::string& key, Notice notice) {
-  if (m_notices.size() < kMaxNotices || m_notices.contains(key)) {
-    m_notices.insert_or_assign(key, std::move(notice));
+  if (m_notices.size() < kMaxNotices) {
+    m_notices.emplace(key, std::move(notice));
   }
 }
 
--- /dev/null
+++ b/src/version/routing_table_builder.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "version/holder_sets.h"
+#include "version/manifest_parts.h"
+#include "version/routing_table.h"
+
+namespace bramleyspoke {
+
+/// What a routing table is made from.
+struct RoutingInput {
+  std::uint64_t generation = 0;
+  bool is_confirmed = false;
+  /// Null before the first manifest.
+  std::shared_ptr<const AssembledManifest> manifest;
+  /// Leafs that the VM list calls leaving.
+  std::set<Endpoint> leaving_vms;
+  std::vector<DaemonAddress> members;
+  /// While this daemon leaves it keeps the services it holds, for requests
+  /// that still come.
+  bool is_self_leaving = false;
+};
+
+/// Makes routing tables; services that did not change share their route with
+/// the table before.
+class RoutingTableBuilder {
+ public:
+  explicit RoutingTableBuilder(const DaemonAddress& self);
+
+  std::shared_ptr<const RoutingTable> Build(RoutingInput input,
+                                            const HolderSets& holders);
+
+ private:
+  struct Known {
+    std::shared_ptr<const ServiceSpec> spec;
+    std::shared_ptr<const ServiceRoute> route;
+  };
+
+  std::shared_ptr<const ServiceRoute> RouteOf(
+      const std::string& name,
+      const std::shared_ptr<const ServiceSpec>& spec,
+      const std::vector<DaemonAddress>& holders,
+      bool is_self_leaving);
+  std::set<Endpoint> LeavingOf(const ServiceSpec& spec) const;
+  bool IsSelfAmong(const std::vector<DaemonAddress>& holders) const;
+
+  Endpoint m_self;
+  std::set<Endpoint> m_leaving;
+  bool m_is_leaving_changed = false;
+  std::map<std::string, Known> m_known;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/peer_contract_test.cc
@@ -0,0 +1,295 @@
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "connection/capnp_peers.h"
+#include "connection/socket_address.h"
+
+namespace bramleyspoke {
+namespace {
+
+constexpr Duration kTimeout = std::chrono::milliseconds(300);
+constexpr Duration kLong = std::chrono::seconds(30);
+
+MemberUpdate MakeMember(std::uint16_t port) {
+  MemberUpdate member;
+  member.address = {{"127.0.1.1", 8080}, {"127.0.1.1", port}, 7, "a1", "a"};
+  member.state = MemberState::kLeaving;
+  member.version = 9;
+  return member;
+}
+
+GossipMessage MakeGossip(std::uint64_t generation) {
+  GossipMessage message;
+  message.sender = MakeMember(9000);
+  message.members = {MakeMember(9001), MakeMember(9002)};
+  message.generation = generation;
+  message.root = "root";
+  message.confirmed_ago = std::chrono::milliseconds(1500);
+  message.evidence = {{"catalogue", 42, 2}};
+  message.drains = {{{"127.0.2.1", 7000}, "x"}};
+  message.want_all = true;
+  message.bucket = {8, 3, 99};
+  return message;
+}
+
+/// Echoes gossip; "hold" forwards wait for `Release`, "silent" ones for ever.
+class TestHandler final : public PeerHandler {
+ public:
+  void OnGossip(GossipMessage message,
+                std::function<void(GossipMessage)> reply) override {
+    reply(std::move(message));
+  }
+  void OnPingVia(const Endpoint& target,
+                 std::function<void(bool)> reply) override {
+    reply(target.port == 1);
+  }
+  void OnForward(std::string body,
+                 Duration /*time_left*/,
+                 std::function<void(ForwardReply)> reply) override {
+    if (body == "silent") {
+      return;
+    }
+    if (body.starts_with("hold")) {
+      m_held.emplace_back(body, std::move(reply));
+      ++held;
+      return;
+    }
+    reply({200, body});
+  }
+  void OnFetchParts(
+      std::vector<std::string> hashes,
+      std::function<void(std::vector<std::string>)> reply) override {
+    if (hashes == std::vector<std::string>{"huge"}) {
+      reply({std::string(20 << 20, 'x')});
+      return;
+    }
+    reply(std::vector<std::string>(hashes.size(), std::string("\0x", 2)));
+  }
+
+  /// Answers what is held, last first, from the calling thread.
+  void Release() {
+    while (!m_held.empty()) {
+      m_held.back().second({200, m_held.back().first});
+      m_held.pop_back();
+    }
+  }
+
+  std::atomic<int> held = 0;
+
+ private:
+  std::vector<std::pair<std::string, std::function<void(ForwardReply)>>> m_held;
+};
+
+/// A socket that listens and does with each connection what `on_accept` says.
+class RawListener {
+ public:
+  explicit RawListener(std::function<void(int)> on_accept)
+      : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    const SocketAddress any = ToSocketAddress({"127.0.0.1", 0});
+    bind(m_socket, reinterpret_cast<const sockaddr*>(&any.storage), any.length);
+    listen(m_socket, 8);
+    sockaddr_in bound{};
+    socklen_t length = sizeof(bound);
+    getsockname(m_socket, reinterpret_cast<sockaddr*>(&bound), &length);
+    address = {"127.0.0.1", ntohs(bound.sin_port)};
+    m_thread = std::thread([this, on_accept = std::move(on_accept)] {
+      for (;;) {
+        const int connection = accept(m_socket, nullptr, nullptr);
+        if (connection < 0) {
+          return;
+        }
+        on_accept(connection);
+      }
+    });
+  }
+  ~RawListener() {
+    shutdown(m_socket, SHUT_RDWR);
+    m_thread.join();
+    close(m_socket);
+  }
+
+  Endpoint address;
+
+ private:
+  int m_socket;
+  std::thread m_thread;
+};
+
+void ReadSome(int connection) {
+  char buffer[64];
+  [[maybe_unused]] const ssize_t count = read(connection, buffer, 64);
+}
+
+std::unique_ptr<CapnpPeers> MakePeers(PeerHandler& handler) {
+  auto peers = CapnpPeers::Create({"127.0.0.1", 0}, handler).value();
+  peers->Start();
+  return peers;
+}
+
+ForwardOutcome Forward(PeerNetwork& network,
+                       const Endpoint& peer,
+                       const std::string& body,
+                       Duration timeout) {
+  std::promise<ForwardOutcome> outcome;
+  network.Forward(peer, body, timeout, [&](ForwardOutcome result) {
+    outcome.set_value(std::move(result));
+  });
+  return outcome.get_future().get();
+}
+
+std::optional<GossipMessage> Gossip(PeerNetwork& network,
+                                    const Endpoint& peer,
+                                    Duration timeout) {
+  std::promise<std::optional<GossipMessage>> outcome;
+  network.Gossip(peer, MakeGossip(5), timeout,
+                 [&](std::optional<GossipMessage> reply) {
+                   outcome.set_value(std::move(reply));
+                 });
+  return outcome.get_future().get();
+}
+
+}  // namespace
+
+TEST_CASE("every field of a peer call comes through") {
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  const auto gossip = Gossip(client->Network(), server->Address(), kLong);
+  REQUIRE(gossip);
+  const GossipMessage sent = MakeGossip(5);
+  CHECK(gossip->sender == sent.sender);
+  CHECK(gossip->members == sent.members);
+  CHECK(gossip->generation == sent.generation);
+  CHECK(gossip->root == sent.root);
+  CHECK(gossip->confirmed_ago == sent.confirmed_ago);
+  CHECK(gossip->evidence == sent.evidence);
+  CHECK(gossip->drains == sent.drains);
+  CHECK(gossip->want_all);
+  CHECK(gossip->bucket == sent.bucket);
+
+  for (const std::uint16_t port : {1, 2}) {
+    std::promise<bool> alive;
+    client->Network().PingVia(server->Address(), {"127.0.0.1", port}, kLong,
+                              [&](bool result) { alive.set_value(result); });
+    CHECK(alive.get_future().get() == (port == 1));
+  }
+  std::promise<std::optional<std::vector<std::string>>> parts;
+  client->Network().FetchParts(
+      server->Address(), {"a", "b"}, kLong,
+      [&](auto result) { parts.set_value(std::move(result)); });
+  CHECK(parts.get_future().get() ==
+        std::vector<std::string>(2, std::string("\0x", 2)));
+}
+
+TEST_CASE("a peer's fault ends its call, says if it was sent, and no more") {
+  struct Row {
+    const char* name;
+    std::function<void(int)> on_accept;
+    ForwardResult expected;
+  };
+  std::vector<int> kept;
+  const std::vector<Row> rows = {
+      {"silent peer", [&](int connection) { kept.push_back(connection); },
+       ForwardResult::kLost},
+      {"peer that closes in mid-call",
+       [](int connection) {
+         ReadSome(connection);
+         close(connection);
+       },
+       ForwardResult::kLost},
+      {"peer that answers rubbish",
+       [&](int connection) {
+         ReadSome(connection);
+         const std::string rubbish(4096, '\xff');
+         send(connection, rubbish.data(), rubbish.size(), MSG_NOSIGNAL);
+         kept.push_back(connection);
+       },
+       ForwardResult::kLost},
+      {"refused connection", nullptr, ForwardResult::kNotSent},
+  };
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  PeerNetwork& network = client->Network();
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    Endpoint address{"127.0.0.1", 1};
+    std::unique_ptr<RawListener> listener;
+    if (row.on_accept) {
+      listener = std::make_unique<RawListener>(row.on_accept);
+      address = listener->address;
+    }
+    CHECK(Forward(network, address, "x", kTimeout).result == row.expected);
+    CHECK_FALSE(Gossip(network, address, kTimeout));
+    // The thread serves on.
+    CHECK(Forward(network, server->Address(), "y", kLong).reply.body == "y");
+  }
+  for (const int connection : kept) {
+    close(connection);
+  }
+}
+
+TEST_CASE("a handler's silence or an oversized answer loses that call alone") {
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  PeerNetwork& network = client->Network();
+  CHECK(Forward(network, server->Address(), "silent", kTimeout).result ==
+        ForwardResult::kLost);
+  std::promise<bool> has_parts;
+  network.FetchParts(server->Address(), {"huge"}, kLong, [&](auto parts) {
+    has_parts.set_value(parts.has_value());
+  });
+  CHECK_FALSE(has_parts.get_future().get());
+  CHECK(Forward(network, server->Address(), "y", kLong).reply.body == "y");
+}
+
+TEST_CASE("answers in another order go to their own calls") {
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  constexpr int kCalls = 8;
+  std::vector<std::promise<ForwardOutcome>> outcomes(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
+    client->Network().Forward(server->Address(), "hold" + std::to_string(i),
+                              kLong, [&outcomes, i](ForwardOutcome outcome) {
+                                outcomes[i].set_value(std::move(outcome));
+                              });
+  }
+  while (handler.held < kCalls) {
+    std::this_thread::yield();
+  }
+  handler.Release();
+  for (int i = 0; i < kCalls; ++i) {
+    CHECK(outcomes[i].get_future().get().reply.body ==
+          "hold" + std::to_string(i));
+  }
+}
+
+TEST_CASE("a server that stops in mid-call loses the call") {
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  std::promise<ForwardOutcome> outcome;
+  client->Network().Forward(
+      server->Address(), "hold", kLong,
+      [&](ForwardOutcome result) { outcome.set_value(std::move(result)); });
+  while (handler.held < 1) {
+    std::this_thread::yield();
+  }
+  server->Stop();
+  CHECK(outcome.get_future().get().result == ForwardResult::kLost);
+  handler.Release();
+}
+
+}  // namespace bramleyspoke
