Crash bound: two leafs a daemon, tested over resends and late evidence

A canary given up on counts as a possible crash for 2 s, or until its leaf is heard of: else a caller with short deadlines could crash two leafs every 250 ms.

--- a/src/request/crash_guard.cc
+++ b/src/request/crash_guard.cc
@@ -54,7 +54,7 @@
   Record& record = RecordOf(fingerprint, now);
   std::uint32_t at_risk = record.peer_crashes;
   for (const Loss& loss : record.losses) {
-    at_risk += loss.is_crash || now - loss.attempt.sent < kStuckAfter ? 1 : 0;
+    at_risk += loss.is_crash || now - loss.at < kUnknownFor ? 1 : 0;
   }
   for (const Canary& canary : record.canaries) {
     at_risk += !canary.sent || now - *canary.sent < kStuckAfter ? 1 : 0;
--- a/src/request/crash_guard.h
+++ b/src/request/crash_guard.h
@@ -49,6 +49,9 @@
  public:
   static constexpr std::uint32_t kCrashLimit = 2;
   static constexpr Duration kStuckAfter = std::chrono::milliseconds(250);
+  /// How long a canary that was given up on counts as a possible crash, if
+  /// the leaf is not heard of; longer than leafs go without a status.
+  static constexpr Duration kUnknownFor = std::chrono::seconds(2);
   static constexpr Duration kMemory = std::chrono::minutes(10);
 
   CrashStanding Standing(std::uint64_t fingerprint,
--- a/tests/engine_history.cc
+++ b/tests/engine_history.cc
@@ -72,13 +72,7 @@
   for (const auto& [shard, share] : covered) {
     sum += share;
   }
-  // Shards of layout "a" and "b" are numbered from 0, so the missing ones and
-  // the full ones make up the layout.
-  std::size_t shards = 0;
-  for (const auto& [shard, share] : covered) {
-    shards += share >= 1 ? 1 : 0;
-  }
-  shards += answer.missing.size();
+  const std::size_t shards = shards_of_layout.at(answer.version.layout);
   const double expected = sum / static_cast<double>(shards);
   if (std::abs(answer.coverage - expected) > 1e-9) {
     found.push_back("coverage " + std::to_string(answer.coverage) +
--- a/tests/engine_history.h
+++ b/tests/engine_history.h
@@ -28,6 +28,7 @@
 /// asking the engine.
 struct EngineHistory {
   std::uint64_t event = 0;
+  std::map<std::string, std::size_t> shards_of_layout;
   std::map<QueryNumber, SearchRequest> submitted;
   std::map<QueryNumber, bool> idempotent;
   std::map<std::string, AttemptEvents> attempts;
--- a/tests/query_engine_history_test.cc
+++ b/tests/query_engine_history_test.cc
@@ -31,6 +31,7 @@
   World(ServiceRoute route, EngineOptions options)
       : m_f(std::move(route), options) {
     for (const Layout& layout : m_f.route.spec.layouts) {
+      m_history.shards_of_layout[layout.id] = layout.shards.size();
       for (const Shard& shard : layout.shards) {
         for (const Replica& replica : shard.replicas) {
           m_leafs[replica.leaf].versions.push_back({1, layout.id});
