--- a/tests/backend_server_contract_test.cc
+++ b/tests/backend_server_contract_test.cc
@@ -144,7 +144,7 @@
 }
 
 struct FaultCase {
-  const char* name;
+  std::string name;
   LeafFault fault;
   /// Whether a connection is open before the fault.
   bool is_connected;
--- a/tests/config_store_contract_test.cc
+++ b/tests/config_store_contract_test.cc
@@ -121,7 +121,7 @@
 };
 
 struct FaultCase {
-  const char* name;
+  std::string name;
   CallFault fault;
   StoreOutcome write;
   /// Whether the write takes effect, now or later.
--- a/tests/vm_list_contract_test.cc
+++ b/tests/vm_list_contract_test.cc
@@ -56,7 +56,7 @@
 };
 
 struct ListCase {
-  const char* name;
+  std::string name;
   const char* body;
   CallFaultMode fault;
   /// Records had; -1 when there is no list.
