--- a/bench/cases.cc
+++ b/bench/cases.cc
@@ -3,6 +3,7 @@
 #include "capacity_case.h"
 #include "fault_cases.h"
 #include "policy_cases.h"
+#include "soak.h"
 
 namespace bramleyspoke::Harness {
 
@@ -20,6 +21,7 @@
       {"repartition", "version and layout change", RunRepartition},
       {"store_down", "outage, slowness, lost answers", RunStoreDown},
       {"capacity", "processor time and memory by fleet size", RunCapacity},
+      {"soak", "random faults; only when asked for", RunSoak, true},
   };
   return kCases;
 }
--- a/bench/cases.h
+++ b/bench/cases.h
@@ -15,6 +15,8 @@
   std::string_view purpose;
   /// Number of broken promises found.
   std::function<Result<std::size_t>(const BenchOptions&)> run;
+  /// Left out unless it is named.
+  bool is_on_demand = false;
 };
 
 const std::vector<BenchCase>& BenchCases();
--- a/bench/report.cc
+++ b/bench/report.cc
@@ -178,9 +178,9 @@
   for (const auto& [promise, count] : counts) {
     PrintFigure(label, "violations of " + promise, static_cast<double>(count));
   }
-  const std::size_t shown = std::min(violations.size(), kViolationsShown);
-  std::fputs(Describe({violations.begin(), violations.begin() + shown}).c_str(),
-             stderr);
+  std::vector<Violation> shown = violations;
+  shown.resize(std::min(violations.size(), kViolationsShown));
+  std::fputs(Describe(shown).c_str(), stderr);
 }
 
 }  // namespace bramleyspoke::Harness
