--- a/src/process/caller_api.cc
+++ b/src/process/caller_api.cc
@@ -15,6 +15,8 @@
 
 namespace json = boost::json;
 
+constexpr std::chrono::milliseconds kAskAnotherAfter{200};
+
 enum class ApiCall {
   kSearch,
   kEntries,
@@ -166,7 +168,19 @@
   exchange->OnClientGone([this, query] { m_router.CallerGone(query); });
 }
 
+// An answer carries request ids that this process has to stand for, longer
+// than it may live: while it stops, callers are to ask another daemon.
 void CallerApi::Entries(HttpExchange& exchange, const std::string& parameters) {
+  if (!m_actions.IsReady()) {
+    const RefusalReason reason = m_actions.IsStopping()
+                                     ? RefusalReason::kShuttingDown
+                                     : RefusalReason::kNotReady;
+    exchange.Respond(
+        MakeReply("", Refusal{reason, Verdict::kNotRun, "ask another daemon",
+                              kAskAnotherAfter})
+            .response);
+    return;
+  }
   const std::string service = Parameter(parameters, "service");
   if (!m_router.Table().services.contains(service)) {
     exchange.Respond(
--- a/src/process/control_core.cc
+++ b/src/process/control_core.cc
@@ -389,6 +389,7 @@
   input.manifest = m_follower.Manifest();
   input.leaving_vms = m_leaving_vms;
   input.members = m_membership.Live();
+  input.stopping = m_membership.Leaving();
   input.is_self_leaving = m_membership.Self().state == MemberState::kLeaving;
   m_table = m_builder.Build(std::move(input), m_holders);
   m_is_table_old = false;
--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -333,6 +333,16 @@
   return live;
 }
 
+std::vector<DaemonAddress> Membership::Leaving() const {
+  std::vector<DaemonAddress> leaving;
+  for (MemberUpdate& member : m_table.All()) {
+    if (member.state == MemberState::kLeaving) {
+      leaving.push_back(std::move(member.address));
+    }
+  }
+  return leaving;
+}
+
 void Membership::InsertIntoProbeOrder(const Endpoint& peer) {
   m_probe_order.push_back(peer);
   const std::size_t waiting = m_probe_order.size() - m_probe_next;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -94,6 +94,8 @@
   /// Live daemons (suspects included, leaving ones not), this one included
   /// unless it leaves.
   std::vector<DaemonAddress> Live() const;
+  /// Daemons in a planned stop, this one included.
+  std::vector<DaemonAddress> Leaving() const;
   const MemberTable& Table() const { return m_table; }
   const MemberUpdate& Self() const { return m_self; }
 
--- a/src/process/search_router.cc
+++ b/src/process/search_router.cc
@@ -70,8 +70,11 @@
           reply.reason == RefusalReason::kShuttingDown);
 }
 
-bool IsSameProcess(const DaemonAddress& daemon, const IssuedId& id) {
-  return daemon.peer == id.issuer && daemon.incarnation == id.incarnation;
+bool HasIssuer(const std::vector<DaemonAddress>& daemons, const IssuedId& id) {
+  return std::any_of(
+      daemons.begin(), daemons.end(), [&](const DaemonAddress& daemon) {
+        return daemon.peer == id.issuer && daemon.incarnation == id.incarnation;
+      });
 }
 
 }  // namespace
@@ -290,9 +293,8 @@
 
 void SearchRouter::HandToIssuer(const PendingPtr& pending) {
   const std::optional<IssuedId> id = ParseIssuedId(pending->search.request_id);
-  const bool is_member = std::any_of(
-      m_table->members.begin(), m_table->members.end(),
-      [&](const DaemonAddress& member) { return IsSameProcess(member, *id); });
+  const bool is_member =
+      HasIssuer(m_table->members, *id) || HasIssuer(m_table->stopping, *id);
   if (!is_member || pending->is_forwarded_here) {
     Refuse(pending, RefusalReason::kHolderGone, Verdict::kMayHaveRun,
            "the daemon that issued the id is not among the members");
--- a/src/tool/daemon_client.cc
+++ b/src/tool/daemon_client.cc
@@ -12,6 +12,8 @@
 
 namespace json = boost::json;
 
+constexpr int kStatusOk = 200;
+
 // Members that are absent or of another type throw; the callers below turn
 // that into "malformed".
 std::string Text(const json::object& object, std::string_view key) {
@@ -88,14 +90,17 @@
 DaemonCall CallFirst(const std::vector<Endpoint>& daemons,
                      const std::string& target,
                      Duration timeout) {
-  DaemonCall call;
+  DaemonCall last;
   for (const Endpoint& daemon : daemons) {
-    call = CallDaemon(daemon, target, std::nullopt, timeout);
-    if (call.answer) {
+    DaemonCall call = CallDaemon(daemon, target, std::nullopt, timeout);
+    if (call.answer && call.answer->status == kStatusOk) {
       return call;
     }
+    if (call.answer || !last.answer) {
+      last = std::move(call);
+    }
   }
-  return call;
+  return last;
 }
 
 std::optional<DaemonStatus> ParseDaemonStatus(std::string_view text) {
--- a/src/tool/daemon_client.h
+++ b/src/tool/daemon_client.h
@@ -31,7 +31,8 @@
                       const std::optional<std::string>& body,
                       Duration timeout);
 
-/// Calls each of `daemons` in turn until one answers.
+/// Calls each of `daemons` in turn until one gives what was asked for; else
+/// the last answer, so that its refusal can be shown.
 DaemonCall CallFirst(const std::vector<Endpoint>& daemons,
                      const std::string& target,
                      Duration timeout);
--- a/src/tool/search_command.cc
+++ b/src/tool/search_command.cc
@@ -48,12 +48,15 @@
   return coverage == nullptr ? 0 : coverage->to_number<double>(error);
 }
 
-void PrintJson(const CallerResult& result, CommandOutput& output) {
+void PrintJson(const std::string& service,
+               const CallerResult& result,
+               CommandOutput& output) {
   json::array tries;
   for (const SearchTry& attempt : result.tries) {
     tries.push_back(TryJson(attempt));
   }
-  json::object object{{"outcome", OutcomeName(result)},
+  json::object object{{"service", service},
+                      {"outcome", OutcomeName(result)},
                       {"request_id", result.request_id},
                       {"verdict", ToString(result.verdict)},
                       {"tries", std::move(tries)}};
@@ -125,7 +128,7 @@
     }
     const CallerResult result = SearchAsCaller(m_plan);
     if (output.is_json) {
-      PrintJson(result, output);
+      PrintJson(m_plan.service, result, output);
     } else {
       PrintText(result, output);
     }
--- a/src/version/routing_table.h
+++ b/src/version/routing_table.h
@@ -47,6 +47,9 @@
   std::vector<CallerSpec> callers;
   /// Live daemons, this one included unless it is stopping.
   std::vector<DaemonAddress> members;
+  /// Daemons in a planned stop: they get no new work, but still answer for
+  /// the requests whose ids they issued.
+  std::vector<DaemonAddress> stopping;
 };
 
 /// Takes each new routing table; called on the control thread.
--- a/src/version/routing_table_builder.cc
+++ b/src/version/routing_table_builder.cc
@@ -15,6 +15,7 @@
   table->generation = input.generation;
   table->is_confirmed = input.is_confirmed;
   table->members = std::move(input.members);
+  table->stopping = std::move(input.stopping);
   if (!input.manifest) {
     return table;
   }
--- a/src/version/routing_table_builder.h
+++ b/src/version/routing_table_builder.h
@@ -22,6 +22,7 @@
   /// Leafs that the VM list calls leaving.
   std::set<Endpoint> leaving_vms;
   std::vector<DaemonAddress> members;
+  std::vector<DaemonAddress> stopping;
   /// While this daemon leaves it keeps the services it holds, for requests
   /// that still come.
   bool is_self_leaving = false;
