--- a/src/process/manifest_follower.cc
+++ b/src/process/manifest_follower.cc
@@ -74,7 +74,7 @@
     m_refresh->peers.insert(peer);
     m_refresh->highest = std::max(m_refresh->highest, status.generation);
   }
-  if (status.generation == m_generation && confirmed_at) {
+  if (status.generation <= m_generation && confirmed_at) {
     Confirm(*confirmed_at);
   }
   TakeHead(status.generation, status.root, peer, confirmed_at, now, actions);
@@ -240,7 +240,7 @@
     m_refresh->highest = std::max(m_refresh->highest, head.generation);
   }
   // A head that can't be used leaves the one before it the last that can.
-  if (head.generation == m_generation || head.root == m_bad_root) {
+  if (head.generation <= m_generation || head.root == m_bad_root) {
     Confirm(asked_at);
   }
   TakeHead(head.generation, head.root, std::nullopt, asked_at, now, actions);
@@ -283,7 +283,9 @@
   m_manifest = std::move(manifest);
   m_generation = m_target->generation;
   m_root = m_target->root;
-  m_confirmed_at = m_target->confirmed_at;
+  if (m_target->confirmed_at) {
+    Confirm(*m_target->confirmed_at);
+  }
   m_target.reset();
   m_fault.clear();
   DropUnusedParts();
@@ -304,6 +306,8 @@
   m_parts.emplace(hash, std::make_shared<const std::string>(content));
 }
 
+// At that time there was no newer generation than ours. A newer one put in
+// force since then leaves this true.
 void ManifestFollower::Confirm(TimePoint at) {
   m_confirmed_at = m_confirmed_at ? std::max(*m_confirmed_at, at) : at;
 }
--- /dev/null
+++ b/tests/holder_sets_test.cc
@@ -0,0 +1,126 @@
+#include "version/holder_sets.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fake_store.h"
+
+namespace bramleyspoke {
+namespace {
+
+DaemonAddress MakeMember(int number, int failure_domains) {
+  const std::string region(1, static_cast<char>('a' + number % 3));
+  const std::string domain = region + std::to_string(number % failure_domains);
+  const std::string host = "127.0.1." + std::to_string(number + 1);
+  return {{host, 8080}, {host, 9000}, 1, domain, region};
+}
+
+SpecMap MakeServices(int count) {
+  SpecMap services;
+  for (int i = 0; i < count; ++i) {
+    ServiceSpec spec = MakeService("s" + std::to_string(i));
+    spec.holders = static_cast<std::uint32_t>(1 + i % 4);
+    services[spec.name] = std::make_shared<const ServiceSpec>(spec);
+  }
+  return services;
+}
+
+}  // namespace
+
+TEST_CASE("a set's size is the wish, bounded by the leafs' connections") {
+  struct Row {
+    std::uint32_t slots, connections, holders;
+    std::size_t expected;
+  };
+  const std::vector<Row> rows = {
+      {2, 25, 2, 2},   // the wish
+      {2, 25, 99, 7},  // 8 times 3 connections fit, one share stays free
+      {6, 110, 99, 14}, {3, 40, 99, 9}, {2, 3, 4, 1}, {2, 25, 0, 1},
+  };
+  for (const Row& row : rows) {
+    ServiceSpec spec;
+    spec.slots = row.slots;
+    spec.connections = row.connections;
+    spec.holders = row.holders;
+    CAPTURE(row.holders);
+    CHECK(HolderSetSize(spec) == row.expected);
+  }
+}
+
+TEST_CASE("holders are near the leafs and over two failure domains") {
+  HolderSets sets;
+  const SpecMap services = MakeServices(40);
+  sets.SetServices(services);
+  for (int i = 0; i < 30; ++i) {
+    sets.AddMember(MakeMember(i, 30));
+  }
+  for (const auto& [name, spec] : services) {
+    const auto& holders = sets.HoldersOf(name);
+    REQUIRE(holders.size() == HolderSetSize(*spec));
+    std::set<std::string> domains;
+    for (const DaemonAddress& holder : holders) {
+      domains.insert(holder.failure_domain);
+      // The leafs are in regions a and b.
+      CHECK(holder.region != "c");
+    }
+    CHECK((holders.size() < 2 || domains.size() >= 2));
+  }
+}
+
+TEST_CASE("sets kept step by step equal sets computed at once") {
+  const bool is_held = rc::check("incremental equals whole", [] {
+    const SpecMap services = MakeServices(12);
+    HolderSets kept;
+    kept.SetServices(services);
+    std::set<int> members;
+    const int failure_domains = *rc::gen::inRange(1, 6);
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 16));
+    for (const int number : steps) {
+      const DaemonAddress member = MakeMember(number, failure_domains);
+      if (members.erase(number) > 0) {
+        kept.RemoveMember(member.peer);
+      } else {
+        members.insert(number);
+        kept.AddMember(member);
+      }
+    }
+    HolderSets whole;
+    for (const int number : members) {
+      whole.AddMember(MakeMember(number, failure_domains));
+    }
+    whole.SetServices(services);
+    for (const auto& [name, spec] : services) {
+      RC_ASSERT(kept.HoldersOf(name) == whole.HoldersOf(name));
+    }
+  });
+  CHECK(is_held);
+}
+
+TEST_CASE("a member that goes changes the sets it was in and no others") {
+  HolderSets sets;
+  const SpecMap services = MakeServices(60);
+  sets.SetServices(services);
+  for (int i = 0; i < 30; ++i) {
+    sets.AddMember(MakeMember(i, 9));
+  }
+  std::set<std::string> expected;
+  const Endpoint gone = sets.HoldersOf("s3").front().peer;
+  for (const auto& [name, spec] : services) {
+    for (const DaemonAddress& holder : sets.HoldersOf(name)) {
+      if (holder.peer == gone) {
+        expected.insert(name);
+      }
+    }
+  }
+  REQUIRE_FALSE(expected.empty());
+  sets.TakeChanged();
+  sets.RemoveMember(gone);
+  CHECK(sets.TakeChanged() == expected);
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/member_fleet.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "process/membership.h"
+
+namespace bramleyspoke {
+
+/// Many `Membership` objects in one thread, joined by messages that take a
+/// while, overtake each other and get lost.
+class MemberFleet {
+ public:
+  MemberFleet(int size, MembershipOptions options, std::uint64_t seed)
+      : m_options(options), m_random(seed) {
+    for (int i = 0; i < size; ++i) {
+      Start(i, 1);
+    }
+  }
+
+  static DaemonAddress AddressOf(int number, std::uint64_t incarnation) {
+    const std::string host = "127.0.1." + std::to_string(number + 1);
+    const std::string region(1, static_cast<char>('a' + number % 2));
+    return {{host, 8080}, {host, 9000}, incarnation, region + "1", region};
+  }
+
+  void Start(int number, std::uint64_t incarnation) {
+    const DaemonAddress self = AddressOf(number, incarnation);
+    auto member = std::make_unique<Membership>(m_options, self, m_random());
+    member->SetContacts({AddressOf(0, 0).peer, AddressOf(1, 0).peer});
+    nodes[self.peer] = std::move(member);
+  }
+  void Kill(int number) { nodes.erase(AddressOf(number, 0).peer); }
+  /// From now on the node gets no time; it is told when it goes on.
+  void Pause(int number) { paused.insert(AddressOf(number, 0).peer); }
+  void Resume(int number) {
+    const Endpoint peer = AddressOf(number, 0).peer;
+    paused.erase(peer);
+    if (nodes.contains(peer)) {
+      Carry(peer, nodes[peer]->OnPause(now));
+    }
+  }
+  Membership& Node(int number) { return *nodes.at(AddressOf(number, 0).peer); }
+
+  void Run(Duration duration) {
+    constexpr Duration kTick = std::chrono::milliseconds(100);
+    for (const TimePoint end = now + duration; now < end; now += kTick) {
+      while (!m_events.empty() && m_events.begin()->first <= now) {
+        const auto event = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        event();
+      }
+      for (auto& [peer, node] : nodes) {
+        if (!paused.contains(peer)) {
+          Carry(peer, node->OnTick(now));
+        }
+      }
+    }
+  }
+
+  /// Nodes that run, as all of them should list them.
+  std::set<Endpoint> Running() const {
+    std::set<Endpoint> running;
+    for (const auto& [peer, node] : nodes) {
+      running.insert(peer);
+    }
+    return running;
+  }
+
+  std::map<Endpoint, std::unique_ptr<Membership>> nodes;
+  std::set<Endpoint> paused;
+  /// Whether a message from one to the other may pass.
+  std::function<bool(const Endpoint&, const Endpoint&)> is_linked =
+      [](const Endpoint&, const Endpoint&) { return true; };
+  int loss_percent = 0;
+  TimePoint now{std::chrono::hours(1)};
+  std::size_t most_updates = 0;
+
+ private:
+  void At(Duration delay, std::function<void()> event) {
+    m_events.emplace(now + delay, std::move(event));
+  }
+  Duration Latency() { return std::chrono::milliseconds(1 + m_random() % 300); }
+  bool Passes(const Endpoint& from, const Endpoint& to) {
+    return is_linked(from, to) && nodes.contains(to) && !paused.contains(to) &&
+           static_cast<int>(m_random() % 100) >= loss_percent;
+  }
+  bool Runs(const Endpoint& peer) const {
+    return nodes.contains(peer) && !paused.contains(peer);
+  }
+
+  void Carry(const Endpoint& from, const MembershipActions& actions) {
+    for (const GossipAction& action : actions.gossips) {
+      Exchange(from, action, [](bool) {});
+    }
+    for (const PingViaAction& ping : actions.pings) {
+      const auto answer = [this, from, ping](bool is_alive) {
+        if (Runs(from)) {
+          Carry(from,
+                nodes[from]->OnPingViaReply(ping.exchange, is_alive, now));
+        }
+      };
+      if (!Passes(from, ping.peer)) {
+        At(ping.timeout, [answer] { answer(false); });
+        continue;
+      }
+      Exchange(ping.peer, nodes[ping.peer]->MakeGossip(ping.target), answer);
+    }
+  }
+
+  void Exchange(const Endpoint& from,
+                const GossipAction& action,
+                const std::function<void(bool)>& answer) {
+    most_updates = std::max(most_updates, action.message.members.size());
+    const auto end = [this, from, action,
+                      answer](std::optional<GossipMessage> reply) {
+      if (Runs(from)) {
+        Carry(from, nodes[from]->OnReply(action.exchange, reply, now));
+      }
+      answer(reply.has_value());
+    };
+    if (!Passes(from, action.peer)) {
+      At(action.timeout, [end] { end({}); });
+      return;
+    }
+    At(Latency(), [this, from, action, end] {
+      if (!Runs(action.peer)) {
+        At(action.timeout, [end] { end({}); });
+        return;
+      }
+      const GossipMessage reply =
+          nodes[action.peer]->OnGossip(action.message, now);
+      if (!Passes(action.peer, from)) {
+        At(action.timeout, [end] { end({}); });
+        return;
+      }
+      At(Latency(), [end, reply] { end(reply); });
+    });
+  }
+
+  MembershipOptions m_options;
+  std::mt19937_64 m_random;
+  std::multimap<TimePoint, std::function<void()>> m_events;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/membership_test.cc
@@ -0,0 +1,159 @@
+#include "process/membership.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+#include "member_fleet.h"
+#include "process/watcher_choice.h"
+
+namespace bramleyspoke {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+MembershipOptions Options() {
+  MembershipOptions options;
+  options.forget_after = seconds(60);
+  return options;
+}
+
+std::set<Endpoint> LiveOf(const Membership& node) {
+  std::set<Endpoint> live;
+  for (const DaemonAddress& member : node.Live()) {
+    live.insert(member.peer);
+  }
+  return live;
+}
+
+/// Nodes whose list of live members isn't the set of running nodes.
+int CountWrong(const MemberFleet& fleet) {
+  return static_cast<int>(std::count_if(
+      fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& entry) {
+        return LiveOf(*entry.second) != fleet.Running();
+      }));
+}
+
+}  // namespace
+
+TEST_CASE("members find each other, and the live ones alone stay") {
+  const bool is_held = rc::check("live are live, dead are forgotten", [] {
+    const int size = *rc::gen::inRange(2, 14);
+    MemberFleet fleet(size, Options(), *rc::gen::arbitrary<std::uint64_t>());
+    fleet.loss_percent = *rc::gen::inRange(0, 20);
+    fleet.Run(seconds(30));
+    for (int fault = 0; fault < 4; ++fault) {
+      const int number = *rc::gen::inRange(0, size);
+      switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+          fleet.Kill(number);
+          break;
+        case 1:
+          fleet.Pause(number);
+          fleet.Run(seconds(*rc::gen::inRange(1, 90)));
+          fleet.Resume(number);
+          break;
+        default:
+          fleet.Start(number, 2 + static_cast<std::uint64_t>(fault));
+          break;
+      }
+      fleet.Run(seconds(*rc::gen::inRange(0, 20)));
+    }
+    fleet.loss_percent = 0;
+    fleet.Run(seconds(180));
+    RC_ASSERT(CountWrong(fleet) == 0);
+    for (const auto& [peer, node] : fleet.nodes) {
+      RC_ASSERT(node->Table().Size() == fleet.nodes.size());
+    }
+  });
+  CHECK(is_held);
+}
+
+TEST_CASE("a leaving member is no live one as soon as it says so") {
+  MemberFleet fleet(9, Options(), 1);
+  fleet.Run(seconds(20));
+  REQUIRE(CountWrong(fleet) == 0);
+  fleet.Node(4).BeginLeaving(fleet.now);
+  const Endpoint leaving = MemberFleet::AddressOf(4, 0).peer;
+  fleet.Run(seconds(6));
+  for (const auto& [peer, node] : fleet.nodes) {
+    CHECK_FALSE(LiveOf(*node).contains(leaving));
+    CHECK(node->Table().Find(leaving)->state == MemberState::kLeaving);
+  }
+}
+
+TEST_CASE("a member that was paused accuses nobody") {
+  MemberFleet fleet(9, Options(), 2);
+  fleet.Run(seconds(20));
+  fleet.Pause(3);
+  fleet.Run(seconds(120));
+  fleet.Resume(3);
+  const Membership& paused = fleet.Node(3);
+  for (int i = 0; i < 100; ++i) {
+    fleet.Run(std::chrono::milliseconds(100));
+    for (const MemberUpdate& member : paused.Table().All()) {
+      CHECK(member.state == MemberState::kAlive);
+    }
+  }
+  CHECK(CountWrong(fleet) == 0);
+}
+
+TEST_CASE("regions that were apart for an hour find together") {
+  MemberFleet fleet(16, Options(), 3);
+  fleet.Run(seconds(30));
+  fleet.is_linked = [](const Endpoint& a, const Endpoint& b) {
+    return a.host.back() % 2 == b.host.back() % 2;
+  };
+  fleet.Run(minutes(60));
+  CHECK(CountWrong(fleet) == 16);
+  CHECK(LiveOf(fleet.Node(0)).size() == 8);
+  fleet.is_linked = [](const Endpoint&, const Endpoint&) { return true; };
+  fleet.Run(seconds(60));
+  CHECK(CountWrong(fleet) == 0);
+}
+
+TEST_CASE("what a lost message said is found by the digest") {
+  MembershipOptions options = Options();
+  options.max_updates = 0;  // No news travels with the probes.
+  MemberFleet fleet(12, options, 4);
+  fleet.Run(seconds(60));
+  CHECK(CountWrong(fleet) == 0);
+}
+
+TEST_CASE("a message carries no more news than its bound") {
+  MembershipOptions options = Options();
+  options.max_updates = 5;
+  MemberFleet fleet(40, options, 5);
+  fleet.Run(seconds(30));
+  for (int i = 10; i < 40; ++i) {
+    fleet.Kill(i);
+  }
+  fleet.Run(seconds(120));
+  CHECK(CountWrong(fleet) == 0);
+  // One more: what the sender holds of the receiver.
+  CHECK(fleet.most_updates <= 6);
+}
+
+TEST_CASE("of many members few watch the store, one of each region at least") {
+  std::vector<DaemonAddress> live;
+  for (int i = 0; i < 200; ++i) {
+    live.push_back(MemberFleet::AddressOf(i, 1));
+    live.back().region = std::string(1, static_cast<char>('a' + i % 4));
+  }
+  std::set<std::string> regions;
+  int watchers = 0;
+  for (const DaemonAddress& member : live) {
+    if (IsWatcher(member, live)) {
+      ++watchers;
+      regions.insert(member.region);
+    }
+  }
+  CHECK(regions.size() == 4);
+  CHECK(watchers <= 7);
+}
+
+}  // namespace bramleyspoke
