A new holder waits for its leafs' first status before it answers

Ruled out: the kill and the planned stop themselves; the entry of each such answer was alive and the deadline 2 s away.

Red before green: with the wait off, 'a query waits shortly for leafs that were never heard of' failed (sends not empty; coverage 0.5 instead of 1).

--- a/src/request/fan_out_engine.cc
+++ b/src/request/fan_out_engine.cc
@@ -123,6 +123,8 @@
   }
   if (has_changed) {
     OnLeafChanged(*leaf);
+  } else {
+    StartUnstarted();
   }
   return End();
 }
@@ -226,7 +228,12 @@
   }
   switch (timer.kind) {
     case TimerKind::kSnapshot:
-      if (!query->snapshot) {
+      if (query->snapshot) {
+        break;
+      }
+      if (CurrentSnapshot()) {
+        StartOn(*query, *CurrentSnapshot());
+      } else {
         EndWith(*query, RefusalReason::kNoSnapshot,
                 "no index version is known yet", std::chrono::seconds(1));
       }
--- a/src/request/fan_out_engine.h
+++ b/src/request/fan_out_engine.h
@@ -86,6 +86,7 @@
   Query* Find(QueryNumber number);
   const std::optional<Snapshot>& CurrentSnapshot();
   void Start(Query& query);
+  bool IsSnapshotSettled();
   void StartUnstarted();
   void StartOn(Query& query, const Snapshot& snapshot);
   void ReleaseTasks(Query& query);
--- a/src/request/fan_out_tasks.cc
+++ b/src/request/fan_out_tasks.cc
@@ -30,9 +30,16 @@
   return m_snapshot;
 }
 
+// A daemon that has just become a holder hears of its leafs one by one; a
+// query that took the first for all would cover a single shard.
+bool FanOutEngine::IsSnapshotSettled() {
+  const std::optional<Snapshot>& snapshot = CurrentSnapshot();
+  return snapshot && (snapshot->coverage >= 1 || !m_book.HasUnheard());
+}
+
 void FanOutEngine::Start(Query& query) {
-  if (const std::optional<Snapshot>& snapshot = CurrentSnapshot()) {
-    StartOn(query, *snapshot);
+  if (IsSnapshotSettled()) {
+    StartOn(query, *CurrentSnapshot());
     return;
   }
   m_unstarted.push_back(query.number);
@@ -41,14 +48,14 @@
 }
 
 void FanOutEngine::StartUnstarted() {
-  if (m_unstarted.empty() || !CurrentSnapshot()) {
+  if (m_unstarted.empty() || !IsSnapshotSettled()) {
     return;
   }
   const std::vector<QueryNumber> numbers = std::move(m_unstarted);
   m_unstarted.clear();
   for (const QueryNumber number : numbers) {
     Query* query = Find(number);
-    if (query != nullptr && !query->IsOver()) {
+    if (query != nullptr && !query->IsOver() && !query->snapshot) {
       StartOn(*query, *CurrentSnapshot());
     }
   }
--- a/src/request/replica_book.cc
+++ b/src/request/replica_book.cc
@@ -90,9 +90,16 @@
   }
 }
 
+bool ReplicaBook::HasUnheard() const {
+  return std::any_of(m_leafs.begin(), m_leafs.end(), [](const LeafState& leaf) {
+    return leaf.is_used && !leaf.is_heard;
+  });
+}
+
 bool ReplicaBook::OnStatus(LeafIndex index,
                            const std::optional<LeafStatus>& status,
                            TimePoint now) {
+  m_leafs[index].is_heard = true;
   if (!status) {
     return OnReachable(index, false);
   }
--- a/src/request/replica_book.h
+++ b/src/request/replica_book.h
@@ -44,6 +44,8 @@
   /// The manifest or VM list says that it leaves.
   bool is_leaving = false;
   bool is_reachable = true;
+  /// Whether its status came, or could not be had.
+  bool is_heard = false;
   std::optional<double> reported_load;
   std::uint32_t failures_in_row = 0;
   std::uint32_t ejections_in_row = 0;
@@ -66,6 +68,8 @@
   const LeafState& At(LeafIndex index) const { return m_leafs[index]; }
 
   void SetLeaving(const std::set<Endpoint>& leaving);
+  /// Whether some leaf's status is still awaited for the first time.
+  bool HasUnheard() const;
   /// Forgets leafs that no plan names and that owe no outcome.
   void Sweep();
 
--- a/tests/query_engine_test.cc
+++ b/tests/query_engine_test.cc
@@ -59,6 +59,31 @@
   }
 }
 
+TEST_CASE("a query waits shortly for leafs that were never heard of") {
+  EngineFixture f(MakeRoute(2, 1));
+  const std::vector<Shard>& shards = f.route.spec.layouts[0].shards;
+  const IndexVersion version{1, f.route.spec.layouts[0].id};
+  f.Submit(1);
+  f.Status(shards[0].replicas[0].leaf, {version});
+  CHECK(f.sends.empty());
+  SUBCASE("the last status comes in time") {
+    f.Status(shards[1].replicas[0].leaf, {version});
+    f.AnswerAll();
+    REQUIRE(f.finishes.size() == 1);
+    CHECK(f.finishes[0].outcome.answer->coverage == 1);
+  }
+  SUBCASE("the last status can't be had") {
+    f.Take(f.engine->OnLeafStatus(shards[1].replicas[0].leaf, {}, f.now));
+    CHECK(f.sends.size() == 1);
+  }
+  SUBCASE("the last status does not come") {
+    f.Advance(milliseconds(500));
+    f.AnswerAll();
+    REQUIRE(f.finishes.size() == 1);
+    CHECK(f.finishes[0].outcome.answer->coverage == 0.5);
+  }
+}
+
 TEST_CASE("at its deadline a query ends with what it has") {
   EngineFixture f(MakeRoute(2, 1));
   f.StatusOfAll();
