--- a/src/process/control_runtime.cc
+++ b/src/process/control_runtime.cc
@@ -1,5 +1,6 @@
 #include "process/control_runtime.h"
 
+#include <algorithm>
 #include <caf/all.hpp>
 #include <caf/scheduler/test_coordinator.hpp>
 
@@ -14,6 +15,7 @@
   RunningRuntime() : m_system(m_config) {}
 
   void Advance(Duration /*duration*/) override {}
+  void Jump(Duration /*duration*/) override {}
   bool IsPaused() const override { return false; }
   caf::actor_system& System() override { return m_system; }
 
@@ -31,14 +33,16 @@
   PausedRuntime() : m_system(m_config) {}
 
   void Advance(Duration duration) override {
-    auto& scheduler =
-        dynamic_cast<caf::scheduler::test_coordinator&>(m_system.scheduler());
-    scheduler.run();
+    Scheduler().run();
     for (Duration done{0}; done < duration; done += kStep) {
-      scheduler.clock().advance_time(std::min(kStep, duration - done));
-      scheduler.run();
+      Scheduler().clock().advance_time(std::min(kStep, duration - done));
+      Scheduler().run();
     }
   }
+  void Jump(Duration duration) override {
+    Scheduler().clock().advance_time(duration);
+    Scheduler().run();
+  }
   bool IsPaused() const override { return true; }
   caf::actor_system& System() override { return m_system; }
 
@@ -47,6 +51,11 @@
     Config() { set("scheduler.policy", caf::atom("testing")); }
   };
 
+  caf::scheduler::test_coordinator& Scheduler() {
+    return dynamic_cast<caf::scheduler::test_coordinator&>(
+        m_system.scheduler());
+  }
+
   Config m_config;
   caf::actor_system m_system;
 };
--- a/src/process/control_runtime.h
+++ b/src/process/control_runtime.h
@@ -21,6 +21,8 @@
 
   /// Moves a paused clock and runs what is due; no effect on a running one.
   virtual void Advance(Duration duration) = 0;
+  /// Moves a paused clock at once, as a pause of the process does.
+  virtual void Jump(Duration duration) = 0;
   virtual bool IsPaused() const = 0;
   virtual caf::actor_system& System() = 0;
 };
