--- a/src/process/control_runtime.cc
+++ b/src/process/control_runtime.cc
@@ -21,7 +21,11 @@
 
  private:
   struct Config : caf::actor_system_config {
-    Config() { set("scheduler.max-threads", std::size_t{1}); }
+    Config() {
+      set("scheduler.max-threads", std::size_t{1});
+      // The other policy looks for work many times a second while idle.
+      set("scheduler.policy", caf::atom("sharing"));
+    }
   };
 
   Config m_config;
