Query engine: an end no longer sends ahead of the event that caused it

Queries whose deadline had passed ended before the event was taken in; that let another query's canary go to the leaf whose drain word the event brought. Now expired queries are only marked, and end after the event. A test of its own keeps the case.

--- a/src/request/fan_out_engine.cc
+++ b/src/request/fan_out_engine.cc
@@ -145,7 +145,7 @@
 EngineActions FanOutEngine::OnCallerGone(QueryNumber number, TimePoint now) {
   Begin(now);
   Query* query = Find(number);
-  if (query != nullptr && query->IsIdempotent()) {
+  if (query != nullptr && query->IsIdempotent() && !query->IsOver()) {
     EndWith(*query, RefusalReason::kLost, "the caller has gone");
   }
   return End();
@@ -196,7 +196,8 @@
 }
 
 // After a pause an event may come long after deadlines that no timer has
-// handled yet: these queries end before anything is sent.
+// handled yet: nothing more is sent for these queries. They end in `Settle`,
+// after the event has been taken in, since an end may let others send.
 void FanOutEngine::Begin(TimePoint now) {
   m_now = now;
   m_actions = EngineActions{};
@@ -206,7 +207,6 @@
       m_touched.push_back(query->number);
     }
   }
-  Settle();
 }
 
 EngineActions FanOutEngine::End() {
--- a/src/request/replica_chooser.cc
+++ b/src/request/replica_chooser.cc
@@ -17,7 +17,9 @@
 constexpr std::uint32_t kFirstWarmUpStep = 50;
 // Leafs report load late and wrongly: it decides between near equals only.
 constexpr double kLoadWeight = 0.1;
-constexpr double kFarWeight = 1.05;
+constexpr double kFarWeight = 1.1;
+// Closer costs than this are equal: the first of the two goes.
+constexpr double kEqualWithin = 0.95;
 constexpr Duration kLeastLatency = std::chrono::microseconds(50);
 
 struct Candidates {
@@ -84,7 +86,7 @@
   std::uint32_t best = candidates.replicas[first];
   std::uint32_t other = candidates.replicas[second];
   if (CostOf(shard.replicas[other], query, now) <
-      CostOf(shard.replicas[best], query, now)) {
+      CostOf(shard.replicas[best], query, now) * kEqualWithin) {
     std::swap(best, other);
   }
   if (IsHeldBack(m_book.At(shard.replicas[best].leaf), now)) {
--- a/tests/query_engine_test.cc
+++ b/tests/query_engine_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <set>
+
 #include "engine_fixture.h"
 
 namespace bramleyspoke {
@@ -73,4 +76,184 @@
         f.sends.at(1).attempt.shard);
 }
 
+// Found by the history check: the end of one query let another send, ahead of
+// the drain word that came in the same event.
+TEST_CASE("a drain word holds for what is sent in the event that brings it") {
+  for (int i = 0; i < 16; ++i) {
+    EngineFixture f(MakeRoute(4, 1));
+    f.StatusOfAll();
+    f.Submit(1, "q" + std::to_string(i), milliseconds(263));
+    f.Submit(2, "q" + std::to_string(i), milliseconds(1));
+    f.now += milliseconds(256);
+    std::set<Endpoint> told;
+    for (std::uint32_t shard = 0; shard < 4; ++shard) {
+      const std::size_t sent_before = f.sends.size();
+      told.insert(LeafOf(shard, 0));
+      f.Status(LeafOf(shard, 0), {{1, "a"}}, "1", true);
+      for (std::size_t j = sent_before; j < f.sends.size(); ++j) {
+        CHECK_FALSE(told.contains(f.sends[j].leaf));
+      }
+    }
+  }
+}
+
+TEST_CASE("a silent attempt gets one hedge, and the loser is cancelled") {
+  EngineOptions options;
+  options.hedge_mode = HedgeMode::kFixedDelay;
+  options.fixed_hedge_delay = milliseconds(10);
+  options.has_canaries = false;
+  ServiceRoute route = MakeRoute(2, 3);
+  SUBCASE("when idempotent") {
+    EngineFixture f(route, options);
+    f.StatusOfAll();
+    f.Submit(1);
+    f.Advance(milliseconds(9));
+    CHECK(f.sends.size() == 2);
+    f.Advance(milliseconds(100));
+    REQUIRE(f.sends.size() == 4);
+    CHECK(f.sends[0].leaf != f.sends[2].leaf);
+    f.Reply(SendAction(f.sends[2]), Answered());
+    REQUIRE(f.cancels.size() == 1);
+    CHECK(f.cancels[0].attempt_id == f.sends[0].attempt.attempt_id);
+    CHECK(f.engine->Counters().hedge_wins == 1);
+    f.Reply(SendAction(f.sends[0]), Answered());
+    CHECK(f.engine->Counters().late_answers == 1);
+    f.Reply(SendAction(f.sends[1]), Answered());
+    CHECK(f.finishes.size() == 1);
+  }
+  SUBCASE("not when it must run at most once") {
+    route.spec.idempotent = false;
+    EngineFixture f(route, options);
+    f.StatusOfAll();
+    f.Submit(1);
+    f.Advance(milliseconds(900));
+    CHECK(f.sends.size() == 2);
+  }
+  SUBCASE("not when the service is overloaded") {
+    EngineFixture f(MakeRoute(2, 3), options);
+    f.StatusOfAll();
+    // Twelve slots a shard: eight tasks wait at each. Then shard 0 has slots
+    // free, with one attempt that stays silent.
+    for (QueryNumber number = 0; number < 20; ++number) {
+      f.Submit(number);
+    }
+    for (std::size_t i = 0; i + 1 < f.sends.size(); ++i) {
+      if (f.sends[i].attempt.shard == 0 && i != 0) {
+        f.Reply(SendAction(f.sends[i]), Answered());
+      }
+    }
+    REQUIRE(f.sends[0].attempt.shard == 0);
+    f.Advance(milliseconds(900));
+    CHECK(f.engine->Counters().hedges == 0);
+  }
+}
+
+TEST_CASE("a request not seen before goes to one leaf first") {
+  EngineFixture f(MakeRoute(8, 2));
+  f.StatusOfAll();
+  f.Submit(1);
+  CHECK(f.sends.size() == 1);
+  f.Reply(SendAction(f.sends[0]), Answered());
+  CHECK(f.sends.size() == 8);
+  f.Submit(2);
+  CHECK(f.sends.size() == 16);
+  // A new version may crash where the old one did not.
+  f.StatusOfAll(2);
+  f.Submit(3);
+  CHECK(f.sends.size() == 17);
+}
+
+TEST_CASE("peers' crash evidence refuses a request that is under way") {
+  EngineFixture f(MakeRoute(2, 1));
+  f.StatusOfAll();
+  f.Submit(1);
+  f.Reply(SendAction(f.sends.at(0)), Failed(AttemptResult::kLost));
+  const std::vector<CrashEvidence> ours = f.engine->TakeEvidence();
+  REQUIRE(ours.size() == 1);
+  CHECK(ours[0].crashes == 1);
+  f.Take(f.engine->OnPeerEvidence({ours[0].fingerprint, 1}, f.now));
+  REQUIRE(f.finishes.size() == 1);
+  REQUIRE(f.finishes[0].outcome.refusal);
+  CHECK(f.finishes[0].outcome.refusal->reason == RefusalReason::kCrashSuspect);
+  CHECK(f.finishes[0].outcome.verdict == Verdict::kMayHaveRun);
+}
+
+TEST_CASE("what is too large is refused, never cut") {
+  ServiceRoute route = MakeRoute(1, 1);
+  route.spec.max_answer_bytes = 200;
+  route.spec.max_hits = 10;
+  EngineFixture f(route);
+  f.StatusOfAll();
+  f.Submit(1);
+  f.Reply(SendAction(f.sends.at(0)),
+          Answered({{"a", 1, std::string(100, 'x')},
+                    {"b", 2, std::string(100, 'x')}}));
+  REQUIRE(f.finishes.size() == 1);
+  REQUIRE(f.finishes[0].outcome.refusal);
+  CHECK(f.finishes[0].outcome.refusal->reason == RefusalReason::kTooLarge);
+  CHECK(f.finishes[0].outcome.verdict == Verdict::kRan);
+}
+
+TEST_CASE("a queue that cannot be served in time refuses at once") {
+  ServiceRoute route = MakeRoute(2, 1);
+  route.spec.slots = 1;
+  EngineOptions options;
+  options.has_canaries = false;
+  EngineFixture f(route, options);
+  f.StatusOfAll();
+  f.Submit(0);
+  f.now += milliseconds(40);
+  f.AnswerAll();
+  // Each takes 40 ms, so the deadline of 1 s has room for some 24.
+  for (QueryNumber number = 1; number <= 40; ++number) {
+    f.Submit(number);
+  }
+  REQUIRE(f.finishes.size() > 10);
+  REQUIRE(f.finishes.size() < 20);
+  const SearchOutcome& refused = f.finishes.back().outcome;
+  REQUIRE(refused.refusal);
+  CHECK(refused.refusal->reason == RefusalReason::kOverloaded);
+  CHECK(refused.verdict == Verdict::kNotRun);
+  REQUIRE(refused.refusal->retry_after);
+  CHECK(*refused.refusal->retry_after > milliseconds(800));
+  CHECK(*refused.refusal->retry_after < milliseconds(1200));
+}
+
+TEST_CASE("an idempotent query begins again when its version goes away") {
+  EngineOptions options;
+  options.has_canaries = false;
+  EngineFixture f(MakeRoute(2, 1), options);
+  f.StatusOfAll(1);
+  f.Submit(1);
+  f.Reply(SendAction(f.sends.at(0)), Answered({{"old", 1, ""}}));
+  f.Status(LeafOf(0, 0), {{2, "a"}});
+  f.Status(LeafOf(1, 0), {{2, "a"}});
+  f.Reply(SendAction(f.sends.at(1)), RefusedBy(LeafReason::kVersionMissing));
+  REQUIRE(f.sends.size() == 4);
+  CHECK(f.sends[2].attempt.version.number == 2);
+  f.Reply(SendAction(f.sends[2]), Answered({{"new", 1, ""}}));
+  f.Reply(SendAction(f.sends[3]), Answered());
+  REQUIRE(f.finishes.size() == 1);
+  REQUIRE(f.finishes[0].outcome.answer);
+  CHECK(f.finishes[0].outcome.answer->version.number == 2);
+  CHECK(f.finishes[0].outcome.answer->hits.size() == 1);
+  CHECK(f.finishes[0].outcome.answer->hits[0].id == "new");
+}
+
+TEST_CASE("a caller that has gone ends only what may be repeated") {
+  ServiceRoute route = MakeRoute(1, 1);
+  bool ends = true;
+  SUBCASE("idempotent") {}
+  SUBCASE("non-idempotent") {
+    route.spec.idempotent = false;
+    ends = false;
+  }
+  EngineFixture f(route);
+  f.StatusOfAll();
+  f.Submit(1);
+  f.Take(f.engine->OnCallerGone(1, f.now));
+  CHECK(f.finishes.size() == (ends ? 1 : 0));
+  CHECK(f.cancels.size() == (ends ? 1 : 0));
+}
+
 }  // namespace bramleyspoke
