--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -3,7 +3,7 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("bramleyspoke::wire");
 
-# What daemons say of one daemon; the highest incarnation wins, then the state.
+# What daemons say of one daemon; the highest version wins, then the state.
 struct Member {
   peerAddress @0 :Text;
   callerAddress @1 :Text;
@@ -11,6 +11,8 @@
   state @3 :UInt8;
   failureDomain @4 :Text;
   region @5 :Text;
+  # Raised by the daemon itself only, to refute what others say of it.
+  version @6 :UInt64;
 }
 
 # Crash evidence against a request's fingerprint.
@@ -38,6 +40,12 @@
   drains @6 :List(Drain);
   # Asks for the whole member list in the reply.
   wantAll @7 :Bool;
+  # Anti-entropy: digest of the sender's members whose hash falls into one of
+  # bucketCount buckets (a power of two; 0: none given). A receiver whose own
+  # digest differs sends its members of that bucket in the reply.
+  bucketCount @8 :UInt32;
+  bucket @9 :UInt32;
+  bucketDigest @10 :UInt64;
 }
 
 interface Peer {
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -8,11 +8,12 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "connection/backend_server.h"
 #include "version/routing_table.h"
 
 namespace bramleyspoke {
 
-/// A member's state; for one incarnation a higher value wins.
+/// A member's state; for one version a higher value wins.
 enum class MemberState : std::uint8_t {
   kAlive,
   kSuspect,
@@ -24,6 +25,9 @@
 struct MemberUpdate {
   DaemonAddress address;
   MemberState state = MemberState::kAlive;
+  /// Raised by the daemon itself only, to refute what others say of it; the
+  /// higher one wins. Starts at the incarnation, which stays as it is.
+  std::uint64_t version = 0;
 
   bool operator==(const MemberUpdate&) const = default;
 };
@@ -37,12 +41,14 @@
   bool operator==(const EvidenceNotice&) const = default;
 };
 
-/// A leaf process that gave its drain word.
-struct DrainNotice {
-  Endpoint leaf;
-  std::string incarnation;
+/// Digest of a part of a daemon's members, by which two find differences.
+struct BucketDigest {
+  /// Number of buckets, a power of two; 0: no digest.
+  std::uint32_t count = 0;
+  std::uint32_t bucket = 0;
+  std::uint64_t digest = 0;
 
-  bool operator==(const DrainNotice&) const = default;
+  bool operator==(const BucketDigest&) const = default;
 };
 
 /// One exchange between two daemons.
@@ -57,6 +63,8 @@
   std::vector<DrainNotice> drains;
   /// Asks for the whole member list in the reply.
   bool want_all = false;
+  /// The reply brings the members of this bucket if the digests differ.
+  BucketDigest bucket;
 };
 
 /// A forwarded caller request's answer, as the caller protocol has it.
