Idle connections are looked at before use; execution log in pages

Cause: a leaf that closed its idle connections while the daemon was paused or busy was only noticed after an attempt had been written, which then counted as 'lost' (may have run, evidence of a crash). The HTTP client now peeks at the socket before it calls an idle connection open (one recv per attempt).

The execution log keeps records instead of text, encodes outside of its lock and hands out at most 20,000 lines at a time, 400,000 held. Linter findings of the pool and the store client are mended.

--- a/src/connection/etcd_store.cc
+++ b/src/connection/etcd_store.cc
@@ -223,11 +223,10 @@
                            : std::optional(servers[m_state->current]);
   }
 
-  void Call(HttpRequest request, Reply reply) {
+  void Call(const HttpRequest& request, const Reply& reply) {
     const TimePoint deadline =
         std::chrono::steady_clock::now() + m_call_timeout;
-    TryServer(m_loop, m_state, std::move(request), deadline, 1,
-              std::move(reply));
+    TryServer(m_loop, m_state, request, deadline, 1, reply);
   }
 
   static void TryServer(EventLoop& loop,
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -1,5 +1,7 @@
 #include "connection/http_client.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -13,6 +15,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <utility>
 
 #include "connection/event_loop.h"
@@ -80,6 +83,15 @@
   return HttpFailure::kClosed;
 }
 
+// The other side may have closed while this process was paused or busy, which
+// the loop has then not handled yet: a request must not be lost on that.
+bool IsQuiet(beast::tcp_stream& stream) {
+  char byte = 0;
+  const auto size = ::recv(stream.socket().native_handle(), &byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 // State of one connection, shared with its pending handlers.
 struct Link {
   explicit Link(asio::io_context& context) : stream(context) {}
@@ -178,7 +190,9 @@
                       });
   }
 
-  bool IsOpen() const override { return m_link->is_open; }
+  bool IsOpen() const override {
+    return m_link->is_open && (m_link->done || IsQuiet(m_link->stream));
+  }
 
  private:
   std::shared_ptr<Link> m_link;
--- a/src/connection/leaf_connections.cc
+++ b/src/connection/leaf_connections.cc
@@ -312,13 +312,14 @@
   ServeWaiting();
 }
 
-void LeafConnections::Close(const ConnectionPtr& connection) {
+// By value: the caller's may be an element of what is erased here.
+void LeafConnections::Close(ConnectionPtr connection) {
   ++m_totals.closed;
   --m_totals.open;
-  const ConnectionPtr kept = connection;
-  m_idle.erase(std::remove(m_idle.begin(), m_idle.end(), kept), m_idle.end());
+  m_idle.erase(std::remove(m_idle.begin(), m_idle.end(), connection),
+               m_idle.end());
   m_connections.erase(
-      std::remove(m_connections.begin(), m_connections.end(), kept),
+      std::remove(m_connections.begin(), m_connections.end(), connection),
       m_connections.end());
 }
 
@@ -355,13 +356,11 @@
   ++m_totals.waiting;
 }
 
-void LeafConnections::GiveUp(const WaitingPtr& waiting,
-                             AttemptOutcome outcome) {
-  const WaitingPtr kept = waiting;
-  m_waiting.erase(std::remove(m_waiting.begin(), m_waiting.end(), kept),
+void LeafConnections::GiveUp(WaitingPtr waiting, AttemptOutcome outcome) {
+  m_waiting.erase(std::remove(m_waiting.begin(), m_waiting.end(), waiting),
                   m_waiting.end());
   --m_totals.waiting;
-  FinishLater(std::move(kept->done), std::move(outcome));
+  FinishLater(std::move(waiting->done), std::move(outcome));
 }
 
 void LeafConnections::GiveUpAll() {
--- a/src/connection/leaf_connections.h
+++ b/src/connection/leaf_connections.h
@@ -70,10 +70,10 @@
   void OnDeadline(const ConnectionPtr& connection);
   void OnAnswer(const ConnectionPtr& connection, const HttpOutcome& outcome);
   void Release(const ConnectionPtr& connection);
-  void Close(const ConnectionPtr& connection);
+  void Close(ConnectionPtr connection);
   void ServeWaiting();
   void Wait(const Attempt& attempt, AttemptCallback done);
-  void GiveUp(const WaitingPtr& waiting, AttemptOutcome outcome);
+  void GiveUp(WaitingPtr waiting, AttemptOutcome outcome);
   void GiveUpAll();
   void FinishLater(AttemptCallback done, AttemptOutcome outcome);
 
--- a/src/process/manifest_follower.cc
+++ b/src/process/manifest_follower.cc
@@ -18,7 +18,9 @@
 ManifestFollower::ManifestFollower(FollowerOptions options,
                                    std::uint64_t seed,
                                    TimePoint now)
-    : m_options(options), m_random(seed), m_refresh(Refresh{now, {}, 0, false}) {}
+    : m_options(options),
+      m_random(seed),
+      m_refresh(Refresh{now, {}, 0, false}) {}
 
 FollowerActions ManifestFollower::OnFleet(bool is_watcher,
                                           std::size_t members,
@@ -360,10 +362,10 @@
 }
 
 Duration ManifestFollower::FallbackDelay() {
-  const auto most = m_options.fallback_spread.count() *
-                    static_cast<Duration::rep>(m_members);
-  return Duration(std::uniform_int_distribution<Duration::rep>(0, most)(
-      m_random));
+  const auto most =
+      m_options.fallback_spread.count() * static_cast<Duration::rep>(m_members);
+  return Duration(
+      std::uniform_int_distribution<Duration::rep>(0, most)(m_random));
 }
 
 }  // namespace bramleyspoke
--- a/src/stand_in/execution_log.cc
+++ b/src/stand_in/execution_log.cc
@@ -3,13 +3,15 @@
 #include <algorithm>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <utility>
 
 #include "base/enum_names.h"
 
 namespace bramleyspoke::StandIn {
 namespace {
 
-constexpr std::size_t kMaxRecords = 200'000;
+constexpr std::size_t kMaxRecords = 400'000;
+constexpr std::size_t kMaxLines = 20'000;
 
 constexpr EnumNames<ExecutionEvent, 6> kNames{{{
     {ExecutionEvent::kReceived, "received"},
@@ -20,25 +22,6 @@
     {ExecutionEvent::kRefused, "refused"},
 }}};
 
-std::string EncodeRecord(std::uint64_t seq,
-                         TimePoint at,
-                         std::string_view leaf,
-                         ExecutionEvent event,
-                         const Attempt& attempt) {
-  return boost::json::serialize(
-      boost::json::object{{"seq", seq},
-                          {"at_ns", at.time_since_epoch().count()},
-                          {"leaf", leaf},
-                          {"event", ToString(event)},
-                          {"request_id", attempt.request_id},
-                          {"attempt_id", attempt.attempt_id},
-                          {"service", attempt.service},
-                          {"shard", attempt.shard},
-                          {"version", attempt.version.number},
-                          {"layout", attempt.version.layout},
-                          {"idempotent", attempt.idempotent}});
-}
-
 }  // namespace
 
 std::string_view ToString(ExecutionEvent event) {
@@ -48,25 +31,52 @@
 void ExecutionLog::Add(std::string_view leaf,
                        ExecutionEvent event,
                        const Attempt& attempt) {
+  Record record{0, std::chrono::steady_clock::now(), std::string(leaf), event,
+                attempt};
+  record.attempt.query.clear();
   const std::lock_guard lock(m_mutex);
-  const TimePoint now = std::chrono::steady_clock::now();
-  m_lines.push_back(
-      EncodeRecord(m_first + m_lines.size(), now, leaf, event, attempt));
-  if (m_lines.size() > kMaxRecords) {
-    m_lines.pop_front();
-    ++m_first;
+  record.number = ++m_last;
+  m_records.push_back(std::move(record));
+  if (m_records.size() > kMaxRecords) {
+    m_records.pop_front();
   }
 }
 
+// Encoded outside of the lock, so that reading holds up no leaf.
 std::string ExecutionLog::LinesSince(std::uint64_t since) const {
-  const std::lock_guard lock(m_mutex);
-  const std::uint64_t from = std::max(since, m_first);
   std::string text;
-  for (std::size_t i = from - m_first; i < m_lines.size(); ++i) {
-    text += m_lines[i];
+  for (const Record& record : RecordsSince(since)) {
+    text += Encode(record);
     text += '\n';
   }
   return text;
 }
 
+std::vector<ExecutionLog::Record> ExecutionLog::RecordsSince(
+    std::uint64_t since) const {
+  const std::lock_guard lock(m_mutex);
+  const std::uint64_t first = m_last - m_records.size() + 1;
+  const std::size_t from = since > first ? since - first : 0;
+  const std::size_t begin = std::min(from, m_records.size());
+  const std::size_t end = std::min(begin + kMaxLines, m_records.size());
+  return {m_records.begin() + static_cast<std::ptrdiff_t>(begin),
+          m_records.begin() + static_cast<std::ptrdiff_t>(end)};
+}
+
+std::string ExecutionLog::Encode(const Record& record) {
+  const Attempt& attempt = record.attempt;
+  return boost::json::serialize(
+      boost::json::object{{"seq", record.number},
+                          {"at_ns", record.at.time_since_epoch().count()},
+                          {"leaf", record.leaf},
+                          {"event", ToString(record.event)},
+                          {"request_id", attempt.request_id},
+                          {"attempt_id", attempt.attempt_id},
+                          {"service", attempt.service},
+                          {"shard", attempt.shard},
+                          {"version", attempt.version.number},
+                          {"layout", attempt.version.layout},
+                          {"idempotent", attempt.idempotent}});
+}
+
 }  // namespace bramleyspoke::StandIn
--- a/src/stand_in/execution_log.h
+++ b/src/stand_in/execution_log.h
@@ -5,7 +5,9 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "base/time.h"
 #include "connection/backend_server.h"
 
 namespace bramleyspoke::StandIn {
@@ -26,13 +28,25 @@
 class ExecutionLog {
  public:
   void Add(std::string_view leaf, ExecutionEvent event, const Attempt& attempt);
-  /// JSON lines of the records from number `since` on that are still held.
+  /// JSON lines of records that are still held, from number `since` on; the
+  /// first few thousand if there are more.
   std::string LinesSince(std::uint64_t since) const;
 
  private:
+  struct Record {
+    std::uint64_t number = 0;
+    TimePoint at;
+    std::string leaf;
+    ExecutionEvent event = ExecutionEvent::kReceived;
+    Attempt attempt;
+  };
+
+  static std::string Encode(const Record& record);
+  std::vector<Record> RecordsSince(std::uint64_t since) const;
+
   mutable std::mutex m_mutex;
-  std::deque<std::string> m_lines;
-  std::uint64_t m_first = 1;
+  std::deque<Record> m_records;
+  std::uint64_t m_last = 0;
 };
 
 }  // namespace bramleyspoke::StandIn
--- a/src/version/holder_sets.cc
+++ b/src/version/holder_sets.cc
@@ -70,8 +70,8 @@
 
 void HolderSets::AddMember(const DaemonAddress& member) {
   RemoveMember(member.peer);
-  const Member& added =
-      m_members[member.peer] = Member{member, HashOf(ToString(member.peer))};
+  const Member& added = m_members[member.peer] =
+      Member{member, HashOf(ToString(member.peer))};
   for (auto& [name, service] : m_services) {
     if (MayJoin(service, added)) {
       Compute(service);
--- a/tests/backend_server_contract_test.cc
+++ b/tests/backend_server_contract_test.cc
@@ -24,7 +24,6 @@
 
 constexpr Duration kLongTime = seconds(10);
 constexpr Duration kShortTime = milliseconds(50);
-constexpr Duration kPastShortTime = milliseconds(150);
 
 LeafConfig MakeConfig() {
   LeafConfig config;
@@ -78,7 +77,16 @@
     return Send(MakeAttempt(id, time));
   }
 
-  /// Sends without waiting; `WaitFor` hands over the outcome.
+  /// Sends before the pool's loop can notice what the fault did.
+  AttemptOutcome SendRightAfter(const LeafFault& fault,
+                                const Attempt& attempt) {
+    return m_pool_loop.Await<AttemptOutcome>([&](auto done) {
+      Apply(fault);
+      m_pool->Send(m_address, attempt, done);
+    });
+  }
+
+  /// Sends without waiting for the outcome.
   std::future<AttemptOutcome> Start(const Attempt& attempt) {
     auto promise = std::make_shared<std::promise<AttemptOutcome>>();
     m_pool_loop.Run([&] {
@@ -233,6 +241,15 @@
   CHECK(outcome.verdict == Verdict::kNotRun);
 }
 
+TEST_CASE("an attempt is not lost on a connection that was closed unnoticed") {
+  LeafFixture fixture;
+  fixture.Send("first");
+  const AttemptOutcome outcome =
+      fixture.SendRightAfter(Fault(LeafFaultKind::kRestart),
+                             LeafFixture::MakeAttempt("id", kLongTime));
+  CHECK(ToString(outcome.result) == ToString(AttemptResult::kAnswered));
+}
+
 TEST_CASE("many attempts at once keep to the limit and get their own answers") {
   LeafFixture fixture;
   fixture.SetLimit(3);
