Process tests under faults: daemons, manifests, leafs

Cause: the promises need their proof on real processes. The stand-in's crash_on now takes a part of the query, so that each request is its own.

--- a/src/stand_in/leaf.cc
+++ b/src/stand_in/leaf.cc
@@ -210,7 +210,8 @@
     ++m_counts.started;
     m_counts.concurrent_max = std::max(m_counts.concurrent_max, m_running);
     m_log.Add(m_name, ExecutionEvent::kStarted, work->attempt);
-    if (!m_crash_query.empty() && work->attempt.query == m_crash_query) {
+    if (!m_crash_query.empty() &&
+        work->attempt.query.find(m_crash_query) != std::string::npos) {
       Crash(m_crash_time);
       return;
     }
--- /dev/null
+++ b/tests/process_manifest_test.cc
@@ -0,0 +1,98 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <thread>
+
+#include "child_process.h"
+#include "process_run.h"
+
+namespace bramleyspoke {
+
+TEST_CASE("with the store down, queries and new daemons go on") {
+  ProcessRun run;
+  run.StartLoad();
+  REQUIRE(run.WaitForFullAnswers(50));
+  run.GetFleet().StoreFault(R"({"mode":"down"})");
+  CHECK(run.Publish(run.BaseManifest()).end != PublishEnd::kAccepted);
+  run.GetFleet().Kill(2);
+  run.GetFleet().StartDaemon(2);
+  REQUIRE(run.GetFleet().WaitReady(2));
+  REQUIRE(run.WaitForFullAnswers(100));
+  run.GetFleet().StoreFault(R"({"mode":"none"})");
+  const PublishEvent publish = run.Publish(run.BaseManifest());
+  REQUIRE(publish.end == PublishEnd::kAccepted);
+  REQUIRE(run.WaitForGeneration(publish.generation));
+  CHECK(run.Check() == "");
+}
+
+TEST_CASE("a publish tells its true outcome") {
+  struct Row {
+    const char* name;
+    const char* fault;
+  };
+  const Row rows[] = {
+      {"answers lost once", R"({"mode":"lose_answers","count":1})"},
+      {"answers lost", R"({"mode":"lose_answers","count":12})"},
+      {"slow", R"({"mode":"slow","delay_ms":700})"},
+      {"slower than calls may be", R"({"mode":"slow","delay_ms":1500})"},
+      {"unavailable", R"({"mode":"unavailable","count":3})"},
+      {"garbage", R"({"mode":"garbage","count":3})"},
+  };
+  ProcessRun run;
+  run.StartLoad(10);
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    run.GetFleet().StoreFault(row.fault);
+    const PublishEvent publish = run.Publish(run.BaseManifest());
+    if (publish.end == PublishEnd::kAccepted) {
+      CHECK(run.WaitForGeneration(publish.generation));
+    }
+    run.GetFleet().StoreFault(R"({"mode":"none"})");
+  }
+  const PublishEvent last = run.Publish(run.BaseManifest());
+  REQUIRE(last.end == PublishEnd::kAccepted);
+  REQUIRE(run.WaitForGeneration(last.generation));
+  CHECK(run.Check() == "");
+}
+
+TEST_CASE("of operators that publish at the same moment one is accepted") {
+  constexpr int kRounds = 10;
+  constexpr std::size_t kOperators = 4;
+  ProcessRun run;
+  std::uint64_t generation = 1;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<PublishEvent> ends(kOperators);
+    std::vector<std::thread> operators;
+    for (PublishEvent& end : ends) {
+      operators.emplace_back([&] {
+        end = run.GetFleet().Publish(run.BaseManifest(), generation);
+      });
+    }
+    for (std::thread& thread : operators) {
+      thread.join();
+    }
+    const auto accepted =
+        std::count_if(ends.begin(), ends.end(), [](const PublishEvent& end) {
+          return end.end == PublishEnd::kAccepted;
+        });
+    CHECK(accepted == 1);
+    auto& publishes = run.GetHistory().publishes;
+    publishes.insert(publishes.end(), ends.begin(), ends.end());
+    ++generation;
+  }
+  REQUIRE(run.WaitForGeneration(generation));
+  CHECK(run.Check() == "");
+}
+
+TEST_CASE("a store slow for long delays no manifest beyond its bound") {
+  ProcessRun run;
+  run.GetFleet().StoreFault(R"({"mode":"slow","delay_ms":500})");
+  for (int i = 0; i < 3; ++i) {
+    const PublishEvent publish = run.Publish(run.BaseManifest());
+    REQUIRE(publish.end == PublishEnd::kAccepted);
+    REQUIRE(run.WaitForGeneration(publish.generation));
+  }
+  CHECK(run.Check() == "");
+}
+
+}  // namespace bramleyspoke
