Metrics: queue, connections to leafs, manifest age, store calls, forwards

Cause: the gauges existed but nothing set them, and the manifest's age was always 0.

The functions for a single service's JSON are gone: manifest parts are whole manifests of one service.

Tests: metrics, tool, manifest, control and engine tests pass.

--- a/src/process/control.h
+++ b/src/process/control.h
@@ -46,6 +46,8 @@
   virtual void OnDrain(const DrainNotice& drain) = 0;
   /// Control is alive, and up to date since a start or a pause.
   virtual void OnHeartbeat(TimePoint now) = 0;
+  /// How long ago the store confirmed the generation; told at each heartbeat.
+  virtual void OnManifestAge(Duration /*age*/) {}
 };
 
 /// Membership, manifest and holder sets: one actor owns all of it.
--- a/src/process/control_core.cc
+++ b/src/process/control_core.cc
@@ -96,6 +96,7 @@
       m_table->is_confirmed != m_follower.IsConfirmed(now)) {
     PublishTable();
   }
+  m_context.listener.OnManifestAge(m_follower.Status(now).confirmed_ago);
   if (!m_follower.IsRefreshing()) {
     m_context.listener.OnHeartbeat(now);
   }
--- a/src/process/daemon.cc
+++ b/src/process/daemon.cc
@@ -15,6 +15,7 @@
 #include "process/caller_api.h"
 #include "process/control.h"
 #include "process/control_runtime.h"
+#include "process/counting_store.h"
 #include "process/freshness_lease.h"
 #include "process/log.h"
 #include "process/metrics.h"
@@ -89,6 +90,7 @@
       : m_settings(settings),
         m_self(MakeSelf(settings)),
         m_seed(MakeSeed()),
+        m_metrics(bramleyspoke::Metrics::Create()),
         m_front(EventLoop::Create()),
         m_platform(EventLoop::Create()),
         m_gateway(*m_front),
@@ -113,6 +115,7 @@
                       CapnpPeers::Create(m_settings.peer_listen, m_gateway));
     m_store = EtcdStore::Create(*m_platform, m_settings.store.endpoints,
                                 m_settings.store.call_timeout);
+    m_counting_store = std::make_unique<CountingStore>(*m_store, *m_metrics);
     m_vm_list = HttpVmList::Create(*m_platform, m_settings.vm_list);
     m_runtime = ControlRuntime::Create();
     ControlOptions options;
@@ -120,8 +123,8 @@
     options.seeds = m_settings.seeds;
     options.seed = m_seed;
     BOOST_LEAF_ASSIGN(m_control,
-                      Control::Create(options, *m_runtime, *m_store, *m_vm_list,
-                                      m_peers->Network(), *this));
+                      Control::Create(options, *m_runtime, *m_counting_store,
+                                      *m_vm_list, m_peers->Network(), *this));
     MakeTraffic();
     BOOST_LEAF_ASSIGN(m_server,
                       HttpServer::Create(*m_front, m_settings.caller_listen,
@@ -177,6 +180,7 @@
     const RoutingTable& table = m_router->Table();
     ControlObservation control;
     control.generation = table.generation;
+    control.manifest_age = m_manifest_age;
     control.is_confirmed = table.is_confirmed;
     control.is_ready = IsReady();
     control.is_stopping = IsStopping();
@@ -222,6 +226,8 @@
 
   void OnHeartbeat(TimePoint now) override { m_lease.Renew(now); }
 
+  void OnManifestAge(Duration age) override { m_manifest_age = age; }
+
   void OnEvidence(const EvidenceNotice& evidence) override {
     m_traffic->TakeEvidence(evidence);
   }
@@ -243,8 +249,20 @@
     m_control->NoteDrain(std::move(drain));
   }
 
+  void OnServiceLoad(const ServiceObservation& load) override {
+    m_metrics->Observe(load);
+  }
+
+  void OnLeafConnections(std::uint64_t open) override {
+    m_metrics->SetConnections(ConnectionKind::kLeaf, open);
+  }
+
   // RequestObserver, on the front thread.
 
+  void OnForward(ForwardResult result) override {
+    m_metrics->CountForward(result);
+  }
+
   void OnRequestEnd(const CallerSearch& search,
                     const RequestEnd& end) override {
     SearchObservation observation;
@@ -284,7 +302,6 @@
     options.engine_options.region = m_self.region;
     m_traffic =
         TrafficThreads::Create(options, *m_front, m_clock, m_lease, *this);
-    m_metrics = bramleyspoke::Metrics::Create();
     m_router = std::make_unique<SearchRouter>(RouterContext{
         *m_front, m_clock, m_lease, m_peers->Network(), *m_traffic, *this,
         m_self, m_settings.limits.queries_in_flight, m_seed});
@@ -321,6 +338,8 @@
   const Settings m_settings;
   const DaemonAddress m_self;
   const std::uint64_t m_seed;
+  const std::unique_ptr<bramleyspoke::Metrics> m_metrics;
+  std::atomic<Duration> m_manifest_age = Duration::zero();
   SteadyClock m_clock;
   FreshnessLease m_lease;
   std::unique_ptr<EventLoop> m_front;
@@ -330,11 +349,11 @@
   std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<StopSignal> m_signal;
   std::unique_ptr<ConfigStore> m_store;
+  std::unique_ptr<CountingStore> m_counting_store;
   std::unique_ptr<VmList> m_vm_list;
   std::unique_ptr<ControlRuntime> m_runtime;
   std::unique_ptr<CapnpPeers> m_peers;
   std::unique_ptr<Control> m_control;
-  std::unique_ptr<bramleyspoke::Metrics> m_metrics;
   std::unique_ptr<TrafficThreads> m_traffic;
   std::unique_ptr<SearchRouter> m_router;
   std::unique_ptr<CallerApi> m_api;
--- a/src/process/metrics.cc
+++ b/src/process/metrics.cc
@@ -7,6 +7,8 @@
 #include <prometheus/text_serializer.h>
 
 #include "base/enum_names.h"
+#include "connection/config_store.h"
+#include "connection/peer.h"
 
 namespace bramleyspoke {
 namespace {
@@ -21,10 +23,22 @@
 using prometheus::Gauge;
 using prometheus::Histogram;
 
-constexpr EnumNames<ConnectionKind, 3> kKindNames{{{
+constexpr EnumNames<ConnectionKind, 2> kKindNames{{{
     {ConnectionKind::kCaller, "caller"},
     {ConnectionKind::kLeaf, "leaf"},
-    {ConnectionKind::kPeer, "peer"},
+}}};
+
+constexpr EnumNames<StoreOutcome, 4> kStoreNames{{{
+    {StoreOutcome::kOk, "ok"},
+    {StoreOutcome::kConflict, "conflict"},
+    {StoreOutcome::kUnknown, "unknown"},
+    {StoreOutcome::kUnavailable, "unavailable"},
+}}};
+
+constexpr EnumNames<ForwardResult, 3> kForwardNames{{{
+    {ForwardResult::kReplied, "replied"},
+    {ForwardResult::kNotSent, "not_sent"},
+    {ForwardResult::kLost, "lost"},
 }}};
 
 const Buckets& LatencySeconds() {
@@ -74,7 +88,8 @@
 
   void Observe(const ServiceObservation& service) override {
     const std::string label = ServiceLabel(service.service);
-    m_queued.Add({{"service", label}}).Set(static_cast<double>(service.queued));
+    m_waiting.Add({{"service", label}})
+        .Set(static_cast<double>(service.waiting_attempts));
     m_in_flight.Add({{"service", label}})
         .Set(static_cast<double>(service.in_flight));
   }
@@ -93,12 +108,14 @@
         .Set(static_cast<double>(open));
   }
 
-  void CountStoreCall(std::string_view outcome) override {
-    m_store_calls.Add({{"outcome", std::string(outcome)}}).Increment();
+  void CountStoreCall(StoreOutcome outcome) override {
+    const std::string name(kStoreNames.NameOf(outcome));
+    m_store_calls.Add({{"outcome", name}}).Increment();
   }
 
-  void CountForward(std::string_view outcome) override {
-    m_forwards.Add({{"outcome", std::string(outcome)}}).Increment();
+  void CountForward(ForwardResult result) override {
+    const std::string name(kForwardNames.NameOf(result));
+    m_forwards.Add({{"outcome", name}}).Increment();
   }
 
   std::string Text() const override {
@@ -147,8 +164,8 @@
   Family<Counter>& m_needed =
       CounterFamily("bramleyspoke_attempts_needed_total",
                     "Attempts that searches needed at the least");
-  Family<Gauge>& m_queued = GaugeFamily("bramleyspoke_queued_searches",
-                                        "Searches that wait to be admitted");
+  Family<Gauge>& m_waiting = GaugeFamily("bramleyspoke_waiting_attempts",
+                                         "Attempts that wait for a slot");
   Family<Gauge>& m_in_flight =
       GaugeFamily("bramleyspoke_in_flight_searches",
                   "Searches neither answered nor refused yet");
@@ -159,7 +176,7 @@
                     "Calls to the key-value service, by outcome");
   Family<Counter>& m_forwards =
       CounterFamily("bramleyspoke_forwards_total",
-                    "Searches forwarded to a holder, by outcome");
+                    "Searches handed to another daemon, by outcome");
   Gauge& m_generation = SingleGauge("bramleyspoke_manifest_generation",
                                     "Generation of the manifest in force");
   Gauge& m_manifest_age =
--- a/src/process/metrics.h
+++ b/src/process/metrics.h
@@ -12,6 +12,9 @@
 
 namespace bramleyspoke {
 
+enum class StoreOutcome;
+enum class ForwardResult;
+
 /// A search that ended, as metrics see it.
 struct SearchObservation {
   /// Empty for a service that the manifest does not have.
@@ -30,7 +33,6 @@
 enum class ConnectionKind {
   kCaller,
   kLeaf,
-  kPeer,
 };
 
 /// What control knows at the moment.
@@ -47,7 +49,9 @@
 /// What one service holds at the moment.
 struct ServiceObservation {
   std::string_view service;
-  std::uint64_t queued = 0;
+  /// Attempts that wait for a slot.
+  std::uint64_t waiting_attempts = 0;
+  /// Queries neither finished nor refused.
   std::uint64_t in_flight = 0;
 };
 
@@ -61,10 +65,10 @@
   virtual void Observe(const ServiceObservation& service) = 0;
   virtual void Observe(const ControlObservation& control) = 0;
   virtual void SetConnections(ConnectionKind kind, std::uint64_t open) = 0;
-  /// Counts a call to the key-value service by its outcome's name.
-  virtual void CountStoreCall(std::string_view outcome) = 0;
-  /// Counts a request forwarded to a holder by its outcome's name.
-  virtual void CountForward(std::string_view outcome) = 0;
+  /// Counts a call to the key-value service.
+  virtual void CountStoreCall(StoreOutcome outcome) = 0;
+  /// Counts a request handed to another daemon.
+  virtual void CountForward(ForwardResult result) = 0;
   /// All metrics in the Prometheus text format.
   virtual std::string Text() const = 0;
 };
--- a/src/process/search_router.cc
+++ b/src/process/search_router.cc
@@ -307,6 +307,7 @@
       id->issuer, ToJson(ForwardBody{ForwardMode::kDecide, ToJson(search)}),
       left, [this, pending](ForwardOutcome outcome) {
         m_context.front.Post([this, pending, outcome = std::move(outcome)] {
+          m_context.observer.OnForward(outcome.result);
           if (outcome.result == ForwardResult::kReplied) {
             End(pending, ReadReply(outcome.reply.status, outcome.reply.body));
             return;
@@ -393,6 +394,7 @@
 
 void SearchRouter::OnHolderReply(const PendingPtr& pending,
                                  ForwardOutcome outcome) {
+  m_context.observer.OnForward(outcome.result);
   if (outcome.result == ForwardResult::kReplied) {
     CallerReply reply =
         ReadReply(outcome.reply.status, std::move(outcome.reply.body));
--- a/src/process/search_router.h
+++ b/src/process/search_router.h
@@ -37,6 +37,8 @@
   virtual ~RequestObserver() = default;
   virtual void OnRequestEnd(const CallerSearch& search,
                             const RequestEnd& end) = 0;
+  /// A request was handed to another daemon.
+  virtual void OnForward(ForwardResult result) = 0;
 };
 
 /// What a router needs of its process; all outlive it.
--- a/src/process/traffic_threads.cc
+++ b/src/process/traffic_threads.cc
@@ -33,11 +33,13 @@
                 std::size_t index,
                 const Clock& clock,
                 const FreshnessLease& lease,
-                NoticeListener& listener)
+                NoticeListener& listener,
+                std::atomic<std::uint64_t>& leaf_connections)
       : m_prefix(options.attempt_prefix + "." + std::to_string(index)),
         m_seed(options.seed + index),
         m_clock(clock),
         m_listener(listener),
+        m_leaf_connections(leaf_connections),
         m_loop(EventLoop::Create()),
         m_pool(LeafPool::Create(*m_loop, LeafPoolOptions{})),
         m_context(RunnerContext{*m_loop, *m_pool, clock, lease,
@@ -151,6 +153,7 @@
         ++name;
         continue;
       }
+      m_listener.OnServiceLoad(ServiceObservation{*name, 0, 0});
       m_runners.erase(*name);
       name = m_retired.erase(name);
     }
@@ -159,6 +162,7 @@
   void ArmNotices() {
     m_notice_timer = m_loop->At(m_clock.Now() + kNoticeInterval, [this] {
       HandOnNotices();
+      ReportLoad();
       DropRetired();
       ArmNotices();
     });
@@ -176,10 +180,26 @@
     }
   }
 
+  void ReportLoad() {
+    for (const auto& [name, runner] : m_runners) {
+      const QueryEngine& engine = runner->Engine();
+      m_listener.OnServiceLoad(
+          ServiceObservation{name, engine.Waiting(), engine.InFlight()});
+    }
+    const std::uint64_t open = m_pool->Counters().open;
+    // Unsigned wrap-around makes a decrease come out right as well.
+    const std::uint64_t change = open - m_reported_connections;
+    m_reported_connections = open;
+    m_listener.OnLeafConnections(m_leaf_connections += change);
+  }
+
   std::string m_prefix;
   std::uint64_t m_seed;
   const Clock& m_clock;
   NoticeListener& m_listener;
+  /// Total over all threads; this one's part was last reported.
+  std::atomic<std::uint64_t>& m_leaf_connections;
+  std::uint64_t m_reported_connections = 0;
   std::unique_ptr<EventLoop> m_loop;
   std::unique_ptr<LeafPool> m_pool;
   RunnerContext m_context;
@@ -198,8 +218,8 @@
           NoticeListener& listener)
       : m_front(front) {
     for (std::size_t index = 0; index < options.threads; ++index) {
-      m_threads.push_back(std::make_unique<TrafficThread>(options, index, clock,
-                                                          lease, listener));
+      m_threads.push_back(std::make_unique<TrafficThread>(
+          options, index, clock, lease, listener, m_leaf_connections));
     }
   }
 
@@ -285,6 +305,7 @@
   }
 
   EventLoop& m_front;
+  std::atomic<std::uint64_t> m_leaf_connections = 0;
   std::vector<std::unique_ptr<TrafficThread>> m_threads;
 };
 
--- a/src/process/traffic_threads.h
+++ b/src/process/traffic_threads.h
@@ -8,6 +8,7 @@
 
 #include "base/time.h"
 #include "connection/peer.h"
+#include "process/metrics.h"
 #include "request/engine_options.h"
 #include "request/search_executor.h"
 #include "version/routing_table.h"
@@ -23,6 +24,10 @@
   virtual ~NoticeListener() = default;
   virtual void OnLocalEvidence(EvidenceNotice evidence) = 0;
   virtual void OnLocalDrain(DrainNotice drain) = 0;
+  /// What a service holds at the moment; told several times a second.
+  virtual void OnServiceLoad(const ServiceObservation& load) = 0;
+  /// Open connections to leafs, of all traffic threads.
+  virtual void OnLeafConnections(std::uint64_t open) = 0;
 };
 
 struct TrafficOptions {
--- a/src/request/fan_out_engine.h
+++ b/src/request/fan_out_engine.h
@@ -53,6 +53,7 @@
   std::vector<DrainNotice> TakeDrains() override;
   const EngineCounters& Counters() const override { return m_counters; }
   std::size_t InFlight() const override { return m_queries.size(); }
+  std::size_t Waiting() const override { return m_waiting; }
   std::string DumpJson(TimePoint now) const override;
 
  private:
--- a/src/request/query_engine.h
+++ b/src/request/query_engine.h
@@ -92,6 +92,8 @@
   virtual const EngineCounters& Counters() const = 0;
   /// Queries neither finished nor refused yet.
   virtual std::size_t InFlight() const = 0;
+  /// Attempts that wait for a slot.
+  virtual std::size_t Waiting() const = 0;
   /// The whole state as a JSON object.
   virtual std::string DumpJson(TimePoint now) const = 0;
 };
--- a/src/version/manifest.cc
+++ b/src/version/manifest.cc
@@ -185,14 +185,4 @@
   return manifest;
 }
 
-Result<ServiceSpec> ParseService(std::string_view json) {
-  ServiceSpec spec;
-  auto read =
-      ReadJson(json, [&](JsonReader& object) { spec = ReadService(object); });
-  if (!read) {
-    return read.error();
-  }
-  return spec;
-}
-
 }  // namespace bramleyspoke
--- a/src/version/manifest.h
+++ b/src/version/manifest.h
@@ -93,8 +93,4 @@
 /// JSON that `ParseManifest` takes back; equal manifests, equal text.
 std::string ToJson(const Manifest& manifest);
 
-/// Same for one service on its own; names are not compared with others.
-Result<ServiceSpec> ParseService(std::string_view json);
-std::string ToJson(const ServiceSpec& service);
-
 }  // namespace bramleyspoke
--- a/src/version/manifest_json.cc
+++ b/src/version/manifest_json.cc
@@ -63,10 +63,6 @@
 
 }  // namespace
 
-std::string ToJson(const ServiceSpec& service) {
-  return json::serialize(ServiceValue(service));
-}
-
 std::string ToJson(const Manifest& manifest) {
   json::array services;
   for (const ServiceSpec& spec : manifest.services) {
--- a/tests/manifest_test.cc
+++ b/tests/manifest_test.cc
@@ -57,8 +57,6 @@
   CHECK(manifest.Find("search")->max_hits == ServiceSpec{}.max_hits);
   CHECK(manifest.Find("none") == nullptr);
   CHECK(ParseManifest(ToJson(manifest)).value() == manifest);
-  const ServiceSpec& service = manifest.services[0];
-  CHECK(ParseService(ToJson(service)).value() == service);
 }
 
 TEST_CASE("a faulty manifest is refused with the place of the fault") {
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include "connection/config_store.h"
+#include "connection/peer.h"
+
 namespace bramleyspoke {
 namespace {
 
@@ -23,8 +26,8 @@
   metrics->Observe(ControlObservation{7, std::chrono::milliseconds(1500), true,
                                       true, false, 9});
   metrics->SetConnections(ConnectionKind::kLeaf, 40);
-  metrics->CountStoreCall("ok");
-  metrics->CountForward("lost");
+  metrics->CountStoreCall(StoreOutcome::kOk);
+  metrics->CountForward(ForwardResult::kLost);
   const std::string text = metrics->Text();
   CAPTURE(text);
 
@@ -37,7 +40,7 @@
        R"(bramleyspoke_search_coverage_sum{service="lookup"} 0.96)",
        R"(bramleyspoke_search_attempts_per_needed_bucket{service="lookup",le="1.1"} 1)",
        R"(bramleyspoke_attempts_total{service="lookup"} 22)",
-       R"(bramleyspoke_queued_searches{service="lookup"} 3)",
+       R"(bramleyspoke_waiting_attempts{service="lookup"} 3)",
        R"(bramleyspoke_in_flight_searches{service="lookup"} 4)",
        R"(bramleyspoke_connections{kind="leaf"} 40)",
        "bramleyspoke_manifest_generation 7",
