--- /dev/null
+++ b/tests/search_router_test.cc
@@ -0,0 +1,310 @@
+#include "process/search_router.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "manual_loop.h"
+#include "process/freshness_lease.h"
+
+namespace bramleyspoke {
+namespace {
+
+const std::string kLookup = "lookup";
+const std::string kBooking = "booking";
+
+DaemonAddress Daemon(int number, std::uint64_t incarnation = 1) {
+  const std::string host = "127.0.1." + std::to_string(number);
+  DaemonAddress daemon;
+  daemon.caller = Endpoint{host, 8080};
+  daemon.peer = Endpoint{host, 9000};
+  daemon.incarnation = incarnation;
+  return daemon;
+}
+
+std::string IdOf(const DaemonAddress& issuer, const std::string& suffix) {
+  return ToString(issuer.peer) + "~" + std::to_string(issuer.incarnation) +
+         "~0~" + suffix;
+}
+
+// Records forwards and answers them as the test says.
+class FakePeers final : public PeerNetwork {
+ public:
+  struct Call {
+    Endpoint peer;
+    Duration timeout;
+    std::function<void(ForwardOutcome)> done;
+  };
+
+  void Gossip(const Endpoint&,
+              const GossipMessage&,
+              Duration,
+              std::function<void(std::optional<GossipMessage>)>) override {}
+  void PingVia(const Endpoint&,
+               const Endpoint&,
+               Duration,
+               std::function<void(bool)>) override {}
+  void Forward(const Endpoint& peer,
+               const std::string&,
+               Duration timeout,
+               std::function<void(ForwardOutcome)> done) override {
+    calls.push_back(Call{peer, timeout, std::move(done)});
+  }
+  void FetchParts(
+      const Endpoint&,
+      const std::vector<std::string>&,
+      Duration,
+      std::function<void(std::optional<std::vector<std::string>>)>) override {}
+
+  std::vector<Call> calls;
+};
+
+class FakeExecutor final : public SearchExecutor {
+ public:
+  void Execute(QueryNumber, SearchRequest, Done done) override {
+    runs.push_back(std::move(done));
+  }
+  void CallerGone(const std::string&, QueryNumber) override { ++gone; }
+
+  std::vector<Done> runs;
+  int gone = 0;
+};
+
+class NullObserver final : public RequestObserver {
+ public:
+  void OnRequestEnd(const CallerSearch&, const RequestEnd&) override {}
+};
+
+SearchOutcome Ran() {
+  SearchOutcome outcome;
+  outcome.answer = SearchAnswer{};
+  outcome.verdict = Verdict::kRan;
+  return outcome;
+}
+
+SearchOutcome Refused(Verdict verdict) {
+  SearchOutcome outcome;
+  outcome.refusal =
+      Refusal{RefusalReason::kOverloaded, verdict, "", std::nullopt};
+  outcome.verdict = verdict;
+  return outcome;
+}
+
+class RouterFixture {
+ public:
+  RouterFixture() {
+    lease.Renew(clock.Now());
+    table.generation = 1;
+    table.is_confirmed = true;
+    table.members = {Daemon(1), Daemon(2), Daemon(3)};
+    AddService(kLookup, true, {Daemon(1)});
+    AddService(kBooking, false, {Daemon(1)});
+    SetTable();
+  }
+
+  void AddService(const std::string& name,
+                  bool idempotent,
+                  std::vector<DaemonAddress> holders) {
+    auto route = std::make_shared<ServiceRoute>();
+    route->spec.name = name;
+    route->spec.idempotent = idempotent;
+    route->is_held_here = holders.front() == Daemon(1);
+    route->holders = std::move(holders);
+    table.services[name] = route;
+  }
+
+  void SetTable() { router.SetTable(std::make_shared<RoutingTable>(table)); }
+
+  QueryNumber Search(const std::string& service,
+                     const std::string& id = "",
+                     const std::string& query = "") {
+    CallerSearch search;
+    search.service = service;
+    search.request_id = id;
+    search.query = query;
+    return router.Search(std::move(search), [this](CallerReply reply) {
+      replies.push_back(std::move(reply));
+    });
+  }
+
+  void EndRun(std::size_t index, SearchOutcome outcome) {
+    executor.runs.at(index)(std::move(outcome));
+    loop.RunAll();
+  }
+
+  void EndForward(std::size_t index,
+                  ForwardResult result,
+                  int status = 0,
+                  std::string body = "") {
+    peers.calls.at(index).done(
+        ForwardOutcome{result, ForwardReply{status, std::move(body)}});
+    loop.RunAll();
+  }
+
+  ManualLoop loop;
+  ManualClock clock;
+  FreshnessLease lease;
+  FakePeers peers;
+  FakeExecutor executor;
+  NullObserver observer;
+  RoutingTable table;
+  SearchRouter router{RouterContext{loop, clock, lease, peers, executor,
+                                    observer, Daemon(1), 10, 0}};
+  std::vector<CallerReply> replies;
+};
+
+}  // namespace
+
+TEST_CASE("an id runs once on its issuer, however often it is sent") {
+  RouterFixture fixture;
+  const std::string id = IdOf(Daemon(1), "a");
+  fixture.Search(kBooking, id);
+  fixture.Search(kBooking, id);
+  REQUIRE(fixture.executor.runs.size() == 1);
+  fixture.EndRun(0, Ran());
+  fixture.Search(kBooking, id);
+  REQUIRE(fixture.replies.size() == 3);
+  for (const CallerReply& reply : fixture.replies) {
+    CHECK(reply.verdict == Verdict::kRan);
+  }
+  CHECK(fixture.executor.runs.size() == 1);
+}
+
+TEST_CASE("an id may be sent again only if it did not run") {
+  struct Row {
+    Verdict verdict;
+    std::size_t runs;
+  };
+  for (const Row& row : {Row{Verdict::kNotRun, 2}, Row{Verdict::kMayHaveRun, 1},
+                         Row{Verdict::kRan, 1}}) {
+    CAPTURE(std::string(ToString(row.verdict)));
+    RouterFixture fixture;
+    const std::string id = IdOf(Daemon(1), "a");
+    fixture.Search(kBooking, id);
+    fixture.EndRun(0, Refused(row.verdict));
+    fixture.Search(kBooking, id);
+    CHECK(fixture.executor.runs.size() == row.runs);
+  }
+}
+
+TEST_CASE("an id of another daemon is decided on by that process alone") {
+  struct Row {
+    std::string name;
+    DaemonAddress issuer;
+    bool is_forwarded;
+  };
+  const std::vector<Row> rows = {
+      {"a member", Daemon(2), true},
+      {"a member in its planned stop", Daemon(4), true},
+      {"an earlier process at a member's address", Daemon(3, 0), false},
+      {"no member", Daemon(9), false},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    RouterFixture fixture;
+    fixture.table.stopping = {Daemon(4)};
+    fixture.SetTable();
+    fixture.Search(kBooking, IdOf(row.issuer, "a"));
+    CHECK(fixture.executor.runs.empty());
+    REQUIRE(fixture.peers.calls.size() == (row.is_forwarded ? 1 : 0));
+    if (row.is_forwarded) {
+      CHECK(fixture.peers.calls[0].peer == row.issuer.peer);
+      fixture.EndForward(0, ForwardResult::kLost);
+    }
+    REQUIRE(fixture.replies.size() == 1);
+    CHECK(fixture.replies[0].verdict == Verdict::kMayHaveRun);
+    CHECK(fixture.replies[0].reason == RefusalReason::kHolderGone);
+  }
+}
+
+TEST_CASE("a request for a service held elsewhere goes to one holder") {
+  struct Row {
+    std::string name;
+    bool idempotent;
+    ForwardResult result;
+    std::size_t asked;
+    Verdict verdict;
+  };
+  const std::vector<Row> rows = {
+      {"not sent", true, ForwardResult::kNotSent, 2, Verdict::kNotRun},
+      {"lost", true, ForwardResult::kLost, 2, Verdict::kMayHaveRun},
+      {"not sent, at most once", false, ForwardResult::kNotSent, 2,
+       Verdict::kNotRun},
+      {"lost, at most once", false, ForwardResult::kLost, 1,
+       Verdict::kMayHaveRun},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    RouterFixture fixture;
+    fixture.AddService("far", row.idempotent, {Daemon(2), Daemon(3)});
+    fixture.SetTable();
+    fixture.Search("far", IdOf(Daemon(1), "a"));
+    for (std::size_t call = 0; call < fixture.peers.calls.size(); ++call) {
+      fixture.EndForward(call, row.result);
+    }
+    CHECK(fixture.peers.calls.size() == row.asked);
+    REQUIRE(fixture.replies.size() == 1);
+    CHECK(fixture.replies[0].verdict == row.verdict);
+  }
+}
+
+TEST_CASE("an idempotent request leaves time to ask a second holder") {
+  RouterFixture fixture;
+  fixture.AddService("far", true, {Daemon(2), Daemon(3)});
+  fixture.SetTable();
+  fixture.Search("far");
+  REQUIRE(fixture.peers.calls.size() == 1);
+  const Duration whole = ServiceSpec{}.default_deadline;
+  CHECK(fixture.peers.calls[0].timeout == whole / 2);
+}
+
+TEST_CASE("a process that was paused refuses until control has caught up") {
+  RouterFixture fixture;
+  fixture.clock.Advance(FreshnessLease::kLength);
+  fixture.Search(kLookup);
+  REQUIRE(fixture.replies.size() == 1);
+  CHECK(fixture.replies[0].reason == RefusalReason::kNotReady);
+  CHECK(fixture.replies[0].verdict == Verdict::kNotRun);
+  fixture.lease.Renew(fixture.clock.Now());
+  fixture.Search(kLookup);
+  CHECK(fixture.executor.runs.size() == 1);
+}
+
+TEST_CASE("a daemon vanishes from its own address answer") {
+  RouterFixture fixture;
+  fixture.AddService(kLookup, true, {Daemon(1), Daemon(2)});
+  SUBCASE("when it leaves") {
+    fixture.SetTable();
+    fixture.router.BeginLeaving();
+  }
+  SUBCASE("when its generation is not confirmed") {
+    fixture.table.is_confirmed = false;
+    fixture.SetTable();
+  }
+  const EntryAnswer answer = fixture.router.Entries(kLookup);
+  REQUIRE(answer.entries.size() == 1);
+  CHECK(answer.entries[0] == Daemon(2));
+}
+
+TEST_CASE("a caller that goes away ends idempotent queries only") {
+  RouterFixture fixture;
+  fixture.router.CallerGone(fixture.Search(kLookup));
+  CHECK(fixture.executor.gone == 1);
+  fixture.router.CallerGone(fixture.Search(kBooking, IdOf(Daemon(1), "a")));
+  CHECK(fixture.executor.gone == 1);
+}
+
+TEST_CASE("lower classes leave room for urgent requests") {
+  AdmissionLimits limits(10);
+  while (!limits.Admit(ServiceClass::kBatch, "batch")) {
+  }
+  CHECK(limits.InFlight() == 5);
+  CHECK_FALSE(limits.Admit(ServiceClass::kInteractive, "desk"));
+  while (!limits.Admit(ServiceClass::kInteractive, "desk")) {
+  }
+  CHECK_FALSE(limits.Admit(ServiceClass::kUrgent, "quay"));
+}
+
+}  // namespace bramleyspoke
