Query engine: shedding leafs paused, truthful reasons, no retries in overload

Causes found in review. A leaf that sheds refuses faster than others answer, so the choice by in-flight and latency drew all work to it: now left alone for 10 ms, doubling up to 320 ms. "overloaded" was never told when all leafs shed, since reasons were ranked by their place in the enum. Attempt ids get a separator after the prefix: prefixes "x1" and "x12" could give the same id. Crash evidence forgets a leaf's place when another takes it.

Seen red: with the pause off, f.sends.back().leaf != shedding; ranked as before, reason == overloaded.

--- a/src/request/crash_guard.h
+++ b/src/request/crash_guard.h
@@ -82,6 +82,9 @@
                    const std::string& incarnation,
                    TimePoint sent);
 
+  /// `leaf` will stand for another one.
+  void ForgetLeaf(LeafIndex leaf) { m_lost_on.erase(leaf); }
+
   void OnPeerEvidence(const CrashEvidence& evidence, TimePoint now);
   std::vector<CrashEvidence> TakeEvidence();
 
--- a/src/request/ejection.cc
+++ b/src/request/ejection.cc
@@ -9,6 +9,7 @@
 
 constexpr std::uint32_t kFailuresToEject = 3;
 constexpr Duration kFirstEjection = std::chrono::seconds(1);
+constexpr Duration kFirstShedPause = std::chrono::milliseconds(10);
 constexpr std::uint32_t kMostDoublings = 5;
 
 // Half of a shard's replicas, and one at least, stay in.
@@ -47,7 +48,15 @@
   return true;
 }
 
+void EjectionPolicy::OnShed(LeafState& leaf, TimePoint now) {
+  const std::uint32_t doublings = std::min(leaf.sheds_in_row, kMostDoublings);
+  leaf.ejected_until =
+      std::max(leaf.ejected_until, now + kFirstShedPause * (1U << doublings));
+  ++leaf.sheds_in_row;
+}
+
 void EjectionPolicy::OnSuccess(LeafState& leaf) {
+  leaf.sheds_in_row = 0;
   leaf.failures_in_row = 0;
   leaf.ejections_in_row = 0;
   leaf.ejected_until = TimePoint{};
--- a/src/request/ejection.h
+++ b/src/request/ejection.h
@@ -12,6 +12,9 @@
   static bool OnFailure(LeafState& leaf,
                         const ReplicaBook& book,
                         TimePoint now);
+  /// Leaves a leaf that sheds alone for a moment; it would draw all work by
+  /// refusing faster than others answer.
+  static void OnShed(LeafState& leaf, TimePoint now);
   static void OnSuccess(LeafState& leaf);
   static bool IsEjected(const LeafState& leaf, TimePoint now) {
     return now < leaf.ejected_until;
--- a/src/request/fan_out_end.cc
+++ b/src/request/fan_out_end.cc
@@ -116,20 +116,22 @@
     return {RefusalReason::kNoSnapshot, "no index version is known yet",
             kRetryAfterNoReplica};
   }
-  const bool is_queued =
-      std::all_of(query.tasks.begin(), query.tasks.end(),
-                  [](const ShardTask& task) { return task.attempts == 0; });
-  if (query.is_expired && !is_queued) {
+  const bool is_open = query.in_flight > 0;
+  if (query.is_expired && (is_open || query.worst == RefusalReason::kLost)) {
     return {RefusalReason::kDeadlinePassed, "no shard answered in time",
             std::nullopt};
   }
-  if (query.is_expired || query.worst == RefusalReason::kOverloaded) {
-    return {RefusalReason::kOverloaded, "no slot came free in time",
-            std::max(kLeastRetryAfter, m_latencies.Mean())};
-  }
   if (query.worst == RefusalReason::kLost) {
     return {RefusalReason::kLost, "no shard's answer came", std::nullopt};
   }
+  const bool is_queued =
+      std::all_of(query.tasks.begin(), query.tasks.end(),
+                  [](const ShardTask& task) { return task.attempts == 0; });
+  if (query.worst == RefusalReason::kOverloaded ||
+      (query.is_expired && is_queued)) {
+    return {RefusalReason::kOverloaded, "no slot came free in time",
+            std::max(kLeastRetryAfter, m_latencies.Mean())};
+  }
   return {RefusalReason::kNoReplica, "no replica of any shard takes requests",
           kRetryAfterNoReplica};
 }
--- a/src/request/fan_out_engine.cc
+++ b/src/request/fan_out_engine.cc
@@ -12,6 +12,8 @@
 // The answer's way back to the caller takes a part of the time left.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(5);
 constexpr int kAnswerMarginShare = 10;
+// Keeps "x1" with 23 and "x12" with 3 apart.
+constexpr char kBeforeNumber = '#';
 
 TimePoint EndBy(TimePoint deadline, TimePoint now) {
   const Duration left = deadline - now;
@@ -48,7 +50,7 @@
                            std::string attempt_prefix,
                            std::uint64_t seed,
                            EngineOptions options)
-    : m_prefix(std::move(attempt_prefix)),
+    : m_prefix(std::move(attempt_prefix) + kBeforeNumber),
       m_options(std::move(options)),
       m_chooser(m_book, seed),
       m_hedges(m_options.hedge_mode, m_options.fixed_hedge_delay) {
@@ -289,7 +291,9 @@
     }
     return is_unused;
   });
-  m_book.Sweep();
+  for (const LeafIndex leaf : m_book.Sweep()) {
+    m_guard.ForgetLeaf(leaf);
+  }
 }
 
 void FanOutEngine::OnLeafChanged(LeafIndex leaf) {
--- a/src/request/fan_out_outcomes.cc
+++ b/src/request/fan_out_outcomes.cc
@@ -15,15 +15,29 @@
 constexpr int kTimeoutsOverMean = 4;
 constexpr std::uint32_t kRefusedConnectionsToBeUnreachable = 2;
 
+bool IsShedding(LeafReason reason) {
+  return reason == LeafReason::kShed || reason == LeafReason::kNoSlot ||
+         reason == LeafReason::kOther;
+}
+
+// What to tell of two things that went wrong.
+RefusalReason WorseOf(RefusalReason a, RefusalReason b) {
+  for (const RefusalReason worst :
+       {RefusalReason::kLost, RefusalReason::kOverloaded}) {
+    if (a == worst || b == worst) {
+      return worst;
+    }
+  }
+  return a;
+}
+
 RefusalReason ReasonOf(const AttemptOutcome& outcome) {
   switch (outcome.result) {
     case AttemptResult::kNotSent:
       return RefusalReason::kNoReplica;
-    case AttemptResult::kRefused: {
-      const bool is_busy = outcome.reason == LeafReason::kShed ||
-                           outcome.reason == LeafReason::kNoSlot;
-      return is_busy ? RefusalReason::kOverloaded : RefusalReason::kNoReplica;
-    }
+    case AttemptResult::kRefused:
+      return IsShedding(outcome.reason) ? RefusalReason::kOverloaded
+                                        : RefusalReason::kNoReplica;
     default:
       return RefusalReason::kLost;
   }
@@ -71,6 +85,10 @@
       EjectionPolicy::OnSuccess(leaf);
       break;
     case AttemptResult::kRefused:
+      if (IsShedding(outcome.reason)) {
+        EjectionPolicy::OnShed(leaf, m_now);
+      }
+      [[fallthrough]];
     case AttemptResult::kCancelled:
       // The answer would have come later than this.
       if (record.is_cancelled && age > leaf.latency) {
@@ -171,7 +189,7 @@
     return;
   }
   task.is_version_missing |= outcome.reason == LeafReason::kVersionMissing;
-  query.worst = std::max(query.worst, ReasonOf(outcome));
+  query.worst = WorseOf(query.worst, ReasonOf(outcome));
   if (record.is_hedge && verdict == Verdict::kNotRun) {
     m_budget.Return();
   }
@@ -204,8 +222,9 @@
   if (verdict != Verdict::kNotRun) {
     const CrashStanding standing = m_guard.Standing(
         query.fingerprint, query.snapshot->version.number, m_now);
-    const bool may_repeat =
-        query.IsIdempotent() && standing != CrashStanding::kSuspect;
+    const bool may_repeat = query.IsIdempotent() &&
+                            standing != CrashStanding::kSuspect &&
+                            !m_admission.WasOverloaded(m_now);
     if (!may_repeat || !m_budget.TakeForRetry()) {
       GiveUp(query, task);
       return;
--- a/src/request/fan_out_tasks.cc
+++ b/src/request/fan_out_tasks.cc
@@ -251,8 +251,9 @@
   const Duration backoff =
       std::min(kMostBackoff,
                kFirstBackoff * (1U << std::min(task.rounds, kMostDoublings)));
-  const bool is_in_time = m_now + backoff < query.end_by;
-  if (!is_in_time || !CanBackOff(query, shard) || !m_budget.TakeForRetry()) {
+  const bool is_allowed =
+      m_now + backoff < query.end_by && !m_admission.WasOverloaded(m_now);
+  if (!is_allowed || !CanBackOff(query, shard) || !m_budget.TakeForRetry()) {
     GiveUp(query, task);
     return;
   }
--- a/src/request/replica_book.cc
+++ b/src/request/replica_book.cc
@@ -79,15 +79,18 @@
   }
 }
 
-void ReplicaBook::Sweep() {
+std::vector<LeafIndex> ReplicaBook::Sweep() {
+  std::vector<LeafIndex> forgotten;
   for (LeafIndex index = 0; index < m_leafs.size(); ++index) {
     LeafState& leaf = m_leafs[index];
     if (leaf.is_used && leaf.serves.empty() && leaf.in_flight == 0) {
       m_by_endpoint.erase(leaf.endpoint);
       leaf = LeafState{};
       m_free.push_back(index);
+      forgotten.push_back(index);
     }
   }
+  return forgotten;
 }
 
 bool ReplicaBook::OnStatus(LeafIndex index,
--- a/src/request/replica_book.h
+++ b/src/request/replica_book.h
@@ -47,6 +47,7 @@
   std::optional<double> reported_load;
   std::uint32_t failures_in_row = 0;
   std::uint32_t ejections_in_row = 0;
+  std::uint32_t sheds_in_row = 0;
   TimePoint ejected_until;
   /// Shards of live plans that it has a copy of.
   std::vector<ShardPlan*> serves;
@@ -66,8 +67,8 @@
   const LeafState& At(LeafIndex index) const { return m_leafs[index]; }
 
   void SetLeaving(const std::set<Endpoint>& leaving);
-  /// Forgets leafs that no plan names and that owe no outcome.
-  void Sweep();
+  /// Forgets leafs that no plan names and that owe no outcome; says which.
+  std::vector<LeafIndex> Sweep();
 
   /// Each returns whether the choice of snapshot may change by it.
   bool OnStatus(LeafIndex index,
--- a/tests/query_engine_test.cc
+++ b/tests/query_engine_test.cc
@@ -256,4 +256,54 @@
   CHECK(f.cancels.size() == (ends ? 1 : 0));
 }
 
+TEST_CASE("a leaf that sheds is left alone for a moment") {
+  EngineOptions options;
+  options.has_canaries = false;
+  EngineFixture f(MakeRoute(1, 2), options);
+  f.StatusOfAll();
+  f.Submit(0);
+  const Endpoint shedding = f.sends.at(0).leaf;
+  f.Reply(SendAction(f.sends[0]), RefusedBy(LeafReason::kShed));
+  for (QueryNumber number = 1; number < 4; ++number) {
+    f.Submit(number);
+    CHECK(f.sends.back().leaf != shedding);
+  }
+  f.now += milliseconds(10);
+  f.Submit(4);
+  CHECK(f.sends.back().leaf == shedding);
+}
+
+TEST_CASE("a request that got nothing says why") {
+  struct Row {
+    AttemptOutcome outcome;
+    RefusalReason reason;
+    Verdict verdict;
+  };
+  const std::vector<Row> rows = {{RefusedBy(LeafReason::kShed),
+                                  RefusalReason::kOverloaded, Verdict::kNotRun},
+                                 {RefusedBy(LeafReason::kDraining),
+                                  RefusalReason::kNoReplica, Verdict::kNotRun},
+                                 {Failed(AttemptResult::kNotSent),
+                                  RefusalReason::kNoReplica, Verdict::kNotRun},
+                                 {Failed(AttemptResult::kLost),
+                                  RefusalReason::kLost, Verdict::kMayHaveRun},
+                                 {Failed(AttemptResult::kWrongAnswer),
+                                  RefusalReason::kLost, Verdict::kMayHaveRun}};
+  for (const Row& row : rows) {
+    ServiceRoute route = MakeRoute(1, 2);
+    route.spec.extra_load_percent = 0;
+    EngineFixture f(route);
+    f.StatusOfAll();
+    f.Submit(1);
+    for (; f.answered < f.sends.size(); ++f.answered) {
+      f.Reply(SendAction(f.sends[f.answered]), row.outcome);
+    }
+    CAPTURE(std::string(ToString(row.reason)));
+    REQUIRE(f.finishes.size() == 1);
+    REQUIRE(f.finishes[0].outcome.refusal);
+    CHECK(f.finishes[0].outcome.refusal->reason == row.reason);
+    CHECK(f.finishes[0].outcome.verdict == row.verdict);
+  }
+}
+
 }  // namespace bramleyspoke
