--- a/bench/cases.cc
+++ b/bench/cases.cc
@@ -1,11 +1,22 @@
 #include "cases.h"
 
+#include <iostream>
+
 #include "capacity_case.h"
+#include "engine_cost.h"
 #include "fault_cases.h"
 #include "policy_cases.h"
 #include "soak.h"
 
 namespace bramleyspoke::Harness {
+namespace {
+
+Result<std::size_t> RunEngineCost(const BenchOptions&) {
+  BenchEngineCost(std::cout);
+  return 0;
+}
+
+}  // namespace
 
 const std::vector<BenchCase>& BenchCases() {
   static const std::vector<BenchCase> kCases = {
@@ -21,6 +32,7 @@
       {"repartition", "version and layout change", RunRepartition},
       {"store_down", "outage, slowness, lost answers", RunStoreDown},
       {"capacity", "processor time and memory by fleet size", RunCapacity},
+      {"engine_cost", "processor time of the engine alone", RunEngineCost},
       {"soak", "random faults; only when asked for", RunSoak, true},
   };
   return kCases;
