Query engine: queries under way and the bytes they hold are bounded

Cause: each answer was bounded, all of them together only by 4,096 times that.

Seen red: bounds off, f.finishes.size() == 1; bytes kept at the end, "held_bytes":0.

--- a/src/request/admission.cc
+++ b/src/request/admission.cc
@@ -5,7 +5,6 @@
 namespace bramleyspoke {
 namespace {
 
-constexpr std::size_t kMostQueries = 4096;
 constexpr Duration kOverloadMemory = std::chrono::seconds(1);
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(10);
 constexpr Duration kMostRetryAfter = std::chrono::seconds(5);
@@ -23,7 +22,7 @@
                                          const LoadView& load,
                                          TimePoint deadline,
                                          TimePoint now) {
-  if (load.waiting == 0 && load.queries < kMostQueries) {
+  if (load.waiting == 0) {
     return std::nullopt;
   }
   // One slow shard costs its own coverage; only when most shards are behind
@@ -36,7 +35,7 @@
     longest = std::max(longest, wait);
     late += wait > left || shard.waiting.size() >= kMostWaiting ? 1 : 0;
   }
-  if (late * 2 <= plan.Shards().size() && load.queries < kMostQueries) {
+  if (late * 2 <= plan.Shards().size()) {
     return std::nullopt;
   }
   m_last_refusal = now;
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -11,7 +11,6 @@
 
 /// What admission weighs a query against.
 struct LoadView {
-  std::size_t queries = 0;
   /// Tasks that wait for a slot, over all shards.
   std::size_t waiting = 0;
   std::uint32_t slot_share = 1;
@@ -22,6 +21,11 @@
 /// Refuses queries that could not be answered in time, before they cost.
 class Admission {
  public:
+  /// Queries that may be under way, waiting for a snapshot included.
+  static constexpr std::size_t kMostQueries = 4096;
+  /// Bytes of hits that all queries under way may hold.
+  static constexpr std::size_t kMostHeldBytes = std::size_t{128} << 20U;
+  static constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
   /// Tasks that may wait at one shard.
   static constexpr std::size_t kMostWaiting = 1024;
 
--- a/src/request/fan_out_dump.cc
+++ b/src/request/fan_out_dump.cc
@@ -79,6 +79,7 @@
       {"service", m_route->spec.name},
       {"in_flight", m_queries.size()},
       {"waiting_tasks", m_waiting},
+      {"held_bytes", m_held_bytes},
       {"slot_share", m_slot_share},
       {"hedge_delay_ms", ToMilliseconds(m_hedges.QuantileDelay())},
       {"extra_load_tokens", m_budget.Tokens()},
--- a/src/request/fan_out_end.cc
+++ b/src/request/fan_out_end.cc
@@ -41,6 +41,10 @@
 }
 
 void FanOutEngine::Detach(Query& query) {
+  if (query.merger) {
+    m_held_bytes -= query.merger->Bytes();
+    query.merger->Take();
+  }
   for (std::uint32_t ordinal = 0; ordinal < query.tasks.size(); ++ordinal) {
     ShardTask& task = query.tasks[ordinal];
     ShardPlan& shard = query.snapshot->plan->Shards()[ordinal];
@@ -72,6 +76,7 @@
 
 void FanOutEngine::Finish(Query& query) {
   SearchOutcome outcome = MakeOutcome(query);
+  Detach(query);
   if (outcome.refusal) {
     ++m_counters.refusals[static_cast<std::size_t>(outcome.refusal->reason)];
   } else {
@@ -79,7 +84,6 @@
     m_counters.coverage_sum += outcome.answer->coverage;
     m_counters.full_answers += outcome.answer->missing.empty() ? 1 : 0;
   }
-  Detach(query);
   m_actions.finishes.push_back({query.number, std::move(outcome)});
   const std::uint64_t fingerprint = query.fingerprint;
   m_queries.erase(query.number);
@@ -94,6 +98,7 @@
   if (!query.end && coverage > 0) {
     SearchAnswer answer;
     answer.version = query.snapshot->version;
+    m_held_bytes -= query.merger->Bytes();
     answer.hits = query.merger->Take();
     answer.coverage = coverage;
     answer.missing = query.coverage->Missing(*query.snapshot->plan);
--- a/src/request/fan_out_engine.cc
+++ b/src/request/fan_out_engine.cc
@@ -74,6 +74,9 @@
   if (query.request.limit > m_route->spec.max_hits) {
     EndWith(query, RefusalReason::kTooLarge,
             "limit is at most " + std::to_string(m_route->spec.max_hits));
+  } else if (m_queries.size() > Admission::kMostQueries) {
+    EndWith(query, RefusalReason::kOverloaded, "too many queries are under way",
+            Admission::kRetryAfter);
   } else if (query.end_by <= now) {
     EndWith(query, RefusalReason::kDeadlinePassed, "no time is left");
   } else {
--- a/src/request/fan_out_engine.h
+++ b/src/request/fan_out_engine.h
@@ -119,6 +119,7 @@
   void AcceptAnswer(Query& query,
                     const AttemptRecord& record,
                     AttemptOutcome outcome);
+  void Merge(Query& query, std::vector<Hit> hits);
   void Retry(Query& query, std::uint32_t ordinal, Verdict verdict);
   void CancelRunning(ShardTask& task);
 
@@ -176,6 +177,8 @@
   AttemptNumber m_last_attempt = 0;
   std::uint64_t m_last_sequence = 0;
   std::size_t m_waiting = 0;
+  /// Bytes of the hits that queries under way hold.
+  std::size_t m_held_bytes = 0;
 
   // Of the event at hand.
   TimePoint m_now;
--- a/src/request/fan_out_outcomes.cc
+++ b/src/request/fan_out_outcomes.cc
@@ -208,10 +208,20 @@
   m_counters.hedge_wins += record.is_hedge ? 1 : 0;
   CancelRunning(task);
   query.coverage->Add(record.ordinal, outcome.covered);
-  if (!query.merger->Add(std::move(outcome.hits))) {
+  Merge(query, std::move(outcome.hits));
+}
+
+void FanOutEngine::Merge(Query& query, std::vector<Hit> hits) {
+  m_held_bytes -= query.merger->Bytes();
+  const bool fits = query.merger->Add(std::move(hits));
+  m_held_bytes += query.merger->Bytes();
+  if (!fits) {
     EndWith(query, RefusalReason::kTooLarge,
             "the answer takes more than " +
                 std::to_string(query.route->spec.max_answer_bytes) + " bytes");
+  } else if (m_held_bytes > Admission::kMostHeldBytes) {
+    EndWith(query, RefusalReason::kOverloaded,
+            "answers under way take too much memory", Admission::kRetryAfter);
   }
 }
 
--- a/src/request/fan_out_tasks.cc
+++ b/src/request/fan_out_tasks.cc
@@ -62,8 +62,7 @@
             "backend servers crashed while running this request");
     return;
   }
-  const LoadView load{m_queries.size(), m_waiting, m_slot_share,
-                      m_latencies.Mean()};
+  const LoadView load{m_waiting, m_slot_share, m_latencies.Mean()};
   const auto retry_after =
       m_admission.Check(*snapshot.plan, load, query.end_by, m_now);
   if (retry_after) {
--- a/tests/query_engine_test.cc
+++ b/tests/query_engine_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "engine_fixture.h"
+#include "request/admission.h"
 
 namespace bramleyspoke {
 
@@ -306,4 +307,33 @@
   }
 }
 
+TEST_CASE("what all queries hold is bounded") {
+  ServiceRoute route = MakeRoute(2, 1);
+  route.spec.slots = 10000;
+  route.spec.max_answer_bytes = 2 << 20;
+  EngineOptions options;
+  options.has_canaries = false;
+  EngineFixture f(route, options);
+  SUBCASE("in queries") {
+    for (QueryNumber number = 0; number <= Admission::kMostQueries; ++number) {
+      f.Submit(number);
+    }
+  }
+  SUBCASE("in bytes of hits") {
+    f.StatusOfAll();
+    for (QueryNumber number = 0; number < 128; ++number) {
+      f.Submit(number);
+      const SendAction send = f.sends.at(2 * number);
+      f.Reply(send, Answered({{"a", 1, std::string(1 << 20, 'x')}}));
+    }
+  }
+  REQUIRE(f.finishes.size() == 1);
+  REQUIRE(f.finishes[0].outcome.refusal);
+  CHECK(f.finishes[0].outcome.refusal->reason == RefusalReason::kOverloaded);
+  CHECK(f.finishes[0].outcome.refusal->retry_after);
+  f.Advance(std::chrono::seconds(2));
+  CHECK(f.engine->DumpJson(f.now).find("\"held_bytes\":0,") !=
+        std::string::npos);
+}
+
 }  // namespace bramleyspoke
