--- a/src/request/fan_out_end.cc
+++ b/src/request/fan_out_end.cc
@@ -41,6 +41,10 @@
 }
 
 void FanOutEngine::Detach(Query& query) {
+  if (query.merger) {
+    m_held_bytes -= query.merger->Bytes();
+    query.merger->Take();
+  }
   for (std::uint32_t ordinal = 0; ordinal < query.tasks.size(); ++ordinal) {
     ShardTask& task = query.tasks[ordinal];
     ShardPlan& shard = query.snapshot->plan->Shards()[ordinal];
@@ -72,6 +76,7 @@
 
 void FanOutEngine::Finish(Query& query) {
   SearchOutcome outcome = MakeOutcome(query);
+  Detach(query);
   if (outcome.refusal) {
     ++m_counters.refusals[static_cast<std::size_t>(outcome.refusal->reason)];
   } else {
@@ -79,7 +84,6 @@
     m_counters.coverage_sum += outcome.answer->coverage;
     m_counters.full_answers += outcome.answer->missing.empty() ? 1 : 0;
   }
-  Detach(query);
   m_actions.finishes.push_back({query.number, std::move(outcome)});
   const std::uint64_t fingerprint = query.fingerprint;
   m_queries.erase(query.number);
@@ -94,6 +98,7 @@
   if (!query.end && coverage > 0) {
     SearchAnswer answer;
     answer.version = query.snapshot->version;
+    m_held_bytes -= query.merger->Bytes();
     answer.hits = query.merger->Take();
     answer.coverage = coverage;
     answer.missing = query.coverage->Missing(*query.snapshot->plan);
@@ -116,20 +121,22 @@
     return {RefusalReason::kNoSnapshot, "no index version is known yet",
             kRetryAfterNoReplica};
   }
-  const bool is_queued =
-      std::all_of(query.tasks.begin(), query.tasks.end(),
-                  [](const ShardTask& task) { return task.attempts == 0; });
-  if (query.is_expired && !is_queued) {
+  const bool is_open = query.in_flight > 0;
+  if (query.is_expired && (is_open || query.worst == RefusalReason::kLost)) {
     return {RefusalReason::kDeadlinePassed, "no shard answered in time",
             std::nullopt};
   }
-  if (query.is_expired || query.worst == RefusalReason::kOverloaded) {
-    return {RefusalReason::kOverloaded, "no slot came free in time",
-            std::max(kLeastRetryAfter, m_latencies.Mean())};
-  }
   if (query.worst == RefusalReason::kLost) {
     return {RefusalReason::kLost, "no shard's answer came", std::nullopt};
   }
+  const bool is_queued =
+      std::all_of(query.tasks.begin(), query.tasks.end(),
+                  [](const ShardTask& task) { return task.attempts == 0; });
+  if (query.worst == RefusalReason::kOverloaded ||
+      (query.is_expired && is_queued)) {
+    return {RefusalReason::kOverloaded, "no slot came free in time",
+            std::max(kLeastRetryAfter, m_latencies.Mean())};
+  }
   return {RefusalReason::kNoReplica, "no replica of any shard takes requests",
           kRetryAfterNoReplica};
 }
