--- a/bench/fault_cases.cc
+++ b/bench/fault_cases.cc
@@ -1,8 +1,6 @@
 #include "fault_cases.h"
 
 #include <algorithm>
-#include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
 #include <map>
 #include <random>
 #include <set>
@@ -10,14 +8,14 @@
 
 #include "case_setup.h"
 #include "child_process.h"
+#include "repartition.h"
 
 namespace bramleyspoke::Harness {
 namespace {
 
-namespace json = boost::json;
-
 constexpr std::chrono::seconds kChurnInterval{3};
 constexpr std::chrono::seconds kStepInterval{2};
+constexpr std::chrono::milliseconds kMoveInterval{100};
 constexpr const char* kPoison = "poison";
 constexpr const char* kCrashOnPoison =
     R"("poison","ms":1000)";  // value, and the time until the leaf is back
@@ -62,53 +60,6 @@
   }
 }
 
-// What a leaf of `shards` in the old layout serves, in both.
-std::string BothShards(std::uint32_t shard, std::uint32_t shards) {
-  return json::serialize(json::array{shard, shard + shards});
-}
-
-std::string Versions(const std::vector<IndexVersion>& versions) {
-  json::array values;
-  for (const IndexVersion& version : versions) {
-    values.push_back(
-        json::object{{"version", version.number}, {"layout", version.layout}});
-  }
-  return json::serialize(values);
-}
-
-// Twice the shards on the same leafs.
-Layout SplitInTwo(const Layout& layout, std::string id) {
-  Layout split{std::move(id), layout.shards};
-  const auto count = static_cast<std::uint32_t>(layout.shards.size());
-  for (Shard shard : layout.shards) {
-    shard.id += count;
-    split.shards.push_back(std::move(shard));
-  }
-  return split;
-}
-
-// Moves the restore desk's leafs from one version and layout to the next, one
-// leaf after the other.
-void Repartition(Trial& trial) {
-  Fleet& fleet = trial.GetFleet();
-  const auto& services = fleet.Plan().services;
-  const IndexVersion old_version = fleet.Plan().version;
-  const IndexVersion new_version{old_version.number + 1, "b"};
-  for (const auto& versions :
-       {std::vector{old_version, new_version}, std::vector{new_version}}) {
-    for (const LeafPlan& leaf : fleet.Leafs()) {
-      if (services[leaf.service].name != kDesk) {
-        continue;
-      }
-      const std::string name = ToString(leaf.address);
-      fleet.LeafFault(name, "set_shards",
-                      BothShards(leaf.shard, services[leaf.service].shards));
-      fleet.LeafFault(name, "set_versions", Versions(versions));
-      std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    }
-  }
-}
-
 void PublishUnder(Trial& trial, const char* fault, std::uint32_t holders) {
   Fleet& fleet = trial.GetFleet();
   fleet.StoreFault(fault);
@@ -198,7 +149,10 @@
   trial->GetHistory().services[kDesk].layouts["b"] =
       static_cast<std::uint32_t>(desk.layouts[1].shards.size());
   trial->Publish(manifest);
-  trial->Measure("underway", [&] { Repartition(*trial); });
+  trial->Measure("underway", [&] {
+    MoveToLayout(trial->GetFleet(), kDesk, IndexVersion{42, "b"},
+                 [] { std::this_thread::sleep_for(kMoveInterval); });
+  });
   desk.layouts.erase(desk.layouts.begin());
   trial->Publish(manifest);
   trial->Measure("after");
