--- a/src/process/control_core.cc
+++ b/src/process/control_core.cc
@@ -1,16 +1,14 @@
 #include "process/control_core.h"
 
 #include <algorithm>
-#include <boost/json.hpp>
 #include <utility>
 
 #include "process/watcher_choice.h"
+#include "version/manifest_leafs.h"
 
 namespace bramleyspoke {
 namespace {
 
-namespace json = boost::json;
-
 // Daemons told at once of a new manifest, by each that puts it in force: of n,
 // about log4(n) rounds reach nearly all, and the probes the rest.
 constexpr std::size_t kSpreadFanOut = 4;
@@ -37,30 +35,12 @@
 std::set<Endpoint> LeafsOf(const AssembledManifest& manifest) {
   std::set<Endpoint> leafs;
   for (const auto& [name, spec] : manifest.services) {
-    for (const Layout& layout : spec->layouts) {
-      for (const Shard& shard : layout.shards) {
-        for (const Replica& replica : shard.replicas) {
-          leafs.insert(replica.leaf);
-        }
-      }
-    }
+    ForEachReplica(*spec,
+                   [&](const Replica& replica) { leafs.insert(replica.leaf); });
   }
   return leafs;
 }
 
-bool HasLeaf(const ServiceSpec& spec, const Endpoint& leaf) {
-  for (const Layout& layout : spec.layouts) {
-    for (const Shard& shard : layout.shards) {
-      for (const Replica& replica : shard.replicas) {
-        if (replica.leaf == leaf) {
-          return true;
-        }
-      }
-    }
-  }
-  return false;
-}
-
 }  // namespace
 
 // Callbacks come on other threads, perhaps after the core is gone: they hold a
@@ -431,41 +411,4 @@
   m_next_vm_fetch = m_context.now() + m_options.vm_list_interval * factor;
 }
 
-std::string ControlCore::DumpJson() const {
-  const TimePoint now = m_context.now();
-  const ManifestStatus status = m_follower.Status(now);
-  json::array members;
-  for (const MemberUpdate& member : m_membership.Table().All()) {
-    members.push_back(
-        json::object{{"peer", ToString(member.address.peer)},
-                     {"caller", ToString(member.address.caller)},
-                     {"incarnation", member.address.incarnation},
-                     {"version", member.version},
-                     {"state", json::string(ToString(member.state))},
-                     {"failure_domain", member.address.failure_domain},
-                     {"region", member.address.region}});
-  }
-  json::array held;
-  if (m_table) {
-    for (const auto& [name, route] : m_table->services) {
-      if (route->is_held_here) {
-        held.push_back(json::string(name));
-      }
-    }
-  }
-  return json::serialize(
-      json::object{{"generation", status.generation},
-                   {"root", status.root},
-                   {"confirmed", m_follower.IsConfirmed(now)},
-                   {"confirmed_ago_ms", ToMilliseconds(status.confirmed_ago)},
-                   {"refreshing", m_follower.IsRefreshing()},
-                   {"watcher", m_follower.IsWatcher()},
-                   {"manifest_fault", m_follower.Fault()},
-                   {"manifest_bytes", m_follower.PartBytes()},
-                   {"notices", m_notices.Size()},
-                   {"leaving_vms", m_leaving_vms.size()},
-                   {"held_services", held},
-                   {"members", members}});
-}
-
 }  // namespace bramleyspoke
--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -53,34 +53,12 @@
   m_next_probe =
       now + (m_is_behind ? m_options.sync_interval : m_options.probe_interval);
   m_is_behind = false;
-  if (const auto target = NextProbeTarget()) {
+  if (const auto target =
+          m_probe_order.Next(m_table, m_self.address.peer, m_random)) {
     actions.gossips.push_back(MakeGossip(*target));
   }
 }
 
-// Round-robin in random order: every member is probed within two rounds.
-std::optional<Endpoint> Membership::NextProbeTarget() {
-  for (std::size_t round = 0; round < 2; ++round) {
-    while (m_probe_next < m_probe_order.size()) {
-      const Endpoint& peer = m_probe_order[m_probe_next++];
-      const MemberUpdate* known = m_table.Find(peer);
-      if (known != nullptr && known->state != MemberState::kDead) {
-        return peer;
-      }
-    }
-    m_probe_order.clear();
-    m_probe_next = 0;
-    for (const MemberUpdate& member : m_table.All()) {
-      if (member.state != MemberState::kDead &&
-          member.address.peer != m_self.address.peer) {
-        m_probe_order.push_back(member.address.peer);
-      }
-    }
-    std::shuffle(m_probe_order.begin(), m_probe_order.end(), m_random);
-  }
-  return std::nullopt;
-}
-
 // Seeds, listed VMs and dead members are tried now and then, so that parts of
 // the fleet that lost each other for long find together again.
 void Membership::ContactLost(MembershipActions& actions) {
@@ -151,8 +129,8 @@
     return;
   }
   probe.stage = ProbeStage::kIndirect;
-  for (const Endpoint& peer :
-       RandomLive(m_options.indirect_probes, probe.target)) {
+  for (const Endpoint& peer : m_probe_order.RandomLive(
+           m_options.indirect_probes, probe.target, m_table, m_random)) {
     actions.pings.push_back(
         {exchange, peer, probe.target, 2 * m_options.probe_timeout});
     ++probe.waiting;
@@ -266,7 +244,7 @@
     m_changes[peer] = update;
   }
   if (known == nullptr || known->state == MemberState::kDead) {
-    InsertIntoProbeOrder(peer);
+    m_probe_order.Add(peer, m_random);
   }
   m_suspect_since.erase(peer);
   m_dead_since.erase(peer);
@@ -314,7 +292,8 @@
 
 MembershipActions Membership::Push(std::size_t count, TimePoint /*now*/) {
   MembershipActions actions;
-  for (const Endpoint& peer : RandomLive(count, m_self.address.peer)) {
+  for (const Endpoint& peer : m_probe_order.RandomLive(
+           count, m_self.address.peer, m_table, m_random)) {
     actions.gossips.push_back(MakeGossip(peer));
   }
   return actions;
@@ -349,34 +328,6 @@
   return leaving;
 }
 
-void Membership::InsertIntoProbeOrder(const Endpoint& peer) {
-  m_probe_order.push_back(peer);
-  const std::size_t waiting = m_probe_order.size() - m_probe_next;
-  const std::size_t place = m_probe_next + RandomBelow(waiting);
-  std::swap(m_probe_order[place], m_probe_order.back());
-}
-
-std::vector<Endpoint> Membership::RandomLive(std::size_t count,
-                                             const Endpoint& except) {
-  std::vector<Endpoint> chosen;
-  // Tries are bounded: the order may hold many that are gone.
-  const std::size_t tries = 4 * count + 8;
-  for (std::size_t i = 0; i < tries && chosen.size() < count; ++i) {
-    if (m_probe_order.empty()) {
-      break;
-    }
-    const Endpoint& peer = m_probe_order[RandomBelow(m_probe_order.size())];
-    const MemberUpdate* known = m_table.Find(peer);
-    const bool is_usable =
-        known != nullptr && IsLive(known->state) && peer != except &&
-        std::find(chosen.begin(), chosen.end(), peer) == chosen.end();
-    if (is_usable) {
-      chosen.push_back(peer);
-    }
-  }
-  return chosen;
-}
-
 void Membership::AddNews(GossipMessage& message) {
   for (const Endpoint& peer :
        m_news.Take(m_options.max_updates, RetransmitLimit())) {
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -13,6 +13,7 @@
 #include "connection/peer.h"
 #include "process/dissemination_queue.h"
 #include "process/member_table.h"
+#include "process/probe_order.h"
 
 namespace bramleyspoke {
 
@@ -117,11 +118,8 @@
   void ForgetDead(TimePoint now);
   void ProbeNext(TimePoint now, MembershipActions& actions);
   void ContactLost(MembershipActions& actions);
-  std::optional<Endpoint> NextProbeTarget();
   void AskOthers(std::uint64_t exchange, MembershipActions& actions);
   void Suspect(const Probe& probe, TimePoint now);
-  void InsertIntoProbeOrder(const Endpoint& peer);
-  std::vector<Endpoint> RandomLive(std::size_t count, const Endpoint& except);
   void AddNews(GossipMessage& message);
   void AddViewOf(const Endpoint& peer, GossipMessage& message) const;
   GossipMessage NewMessage();
@@ -138,8 +136,7 @@
   std::map<Endpoint, TimePoint> m_dead_since;
   std::map<Endpoint, MemberUpdate> m_changes;
   std::vector<Endpoint> m_contacts;
-  std::vector<Endpoint> m_probe_order;
-  std::size_t m_probe_next = 0;
+  ProbeOrder m_probe_order;
   std::map<std::uint64_t, Probe> m_probes;
   std::uint64_t m_next_exchange = 1;
   std::optional<TimePoint> m_next_probe;
--- a/src/tool/store_calls.h
+++ b/src/tool/store_calls.h
@@ -7,6 +7,7 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "version/manifest_publisher.h"
+#include "version/manifest_reader.h"
 
 namespace bramleyspoke {
 
--- a/src/version/holder_sets.cc
+++ b/src/version/holder_sets.cc
@@ -6,6 +6,8 @@
 #include <memory>
 #include <utility>
 
+#include "version/manifest_leafs.h"
+
 namespace bramleyspoke {
 namespace {
 
@@ -32,14 +34,10 @@
   Service service;
   service.hash = HashOf(spec->name);
   service.size = HolderSetSize(*spec);
-  for (const Layout& layout : spec->layouts) {
-    for (const Shard& shard : layout.shards) {
-      for (const Replica& replica : shard.replicas) {
-        service.failure_domains.insert(replica.failure_domain);
-        service.regions.insert(replica.region);
-      }
-    }
-  }
+  ForEachReplica(*spec, [&](const Replica& replica) {
+    service.failure_domains.insert(replica.failure_domain);
+    service.regions.insert(replica.region);
+  });
   service.spec = std::move(spec);
   return service;
 }
--- a/src/version/manifest_publisher.cc
+++ b/src/version/manifest_publisher.cc
@@ -6,11 +6,12 @@
 #include <vector>
 
 #include "base/enum_names.h"
+#include "version/part_fetch.h"
 
 namespace bramleyspoke {
 namespace {
 
-constexpr int kMaxCallsAtOnce = 8;
+constexpr int kMaxWritesAtOnce = 8;
 constexpr int kMaxRetries = 4;
 
 constexpr EnumNames<PublishResult, 4> kResultNames{{{
@@ -20,74 +21,6 @@
     {PublishResult::kUnknown, "unknown"},
 }}};
 
-using PartsDone = std::function<void(StoreOutcome, PartMap)>;
-
-// Fetches parts, a few at a time; ends at the first one that can't be had.
-class PartFetch : public std::enable_shared_from_this<PartFetch> {
- public:
-  PartFetch(ConfigStore& store,
-            const std::vector<std::string>& hashes,
-            PartsDone done)
-      : m_store(store),
-        m_waiting(hashes.begin(), hashes.end()),
-        m_done(std::move(done)) {}
-
-  void Run() {
-    while (!m_is_done && m_running < kMaxCallsAtOnce && !m_waiting.empty()) {
-      FetchNext();
-    }
-    if (!m_is_done && m_running == 0 && m_waiting.empty()) {
-      Finish(StoreOutcome::kOk);
-    }
-  }
-
- private:
-  void FetchNext() {
-    const std::string hash = m_waiting.front();
-    m_waiting.pop_front();
-    ++m_running;
-    m_store.Get(PartKey(hash),
-                [self = shared_from_this(), hash](const StoreRead& read) {
-                  --self->m_running;
-                  self->OnRead(hash, read);
-                });
-  }
-
-  void OnRead(const std::string& hash, const StoreRead& read) {
-    if (m_is_done) {
-      return;
-    }
-    const bool is_good =
-        read.outcome == StoreOutcome::kOk && PartHash(read.value.value) == hash;
-    if (!is_good) {
-      Finish(read.outcome == StoreOutcome::kOk ? StoreOutcome::kConflict
-                                               : read.outcome);
-      return;
-    }
-    m_parts.emplace(hash,
-                    std::make_shared<const std::string>(read.value.value));
-    Run();
-  }
-
-  void Finish(StoreOutcome outcome) {
-    m_is_done = true;
-    m_done(outcome, std::move(m_parts));
-  }
-
-  ConfigStore& m_store;
-  std::deque<std::string> m_waiting;
-  PartsDone m_done;
-  PartMap m_parts;
-  int m_running = 0;
-  bool m_is_done = false;
-};
-
-void FetchParts(ConfigStore& store,
-                const std::vector<std::string>& hashes,
-                PartsDone done) {
-  std::make_shared<PartFetch>(store, hashes, std::move(done))->Run();
-}
-
 // One publish, from reading the head to the outcome.
 class PublishRun : public std::enable_shared_from_this<PublishRun> {
  public:
@@ -195,7 +128,7 @@
   }
 
   void WriteMore() {
-    while (!m_is_done && m_running < kMaxCallsAtOnce && !m_to_write.empty()) {
+    while (!m_is_done && m_running < kMaxWritesAtOnce && !m_to_write.empty()) {
       const std::string hash = m_to_write.front();
       m_to_write.pop_front();
       ++m_running;
@@ -368,98 +301,6 @@
   bool m_is_done = false;
 };
 
-// One read: the head, then parts level by level until the manifest is whole.
-class ReadRun : public std::enable_shared_from_this<ReadRun> {
- public:
-  ReadRun(ConfigStore& store,
-          std::optional<std::uint64_t> generation,
-          std::function<void(ManifestReadOutcome)> done)
-      : m_store(store), m_generation(generation), m_done(std::move(done)) {}
-
-  void Start() {
-    m_store.Get(std::string(kHeadKey),
-                [self = shared_from_this()](const StoreRead& read) {
-                  self->OnHead(read);
-                });
-  }
-
- private:
-  void OnHead(const StoreRead& read) {
-    m_outcome.outcome = read.outcome;
-    if (read.outcome != StoreOutcome::kOk) {
-      Finish("the store does not answer");
-      return;
-    }
-    const auto head = ParseManifestHead(read.value.value);
-    if (!head) {
-      Finish(read.value.revision == 0 ? "nothing was published yet"
-                                      : "the store's head is malformed");
-      return;
-    }
-    m_outcome.head = *head;
-    if (!PickRoot()) {
-      Finish("that generation is not among the last publishes");
-      return;
-    }
-    Continue();
-  }
-
-  bool PickRoot() {
-    const ManifestHead& head = m_outcome.head;
-    if (!m_generation || *m_generation == head.generation) {
-      m_root = head.root;
-      return true;
-    }
-    for (const PublishRecord& record : head.publishes) {
-      if (record.generation == *m_generation) {
-        m_root = record.root;
-        return true;
-      }
-    }
-    return false;
-  }
-
-  void Continue() {
-    const Assembly assembly = ManifestAssembler().Assemble(m_root, m_parts);
-    if (!assembly.fault.empty()) {
-      Finish(assembly.fault);
-      return;
-    }
-    if (assembly.manifest) {
-      m_outcome.manifest = assembly.manifest->ToManifest();
-      Finish("");
-      return;
-    }
-    FetchParts(
-        m_store, assembly.missing,
-        [self = shared_from_this()](StoreOutcome outcome, PartMap parts) {
-          self->OnParts(outcome, std::move(parts));
-        });
-  }
-
-  void OnParts(StoreOutcome outcome, PartMap parts) {
-    m_outcome.outcome = outcome;
-    if (outcome != StoreOutcome::kOk) {
-      Finish("a part could not be read");
-      return;
-    }
-    m_parts.merge(parts);
-    Continue();
-  }
-
-  void Finish(std::string detail) {
-    m_outcome.detail = std::move(detail);
-    m_done(std::move(m_outcome));
-  }
-
-  ConfigStore& m_store;
-  std::optional<std::uint64_t> m_generation;
-  std::function<void(ManifestReadOutcome)> m_done;
-  std::string m_root;
-  PartMap m_parts;
-  ManifestReadOutcome m_outcome;
-};
-
 }  // namespace
 
 std::string_view ToString(PublishResult result) {
@@ -475,10 +316,4 @@
       ->Start();
 }
 
-void ManifestReader::Read(ConfigStore& store,
-                          std::optional<std::uint64_t> generation,
-                          std::function<void(ManifestReadOutcome)> done) {
-  std::make_shared<ReadRun>(store, generation, std::move(done))->Start();
-}
-
 }  // namespace bramleyspoke
--- a/src/version/routing_table_builder.cc
+++ b/src/version/routing_table_builder.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "version/manifest_leafs.h"
+
 namespace bramleyspoke {
 
 RoutingTableBuilder::RoutingTableBuilder(const DaemonAddress& self)
@@ -65,15 +67,11 @@
   if (m_leaving.empty()) {
     return leaving;
   }
-  for (const Layout& layout : spec.layouts) {
-    for (const Shard& shard : layout.shards) {
-      for (const Replica& replica : shard.replicas) {
-        if (m_leaving.contains(replica.leaf)) {
-          leaving.insert(replica.leaf);
-        }
-      }
+  ForEachReplica(spec, [&](const Replica& replica) {
+    if (m_leaving.contains(replica.leaf)) {
+      leaving.insert(replica.leaf);
     }
-  }
+  });
   return leaving;
 }
 
--- a/tests/manifest_publisher_test.cc
+++ b/tests/manifest_publisher_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fake_store.h"
+#include "version/manifest_reader.h"
 
 namespace bramleyspoke {
 namespace {
