--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -177,13 +177,26 @@
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_state->limits.header_bytes));
     m_parser->body_limit(m_state->limits.body_bytes);
-    m_stream.expires_after(m_state->limits.request_time);
+    m_stream.expires_never();
+    ArmRequestTimer();
     http::async_read(m_stream, m_buffer, *m_parser,
                      [self = shared_from_this()](auto error, std::size_t) {
                        self->OnRequest(error);
                      });
   }
 
+  // The stream's own timer would close the socket before the answer.
+  void ArmRequestTimer() {
+    const TimePoint when =
+        std::chrono::steady_clock::now() + m_state->limits.request_time;
+    m_request_timer = m_state->loop.At(when, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->m_is_request_late = true;
+        self->m_stream.cancel();
+      }
+    });
+  }
+
   void OnRequest(beast::error_code error);
 
   void OnWritten(beast::error_code error) {
@@ -265,6 +278,8 @@
   std::deque<std::string> m_outgoing;
   std::function<void()> m_on_gone;
   std::unique_ptr<Timer> m_delay;
+  std::unique_ptr<Timer> m_request_timer;
+  bool m_is_request_late = false;
   bool m_keep_alive = true;
   bool m_is_idle = false;
   bool m_is_closed = false;
@@ -332,9 +347,15 @@
 }
 
 void Session::OnRequest(beast::error_code error) {
+  m_request_timer.reset();
   if (m_is_closed) {
     return;
   }
+  if (error && m_is_request_late) {
+    m_keep_alive = false;
+    Write(PlainError(408, "the request took too long to arrive"));
+    return;
+  }
   if (error == http::error::end_of_stream || error == beast::error::timeout ||
       (error &&
        error.category() !=
--- a/src/process/service_runner.cc
+++ b/src/process/service_runner.cc
@@ -11,6 +11,9 @@
 
 // Drain words and index versions reach us within this time at the latest.
 constexpr std::chrono::milliseconds kStatusInterval{1000};
+// A leaf that lacks a version tells that versions move: the others are asked
+// at once, this often at the most.
+constexpr std::chrono::milliseconds kLeastStatusInterval{200};
 
 std::set<Endpoint> LeafsOf(const ServiceRoute& route) {
   std::set<Endpoint> leafs;
@@ -107,8 +110,12 @@
   auto on_done = [weak = weak_from_this(),
                   id = action.attempt.attempt_id](AttemptOutcome outcome) {
     if (const auto self = weak.lock()) {
+      const bool is_moving = outcome.reason == LeafReason::kVersionMissing;
       self->Apply(self->m_engine->OnAttempt(id, std::move(outcome),
                                             self->m_context.clock.Now()));
+      if (is_moving) {
+        self->AskStatusSoon();
+      }
     }
   };
   if (!m_context.lease.IsValid(m_context.clock.Now())) {
@@ -153,7 +160,14 @@
   });
 }
 
+void ServiceRunner::AskStatusSoon() {
+  if (m_context.clock.Now() - m_status_asked_at >= kLeastStatusInterval) {
+    AskStatus();
+  }
+}
+
 void ServiceRunner::AskStatus() {
+  m_status_asked_at = m_context.clock.Now();
   for (const Endpoint& leaf : LeafsOf(*m_route)) {
     AskStatusOf(leaf);
   }
--- a/src/process/service_runner.h
+++ b/src/process/service_runner.h
@@ -61,6 +61,7 @@
   void Finish(FinishAction action);
   void ArmTimer();
   void AskStatus();
+  void AskStatusSoon();
   void AskStatusOf(const Endpoint& leaf);
 
   RunnerContext m_context;
@@ -70,6 +71,7 @@
   std::unique_ptr<Timer> m_timer;
   TimePoint m_timer_at = TimePoint::max();
   std::unique_ptr<Timer> m_status_timer;
+  TimePoint m_status_asked_at;
 };
 
 }  // namespace bramleyspoke
