--- a/tests/process_run.cc
+++ b/tests/process_run.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <exception>
 
+#include "caller_message.h"
 #include "child_process.h"
 #include "history_checker.h"
 
@@ -120,6 +121,38 @@
   m_load = nullptr;
 }
 
+std::string ProcessRun::RequestIdPrefix(std::size_t daemon,
+                                        const std::string& service) {
+  const HttpResponse response = Call(m_fleet->CallerAddress(daemon), "GET",
+                                     "/v1/entries?service=" + service);
+  return Harness::ParseEntries(response.body).request_id_prefix;
+}
+
+CallerEvent ProcessRun::Send(std::size_t daemon,
+                             const std::string& service,
+                             const std::string& request_id,
+                             const std::string& query) {
+  CallerEvent event;
+  event.daemon = m_fleet->CallerAddress(daemon);
+  event.service = service;
+  event.sent_id = request_id;
+  event.query = query;
+  event.limit = 1000;
+  event.sent_at = std::chrono::steady_clock::now();
+  event.intended_at = event.sent_at;
+  event.address_valid_until = event.sent_at;
+  const HttpResponse response =
+      Call(event.daemon, "POST", "/v1/search",
+           Harness::EncodeSearch(event, "test", std::chrono::seconds(2)),
+           std::chrono::seconds(4));
+  if (response.status != 0) {
+    Harness::ReadSearchReply(response.status, response.body, event);
+  }
+  event.ended_at = std::chrono::steady_clock::now();
+  m_history.callers.push_back(event);
+  return event;
+}
+
 PublishEvent ProcessRun::Publish(const Manifest& manifest) {
   m_history.publishes.push_back(m_fleet->Publish(manifest));
   return m_history.publishes.back();
--- a/tests/process_run.h
+++ b/tests/process_run.h
@@ -38,6 +38,14 @@
   /// Ends the load and takes what its callers saw into the history.
   void StopLoad();
 
+  /// Prefix for request ids, as a daemon gives it to callers of a service.
+  std::string RequestIdPrefix(std::size_t daemon, const std::string& service);
+  /// Sends one request and waits for its end; into the history.
+  CallerEvent Send(std::size_t daemon,
+                   const std::string& service,
+                   const std::string& request_id,
+                   const std::string& query);
+
   /// Publishes, into the history.
   PublishEvent Publish(const Manifest& manifest);
   Manifest BaseManifest() const;
