--- a/tests/history.h
+++ b/tests/history.h
@@ -41,6 +41,8 @@
   TimePoint intended_at;
   TimePoint sent_at;
   TimePoint ended_at;
+  /// When the caller was told to use the daemon's address.
+  TimePoint address_got_at;
   /// End of the time for which the caller may use the daemon's address.
   TimePoint address_valid_until;
   CallerEnd end = CallerEnd::kLost;
--- a/tests/history_checker_test.cc
+++ b/tests/history_checker_test.cc
@@ -185,6 +185,17 @@
     history.callers.push_back(refused);
     CHECK(Describe(CheckHistory(history)).empty());
   }
+  SUBCASE("also when a stopped daemon's successor can't be reached") {
+    History history = MakeGoodHistory();
+    CallerEvent later = MakeCallerEvent();
+    later.end = CallerEnd::kNotSent;
+    later.address_got_at = After(9'100);
+    later.address_valid_until = After(19'100);
+    later.sent_at = After(12'000);
+    later.ended_at = After(12'001);
+    history.callers.push_back(later);
+    CHECK(Describe(CheckHistory(history)).empty());
+  }
   SUBCASE("also when an idempotent request runs twice") {
     History history = MakeGoodHistory();
     history.services["desk"].is_idempotent = true;
