--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -147,12 +147,12 @@
  private:
   // Something happens to one member after the other.
   void TellRest() {
-    const int number = 2 + m_events / 3 % (m_members - 2);
-    const auto version =
-        static_cast<std::uint64_t>(2 + m_events / 3 / (m_members - 2));
+    const auto others = static_cast<std::uint64_t>(m_members) - 2;
+    const int number = 2 + static_cast<int>(m_events / 3 % others);
+    const std::uint64_t version = 2 + m_events / 3 / others;
     const MemberState states[] = {MemberState::kLeaving, MemberState::kDead,
                                   MemberState::kAlive};
-    const int step = m_events++ % 3;
+    const std::uint64_t step = m_events++ % 3;
     GossipMessage news;
     news.sender = MakeUpdate(2, 1, MemberState::kAlive);
     news.members = {
@@ -162,7 +162,7 @@
   }
 
   int m_members;
-  int m_events = 0;
+  std::uint64_t m_events = 0;
   TimePoint m_now{std::chrono::hours(1)};
   Membership m_rest;
   std::unique_ptr<Membership> m_daemon;
--- a/src/connection/peer_client.cc
+++ b/src/connection/peer_client.cc
@@ -15,7 +15,7 @@
 constexpr std::size_t kMaxPooled = 64;
 constexpr auto kIdleClose = 10 * kj::SECONDS;
 constexpr auto kSweepInterval = 1 * kj::SECONDS;
-constexpr std::uint64_t kMaxMessageWords = 2 * 1024 * 1024;
+constexpr std::uint64_t kMaxMessageWords = std::uint64_t{2} << 20U;
 
 capnp::ReaderOptions MessageLimits() {
   capnp::ReaderOptions options;
--- a/src/connection/peer_server.cc
+++ b/src/connection/peer_server.cc
@@ -15,7 +15,7 @@
 constexpr auto kSweepInterval = 10 * kj::SECONDS;
 constexpr auto kAcceptRetry = 100 * kj::MILLISECONDS;
 // Larger messages are refused and end the connection.
-constexpr std::uint64_t kMaxMessageWords = 2 * 1024 * 1024;
+constexpr std::uint64_t kMaxMessageWords = std::uint64_t{2} << 20U;
 
 capnp::ReaderOptions MessageLimits() {
   capnp::ReaderOptions options;
--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -201,6 +201,7 @@
   if (message.want_all) {
     reply.members = m_table.All();
   } else if (!(reply.bucket == theirs)) {
+    m_is_behind = true;
     std::vector<MemberUpdate> bucket = m_table.Bucket(theirs);
     std::shuffle(bucket.begin(), bucket.end(), m_random);
     bucket.resize(std::min(bucket.size(), kMaxBucketUpdates));
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -141,6 +141,7 @@
   std::uint64_t m_next_exchange = 1;
   std::optional<TimePoint> m_next_probe;
   std::optional<TimePoint> m_next_contact;
+  std::uint32_t m_next_bucket = 0;
   bool m_is_behind = false;
 };
 
--- a/src/version/holder_sets.h
+++ b/src/version/holder_sets.h
@@ -41,7 +41,10 @@
     int distance = 0;
     std::uint64_t score = 0;
 
-    auto operator<=>(const Rank&) const = default;
+    bool operator<(const Rank& other) const {
+      return distance != other.distance ? distance < other.distance
+                                        : score < other.score;
+    }
   };
   struct Service {
     std::shared_ptr<const ServiceSpec> spec;
