--- a/src/process/search_router.cc
+++ b/src/process/search_router.cc
@@ -45,6 +45,11 @@
                                       {"search", body.search}});
 }
 
+// Time that a forwarded request has where it runs.
+Duration WithoutReturnTime(Duration left) {
+  return left - std::min<Duration>(kReturnTime, left / 10);
+}
+
 std::optional<ForwardBody> ParseForwardBody(const std::string& text) {
   json::error_code error;
   const json::value value = json::parse(text, error);
@@ -302,7 +307,7 @@
   }
   const Duration left = pending->deadline - m_context.clock.Now();
   CallerSearch search = pending->search;
-  search.time_left = left;
+  search.time_left = WithoutReturnTime(left);
   m_context.peers.Forward(
       id->issuer, ToJson(ForwardBody{ForwardMode::kDecide, ToJson(search)}),
       left, [this, pending](ForwardOutcome outcome) {
@@ -312,7 +317,10 @@
             End(pending, ReadReply(outcome.reply.status, outcome.reply.body));
             return;
           }
-          Refuse(pending, RefusalReason::kHolderGone, Verdict::kMayHaveRun,
+          const bool is_lost = outcome.result == ForwardResult::kLost;
+          Refuse(pending,
+                 is_lost ? RefusalReason::kLost : RefusalReason::kHolderGone,
+                 Verdict::kMayHaveRun,
                  "the daemon that issued the id did not answer");
         });
       });
@@ -381,7 +389,7 @@
       pending->route->spec.idempotent && !pending->holders.empty();
   const Duration timeout = may_ask_again ? left / 2 : left;
   CallerSearch search = pending->search;
-  search.time_left = timeout - std::min<Duration>(kReturnTime, timeout / 10);
+  search.time_left = WithoutReturnTime(timeout);
   m_context.peers.Forward(
       holder, ToJson(ForwardBody{ForwardMode::kRun, ToJson(search)}), timeout,
       [this, pending](ForwardOutcome outcome) {
--- a/src/request/fan_out_tasks.cc
+++ b/src/request/fan_out_tasks.cc
@@ -69,8 +69,7 @@
             "backend servers crashed while running this request");
     return;
   }
-  const LoadView load{m_queries.size(), m_waiting, m_slot_share,
-                      m_latencies.Mean()};
+  const LoadView load{m_waiting, m_slot_share, m_latencies.Mean()};
   const auto retry_after =
       m_admission.Check(*snapshot.plan, load, query.end_by, m_now);
   if (retry_after) {
@@ -258,8 +257,9 @@
   const Duration backoff =
       std::min(kMostBackoff,
                kFirstBackoff * (1U << std::min(task.rounds, kMostDoublings)));
-  const bool is_in_time = m_now + backoff < query.end_by;
-  if (!is_in_time || !CanBackOff(query, shard) || !m_budget.TakeForRetry()) {
+  const bool is_allowed =
+      m_now + backoff < query.end_by && !m_admission.WasOverloaded(m_now);
+  if (!is_allowed || !CanBackOff(query, shard) || !m_budget.TakeForRetry()) {
     GiveUp(query, task);
     return;
   }
--- a/tests/query_engine_test.cc
+++ b/tests/query_engine_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "engine_fixture.h"
+#include "request/admission.h"
 
 namespace bramleyspoke {
 
@@ -281,4 +282,83 @@
   CHECK(f.cancels.size() == (ends ? 1 : 0));
 }
 
+TEST_CASE("a leaf that sheds is left alone for a moment") {
+  EngineOptions options;
+  options.has_canaries = false;
+  EngineFixture f(MakeRoute(1, 2), options);
+  f.StatusOfAll();
+  f.Submit(0);
+  const Endpoint shedding = f.sends.at(0).leaf;
+  f.Reply(SendAction(f.sends[0]), RefusedBy(LeafReason::kShed));
+  for (QueryNumber number = 1; number < 4; ++number) {
+    f.Submit(number);
+    CHECK(f.sends.back().leaf != shedding);
+  }
+  f.now += milliseconds(10);
+  f.Submit(4);
+  CHECK(f.sends.back().leaf == shedding);
+}
+
+TEST_CASE("a request that got nothing says why") {
+  struct Row {
+    AttemptOutcome outcome;
+    RefusalReason reason;
+    Verdict verdict;
+  };
+  const std::vector<Row> rows = {{RefusedBy(LeafReason::kShed),
+                                  RefusalReason::kOverloaded, Verdict::kNotRun},
+                                 {RefusedBy(LeafReason::kDraining),
+                                  RefusalReason::kNoReplica, Verdict::kNotRun},
+                                 {Failed(AttemptResult::kNotSent),
+                                  RefusalReason::kNoReplica, Verdict::kNotRun},
+                                 {Failed(AttemptResult::kLost),
+                                  RefusalReason::kLost, Verdict::kMayHaveRun},
+                                 {Failed(AttemptResult::kWrongAnswer),
+                                  RefusalReason::kLost, Verdict::kMayHaveRun}};
+  for (const Row& row : rows) {
+    ServiceRoute route = MakeRoute(1, 2);
+    route.spec.extra_load_percent = 0;
+    EngineFixture f(route);
+    f.StatusOfAll();
+    f.Submit(1);
+    for (; f.answered < f.sends.size(); ++f.answered) {
+      f.Reply(SendAction(f.sends[f.answered]), row.outcome);
+    }
+    CAPTURE(std::string(ToString(row.reason)));
+    REQUIRE(f.finishes.size() == 1);
+    REQUIRE(f.finishes[0].outcome.refusal);
+    CHECK(f.finishes[0].outcome.refusal->reason == row.reason);
+    CHECK(f.finishes[0].outcome.verdict == row.verdict);
+  }
+}
+
+TEST_CASE("what all queries hold is bounded") {
+  ServiceRoute route = MakeRoute(2, 1);
+  route.spec.slots = 10000;
+  route.spec.max_answer_bytes = 2 << 20;
+  EngineOptions options;
+  options.has_canaries = false;
+  EngineFixture f(route, options);
+  SUBCASE("in queries") {
+    for (QueryNumber number = 0; number <= Admission::kMostQueries; ++number) {
+      f.Submit(number);
+    }
+  }
+  SUBCASE("in bytes of hits") {
+    f.StatusOfAll();
+    for (QueryNumber number = 0; number < 128; ++number) {
+      f.Submit(number);
+      const SendAction send = f.sends.at(2 * number);
+      f.Reply(send, Answered({{"a", 1, std::string(1 << 20, 'x')}}));
+    }
+  }
+  REQUIRE(f.finishes.size() == 1);
+  REQUIRE(f.finishes[0].outcome.refusal);
+  CHECK(f.finishes[0].outcome.refusal->reason == RefusalReason::kOverloaded);
+  CHECK(f.finishes[0].outcome.refusal->retry_after);
+  f.Advance(std::chrono::seconds(2));
+  CHECK(f.engine->DumpJson(f.now).find("\"held_bytes\":0,") !=
+        std::string::npos);
+}
+
 }  // namespace bramleyspoke
