--- a/src/process/counting_store.cc
+++ b/src/process/counting_store.cc
@@ -23,7 +23,7 @@
       key, expected, value,
       [&metrics = m_metrics, done = std::move(done)](StoreWrite write) {
         metrics.CountStoreCall(write.outcome);
-        done(std::move(write));
+        done(write);
       });
 }
 
