--- a/src/process/search_router.h
+++ b/src/process/search_router.h
@@ -38,7 +38,7 @@
   virtual void OnRequestEnd(const CallerSearch& search,
                             const RequestEnd& end) = 0;
   /// A request was handed to another daemon.
-  virtual void OnForward(ForwardResult result) = 0;
+  virtual void OnForward(ForwardResult /*result*/) {}
 };
 
 /// What a router needs of its process; all outlive it.
--- a/src/process/settings.cc
+++ b/src/process/settings.cc
@@ -13,7 +13,6 @@
 constexpr NumberRange kRequestTime{100, 600'000, "ms"};
 constexpr NumberRange kIdleTime{100, 3'600'000, "ms"};
 constexpr NumberRange kQueries{1, 1'000'000, "queries"};
-constexpr NumberRange kQueuedBytes{1 << 20, UINT32_MAX, "bytes"};
 constexpr NumberRange kKeepServing{0, 600'000, "ms"};
 constexpr NumberRange kStopBound{100, 3'600'000, "ms"};
 
@@ -60,8 +59,6 @@
       object.Milliseconds("idle_time_ms", kIdleTime, limits.idle_time);
   limits.queries_in_flight =
       object.Integer("queries_in_flight", kQueries, limits.queries_in_flight);
-  limits.queued_answer_bytes = object.Integer(
-      "queued_answer_bytes", kQueuedBytes, limits.queued_answer_bytes);
 }
 
 void ReadStop(JsonReader& object, StopSettings& stop) {
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -28,8 +28,6 @@
   /// Between two requests of a connection.
   Duration idle_time = std::chrono::seconds(60);
   std::uint32_t queries_in_flight = 10'000;
-  /// Memory for answers that are merged or wait to be written.
-  std::uint32_t queued_answer_bytes = 256 * 1024 * 1024;
 };
 
 /// A planned stop.
--- a/tests/tool_test.cc
+++ b/tests/tool_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdio>
 #include <deque>
 #include <fstream>
 #include <mutex>
@@ -124,18 +125,29 @@
   std::unique_ptr<StandIn::ConfigStoreServer> m_server;
 };
 
-std::string WriteTemporary(const std::string& text) {
-  static int g_number = 0;
-  const std::string name = "tool_test." + std::to_string(g_number++) + ".json";
-  std::ofstream(name) << text;
-  return name;
-}
+/// A file that lives as long as the object.
+class TemporaryFile {
+ public:
+  explicit TemporaryFile(const std::string& text)
+      : m_name("tool_test." + std::to_string(text.size()) + ".json") {
+    std::ofstream(m_name) << text;
+  }
+  ~TemporaryFile() { std::remove(m_name.c_str()); }
+  TemporaryFile(const TemporaryFile&) = delete;
+  TemporaryFile& operator=(const TemporaryFile&) = delete;
+  const std::string& Name() const { return m_name; }
+
+ private:
+  std::string m_name;
+};
 
 }  // namespace
 
 TEST_CASE("the exit code tells what a command line came to") {
-  const std::string good = WriteTemporary(kManifest);
-  const std::string bad = WriteTemporary(R"({"services": [], "x": 1})");
+  const TemporaryFile good_file(kManifest);
+  const TemporaryFile bad_file(R"({"services": [], "x": 1})");
+  const std::string& good = good_file.Name();
+  const std::string& bad = bad_file.Name();
   struct Line {
     std::vector<std::string> words;
     int code;
@@ -209,7 +221,8 @@
 
 TEST_CASE("a published manifest can be read back, and a late one is told") {
   const StoreFixture store;
-  const std::string file = WriteTemporary(kManifest);
+  const TemporaryFile published(kManifest);
+  const std::string& file = published.Name();
   const ToolRun first = Run({"publish", file, "--store", store.Address(),
                              "--expect-generation", "0", "--publish-id", "p1"});
   CHECK(first.out == "accepted: generation 1\n");
