--- a/src/process/daemon_main.cc
+++ b/src/process/daemon_main.cc
@@ -9,13 +9,13 @@
 #include <sstream>
 #include <string>
 
+#include "base/problems.h"
 #include "process/daemon.h"
 #include "process/log.h"
 #include "process/settings.h"
 
 namespace {
 
-using bramleyspoke::Problem;
 using bramleyspoke::Problems;
 using bramleyspoke::Result;
 using bramleyspoke::Settings;
@@ -55,13 +55,6 @@
   return line;
 }
 
-void PrintProblems(const Problems& problems) {
-  for (const Problem& problem : problems.list) {
-    std::cerr << problem.path << (problem.path.empty() ? "" : ": ")
-              << "expected " << problem.expected << '\n';
-  }
-}
-
 Result<Settings> ReadSettings(const std::string& file) {
   std::ifstream stream(file);
   if (!stream) {
@@ -91,7 +84,7 @@
         return Serve(settings);
       },
       [&](const Problems& problems) {
-        PrintProblems(problems);
+        std::cerr << ToString(problems);
         return failure;
       },
       [&] { return failure; });
--- a/tests/examples_test.cc
+++ b/tests/examples_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <sys/wait.h>
+
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
@@ -53,6 +55,31 @@
   }
 }
 
+TEST_CASE("the daemon tells about its settings without starting") {
+  const char* programs = std::getenv("BRAMLEYSPOKE_BIN");
+  REQUIRE(programs != nullptr);
+  const std::string daemon = std::string(programs) + "/bramleyspoked";
+  struct Row {
+    std::string words;
+    int code;
+  };
+  const Row rows[] = {
+      {"--settings " + SourceFile("examples/tengiz.settings.json") + " --check",
+       0},
+      {"--settings " + SourceFile("examples/tengiz.manifest.json") + " --check",
+       3},
+      {"--settings absent.json --check", 3},
+      {"--help", 0},
+      {"--fly", 2},
+      {"", 2},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.words);
+    const std::string command = daemon + " " + row.words + " >/dev/null 2>&1";
+    CHECK(WEXITSTATUS(std::system(command.c_str())) == row.code);
+  }
+}
+
 TEST_CASE("the example manifests hold the brief's services in their sizes") {
   for (const ExpectedService& expected : kServices) {
     CAPTURE(expected.name);
