Query engine under overload: short queues, full answers, all refusals not run

Change: the expected wait may take a quarter of the time left; queries held back count as a turn at each shard; a canary goes to the front of its queue; a waiting task with less than the typical latency left is given up; in overload retries after "not run" take a token too; the histogram forgets after 2,048 samples, not 8,192.

--- a/src/request/admission.cc
+++ b/src/request/admission.cc
@@ -5,6 +5,10 @@
 namespace bramleyspoke {
 namespace {
 
+// A queue as long as the deadlines lets all in and answers none in time: any
+// delay on the way makes the whole queue late. So a part of the time left is
+// the most that a query may be expected to wait.
+constexpr int kWaitShare = 4;
 constexpr Duration kOverloadMemory = std::chrono::seconds(1);
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(10);
 constexpr Duration kMostRetryAfter = std::chrono::seconds(5);
@@ -12,7 +16,8 @@
 Duration WaitAt(const ShardPlan& shard, const LoadView& load) {
   const std::size_t drained_at_once =
       std::max<std::size_t>(1, shard.replicas.size() * load.slot_share);
-  const auto turns = static_cast<std::int64_t>(shard.waiting.size());
+  const auto turns =
+      static_cast<std::int64_t>(shard.waiting.size() + load.held);
   return load.mean_latency * turns / static_cast<std::int64_t>(drained_at_once);
 }
 
@@ -22,18 +27,18 @@
                                          const LoadView& load,
                                          TimePoint deadline,
                                          TimePoint now) {
-  if (load.waiting == 0) {
+  if (load.waiting + load.held == 0) {
     return std::nullopt;
   }
   // One slow shard costs its own coverage; only when most shards are behind
   // is the query as a whole refused.
-  const Duration left = deadline - now - load.mean_latency;
+  const Duration most_wait = (deadline - now - load.mean_latency) / kWaitShare;
   std::size_t late = 0;
   Duration longest{0};
   for (const ShardPlan& shard : plan.Shards()) {
     const Duration wait = WaitAt(shard, load);
     longest = std::max(longest, wait);
-    late += wait > left || shard.waiting.size() >= kMostWaiting ? 1 : 0;
+    late += wait > most_wait || shard.waiting.size() >= kMostWaiting ? 1 : 0;
   }
   if (late * 2 <= plan.Shards().size()) {
     return std::nullopt;
--- a/src/request/admission.h
+++ b/src/request/admission.h
@@ -13,6 +13,8 @@
 struct LoadView {
   /// Tasks that wait for a slot, over all shards.
   std::size_t waiting = 0;
+  /// Queries whose canary is out: they will wait at all shards.
+  std::size_t held = 0;
   std::uint32_t slot_share = 1;
   /// How long a slot is taken by one attempt.
   Duration mean_latency{0};
--- a/src/request/fan_out_end.cc
+++ b/src/request/fan_out_end.cc
@@ -41,6 +41,7 @@
 }
 
 void FanOutEngine::Detach(Query& query) {
+  Unhold(query);
   if (query.merger) {
     m_held_bytes -= query.merger->Bytes();
     query.merger->Take();
@@ -49,8 +50,8 @@
     ShardTask& task = query.tasks[ordinal];
     ShardPlan& shard = query.snapshot->plan->Shards()[ordinal];
     if (task.state == TaskState::kWaiting) {
-      m_waiting -=
-          shard.waiting.erase({query.end_by, task.wait_sequence, query.number});
+      m_waiting -= shard.waiting.erase(
+          {task.wait_deadline, task.wait_sequence, query.number});
     }
     if (task.canary) {
       m_guard.CloseCanary(query.fingerprint, *task.canary);
@@ -67,7 +68,6 @@
 void FanOutEngine::Restart(Query& query) {
   Detach(query);
   query.wants_restart = false;
-  query.is_held = false;
   ++query.epoch;
   ++m_counters.restarts;
   StartOn(query, *CurrentSnapshot());
@@ -122,7 +122,9 @@
             kRetryAfterNoReplica};
   }
   const bool is_open = query.in_flight > 0;
-  if (query.is_expired && (is_open || query.worst == RefusalReason::kLost)) {
+  const bool is_late = query.worst == RefusalReason::kDeadlinePassed;
+  if (is_late ||
+      (query.is_expired && (is_open || query.worst == RefusalReason::kLost))) {
     return {RefusalReason::kDeadlinePassed, "no shard answered in time",
             std::nullopt};
   }
--- a/src/request/fan_out_engine.h
+++ b/src/request/fan_out_engine.h
@@ -88,6 +88,7 @@
   void Start(Query& query);
   void StartUnstarted();
   void StartOn(Query& query, const Snapshot& snapshot);
+  void Unhold(Query& query);
   void ReleaseTasks(Query& query);
   void Place(Query& query, std::uint32_t ordinal);
   void Pump(ShardPlan& shard);
@@ -177,6 +178,7 @@
   AttemptNumber m_last_attempt = 0;
   std::uint64_t m_last_sequence = 0;
   std::size_t m_waiting = 0;
+  std::size_t m_held_queries = 0;
   /// Bytes of the hits that queries under way hold.
   std::size_t m_held_bytes = 0;
 
--- a/src/request/fan_out_outcomes.cc
+++ b/src/request/fan_out_outcomes.cc
@@ -23,7 +23,8 @@
 // What to tell of two things that went wrong.
 RefusalReason WorseOf(RefusalReason a, RefusalReason b) {
   for (const RefusalReason worst :
-       {RefusalReason::kLost, RefusalReason::kOverloaded}) {
+       {RefusalReason::kLost, RefusalReason::kDeadlinePassed,
+        RefusalReason::kOverloaded}) {
     if (a == worst || b == worst) {
       return worst;
     }
@@ -36,6 +37,9 @@
     case AttemptResult::kNotSent:
       return RefusalReason::kNoReplica;
     case AttemptResult::kRefused:
+      if (outcome.reason == LeafReason::kDeadline) {
+        return RefusalReason::kDeadlinePassed;
+      }
       return IsShedding(outcome.reason) ? RefusalReason::kOverloaded
                                         : RefusalReason::kNoReplica;
     default:
@@ -225,8 +229,9 @@
   }
 }
 
-// After "not run" another replica costs no extra execution; after anything
-// else it does, and a request that must run at most once is given up.
+// After "not run" another replica costs no extra execution, but it does cost
+// a leaf's time when all are busy; after anything else it may run twice, and a
+// request that must run at most once is given up.
 void FanOutEngine::Retry(Query& query, std::uint32_t ordinal, Verdict verdict) {
   ShardTask& task = query.tasks[ordinal];
   if (verdict != Verdict::kNotRun) {
@@ -239,6 +244,9 @@
       GiveUp(query, task);
       return;
     }
+  } else if (m_admission.WasOverloaded(m_now) && !m_budget.TakeForRetry()) {
+    GiveUp(query, task);
+    return;
   }
   ++m_counters.retries;
   if (query.is_held) {
--- a/src/request/fan_out_tasks.cc
+++ b/src/request/fan_out_tasks.cc
@@ -62,7 +62,8 @@
             "backend servers crashed while running this request");
     return;
   }
-  const LoadView load{m_waiting, m_slot_share, m_latencies.Mean()};
+  const LoadView load{m_waiting, m_held_queries, m_slot_share,
+                      m_latencies.Mean()};
   const auto retry_after =
       m_admission.Check(*snapshot.plan, load, query.end_by, m_now);
   if (retry_after) {
@@ -79,6 +80,7 @@
   query.coverage.emplace(shards);
   if (m_options.has_canaries && standing == CrashStanding::kUnproven) {
     query.is_held = true;
+    ++m_held_queries;
     m_held[query.fingerprint].push_back(query.number);
     RunCanary(query);
   } else {
@@ -87,8 +89,13 @@
   m_touched.push_back(query.number);
 }
 
-void FanOutEngine::ReleaseTasks(Query& query) {
+void FanOutEngine::Unhold(Query& query) {
+  m_held_queries -= query.is_held ? 1 : 0;
   query.is_held = false;
+}
+
+void FanOutEngine::ReleaseTasks(Query& query) {
+  Unhold(query);
   for (std::uint32_t ordinal = 0; ordinal < query.tasks.size(); ++ordinal) {
     if (query.tasks[ordinal].state == TaskState::kHeld) {
       Place(query, ordinal);
@@ -124,12 +131,15 @@
     GiveUp(query, task);
     return;
   }
+  // A canary holds up all its query's tasks, so it goes first.
+  task.wait_deadline = task.canary ? m_now : query.end_by;
   task.wait_sequence = ++m_last_sequence;
-  shard.waiting.insert({query.end_by, task.wait_sequence, query.number});
+  shard.waiting.insert({task.wait_deadline, task.wait_sequence, query.number});
   ++m_waiting;
   Pump(shard);
 }
 
+// A slot is not spent on a task whose answer would come too late.
 void FanOutEngine::Pump(ShardPlan& shard) {
   std::size_t skipped = 0;
   while (skipped < std::min(kLookAhead, shard.waiting.size())) {
@@ -143,6 +153,13 @@
       task.state = TaskState::kHeld;
       continue;
     }
+    if (m_now + m_latencies.Typical() >= query.end_by) {
+      shard.waiting.erase(next);
+      --m_waiting;
+      query.worst = RefusalReason::kOverloaded;
+      GiveUp(query, task);
+      continue;
+    }
     const Choice choice =
         m_chooser.Choose(shard, ChoiceFor(query, task), m_now);
     if (choice.kind == ChoiceKind::kAllBusy) {
--- a/src/request/latency_histogram.cc
+++ b/src/request/latency_histogram.cc
@@ -10,7 +10,7 @@
 // Eight buckets for each power of two: quantiles are right to an eighth.
 constexpr std::uint64_t kSubBuckets = 8;
 constexpr std::uint32_t kSubBits = 3;
-constexpr std::uint32_t kMostSamples = 8192;
+constexpr std::uint32_t kMostSamples = 2048;
 constexpr std::uint32_t kTypicalEvery = 64;
 constexpr double kMedian = 0.5;
 
--- a/src/request/query.h
+++ b/src/request/query.h
@@ -37,6 +37,8 @@
   std::uint64_t tried = 0;
   std::uint32_t rounds = 0;
   std::uint32_t attempts = 0;
+  /// Its place in the queue.
+  TimePoint wait_deadline;
   std::uint64_t wait_sequence = 0;
   /// Open canary, if the task is one.
   std::optional<CanaryId> canary;
