--- a/src/request/replica_book.cc
+++ b/src/request/replica_book.cc
@@ -93,9 +93,16 @@
   return forgotten;
 }
 
+bool ReplicaBook::HasUnheard() const {
+  return std::any_of(m_leafs.begin(), m_leafs.end(), [](const LeafState& leaf) {
+    return leaf.is_used && !leaf.is_heard;
+  });
+}
+
 bool ReplicaBook::OnStatus(LeafIndex index,
                            const std::optional<LeafStatus>& status,
                            TimePoint now) {
+  m_leafs[index].is_heard = true;
   if (!status) {
     return OnReachable(index, false);
   }
--- a/tests/search_router_test.cc
+++ b/tests/search_router_test.cc
@@ -194,12 +194,14 @@
     std::string name;
     DaemonAddress issuer;
     bool is_forwarded;
+    RefusalReason reason;
   };
   const std::vector<Row> rows = {
-      {"a member", Daemon(2), true},
-      {"a member in its planned stop", Daemon(4), true},
-      {"an earlier process at a member's address", Daemon(3, 0), false},
-      {"no member", Daemon(9), false},
+      {"a member", Daemon(2), true, RefusalReason::kLost},
+      {"a member in its planned stop", Daemon(4), true, RefusalReason::kLost},
+      {"an earlier process at a member's address", Daemon(3, 0), false,
+       RefusalReason::kHolderGone},
+      {"no member", Daemon(9), false, RefusalReason::kHolderGone},
   };
   for (const Row& row : rows) {
     CAPTURE(row.name);
@@ -215,7 +217,7 @@
     }
     REQUIRE(fixture.replies.size() == 1);
     CHECK(fixture.replies[0].verdict == Verdict::kMayHaveRun);
-    CHECK(fixture.replies[0].reason == RefusalReason::kHolderGone);
+    CHECK(fixture.replies[0].reason == row.reason);
   }
 }
 
