--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -365,9 +365,13 @@
     Accept(m_state, m_acceptor);
   }
 
+  // Sessions and their table hold each other: without an end to them here they
+  // would outlive the server, and still call its handler.
   ~BeastServer() override {
     beast::error_code ignored;
     m_acceptor->close(ignored);
+    BeastServer::AbortAll();
+    m_state->sessions.clear();
   }
 
   Endpoint Address() const override { return m_address; }
