--- a/bench/load.cc
+++ b/bench/load.cc
@@ -21,6 +21,8 @@
 // Waited beyond the deadline before a caller gives up.
 constexpr std::chrono::milliseconds kPatience{1500};
 constexpr std::chrono::seconds kStopTime{30};
+// The daemon whose ids these are is gone: callers ask for new ones.
+constexpr std::string_view kHolderGone = "holder_gone";
 
 TimePoint Now() {
   return std::chrono::steady_clock::now();
@@ -39,6 +41,7 @@
 struct AddressBook {
   std::vector<Endpoint> addresses;
   std::string request_id_prefix;
+  TimePoint got_at;
   TimePoint valid_until;
   bool is_asking = false;
   std::vector<PendingPtr> waiting;
@@ -154,7 +157,8 @@
       EntriesAnswer answer = ParseEntries(outcome.response->body);
       book.addresses = std::move(answer.addresses);
       book.request_id_prefix = std::move(answer.request_id_prefix);
-      book.valid_until = Now() + answer.keep;
+      book.got_at = Now();
+      book.valid_until = book.got_at + answer.keep;
     }
     if (book.addresses.empty()) {
       AskLater(service);
@@ -207,6 +211,7 @@
     const AddressBook& book = m_books[request->service];
     event.daemon = daemon;
     event.sent_at = Now();
+    event.address_got_at = book.got_at;
     event.address_valid_until = book.valid_until;
     if (!load.is_idempotent && event.sent_id.empty()) {
       event.sent_id = book.request_id_prefix + event.query;
@@ -269,6 +274,9 @@
       m_loop->Post([connection] {});
       Forget(request->service, event.daemon);
     }
+    if (event.reason == kHolderGone) {
+      m_books[request->service].valid_until = Now();
+    }
     Finish(request);
   }
 
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -13,6 +13,7 @@
 #include "connection/peer.h"
 #include "process/dissemination_queue.h"
 #include "process/member_table.h"
+#include "process/probe_order.h"
 
 namespace bramleyspoke {
 
@@ -94,6 +95,8 @@
   /// Live daemons (suspects included, leaving ones not), this one included
   /// unless it leaves.
   std::vector<DaemonAddress> Live() const;
+  /// Daemons in a planned stop, this one included.
+  std::vector<DaemonAddress> Leaving() const;
   const MemberTable& Table() const { return m_table; }
   const MemberUpdate& Self() const { return m_self; }
 
@@ -107,18 +110,16 @@
     std::size_t waiting = 0;
   };
 
-  void Apply(const MemberUpdate& update, TimePoint now);
+  /// Whether it said something new.
+  bool Apply(const MemberUpdate& update, TimePoint now);
   void ApplyToSelf(const MemberUpdate& update);
   void ApplyMessage(const GossipMessage& message, TimePoint now);
   void ExpireSuspects(TimePoint now);
   void ForgetDead(TimePoint now);
   void ProbeNext(TimePoint now, MembershipActions& actions);
   void ContactLost(MembershipActions& actions);
-  std::optional<Endpoint> NextProbeTarget();
   void AskOthers(std::uint64_t exchange, MembershipActions& actions);
   void Suspect(const Probe& probe, TimePoint now);
-  void InsertIntoProbeOrder(const Endpoint& peer);
-  std::vector<Endpoint> RandomLive(std::size_t count, const Endpoint& except);
   void AddNews(GossipMessage& message);
   void AddViewOf(const Endpoint& peer, GossipMessage& message) const;
   GossipMessage NewMessage();
@@ -135,12 +136,12 @@
   std::map<Endpoint, TimePoint> m_dead_since;
   std::map<Endpoint, MemberUpdate> m_changes;
   std::vector<Endpoint> m_contacts;
-  std::vector<Endpoint> m_probe_order;
-  std::size_t m_probe_next = 0;
+  ProbeOrder m_probe_order;
   std::map<std::uint64_t, Probe> m_probes;
   std::uint64_t m_next_exchange = 1;
   std::optional<TimePoint> m_next_probe;
   std::optional<TimePoint> m_next_contact;
+  std::uint32_t m_next_bucket = 0;
   bool m_is_behind = false;
 };
 
--- a/src/process/search_router.cc
+++ b/src/process/search_router.cc
@@ -45,6 +45,11 @@
                                       {"search", body.search}});
 }
 
+// Time that a forwarded request has where it runs.
+Duration WithoutReturnTime(Duration left) {
+  return left - std::min<Duration>(kReturnTime, left / 10);
+}
+
 std::optional<ForwardBody> ParseForwardBody(const std::string& text) {
   json::error_code error;
   const json::value value = json::parse(text, error);
@@ -70,8 +75,11 @@
           reply.reason == RefusalReason::kShuttingDown);
 }
 
-bool IsSameProcess(const DaemonAddress& daemon, const IssuedId& id) {
-  return daemon.peer == id.issuer && daemon.incarnation == id.incarnation;
+bool HasIssuer(const std::vector<DaemonAddress>& daemons, const IssuedId& id) {
+  return std::any_of(
+      daemons.begin(), daemons.end(), [&](const DaemonAddress& daemon) {
+        return daemon.peer == id.issuer && daemon.incarnation == id.incarnation;
+      });
 }
 
 }  // namespace
@@ -290,9 +298,8 @@
 
 void SearchRouter::HandToIssuer(const PendingPtr& pending) {
   const std::optional<IssuedId> id = ParseIssuedId(pending->search.request_id);
-  const bool is_member = std::any_of(
-      m_table->members.begin(), m_table->members.end(),
-      [&](const DaemonAddress& member) { return IsSameProcess(member, *id); });
+  const bool is_member =
+      HasIssuer(m_table->members, *id) || HasIssuer(m_table->stopping, *id);
   if (!is_member || pending->is_forwarded_here) {
     Refuse(pending, RefusalReason::kHolderGone, Verdict::kMayHaveRun,
            "the daemon that issued the id is not among the members");
@@ -300,7 +307,7 @@
   }
   const Duration left = pending->deadline - m_context.clock.Now();
   CallerSearch search = pending->search;
-  search.time_left = left;
+  search.time_left = WithoutReturnTime(left);
   m_context.peers.Forward(
       id->issuer, ToJson(ForwardBody{ForwardMode::kDecide, ToJson(search)}),
       left, [this, pending](ForwardOutcome outcome) {
@@ -309,7 +316,10 @@
             End(pending, ReadReply(outcome.reply.status, outcome.reply.body));
             return;
           }
-          Refuse(pending, RefusalReason::kHolderGone, Verdict::kMayHaveRun,
+          const bool is_lost = outcome.result == ForwardResult::kLost;
+          Refuse(pending,
+                 is_lost ? RefusalReason::kLost : RefusalReason::kHolderGone,
+                 Verdict::kMayHaveRun,
                  "the daemon that issued the id did not answer");
         });
       });
@@ -378,7 +388,7 @@
       pending->route->spec.idempotent && !pending->holders.empty();
   const Duration timeout = may_ask_again ? left / 2 : left;
   CallerSearch search = pending->search;
-  search.time_left = timeout - std::min<Duration>(kReturnTime, timeout / 10);
+  search.time_left = WithoutReturnTime(timeout);
   m_context.peers.Forward(
       holder, ToJson(ForwardBody{ForwardMode::kRun, ToJson(search)}), timeout,
       [this, pending](ForwardOutcome outcome) {
--- a/src/request/fan_out_engine.cc
+++ b/src/request/fan_out_engine.cc
@@ -12,6 +12,8 @@
 // The answer's way back to the caller takes a part of the time left.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(5);
 constexpr int kAnswerMarginShare = 10;
+// Keeps "x1" with 23 and "x12" with 3 apart.
+constexpr char kBeforeNumber = '#';
 
 TimePoint EndBy(TimePoint deadline, TimePoint now) {
   const Duration left = deadline - now;
@@ -48,7 +50,7 @@
                            std::string attempt_prefix,
                            std::uint64_t seed,
                            EngineOptions options)
-    : m_prefix(std::move(attempt_prefix)),
+    : m_prefix(std::move(attempt_prefix) + kBeforeNumber),
       m_options(std::move(options)),
       m_chooser(m_book, seed),
       m_hedges(m_options.hedge_mode, m_options.fixed_hedge_delay) {
@@ -72,6 +74,9 @@
   if (query.request.limit > m_route->spec.max_hits) {
     EndWith(query, RefusalReason::kTooLarge,
             "limit is at most " + std::to_string(m_route->spec.max_hits));
+  } else if (m_queries.size() > Admission::kMostQueries) {
+    EndWith(query, RefusalReason::kOverloaded, "too many queries are under way",
+            Admission::kRetryAfter);
   } else if (query.end_by <= now) {
     EndWith(query, RefusalReason::kDeadlinePassed, "no time is left");
   } else {
@@ -123,6 +128,8 @@
   }
   if (has_changed) {
     OnLeafChanged(*leaf);
+  } else {
+    StartUnstarted();
   }
   return End();
 }
@@ -145,7 +152,7 @@
 EngineActions FanOutEngine::OnCallerGone(QueryNumber number, TimePoint now) {
   Begin(now);
   Query* query = Find(number);
-  if (query != nullptr && query->IsIdempotent()) {
+  if (query != nullptr && query->IsIdempotent() && !query->IsOver()) {
     EndWith(*query, RefusalReason::kLost, "the caller has gone");
   }
   return End();
@@ -196,7 +203,8 @@
 }
 
 // After a pause an event may come long after deadlines that no timer has
-// handled yet: these queries end before anything is sent.
+// handled yet: nothing more is sent for these queries. They end in `Settle`,
+// after the event has been taken in, since an end may let others send.
 void FanOutEngine::Begin(TimePoint now) {
   m_now = now;
   m_actions = EngineActions{};
@@ -206,7 +214,6 @@
       m_touched.push_back(query->number);
     }
   }
-  Settle();
 }
 
 EngineActions FanOutEngine::End() {
@@ -226,7 +233,12 @@
   }
   switch (timer.kind) {
     case TimerKind::kSnapshot:
-      if (!query->snapshot) {
+      if (query->snapshot) {
+        break;
+      }
+      if (CurrentSnapshot()) {
+        StartOn(*query, *CurrentSnapshot());
+      } else {
         EndWith(*query, RefusalReason::kNoSnapshot,
                 "no index version is known yet", std::chrono::seconds(1));
       }
@@ -289,7 +301,9 @@
     }
     return is_unused;
   });
-  m_book.Sweep();
+  for (const LeafIndex leaf : m_book.Sweep()) {
+    m_guard.ForgetLeaf(leaf);
+  }
 }
 
 void FanOutEngine::OnLeafChanged(LeafIndex leaf) {
--- a/src/request/fan_out_tasks.cc
+++ b/src/request/fan_out_tasks.cc
@@ -30,9 +30,16 @@
   return m_snapshot;
 }
 
+// A daemon that has just become a holder hears of its leafs one by one; a
+// query that took the first for all would cover a single shard.
+bool FanOutEngine::IsSnapshotSettled() {
+  const std::optional<Snapshot>& snapshot = CurrentSnapshot();
+  return snapshot && (snapshot->coverage >= 1 || !m_book.HasUnheard());
+}
+
 void FanOutEngine::Start(Query& query) {
-  if (const std::optional<Snapshot>& snapshot = CurrentSnapshot()) {
-    StartOn(query, *snapshot);
+  if (IsSnapshotSettled()) {
+    StartOn(query, *CurrentSnapshot());
     return;
   }
   m_unstarted.push_back(query.number);
@@ -41,14 +48,14 @@
 }
 
 void FanOutEngine::StartUnstarted() {
-  if (m_unstarted.empty() || !CurrentSnapshot()) {
+  if (m_unstarted.empty() || !IsSnapshotSettled()) {
     return;
   }
   const std::vector<QueryNumber> numbers = std::move(m_unstarted);
   m_unstarted.clear();
   for (const QueryNumber number : numbers) {
     Query* query = Find(number);
-    if (query != nullptr && !query->IsOver()) {
+    if (query != nullptr && !query->IsOver() && !query->snapshot) {
       StartOn(*query, *CurrentSnapshot());
     }
   }
@@ -62,8 +69,7 @@
             "backend servers crashed while running this request");
     return;
   }
-  const LoadView load{m_queries.size(), m_waiting, m_slot_share,
-                      m_latencies.Mean()};
+  const LoadView load{m_waiting, m_slot_share, m_latencies.Mean()};
   const auto retry_after =
       m_admission.Check(*snapshot.plan, load, query.end_by, m_now);
   if (retry_after) {
@@ -251,8 +257,9 @@
   const Duration backoff =
       std::min(kMostBackoff,
                kFirstBackoff * (1U << std::min(task.rounds, kMostDoublings)));
-  const bool is_in_time = m_now + backoff < query.end_by;
-  if (!is_in_time || !CanBackOff(query, shard) || !m_budget.TakeForRetry()) {
+  const bool is_allowed =
+      m_now + backoff < query.end_by && !m_admission.WasOverloaded(m_now);
+  if (!is_allowed || !CanBackOff(query, shard) || !m_budget.TakeForRetry()) {
     GiveUp(query, task);
     return;
   }
--- a/src/request/replica_book.h
+++ b/src/request/replica_book.h
@@ -44,9 +44,12 @@
   /// The manifest or VM list says that it leaves.
   bool is_leaving = false;
   bool is_reachable = true;
+  /// Whether its status came, or could not be had.
+  bool is_heard = false;
   std::optional<double> reported_load;
   std::uint32_t failures_in_row = 0;
   std::uint32_t ejections_in_row = 0;
+  std::uint32_t sheds_in_row = 0;
   TimePoint ejected_until;
   /// Shards of live plans that it has a copy of.
   std::vector<ShardPlan*> serves;
@@ -66,8 +69,10 @@
   const LeafState& At(LeafIndex index) const { return m_leafs[index]; }
 
   void SetLeaving(const std::set<Endpoint>& leaving);
-  /// Forgets leafs that no plan names and that owe no outcome.
-  void Sweep();
+  /// Whether some leaf's status is still awaited for the first time.
+  bool HasUnheard() const;
+  /// Forgets leafs that no plan names and that owe no outcome; says which.
+  std::vector<LeafIndex> Sweep();
 
   /// Each returns whether the choice of snapshot may change by it.
   bool OnStatus(LeafIndex index,
--- a/src/version/routing_table_builder.cc
+++ b/src/version/routing_table_builder.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "version/manifest_leafs.h"
+
 namespace bramleyspoke {
 
 RoutingTableBuilder::RoutingTableBuilder(const DaemonAddress& self)
@@ -15,6 +17,7 @@
   table->generation = input.generation;
   table->is_confirmed = input.is_confirmed;
   table->members = std::move(input.members);
+  table->stopping = std::move(input.stopping);
   if (!input.manifest) {
     return table;
   }
@@ -64,15 +67,11 @@
   if (m_leaving.empty()) {
     return leaving;
   }
-  for (const Layout& layout : spec.layouts) {
-    for (const Shard& shard : layout.shards) {
-      for (const Replica& replica : shard.replicas) {
-        if (m_leaving.contains(replica.leaf)) {
-          leaving.insert(replica.leaf);
-        }
-      }
+  ForEachReplica(spec, [&](const Replica& replica) {
+    if (m_leaving.contains(replica.leaf)) {
+      leaving.insert(replica.leaf);
     }
-  }
+  });
   return leaving;
 }
 
