--- a/tests/process_manifest_test.cc
+++ b/tests/process_manifest_test.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <atomic>
+#include <random>
 #include <thread>
 
 #include "child_process.h"
@@ -55,6 +57,29 @@
   CHECK(run.Check() == "");
 }
 
+TEST_CASE(
+    "a publish tells its true outcome when answers are lost at any moment") {
+  constexpr int kPublishes = 40;
+  ProcessRun run;
+  std::atomic<bool> is_ended = false;
+  std::thread saboteur([&] {
+    std::mt19937_64 random(1);
+    while (!is_ended) {
+      run.GetFleet().StoreFault(R"({"mode":"lose_answers"})");
+      std::this_thread::sleep_for(std::chrono::milliseconds(random() % 30));
+      run.GetFleet().StoreFault(R"({"mode":"none"})");
+      std::this_thread::sleep_for(std::chrono::milliseconds(random() % 30));
+    }
+  });
+  for (int i = 0; i < kPublishes; ++i) {
+    run.Publish(run.BaseManifest());
+  }
+  is_ended = true;
+  saboteur.join();
+  run.GetFleet().StoreFault(R"({"mode":"none"})");
+  CHECK(run.Check() == "");
+}
+
 TEST_CASE("of operators that publish at the same moment one is accepted") {
   constexpr int kRounds = 10;
   constexpr std::size_t kOperators = 4;
