--- a/tests/process_manifest_test.cc
+++ b/tests/process_manifest_test.cc
@@ -55,6 +55,27 @@
   CHECK(run.Check() == "");
 }
 
+TEST_CASE("a publish tells its true outcome whichever call is lost") {
+  // Each call takes this long, so that the answers' loss can begin at each.
+  constexpr std::chrono::milliseconds kCallTime{200};
+  constexpr int kLastCall = 6;
+  ProcessRun run;
+  std::size_t unknown = 0;
+  for (int call = 0; call < kLastCall; ++call) {
+    run.GetFleet().StoreFault(R"({"mode":"slow","delay_ms":200})");
+    std::thread saboteur([&] {
+      std::this_thread::sleep_for(kCallTime * call + kCallTime / 2);
+      run.GetFleet().StoreFault(R"({"mode":"lose_answers"})");
+    });
+    const PublishEvent publish = run.Publish(run.BaseManifest());
+    unknown += publish.end == PublishEnd::kUnknown ? 1 : 0;
+    saboteur.join();
+    run.GetFleet().StoreFault(R"({"mode":"none"})");
+  }
+  CHECK(unknown > 0);
+  CHECK(run.Check() == "");
+}
+
 TEST_CASE("of operators that publish at the same moment one is accepted") {
   constexpr int kRounds = 10;
   constexpr std::size_t kOperators = 4;
