A refusal before the id is decided on says what is known of it

Change: RequestIds says what it knows of an id without deciding on it: 'not run' only for an id of this process that it never ran; a request that its issuer decided to run is told apart from one sent again. Proof: a table of refusers and ids in search_router_test; process_resend_test was red before.

--- a/src/process/search_router.cc
+++ b/src/process/search_router.cc
@@ -100,6 +100,7 @@
   bool is_admitted = false;
   bool is_decided_here = false;
   bool is_forwarded_here = false;
+  bool is_decided_elsewhere = false;
   bool is_running_here = false;
 };
 
@@ -144,6 +145,7 @@
   search->time_left = time_left;
   const PendingPtr pending = Start(std::move(*search), std::move(reply));
   pending->is_forwarded_here = true;
+  pending->is_decided_elsewhere = forward->mode == ForwardMode::kRun;
   if (!Admit(pending)) {
     return;
   }
@@ -199,37 +201,50 @@
 
 // Everything that can be said without running or asking anyone.
 bool SearchRouter::Admit(const PendingPtr& pending) {
-  CallerSearch& search = pending->search;
-  if (!m_context.lease.IsValid(pending->start) || m_table->generation == 0) {
-    Refuse(pending, RefusalReason::kNotReady, Verdict::kNotRun,
-           "this daemon has no current manifest yet");
+  std::optional<Refusal> refusal = CheckAdmission(*pending);
+  if (refusal) {
+    refusal->verdict = UndecidedVerdict(*pending);
+    End(pending, MakeReply(pending->search.request_id, *refusal));
     return false;
   }
+  pending->is_admitted = true;
+  return true;
+}
+
+std::optional<Refusal> SearchRouter::CheckAdmission(Pending& pending) {
+  CallerSearch& search = pending.search;
+  if (!m_context.lease.IsValid(pending.start) || m_table->generation == 0) {
+    return Refusal{RefusalReason::kNotReady, Verdict::kNotRun,
+                   "this daemon has no current manifest yet", kRetryAfter};
+  }
   const auto found = m_table->services.find(search.service);
   if (found == m_table->services.end()) {
-    Refuse(pending, RefusalReason::kUnknownService, Verdict::kNotRun,
-           "generation " + std::to_string(m_table->generation) +
-               " has no such service");
-    return false;
+    return Refusal{RefusalReason::kUnknownService, Verdict::kNotRun,
+                   "generation " + std::to_string(m_table->generation) +
+                       " has no such service",
+                   std::nullopt};
   }
-  pending->route = found->second;
-  const ServiceSpec& spec = pending->route->spec;
+  pending.route = found->second;
+  const ServiceSpec& spec = pending.route->spec;
   search.limit = search.limit.value_or(std::min(10U, spec.max_hits));
   if (*search.limit > spec.max_hits) {
-    Refuse(pending, RefusalReason::kBadRequest, Verdict::kNotRun,
-           "limit: expected at most " + std::to_string(spec.max_hits));
-    return false;
+    return Refusal{RefusalReason::kBadRequest, Verdict::kNotRun,
+                   "limit: expected at most " + std::to_string(spec.max_hits),
+                   std::nullopt};
   }
-  pending->deadline =
-      pending->start + search.time_left.value_or(spec.default_deadline);
-  std::optional<Refusal> refusal =
-      m_limits.Admit(spec.service_class, search.caller);
-  if (refusal) {
-    End(pending, MakeReply(search.request_id, *refusal));
-    return false;
+  pending.deadline =
+      pending.start + search.time_left.value_or(spec.default_deadline);
+  return m_limits.Admit(spec.service_class, search.caller);
+}
+
+// A request refused before its id was decided on may be one that was sent
+// again. What an issuer decided to run comes here for the first time.
+Verdict SearchRouter::UndecidedVerdict(const Pending& pending) const {
+  const bool is_idempotent = pending.route && pending.route->spec.idempotent;
+  if (is_idempotent || pending.is_decided_elsewhere) {
+    return Verdict::kNotRun;
   }
-  pending->is_admitted = true;
-  return true;
+  return m_ids.VerdictOf(pending.search.request_id, m_context.clock.Now());
 }
 
 void SearchRouter::Route(const PendingPtr& pending) {
--- a/src/process/search_router.h
+++ b/src/process/search_router.h
@@ -84,6 +84,8 @@
 
   PendingPtr Start(CallerSearch search, Reply reply);
   bool Admit(const PendingPtr& pending);
+  std::optional<Refusal> CheckAdmission(Pending& pending);
+  Verdict UndecidedVerdict(const Pending& pending) const;
   void Route(const PendingPtr& pending);
   void RouteById(const PendingPtr& pending);
   void RunOnce(const PendingPtr& pending);
--- a/src/request/request_ids.cc
+++ b/src/request/request_ids.cc
@@ -86,6 +86,25 @@
   return IdDecision::kRun;
 }
 
+Verdict RequestIds::VerdictOf(const std::string& id, TimePoint now) const {
+  const std::optional<IssuedId> issued = ParseIssuedId(id);
+  if (!issued) {
+    return Verdict::kNotRun;
+  }
+  const bool is_ours =
+      issued->issuer == m_self && issued->incarnation == m_incarnation;
+  if (!is_ours) {
+    return Verdict::kMayHaveRun;
+  }
+  const auto found = m_entries.find(id);
+  if (found != m_entries.end()) {
+    const std::optional<EndedRequest>& ended = found->second.ended;
+    return ended ? ended->verdict : Verdict::kMayHaveRun;
+  }
+  const bool is_expired = issued->epoch + kAcceptedEpochs <= EpochAt(now);
+  return is_expired ? Verdict::kMayHaveRun : Verdict::kNotRun;
+}
+
 void RequestIds::Finish(const std::string& id, EndedRequest ended) {
   const auto found = m_entries.find(id);
   if (found == m_entries.end()) {
--- a/src/request/request_ids.h
+++ b/src/request/request_ids.h
@@ -77,6 +77,10 @@
                    std::uint64_t fingerprint,
                    TimePoint now);
 
+  /// What is known of an id without deciding on it: "not run" only if no
+  /// daemon can have run it.
+  Verdict VerdictOf(const std::string& id, TimePoint now) const;
+
   /// Records how the request ended; its answer may be dropped for space.
   void Finish(const std::string& id, EndedRequest ended);
   /// Forgets an id that did not run, so that it may be sent again.
--- a/tests/search_router_test.cc
+++ b/tests/search_router_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -189,6 +190,55 @@
   }
 }
 
+TEST_CASE("a refusal before the id is decided on says what is known of it") {
+  struct Row {
+    std::string name;
+    std::string id;
+    Verdict verdict;
+  };
+  struct Refuser {
+    std::string name;
+    std::function<void(RouterFixture&)> prepare;
+  };
+  const std::vector<Row> rows = {
+      {"never seen", IdOf(Daemon(1), "new"), Verdict::kNotRun},
+      {"running", IdOf(Daemon(1), "running"), Verdict::kMayHaveRun},
+      {"ran", IdOf(Daemon(1), "ran"), Verdict::kRan},
+      {"another daemon's", IdOf(Daemon(2), "a"), Verdict::kMayHaveRun},
+      {"an earlier process's", IdOf(Daemon(1, 0), "a"), Verdict::kMayHaveRun},
+      {"of no daemon", "a", Verdict::kNotRun},
+  };
+  const std::vector<Refuser> refusers = {
+      {"the daemon was paused",
+       [](RouterFixture& fixture) {
+         fixture.clock.Advance(FreshnessLease::kLength);
+       }},
+      {"the service was withdrawn",
+       [](RouterFixture& fixture) {
+         fixture.table.services.erase(kBooking);
+         fixture.SetTable();
+       }},
+      {"the caller is at its limit",
+       [](RouterFixture& fixture) {
+         fixture.table.callers = {CallerSpec{"", 1}};
+         fixture.SetTable();
+       }},
+  };
+  for (const Refuser& refuser : refusers) {
+    for (const Row& row : rows) {
+      CAPTURE(refuser.name);
+      CAPTURE(row.name);
+      RouterFixture fixture;
+      fixture.Search(kBooking, IdOf(Daemon(1), "ran"));
+      fixture.EndRun(0, Ran());
+      fixture.Search(kBooking, IdOf(Daemon(1), "running"));
+      refuser.prepare(fixture);
+      fixture.Search(kBooking, row.id);
+      CHECK(fixture.replies.back().verdict == row.verdict);
+    }
+  }
+}
+
 TEST_CASE("an id of another daemon is decided on by that process alone") {
   struct Row {
     std::string name;
