--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -10,6 +10,7 @@
 // News reaches all but a vanishing share of n members after a few times log n
 // sendings by each.
 constexpr double kRetransmitFactor = 2;
+constexpr Duration kListInterval = std::chrono::seconds(5);
 constexpr std::size_t kPauseContacts = 3;
 constexpr std::size_t kLeavingContacts = 8;
 constexpr std::size_t kContactsWhenAlone = 3;
@@ -52,11 +53,27 @@
 void Membership::ProbeNext(TimePoint now, MembershipActions& actions) {
   m_next_probe =
       now + (m_is_behind ? m_options.sync_interval : m_options.probe_interval);
-  m_is_behind = false;
   if (const auto target =
           m_probe_order.Next(m_table, m_self.address.peer, m_random)) {
     actions.gossips.push_back(MakeGossip(*target));
+    GossipMessage& message = actions.gossips.back().message;
+    message.want_all = message.want_all || IsListDue(now);
+  }
+  m_is_behind = false;
+}
+
+// When a whole fleet starts at once, the first list was far from whole: ask for
+// it again a few times while differences show.
+bool Membership::IsListDue(TimePoint now) {
+  if (!m_next_list) {
+    m_next_list = now + kListInterval;
+  }
+  if (!m_is_behind || m_lists_left == 0 || now < *m_next_list) {
+    return false;
   }
+  --m_lists_left;
+  m_next_list = now + kListInterval;
+  return true;
 }
 
 // Seeds, listed VMs and dead members are tried now and then, so that parts of
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -117,6 +117,7 @@
   void ExpireSuspects(TimePoint now);
   void ForgetDead(TimePoint now);
   void ProbeNext(TimePoint now, MembershipActions& actions);
+  bool IsListDue(TimePoint now);
   void ContactLost(MembershipActions& actions);
   void AskOthers(std::uint64_t exchange, MembershipActions& actions);
   void Suspect(const Probe& probe, TimePoint now);
@@ -141,6 +142,8 @@
   std::uint64_t m_next_exchange = 1;
   std::optional<TimePoint> m_next_probe;
   std::optional<TimePoint> m_next_contact;
+  std::optional<TimePoint> m_next_list;
+  std::size_t m_lists_left = 3;
   std::uint32_t m_next_bucket = 0;
   bool m_is_behind = false;
 };
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -96,8 +96,9 @@
   explicit RawListener(std::function<void(int)> on_accept)
       : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
     const SocketAddress any = ToSocketAddress({"127.0.0.1", 0});
-    bind(m_socket, reinterpret_cast<const sockaddr*>(&any.storage), any.length);
-    listen(m_socket, 8);
+    REQUIRE(bind(m_socket, reinterpret_cast<const sockaddr*>(&any.storage),
+                 any.length) == 0);
+    REQUIRE(listen(m_socket, 8) == 0);
     sockaddr_in bound{};
     socklen_t length = sizeof(bound);
     getsockname(m_socket, reinterpret_cast<sockaddr*>(&bound), &length);
