--- a/src/request/fan_out_engine.h
+++ b/src/request/fan_out_engine.h
@@ -53,6 +53,7 @@
   std::vector<DrainNotice> TakeDrains() override;
   const EngineCounters& Counters() const override { return m_counters; }
   std::size_t InFlight() const override { return m_queries.size(); }
+  std::size_t Waiting() const override { return m_waiting; }
   std::string DumpJson(TimePoint now) const override;
 
  private:
@@ -89,6 +90,7 @@
   bool IsSnapshotSettled();
   void StartUnstarted();
   void StartOn(Query& query, const Snapshot& snapshot);
+  void Unhold(Query& query);
   void ReleaseTasks(Query& query);
   void Place(Query& query, std::uint32_t ordinal);
   void Pump(ShardPlan& shard);
@@ -178,6 +180,7 @@
   AttemptNumber m_last_attempt = 0;
   std::uint64_t m_last_sequence = 0;
   std::size_t m_waiting = 0;
+  std::size_t m_held_queries = 0;
   /// Bytes of the hits that queries under way hold.
   std::size_t m_held_bytes = 0;
 
--- a/tests/process_run.h
+++ b/tests/process_run.h
@@ -27,7 +27,8 @@
   std::string Leaf(const std::string& service,
                    std::uint32_t shard,
                    std::uint32_t replica) const;
-  std::string Dump(std::size_t daemon) const;
+  /// A daemon that callers of the service are told to use.
+  std::size_t Holder(const std::string& service) const;
 
   /// Load on each service of the deployment; callers send again what got lost.
   void StartLoad(double rate = 40, std::uint32_t resends = 3);
@@ -38,6 +39,14 @@
   /// Ends the load and takes what its callers saw into the history.
   void StopLoad();
 
+  /// Prefix for request ids, as a daemon gives it to callers of a service.
+  std::string RequestIdPrefix(std::size_t daemon, const std::string& service);
+  /// Sends one request and waits for its end; into the history.
+  CallerEvent Send(std::size_t daemon,
+                   const std::string& service,
+                   const std::string& request_id,
+                   const std::string& query);
+
   /// Publishes, into the history.
   PublishEvent Publish(const Manifest& manifest);
   Manifest BaseManifest() const;
