--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -11,6 +11,7 @@
 // sendings by each.
 constexpr double kRetransmitFactor = 2;
 constexpr Duration kListInterval = std::chrono::seconds(5);
+constexpr Duration kListWindow = std::chrono::seconds(60);
 constexpr std::size_t kPauseContacts = 3;
 constexpr std::size_t kLeavingContacts = 8;
 constexpr std::size_t kContactsWhenAlone = 3;
@@ -65,13 +66,14 @@
 // When a whole fleet starts at once, the first list was far from whole: ask for
 // it again a few times while differences show.
 bool Membership::IsListDue(TimePoint now) {
-  if (!m_next_list) {
+  if (!m_first_probe) {
+    m_first_probe = now;
     m_next_list = now + kListInterval;
   }
-  if (!m_is_behind || m_lists_left == 0 || now < *m_next_list) {
+  const bool is_starting = now - *m_first_probe <= kListWindow;
+  if (!m_is_behind || !is_starting || now < m_next_list) {
     return false;
   }
-  --m_lists_left;
   m_next_list = now + kListInterval;
   return true;
 }
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -142,8 +142,8 @@
   std::uint64_t m_next_exchange = 1;
   std::optional<TimePoint> m_next_probe;
   std::optional<TimePoint> m_next_contact;
-  std::optional<TimePoint> m_next_list;
-  std::size_t m_lists_left = 3;
+  std::optional<TimePoint> m_first_probe;
+  TimePoint m_next_list;
   std::uint32_t m_next_bucket = 0;
   bool m_is_behind = false;
 };
