HTTP server and stand-ins leave nothing behind when they end

Cause: under AddressSanitizer the contract tests passed and then reported leaked sessions: an HTTP server that was destroyed with open connections left its sessions and their table holding each other (they could also still have called its handler); delayed answers of the stand-ins held their own timers.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -83,6 +83,7 @@
       return;
     }
     m_is_closed = true;
+    m_delay = nullptr;
     beast::error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     m_stream.close();
--- /dev/null
+++ b/src/stand_in/delayed_calls.cc
@@ -0,0 +1,17 @@
+#include "stand_in/delayed_calls.h"
+
+#include <utility>
+
+namespace bramleyspoke::StandIn {
+
+void DelayedCalls::After(Duration delay, std::function<void()> call) {
+  const std::uint64_t id = ++m_last;
+  m_timers[id] = m_loop.At(std::chrono::steady_clock::now() + delay,
+                           [this, id, call = std::move(call)] {
+                             // Ended after the call, which it holds.
+                             const auto ended = m_timers.extract(id);
+                             call();
+                           });
+}
+
+}  // namespace bramleyspoke::StandIn
--- /dev/null
+++ b/src/stand_in/delayed_calls.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "base/time.h"
+#include "connection/event_loop.h"
+
+namespace bramleyspoke::StandIn {
+
+/// Calls to be made later; destroying it cancels them.
+class DelayedCalls {
+ public:
+  explicit DelayedCalls(EventLoop& loop) : m_loop(loop) {}
+
+  /// On the loop's thread.
+  void After(Duration delay, std::function<void()> call);
+
+ private:
+  EventLoop& m_loop;
+  std::uint64_t m_last = 0;
+  std::map<std::uint64_t, std::unique_ptr<Timer>> m_timers;
+};
+
+}  // namespace bramleyspoke::StandIn
--- a/src/stand_in/faulty_server.cc
+++ b/src/stand_in/faulty_server.cc
@@ -72,6 +72,7 @@
     : m_loop(loop),
       m_ports(std::move(ports)),
       m_handler(std::move(handler)),
+      m_calls(loop),
       m_control_handler(std::make_unique<ControlHandler>(*this)) {}
 
 FaultyServer::~FaultyServer() = default;
@@ -160,7 +161,7 @@
       exchange->Abort();
       break;
     case CallFaultMode::kSlow:
-      HandleLater(exchange);
+      m_calls.After(m_fault.delay, [this, exchange] { m_handler(exchange); });
       break;
     case CallFaultMode::kLoseAnswers:
       m_handler(std::make_shared<SilentExchange>(exchange));
@@ -175,15 +176,6 @@
   }
 }
 
-void FaultyServer::HandleLater(const std::shared_ptr<HttpExchange>& exchange) {
-  auto timer = std::make_shared<std::unique_ptr<Timer>>();
-  *timer = m_loop.At(std::chrono::steady_clock::now() + m_fault.delay,
-                     [this, exchange, timer] {
-                       m_handler(exchange);
-                       timer->reset();
-                     });
-}
-
 bool FaultyServer::TakeFault() {
   if (m_fault.mode == CallFaultMode::kNone ||
       (m_fault.count > 0 && m_suffered >= m_fault.count)) {
--- a/src/stand_in/faulty_server.h
+++ b/src/stand_in/faulty_server.h
@@ -8,6 +8,7 @@
 #include "base/result.h"
 #include "connection/http_server.h"
 #include "stand_in/call_fault.h"
+#include "stand_in/delayed_calls.h"
 
 namespace bramleyspoke {
 class EventLoop;
@@ -54,12 +55,12 @@
   void ListenAgain();
   void HandleFault(HttpExchange& exchange);
   void Suffer(const std::shared_ptr<HttpExchange>& exchange);
-  void HandleLater(const std::shared_ptr<HttpExchange>& exchange);
   bool TakeFault();
 
   EventLoop& m_loop;
   ServicePorts m_ports;
   CallHandler m_handler;
+  DelayedCalls m_calls;
   std::function<void()> m_break_watches;
   std::unique_ptr<ControlHandler> m_control_handler;
   std::unique_ptr<HttpServer> m_control;
--- a/src/stand_in/leaf.cc
+++ b/src/stand_in/leaf.cc
@@ -10,6 +10,7 @@
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
 #include "connection/leaf_message.h"
+#include "stand_in/delayed_calls.h"
 #include "stand_in/json_response.h"
 #include "stand_in/leaf_answer.h"
 
@@ -45,6 +46,7 @@
         m_log(log),
         m_config(std::move(config)),
         m_random(m_config.seed),
+        m_calls(loop),
         m_address(m_config.listen) {}
 
   Result<void> Listen() {
@@ -274,7 +276,7 @@
     const bool is_spoiled = m_spoil.kind != LeafFaultKind::kNone &&
                             m_spoil.kind != LeafFaultKind::kLateAnswer &&
                             TakeSpoil();
-    SendAnswer(m_loop, work.exchange, work.attempt, outcome,
+    SendAnswer(m_calls, work.exchange, work.attempt, outcome,
                is_spoiled ? m_spoil : LeafFault{});
   }
 
@@ -355,6 +357,7 @@
   ExecutionLog& m_log;
   LeafConfig m_config;
   std::mt19937_64 m_random;
+  DelayedCalls m_calls;
   Endpoint m_address;
   std::string m_name;
   std::string m_incarnation;
--- a/src/stand_in/leaf_answer.cc
+++ b/src/stand_in/leaf_answer.cc
@@ -4,9 +4,9 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 
-#include "connection/event_loop.h"
 #include "connection/http_server.h"
 #include "connection/leaf_message.h"
+#include "stand_in/delayed_calls.h"
 #include "stand_in/json_response.h"
 
 namespace bramleyspoke::StandIn {
@@ -20,17 +20,12 @@
   return 1000.0 - n - shard * 1e-6;
 }
 
-void SendHalf(EventLoop& loop,
+void SendHalf(DelayedCalls& calls,
               const std::shared_ptr<HttpExchange>& exchange,
               std::string_view body) {
   exchange->StreamBegin(HttpResponse{});
   exchange->StreamChunk(body.substr(0, body.size() / 2));
-  auto timer = std::make_shared<std::unique_ptr<Timer>>();
-  *timer =
-      loop.At(std::chrono::steady_clock::now() + kHalfTime, [exchange, timer] {
-        exchange->Abort();
-        timer->reset();
-      });
+  calls.After(kHalfTime, [exchange] { exchange->Abort(); });
 }
 
 Attempt WithOtherEcho(Attempt attempt, std::string_view field) {
@@ -81,7 +76,7 @@
                                           : std::string();
 }
 
-void SendAnswer(EventLoop& loop,
+void SendAnswer(DelayedCalls& calls,
                 const std::shared_ptr<HttpExchange>& exchange,
                 const Attempt& attempt,
                 const AttemptOutcome& outcome,
@@ -91,7 +86,7 @@
     return;
   }
   if (fault.kind == LeafFaultKind::kHalfAnswer) {
-    SendHalf(loop, exchange, EncodeOutcome(attempt, outcome));
+    SendHalf(calls, exchange, EncodeOutcome(attempt, outcome));
     return;
   }
   Attempt echoed = attempt;
--- a/src/stand_in/leaf_answer.h
+++ b/src/stand_in/leaf_answer.h
@@ -9,12 +9,13 @@
 #include "stand_in/leaf_fault.h"
 
 namespace bramleyspoke {
-class EventLoop;
 class HttpExchange;
 }  // namespace bramleyspoke
 
 namespace bramleyspoke::StandIn {
 
+class DelayedCalls;
+
 /// The hits of a shard: ids "service/shard/version/n", the layout and query in
 /// the text, so that a checker can tell what each hit answers.
 std::vector<Hit> MakeHits(const Attempt& attempt, std::uint32_t count);
@@ -26,7 +27,7 @@
 std::string ParseCancelledId(std::string_view body);
 
 /// Answers `attempt`, spoiled by `fault`.
-void SendAnswer(EventLoop& loop,
+void SendAnswer(DelayedCalls& calls,
                 const std::shared_ptr<HttpExchange>& exchange,
                 const Attempt& attempt,
                 const AttemptOutcome& outcome,
