Stand-in leaf: faults of answers in a class of their own

Cause of the last leak under AddressSanitizer: a delayed answer was held by the timer it held itself.

--- a/src/stand_in/leaf.cc
+++ b/src/stand_in/leaf.cc
@@ -13,6 +13,7 @@
 #include "stand_in/delayed_calls.h"
 #include "stand_in/json_response.h"
 #include "stand_in/leaf_answer.h"
+#include "stand_in/leaf_faults.h"
 
 namespace bramleyspoke::StandIn {
 namespace {
@@ -35,10 +36,6 @@
           static_cast<double>(duration.count()) * factor));
 }
 
-Duration Milliseconds(double count) {
-  return Scaled(std::chrono::milliseconds(1), count);
-}
-
 class LeafImpl final : public Leaf, public HttpHandler {
  public:
   LeafImpl(EventLoop& loop, ExecutionLog& log, LeafConfig config)
@@ -49,6 +46,13 @@
         m_calls(loop),
         m_address(m_config.listen) {}
 
+  // Timers hold the attempts that hold them.
+  ~LeafImpl() override {
+    for (const auto& [id, work] : m_work) {
+      work->timer = nullptr;
+    }
+  }
+
   Result<void> Listen() {
     HttpServerLimits limits;
     limits.connections = m_config.connections;
@@ -132,8 +136,8 @@
   }
 
   LeafReason ReasonToRefuse(const Attempt& attempt) {
-    if (m_refusal != LeafReason::kNone) {
-      return m_refusal;
+    if (m_faults.Refusal() != LeafReason::kNone) {
+      return m_faults.Refusal();
     }
     if (m_is_draining && m_refuses_when_draining) {
       return LeafReason::kDraining;
@@ -141,7 +145,7 @@
     if (!Serves(attempt)) {
       return LeafReason::kVersionMissing;
     }
-    if (m_shed_share > 0 && Fraction() < m_shed_share) {
+    if (Fraction() < m_faults.ShedShare()) {
       return LeafReason::kShed;
     }
     if (m_running >= m_config.slots && m_queue.size() >= m_config.queue) {
@@ -174,7 +178,7 @@
 
   double SpeedFactor() const {
     const bool is_cold = Now() < m_started + m_config.cold_time;
-    return m_slow_factor * (is_cold ? m_config.cold_factor : 1);
+    return m_faults.SlowFactor() * (is_cold ? m_config.cold_factor : 1);
   }
 
   double Fraction() {
@@ -212,9 +216,8 @@
     ++m_counts.started;
     m_counts.concurrent_max = std::max(m_counts.concurrent_max, m_running);
     m_log.Add(m_name, ExecutionEvent::kStarted, work->attempt);
-    if (!m_crash_query.empty() &&
-        work->attempt.query.find(m_crash_query) != std::string::npos) {
-      Crash(m_crash_time);
+    if (m_faults.Crashes(work->attempt.query)) {
+      Crash(m_faults.CrashTime());
       return;
     }
     work->timer = m_loop.At(Now() + NextServiceTime(), [this, work] {
@@ -229,23 +232,27 @@
     Release(*work);
     ++m_counts.finished;
     m_log.Add(m_name, ExecutionEvent::kFinished, work->attempt);
-    const Duration delay = m_config.latency + LateBy();
+    const Duration delay = m_config.latency + m_faults.TakeDelay();
     if (delay == Duration::zero()) {
       Answer(*work);
     } else {
-      // The answer is on its way; a crash still takes it along.
-      m_leaving[work->attempt.attempt_id] = work;
-      work->timer = m_loop.At(Now() + delay, [this, work] {
-        WhenThawed([this, work] {
-          if (m_leaving.erase(work->attempt.attempt_id) > 0) {
-            Answer(*work);
-          }
-        });
-      });
+      AnswerLater(work, delay);
     }
     StartNext();
   }
 
+  // The answer is on its way; a crash still takes it along.
+  void AnswerLater(const WorkPtr& work, Duration delay) {
+    m_leaving[work->attempt.attempt_id] = work;
+    m_calls.After(delay, [this, work] {
+      WhenThawed([this, work] {
+        if (m_leaving.erase(work->attempt.attempt_id) > 0) {
+          Answer(*work);
+        }
+      });
+    });
+  }
+
   void Release(Work& work) {
     work.is_running = false;
     work.timer = nullptr;
@@ -253,31 +260,13 @@
     --m_running;
   }
 
-  Duration LateBy() {
-    return m_spoil.kind == LeafFaultKind::kLateAnswer && TakeSpoil()
-               ? Milliseconds(m_spoil.number)
-               : Duration::zero();
-  }
-
-  // True for as many answers as the fault is ordered for.
-  bool TakeSpoil() {
-    if (m_spoil.count > 0 && m_spoiled >= m_spoil.count) {
-      return false;
-    }
-    ++m_spoiled;
-    return true;
-  }
-
   void Answer(const Work& work) {
     AttemptOutcome outcome = Word();
     outcome.result = AttemptResult::kAnswered;
     outcome.hits = MakeHits(work.attempt, m_config.hits);
-    outcome.covered = m_partial;
-    const bool is_spoiled = m_spoil.kind != LeafFaultKind::kNone &&
-                            m_spoil.kind != LeafFaultKind::kLateAnswer &&
-                            TakeSpoil();
+    outcome.covered = m_faults.Covered();
     SendAnswer(m_calls, work.exchange, work.attempt, outcome,
-               is_spoiled ? m_spoil : LeafFault{});
+               m_faults.TakeSpoil());
   }
 
   void Refuse(const Work& work, LeafReason reason) {
@@ -305,8 +294,8 @@
   }
 
   double ReportedLoad() {
-    if (m_load_lie) {
-      return *m_load_lie;
+    if (m_faults.LoadLie()) {
+      return *m_faults.LoadLie();
     }
     if (Now() >= m_load_seen + m_config.status_lag) {
       const double used = m_running + static_cast<double>(m_queue.size());
@@ -317,8 +306,8 @@
   }
 
   std::string StatusBody() {
-    if (!m_status_lie.empty()) {
-      return m_status_lie;
+    if (!m_faults.StatusLie().empty()) {
+      return m_faults.StatusLie();
     }
     if (m_status.empty() || Now() >= m_status_seen + m_config.status_lag) {
       m_status = EncodeStatus(LeafStatus{m_config.versions, m_is_draining,
@@ -349,8 +338,8 @@
 
   void Crash(Duration down_time);
   void Restart();
+  void Freeze(Duration time);
   void Thaw();
-  void Clear();
   void SetDraining(bool is_draining, bool refuses);
 
   EventLoop& m_loop;
@@ -378,17 +367,7 @@
   std::vector<std::function<void()>> m_held;
   std::unique_ptr<Timer> m_thaw_timer;
   std::unique_ptr<Timer> m_restart_timer;
-  double m_slow_factor = 1;
-  double m_shed_share = 0;
-  double m_partial = 1;
-  LeafReason m_refusal = LeafReason::kNone;
-  std::string m_crash_query;
-  Duration m_crash_time = Duration::zero();
-  std::optional<double> m_load_lie;
-  std::string m_status_lie;
-  // The fault of answers and how many it has spoiled.
-  LeafFault m_spoil;
-  std::uint32_t m_spoiled = 0;
+  LeafFaults m_faults;
 
   double m_load = 0;
   TimePoint m_load_seen;
@@ -442,37 +421,27 @@
   }
 }
 
-void LeafImpl::Clear() {
-  Thaw();
-  m_slow_factor = 1;
-  m_shed_share = 0;
-  m_partial = 1;
-  m_refusal = LeafReason::kNone;
-  m_crash_query.clear();
-  m_load_lie.reset();
-  m_status_lie.clear();
-  m_spoil = {};
-}
-
 void LeafImpl::SetDraining(bool is_draining, bool refuses) {
   m_is_draining = is_draining;
   m_refuses_when_draining = refuses;
 }
 
+void LeafImpl::Freeze(Duration time) {
+  m_is_frozen = true;
+  m_thaw_timer = nullptr;
+  if (time > Duration::zero()) {
+    m_thaw_timer = m_loop.At(Now() + time, [this] { Thaw(); });
+  }
+}
+
 void LeafImpl::Apply(const LeafFault& fault) {
+  m_faults.Apply(fault);
   switch (fault.kind) {
     case LeafFaultKind::kNone:
-      Clear();
-      break;
-    case LeafFaultKind::kSlow:
-      m_slow_factor = fault.number;
+      Thaw();
       break;
     case LeafFaultKind::kFreeze:
-      m_is_frozen = true;
-      m_thaw_timer = fault.number > 0
-                         ? m_loop.At(Now() + Milliseconds(fault.number),
-                                     [this] { Thaw(); })
-                         : nullptr;
+      Freeze(Milliseconds(fault.number));
       break;
     case LeafFaultKind::kCrash:
       Crash(Milliseconds(fault.number));
@@ -480,25 +449,6 @@
     case LeafFaultKind::kRestart:
       Restart();
       break;
-    case LeafFaultKind::kCrashOn:
-      m_crash_query = fault.text;
-      m_crash_time = Milliseconds(fault.number);
-      break;
-    case LeafFaultKind::kRefuse:
-      m_refusal = ParseLeafReason(fault.text).value_or(LeafReason::kOther);
-      break;
-    case LeafFaultKind::kShed:
-      m_shed_share = fault.number;
-      break;
-    case LeafFaultKind::kLieLoad:
-      m_load_lie = fault.number;
-      break;
-    case LeafFaultKind::kLieStatus:
-      m_status_lie = fault.text;
-      break;
-    case LeafFaultKind::kPartial:
-      m_partial = fault.number;
-      break;
     case LeafFaultKind::kDrain:
       SetDraining(true, fault.number > 0);
       break;
@@ -511,13 +461,7 @@
     case LeafFaultKind::kSetShards:
       m_config.shards = fault.shards;
       break;
-    case LeafFaultKind::kDropAnswer:
-    case LeafFaultKind::kHalfAnswer:
-    case LeafFaultKind::kWrongId:
-    case LeafFaultKind::kWrongEcho:
-    case LeafFaultKind::kLateAnswer:
-      m_spoil = fault;
-      m_spoiled = 0;
+    default:
       break;
   }
 }
