--- a/src/stand_in/leaf.cc
+++ b/src/stand_in/leaf.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
-#include <random>
 #include <unordered_map>
 #include <utility>
 
@@ -14,6 +13,7 @@
 #include "stand_in/json_response.h"
 #include "stand_in/leaf_answer.h"
 #include "stand_in/leaf_faults.h"
+#include "stand_in/service_time.h"
 
 namespace bramleyspoke::StandIn {
 namespace {
@@ -30,19 +30,13 @@
 
 using WorkPtr = std::shared_ptr<Work>;
 
-Duration Scaled(Duration duration, double factor) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::nano>(
-          static_cast<double>(duration.count()) * factor));
-}
-
 class LeafImpl final : public Leaf, public HttpHandler {
  public:
   LeafImpl(EventLoop& loop, ExecutionLog& log, LeafConfig config)
       : m_loop(loop),
         m_log(log),
         m_config(std::move(config)),
-        m_random(m_config.seed),
+        m_time(m_config, m_faults),
         m_calls(loop),
         m_address(m_config.listen) {}
 
@@ -62,9 +56,10 @@
                       HttpServer::Create(m_loop, m_address, limits, *this));
     m_address = m_server->Address();
     m_name = ToString(m_address);
-    m_started = Now();
+    const TimePoint now = Now();
+    m_time.Start(now);
     m_incarnation = m_name + "#" + std::to_string(m_counts.crashes) + "-" +
-                    std::to_string(m_started.time_since_epoch().count());
+                    std::to_string(now.time_since_epoch().count());
     return {};
   }
 
@@ -142,58 +137,23 @@
     if (m_is_draining && m_refuses_when_draining) {
       return LeafReason::kDraining;
     }
-    if (!Serves(attempt)) {
+    if (!m_config.Serves(attempt)) {
       return LeafReason::kVersionMissing;
     }
-    if (Fraction() < m_faults.ShedShare()) {
+    if (m_time.Fraction() < m_faults.ShedShare()) {
       return LeafReason::kShed;
     }
     if (m_running >= m_config.slots && m_queue.size() >= m_config.queue) {
       return LeafReason::kNoSlot;
     }
-    if (Now() + WaitFor(m_queue.size()) > attempt.deadline) {
+    const TimePoint now = Now();
+    if (now + m_time.Expected(now, m_running, m_queue.size()) >
+        attempt.deadline) {
       return LeafReason::kDeadline;
     }
     return LeafReason::kNone;
   }
 
-  bool Serves(const Attempt& attempt) const {
-    const auto& versions = m_config.versions;
-    const auto& shards = m_config.shards;
-    return attempt.service == m_config.service &&
-           std::find(versions.begin(), versions.end(), attempt.version) !=
-               versions.end() &&
-           std::find(shards.begin(), shards.end(), attempt.shard) !=
-               shards.end();
-  }
-
-  // Expected time until an attempt with `ahead` others before it is answered.
-  Duration WaitFor(std::size_t ahead) const {
-    const bool has_free_slot = m_running < m_config.slots;
-    const double rounds =
-        has_free_slot ? 1 : 1 + static_cast<double>(ahead + 1) / m_config.slots;
-    return Scaled(m_config.service_time, rounds * SpeedFactor()) +
-           m_config.latency;
-  }
-
-  double SpeedFactor() const {
-    const bool is_cold = Now() < m_started + m_config.cold_time;
-    return m_faults.SlowFactor() * (is_cold ? m_config.cold_factor : 1);
-  }
-
-  double Fraction() {
-    return std::uniform_real_distribution<double>(0, 1)(m_random);
-  }
-
-  Duration NextServiceTime() {
-    double factor = SpeedFactor();
-    factor *= 1 + m_config.jitter * (2 * Fraction() - 1);
-    if (m_config.tail_share > 0 && Fraction() < m_config.tail_share) {
-      factor *= m_config.tail_factor;
-    }
-    return Scaled(m_config.service_time, factor);
-  }
-
   void StartNext() {
     while (m_running < m_config.slots && !m_queue.empty()) {
       const WorkPtr work = m_queue.front();
@@ -220,7 +180,7 @@
       Crash(m_faults.CrashTime());
       return;
     }
-    work->timer = m_loop.At(Now() + NextServiceTime(), [this, work] {
+    work->timer = m_loop.At(Now() + m_time.Next(Now()), [this, work] {
       WhenThawed([this, work] { Finish(work); });
     });
   }
@@ -345,12 +305,12 @@
   EventLoop& m_loop;
   ExecutionLog& m_log;
   LeafConfig m_config;
-  std::mt19937_64 m_random;
+  LeafFaults m_faults;
+  ServiceTime m_time;
   DelayedCalls m_calls;
   Endpoint m_address;
   std::string m_name;
   std::string m_incarnation;
-  TimePoint m_started;
   std::unique_ptr<HttpServer> m_server;
   LeafCounts m_counts;
 
@@ -367,7 +327,6 @@
   std::vector<std::function<void()>> m_held;
   std::unique_ptr<Timer> m_thaw_timer;
   std::unique_ptr<Timer> m_restart_timer;
-  LeafFaults m_faults;
 
   double m_load = 0;
   TimePoint m_load_seen;
@@ -417,7 +376,10 @@
   m_thaw_timer = nullptr;
   const auto held = std::exchange(m_held, {});
   for (const auto& call : held) {
-    WhenThawed(call);
+    // One of them may crash the leaf, and the others with it.
+    if (m_server != nullptr) {
+      WhenThawed(call);
+    }
   }
 }
 
--- a/src/stand_in/leaf_config.cc
+++ b/src/stand_in/leaf_config.cc
@@ -1,5 +1,6 @@
 #include "stand_in/leaf_config.h"
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 #include <boost/json/value_to.hpp>
@@ -84,6 +85,14 @@
 
 }  // namespace
 
+bool LeafConfig::Serves(const Attempt& attempt) const {
+  const bool has_version = std::find(versions.begin(), versions.end(),
+                                     attempt.version) != versions.end();
+  const bool has_shard =
+      std::find(shards.begin(), shards.end(), attempt.shard) != shards.end();
+  return attempt.service == service && has_version && has_shard;
+}
+
 Result<BackendServerConfig> ParseBackendServerConfig(std::string_view text) {
   try {
     json::parse_options options;
--- a/src/stand_in/leaf_config.h
+++ b/src/stand_in/leaf_config.h
@@ -42,6 +42,9 @@
   /// Age up to which reported load and status are repeated.
   Duration status_lag = Duration::zero();
   std::uint64_t seed = 1;
+
+  /// Whether the leaf has the shard and version that `attempt` asks for.
+  bool Serves(const Attempt& attempt) const;
 };
 
 /// One process full of leafs.
