--- a/src/stand_in/leaf.cc
+++ b/src/stand_in/leaf.cc
@@ -13,6 +13,7 @@
 #include "stand_in/json_response.h"
 #include "stand_in/leaf_answer.h"
 #include "stand_in/leaf_faults.h"
+#include "stand_in/leaf_report.h"
 #include "stand_in/service_time.h"
 
 namespace bramleyspoke::StandIn {
@@ -37,6 +38,7 @@
         m_log(log),
         m_config(std::move(config)),
         m_time(m_config, m_faults),
+        m_report(m_config, m_faults),
         m_calls(loop),
         m_address(m_config.listen) {}
 
@@ -254,27 +256,12 @@
   }
 
   double ReportedLoad() {
-    if (m_faults.LoadLie()) {
-      return *m_faults.LoadLie();
-    }
-    if (Now() >= m_load_seen + m_config.status_lag) {
-      const double used = m_running + static_cast<double>(m_queue.size());
-      m_load = std::min(1.0, used / m_config.slots);
-      m_load_seen = Now();
-    }
-    return m_load;
+    return m_report.Load(Now(), m_running + m_queue.size());
   }
 
   std::string StatusBody() {
-    if (!m_faults.StatusLie().empty()) {
-      return m_faults.StatusLie();
-    }
-    if (m_status.empty() || Now() >= m_status_seen + m_config.status_lag) {
-      m_status = EncodeStatus(LeafStatus{m_config.versions, m_is_draining,
-                                         ReportedLoad(), m_incarnation});
-      m_status_seen = Now();
-    }
-    return m_status;
+    return m_report.Status(Now(), LeafStatus{m_config.versions, m_is_draining,
+                                             ReportedLoad(), m_incarnation});
   }
 
   void Cancel(const std::string& attempt_id) {
@@ -307,6 +294,7 @@
   LeafConfig m_config;
   LeafFaults m_faults;
   ServiceTime m_time;
+  LeafReport m_report;
   DelayedCalls m_calls;
   Endpoint m_address;
   std::string m_name;
@@ -327,11 +315,6 @@
   std::vector<std::function<void()>> m_held;
   std::unique_ptr<Timer> m_thaw_timer;
   std::unique_ptr<Timer> m_restart_timer;
-
-  double m_load = 0;
-  TimePoint m_load_seen;
-  std::string m_status;
-  TimePoint m_status_seen;
 };
 
 void LeafImpl::Crash(Duration down_time) {
@@ -362,8 +345,7 @@
   if (m_server != nullptr) {
     Crash(Duration::zero());
   }
-  m_status.clear();
-  m_load_seen = {};
+  m_report.Reset();
   SetDraining(false, false);
   if (!Listen()) {
     m_restart_timer =
