--- /dev/null
+++ b/src/stand_in/freeze_gate.cc
@@ -0,0 +1,41 @@
+#include "stand_in/freeze_gate.h"
+
+#include <utility>
+
+namespace bramleyspoke::StandIn {
+
+void FreezeGate::Pass(std::function<void()> call) {
+  if (m_is_frozen) {
+    m_held.push_back(std::move(call));
+  } else {
+    call();
+  }
+}
+
+void FreezeGate::Freeze(Duration time) {
+  m_is_frozen = true;
+  m_timer = nullptr;
+  if (time > Duration::zero()) {
+    m_timer =
+        m_loop.At(std::chrono::steady_clock::now() + time, [this] { Thaw(); });
+  }
+}
+
+void FreezeGate::Thaw() {
+  m_is_frozen = false;
+  m_timer = nullptr;
+  // A held call may freeze or drop the others.
+  while (!m_is_frozen && !m_held.empty()) {
+    const auto call = std::move(m_held.front());
+    m_held.pop_front();
+    call();
+  }
+}
+
+void FreezeGate::Drop() {
+  m_is_frozen = false;
+  m_timer = nullptr;
+  m_held.clear();
+}
+
+}  // namespace bramleyspoke::StandIn
--- a/src/stand_in/leaf.cc
+++ b/src/stand_in/leaf.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <functional>
 #include <unordered_map>
 #include <utility>
 
@@ -10,6 +9,7 @@
 #include "connection/http_server.h"
 #include "connection/leaf_message.h"
 #include "stand_in/delayed_calls.h"
+#include "stand_in/freeze_gate.h"
 #include "stand_in/json_response.h"
 #include "stand_in/leaf_answer.h"
 #include "stand_in/leaf_faults.h"
@@ -40,6 +40,7 @@
         m_time(m_config, m_faults),
         m_report(m_config, m_faults),
         m_calls(loop),
+        m_gate(loop),
         m_address(m_config.listen) {}
 
   // Timers hold the attempts that hold them.
@@ -79,7 +80,7 @@
     m_counts.connections_max =
         std::max(m_counts.connections_max,
                  static_cast<std::uint32_t>(m_server->ConnectionCount()));
-    WhenThawed([this, exchange = std::move(exchange)] { Route(exchange); });
+    m_gate.Pass([this, exchange = std::move(exchange)] { Route(exchange); });
   }
 
   void Apply(const LeafFault& fault) override;
@@ -87,15 +88,6 @@
  private:
   static TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-  // Runs `call` at once, or when the freeze ends.
-  void WhenThawed(std::function<void()> call) {
-    if (m_is_frozen) {
-      m_held.push_back(std::move(call));
-    } else {
-      call();
-    }
-  }
-
   void Route(const std::shared_ptr<HttpExchange>& exchange) {
     const std::string& target = exchange->Request().target;
     if (target == "/search") {
@@ -183,7 +175,7 @@
       return;
     }
     work->timer = m_loop.At(Now() + m_time.Next(Now()), [this, work] {
-      WhenThawed([this, work] { Finish(work); });
+      m_gate.Pass([this, work] { Finish(work); });
     });
   }
 
@@ -207,7 +199,7 @@
   void AnswerLater(const WorkPtr& work, Duration delay) {
     m_leaving[work->attempt.attempt_id] = work;
     m_calls.After(delay, [this, work] {
-      WhenThawed([this, work] {
+      m_gate.Pass([this, work] {
         if (m_leaving.erase(work->attempt.attempt_id) > 0) {
           Answer(*work);
         }
@@ -285,8 +277,6 @@
 
   void Crash(Duration down_time);
   void Restart();
-  void Freeze(Duration time);
-  void Thaw();
   void SetDraining(bool is_draining, bool refuses);
 
   EventLoop& m_loop;
@@ -296,6 +286,7 @@
   ServiceTime m_time;
   LeafReport m_report;
   DelayedCalls m_calls;
+  FreezeGate m_gate;
   Endpoint m_address;
   std::string m_name;
   std::string m_incarnation;
@@ -311,9 +302,6 @@
 
   bool m_is_draining = false;
   bool m_refuses_when_draining = false;
-  bool m_is_frozen = false;
-  std::vector<std::function<void()>> m_held;
-  std::unique_ptr<Timer> m_thaw_timer;
   std::unique_ptr<Timer> m_restart_timer;
 };
 
@@ -330,9 +318,8 @@
   m_work.clear();
   m_leaving.clear();
   m_queue.clear();
-  m_held.clear();
+  m_gate.Drop();
   m_running = 0;
-  m_is_frozen = false;
   m_server->AbortAll();
   m_server = nullptr;
   m_restart_timer = nullptr;
@@ -353,39 +340,19 @@
   }
 }
 
-void LeafImpl::Thaw() {
-  m_is_frozen = false;
-  m_thaw_timer = nullptr;
-  const auto held = std::exchange(m_held, {});
-  for (const auto& call : held) {
-    // One of them may crash the leaf, and the others with it.
-    if (m_server != nullptr) {
-      WhenThawed(call);
-    }
-  }
-}
-
 void LeafImpl::SetDraining(bool is_draining, bool refuses) {
   m_is_draining = is_draining;
   m_refuses_when_draining = refuses;
 }
 
-void LeafImpl::Freeze(Duration time) {
-  m_is_frozen = true;
-  m_thaw_timer = nullptr;
-  if (time > Duration::zero()) {
-    m_thaw_timer = m_loop.At(Now() + time, [this] { Thaw(); });
-  }
-}
-
 void LeafImpl::Apply(const LeafFault& fault) {
   m_faults.Apply(fault);
   switch (fault.kind) {
     case LeafFaultKind::kNone:
-      Thaw();
+      m_gate.Thaw();
       break;
     case LeafFaultKind::kFreeze:
-      Freeze(Milliseconds(fault.number));
+      m_gate.Freeze(Milliseconds(fault.number));
       break;
     case LeafFaultKind::kCrash:
       Crash(Milliseconds(fault.number));
