--- a/src/stand_in/leaf.cc
+++ b/src/stand_in/leaf.cc
@@ -2,16 +2,19 @@
 
 #include <algorithm>
 #include <deque>
-#include <functional>
-#include <random>
 #include <unordered_map>
 #include <utility>
 
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
 #include "connection/leaf_message.h"
+#include "stand_in/delayed_calls.h"
+#include "stand_in/freeze_gate.h"
 #include "stand_in/json_response.h"
 #include "stand_in/leaf_answer.h"
+#include "stand_in/leaf_faults.h"
+#include "stand_in/leaf_report.h"
+#include "stand_in/service_time.h"
 
 namespace bramleyspoke::StandIn {
 namespace {
@@ -28,25 +31,25 @@
 
 using WorkPtr = std::shared_ptr<Work>;
 
-Duration Scaled(Duration duration, double factor) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::nano>(
-          static_cast<double>(duration.count()) * factor));
-}
-
-Duration Milliseconds(double count) {
-  return Scaled(std::chrono::milliseconds(1), count);
-}
-
 class LeafImpl final : public Leaf, public HttpHandler {
  public:
   LeafImpl(EventLoop& loop, ExecutionLog& log, LeafConfig config)
       : m_loop(loop),
         m_log(log),
         m_config(std::move(config)),
-        m_random(m_config.seed),
+        m_time(m_config, m_faults),
+        m_report(m_config, m_faults),
+        m_calls(loop),
+        m_gate(loop),
         m_address(m_config.listen) {}
 
+  // Timers hold the attempts that hold them.
+  ~LeafImpl() override {
+    for (const auto& [id, work] : m_work) {
+      work->timer = nullptr;
+    }
+  }
+
   Result<void> Listen() {
     HttpServerLimits limits;
     limits.connections = m_config.connections;
@@ -56,9 +59,10 @@
                       HttpServer::Create(m_loop, m_address, limits, *this));
     m_address = m_server->Address();
     m_name = ToString(m_address);
-    m_started = Now();
+    const TimePoint now = Now();
+    m_time.Start(now);
     m_incarnation = m_name + "#" + std::to_string(m_counts.crashes) + "-" +
-                    std::to_string(m_started.time_since_epoch().count());
+                    std::to_string(now.time_since_epoch().count());
     return {};
   }
 
@@ -76,7 +80,7 @@
     m_counts.connections_max =
         std::max(m_counts.connections_max,
                  static_cast<std::uint32_t>(m_server->ConnectionCount()));
-    WhenThawed([this, exchange = std::move(exchange)] { Route(exchange); });
+    m_gate.Pass([this, exchange = std::move(exchange)] { Route(exchange); });
   }
 
   void Apply(const LeafFault& fault) override;
@@ -84,15 +88,6 @@
  private:
   static TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-  // Runs `call` at once, or when the freeze ends.
-  void WhenThawed(std::function<void()> call) {
-    if (m_is_frozen) {
-      m_held.push_back(std::move(call));
-    } else {
-      call();
-    }
-  }
-
   void Route(const std::shared_ptr<HttpExchange>& exchange) {
     const std::string& target = exchange->Request().target;
     if (target == "/search") {
@@ -130,64 +125,29 @@
   }
 
   LeafReason ReasonToRefuse(const Attempt& attempt) {
-    if (m_refusal != LeafReason::kNone) {
-      return m_refusal;
+    if (m_faults.Refusal() != LeafReason::kNone) {
+      return m_faults.Refusal();
     }
     if (m_is_draining && m_refuses_when_draining) {
       return LeafReason::kDraining;
     }
-    if (!Serves(attempt)) {
+    if (!m_config.Serves(attempt)) {
       return LeafReason::kVersionMissing;
     }
-    if (m_shed_share > 0 && Fraction() < m_shed_share) {
+    if (m_time.Fraction() < m_faults.ShedShare()) {
       return LeafReason::kShed;
     }
     if (m_running >= m_config.slots && m_queue.size() >= m_config.queue) {
       return LeafReason::kNoSlot;
     }
-    if (Now() + WaitFor(m_queue.size()) > attempt.deadline) {
+    const TimePoint now = Now();
+    if (now + m_time.Expected(now, m_running, m_queue.size()) >
+        attempt.deadline) {
       return LeafReason::kDeadline;
     }
     return LeafReason::kNone;
   }
 
-  bool Serves(const Attempt& attempt) const {
-    const auto& versions = m_config.versions;
-    const auto& shards = m_config.shards;
-    return attempt.service == m_config.service &&
-           std::find(versions.begin(), versions.end(), attempt.version) !=
-               versions.end() &&
-           std::find(shards.begin(), shards.end(), attempt.shard) !=
-               shards.end();
-  }
-
-  // Expected time until an attempt with `ahead` others before it is answered.
-  Duration WaitFor(std::size_t ahead) const {
-    const bool has_free_slot = m_running < m_config.slots;
-    const double rounds =
-        has_free_slot ? 1 : 1 + static_cast<double>(ahead + 1) / m_config.slots;
-    return Scaled(m_config.service_time, rounds * SpeedFactor()) +
-           m_config.latency;
-  }
-
-  double SpeedFactor() const {
-    const bool is_cold = Now() < m_started + m_config.cold_time;
-    return m_slow_factor * (is_cold ? m_config.cold_factor : 1);
-  }
-
-  double Fraction() {
-    return std::uniform_real_distribution<double>(0, 1)(m_random);
-  }
-
-  Duration NextServiceTime() {
-    double factor = SpeedFactor();
-    factor *= 1 + m_config.jitter * (2 * Fraction() - 1);
-    if (m_config.tail_share > 0 && Fraction() < m_config.tail_share) {
-      factor *= m_config.tail_factor;
-    }
-    return Scaled(m_config.service_time, factor);
-  }
-
   void StartNext() {
     while (m_running < m_config.slots && !m_queue.empty()) {
       const WorkPtr work = m_queue.front();
@@ -210,13 +170,12 @@
     ++m_counts.started;
     m_counts.concurrent_max = std::max(m_counts.concurrent_max, m_running);
     m_log.Add(m_name, ExecutionEvent::kStarted, work->attempt);
-    if (!m_crash_query.empty() &&
-        work->attempt.query.find(m_crash_query) != std::string::npos) {
-      Crash(m_crash_time);
+    if (m_faults.Crashes(work->attempt.query)) {
+      Crash(m_faults.CrashTime());
       return;
     }
-    work->timer = m_loop.At(Now() + NextServiceTime(), [this, work] {
-      WhenThawed([this, work] { Finish(work); });
+    work->timer = m_loop.At(Now() + m_time.Next(Now()), [this, work] {
+      m_gate.Pass([this, work] { Finish(work); });
     });
   }
 
@@ -227,23 +186,27 @@
     Release(*work);
     ++m_counts.finished;
     m_log.Add(m_name, ExecutionEvent::kFinished, work->attempt);
-    const Duration delay = m_config.latency + LateBy();
+    const Duration delay = m_config.latency + m_faults.TakeDelay();
     if (delay == Duration::zero()) {
       Answer(*work);
     } else {
-      // The answer is on its way; a crash still takes it along.
-      m_leaving[work->attempt.attempt_id] = work;
-      work->timer = m_loop.At(Now() + delay, [this, work] {
-        WhenThawed([this, work] {
-          if (m_leaving.erase(work->attempt.attempt_id) > 0) {
-            Answer(*work);
-          }
-        });
-      });
+      AnswerLater(work, delay);
     }
     StartNext();
   }
 
+  // The answer is on its way; a crash still takes it along.
+  void AnswerLater(const WorkPtr& work, Duration delay) {
+    m_leaving[work->attempt.attempt_id] = work;
+    m_calls.After(delay, [this, work] {
+      m_gate.Pass([this, work] {
+        if (m_leaving.erase(work->attempt.attempt_id) > 0) {
+          Answer(*work);
+        }
+      });
+    });
+  }
+
   void Release(Work& work) {
     work.is_running = false;
     work.timer = nullptr;
@@ -251,31 +214,13 @@
     --m_running;
   }
 
-  Duration LateBy() {
-    return m_spoil.kind == LeafFaultKind::kLateAnswer && TakeSpoil()
-               ? Milliseconds(m_spoil.number)
-               : Duration::zero();
-  }
-
-  // True for as many answers as the fault is ordered for.
-  bool TakeSpoil() {
-    if (m_spoil.count > 0 && m_spoiled >= m_spoil.count) {
-      return false;
-    }
-    ++m_spoiled;
-    return true;
-  }
-
   void Answer(const Work& work) {
     AttemptOutcome outcome = Word();
     outcome.result = AttemptResult::kAnswered;
     outcome.hits = MakeHits(work.attempt, m_config.hits);
-    outcome.covered = m_partial;
-    const bool is_spoiled = m_spoil.kind != LeafFaultKind::kNone &&
-                            m_spoil.kind != LeafFaultKind::kLateAnswer &&
-                            TakeSpoil();
-    SendAnswer(m_loop, work.exchange, work.attempt, outcome,
-               is_spoiled ? m_spoil : LeafFault{});
+    outcome.covered = m_faults.Covered();
+    SendAnswer(m_calls, work.exchange, work.attempt, outcome,
+               m_faults.TakeSpoil());
   }
 
   void Refuse(const Work& work, LeafReason reason) {
@@ -303,27 +248,12 @@
   }
 
   double ReportedLoad() {
-    if (m_load_lie) {
-      return *m_load_lie;
-    }
-    if (Now() >= m_load_seen + m_config.status_lag) {
-      const double used = m_running + static_cast<double>(m_queue.size());
-      m_load = std::min(1.0, used / m_config.slots);
-      m_load_seen = Now();
-    }
-    return m_load;
+    return m_report.Load(Now(), m_running + m_queue.size());
   }
 
   std::string StatusBody() {
-    if (!m_status_lie.empty()) {
-      return m_status_lie;
-    }
-    if (m_status.empty() || Now() >= m_status_seen + m_config.status_lag) {
-      m_status = EncodeStatus(LeafStatus{m_config.versions, m_is_draining,
-                                         ReportedLoad(), m_incarnation});
-      m_status_seen = Now();
-    }
-    return m_status;
+    return m_report.Status(Now(), LeafStatus{m_config.versions, m_is_draining,
+                                             ReportedLoad(), m_incarnation});
   }
 
   void Cancel(const std::string& attempt_id) {
@@ -347,18 +277,19 @@
 
   void Crash(Duration down_time);
   void Restart();
-  void Thaw();
-  void Clear();
   void SetDraining(bool is_draining, bool refuses);
 
   EventLoop& m_loop;
   ExecutionLog& m_log;
   LeafConfig m_config;
-  std::mt19937_64 m_random;
+  LeafFaults m_faults;
+  ServiceTime m_time;
+  LeafReport m_report;
+  DelayedCalls m_calls;
+  FreezeGate m_gate;
   Endpoint m_address;
   std::string m_name;
   std::string m_incarnation;
-  TimePoint m_started;
   std::unique_ptr<HttpServer> m_server;
   LeafCounts m_counts;
 
@@ -371,26 +302,7 @@
 
   bool m_is_draining = false;
   bool m_refuses_when_draining = false;
-  bool m_is_frozen = false;
-  std::vector<std::function<void()>> m_held;
-  std::unique_ptr<Timer> m_thaw_timer;
   std::unique_ptr<Timer> m_restart_timer;
-  double m_slow_factor = 1;
-  double m_shed_share = 0;
-  double m_partial = 1;
-  LeafReason m_refusal = LeafReason::kNone;
-  std::string m_crash_query;
-  Duration m_crash_time = Duration::zero();
-  std::optional<double> m_load_lie;
-  std::string m_status_lie;
-  // The fault of answers and how many it has spoiled.
-  LeafFault m_spoil;
-  std::uint32_t m_spoiled = 0;
-
-  double m_load = 0;
-  TimePoint m_load_seen;
-  std::string m_status;
-  TimePoint m_status_seen;
 };
 
 void LeafImpl::Crash(Duration down_time) {
@@ -406,9 +318,8 @@
   m_work.clear();
   m_leaving.clear();
   m_queue.clear();
-  m_held.clear();
+  m_gate.Drop();
   m_running = 0;
-  m_is_frozen = false;
   m_server->AbortAll();
   m_server = nullptr;
   m_restart_timer = nullptr;
@@ -421,8 +332,7 @@
   if (m_server != nullptr) {
     Crash(Duration::zero());
   }
-  m_status.clear();
-  m_load_seen = {};
+  m_report.Reset();
   SetDraining(false, false);
   if (!Listen()) {
     m_restart_timer =
@@ -430,46 +340,19 @@
   }
 }
 
-void LeafImpl::Thaw() {
-  m_is_frozen = false;
-  m_thaw_timer = nullptr;
-  const auto held = std::exchange(m_held, {});
-  for (const auto& call : held) {
-    WhenThawed(call);
-  }
-}
-
-void LeafImpl::Clear() {
-  Thaw();
-  m_slow_factor = 1;
-  m_shed_share = 0;
-  m_partial = 1;
-  m_refusal = LeafReason::kNone;
-  m_crash_query.clear();
-  m_load_lie.reset();
-  m_status_lie.clear();
-  m_spoil = {};
-}
-
 void LeafImpl::SetDraining(bool is_draining, bool refuses) {
   m_is_draining = is_draining;
   m_refuses_when_draining = refuses;
 }
 
 void LeafImpl::Apply(const LeafFault& fault) {
+  m_faults.Apply(fault);
   switch (fault.kind) {
     case LeafFaultKind::kNone:
-      Clear();
-      break;
-    case LeafFaultKind::kSlow:
-      m_slow_factor = fault.number;
+      m_gate.Thaw();
       break;
     case LeafFaultKind::kFreeze:
-      m_is_frozen = true;
-      m_thaw_timer = fault.number > 0
-                         ? m_loop.At(Now() + Milliseconds(fault.number),
-                                     [this] { Thaw(); })
-                         : nullptr;
+      m_gate.Freeze(Milliseconds(fault.number));
       break;
     case LeafFaultKind::kCrash:
       Crash(Milliseconds(fault.number));
@@ -477,25 +360,6 @@
     case LeafFaultKind::kRestart:
       Restart();
       break;
-    case LeafFaultKind::kCrashOn:
-      m_crash_query = fault.text;
-      m_crash_time = Milliseconds(fault.number);
-      break;
-    case LeafFaultKind::kRefuse:
-      m_refusal = ParseLeafReason(fault.text).value_or(LeafReason::kOther);
-      break;
-    case LeafFaultKind::kShed:
-      m_shed_share = fault.number;
-      break;
-    case LeafFaultKind::kLieLoad:
-      m_load_lie = fault.number;
-      break;
-    case LeafFaultKind::kLieStatus:
-      m_status_lie = fault.text;
-      break;
-    case LeafFaultKind::kPartial:
-      m_partial = fault.number;
-      break;
     case LeafFaultKind::kDrain:
       SetDraining(true, fault.number > 0);
       break;
@@ -508,13 +372,7 @@
     case LeafFaultKind::kSetShards:
       m_config.shards = fault.shards;
       break;
-    case LeafFaultKind::kDropAnswer:
-    case LeafFaultKind::kHalfAnswer:
-    case LeafFaultKind::kWrongId:
-    case LeafFaultKind::kWrongEcho:
-    case LeafFaultKind::kLateAnswer:
-      m_spoil = fault;
-      m_spoiled = 0;
+    default:
       break;
   }
 }
