--- a/tests/process_leaf_test.cc
+++ b/tests/process_leaf_test.cc
@@ -98,7 +98,7 @@
 
 TEST_CASE("a request that crashes leafs takes down no more than the bound") {
   // Two leafs at each daemon that holds connections to the service.
-  const std::size_t crash_bound =
+  const std::uint32_t crash_bound =
       CrashGuard::kCrashLimit *
       Harness::MakeSmallDeployment().services[0].holders;
   ProcessRun run;
@@ -127,9 +127,9 @@
     }
   }
   CHECK_FALSE(leafs_by_request.empty());
-  for (const auto& [query, leafs] : leafs_by_request) {
-    CAPTURE(query);
-    CHECK(leafs.size() <= crash_bound);
+  for (const auto& crashes : leafs_by_request) {
+    CAPTURE(crashes.first);
+    CHECK(crashes.second.size() <= crash_bound);
   }
 }
 
