--- a/bench/cases.cc
+++ b/bench/cases.cc
@@ -3,8 +3,11 @@
 #include <iostream>
 
 #include "capacity_case.h"
+#include "control_cost.h"
 #include "engine_cost.h"
+#include "exchange_cost.h"
 #include "fault_cases.h"
+#include "manifest_spread.h"
 #include "policy_cases.h"
 #include "soak.h"
 
@@ -16,6 +19,13 @@
   return 0;
 }
 
+Result<std::size_t> RunControlCost(const BenchOptions&) {
+  BenchControlCost(std::cout);
+  BenchExchangeCost(std::cout);
+  BenchManifestSpread(std::cout);
+  return 0;
+}
+
 }  // namespace
 
 const std::vector<BenchCase>& BenchCases() {
@@ -33,6 +43,8 @@
       {"store_down", "outage, slowness, lost answers", RunStoreDown},
       {"capacity", "processor time and memory by fleet size", RunCapacity},
       {"engine_cost", "processor time of the engine alone", RunEngineCost},
+      {"control_cost", "control's decisions alone, up to the target's size",
+       RunControlCost},
       {"soak", "random faults; only when asked for", RunSoak, true},
   };
   return kCases;
--- a/src/process/daemon.cc
+++ b/src/process/daemon.cc
@@ -34,8 +34,7 @@
 // How often a planned stop looks at what is left.
 constexpr std::chrono::milliseconds kStopCheckInterval{20};
 
-// Greater for each later process at an address. The low bits are left to
-// membership, which counts refutations there.
+// Greater for each later process at an address.
 std::uint64_t MakeIncarnation() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<std::uint64_t>(
--- a/src/process/search_router.cc
+++ b/src/process/search_router.cc
@@ -1,72 +1,27 @@
 #include "process/search_router.h"
 
 #include <algorithm>
-#include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <utility>
 
-#include "base/enum_names.h"
 #include "connection/event_loop.h"
 #include "process/freshness_lease.h"
+#include "request/forward_message.h"
 
 namespace bramleyspoke {
 namespace {
 
-namespace json = boost::json;
-
 // How long a caller may keep an address answer.
 constexpr std::chrono::milliseconds kEntryKeep{10'000};
 constexpr std::chrono::milliseconds kRetryAfter{500};
 // Left of a forwarded request's time for its answer's way back.
 constexpr std::chrono::milliseconds kReturnTime{25};
 
-/// What a daemon asks of another with a forwarded request.
-enum class ForwardMode {
-  /// Run it: the receiver holds the service.
-  kRun,
-  /// Decide on its id: the receiver issued it.
-  kDecide,
-};
-
-constexpr EnumNames<ForwardMode, 2> kModeNames{{{
-    {ForwardMode::kRun, "run"},
-    {ForwardMode::kDecide, "decide"},
-}}};
-
-struct ForwardBody {
-  ForwardMode mode = ForwardMode::kRun;
-  std::string search;
-};
-
-std::string ToJson(const ForwardBody& body) {
-  return json::serialize(json::object{{"mode", kModeNames.NameOf(body.mode)},
-                                      {"search", body.search}});
-}
-
 // Time that a forwarded request has where it runs.
 Duration WithoutReturnTime(Duration left) {
   return left - std::min<Duration>(kReturnTime, left / 10);
 }
 
-std::optional<ForwardBody> ParseForwardBody(const std::string& text) {
-  json::error_code error;
-  const json::value value = json::parse(text, error);
-  const json::object* object = error ? nullptr : value.if_object();
-  if (object == nullptr || !object->contains("mode") ||
-      !object->contains("search") || !object->at("mode").is_string() ||
-      !object->at("search").is_string()) {
-    return std::nullopt;
-  }
-  const auto mode =
-      kModeNames.ValueOf(std::string(object->at("mode").get_string()));
-  if (!mode) {
-    return std::nullopt;
-  }
-  return ForwardBody{*mode, std::string(object->at("search").get_string())};
-}
-
 // Whether a holder's reply says that another holder should be asked.
 bool IsRefusedByHolder(const CallerReply& reply) {
   return reply.verdict == Verdict::kNotRun &&
@@ -134,7 +89,7 @@
 void SearchRouter::Forwarded(const std::string& body,
                              Duration time_left,
                              Reply reply) {
-  const std::optional<ForwardBody> forward = ParseForwardBody(body);
+  const std::optional<ForwardMessage> forward = ParseForwardMessage(body);
   Result<CallerSearch> search =
       forward ? ParseCallerSearch(forward->search) : Result<CallerSearch>{};
   if (!forward || !search) {
@@ -324,7 +279,7 @@
   CallerSearch search = pending->search;
   search.time_left = WithoutReturnTime(left);
   m_context.peers.Forward(
-      id->issuer, ToJson(ForwardBody{ForwardMode::kDecide, ToJson(search)}),
+      id->issuer, ToJson(ForwardMessage{ForwardMode::kDecide, ToJson(search)}),
       left, [this, pending](ForwardOutcome outcome) {
         m_context.front.Post([this, pending, outcome = std::move(outcome)] {
           m_context.observer.OnForward(outcome.result);
@@ -406,8 +361,8 @@
   CallerSearch search = pending->search;
   search.time_left = WithoutReturnTime(timeout);
   m_context.peers.Forward(
-      holder, ToJson(ForwardBody{ForwardMode::kRun, ToJson(search)}), timeout,
-      [this, pending](ForwardOutcome outcome) {
+      holder, ToJson(ForwardMessage{ForwardMode::kRun, ToJson(search)}),
+      timeout, [this, pending](ForwardOutcome outcome) {
         m_context.front.Post(
             [this, pending, outcome = std::move(outcome)]() mutable {
               OnHolderReply(pending, std::move(outcome));
--- a/tests/caller_contract_test.cc
+++ b/tests/caller_contract_test.cc
@@ -15,6 +15,7 @@
 #include "process/caller_api.h"
 #include "process/freshness_lease.h"
 #include "process/search_router.h"
+#include "router_fakes.h"
 
 namespace bramleyspoke {
 namespace {
@@ -22,27 +23,6 @@
 constexpr std::size_t kHeaderLimit = 1024;
 constexpr std::size_t kBodyLimit = 2048;
 
-class NoPeers final : public PeerNetwork {
- public:
-  void Gossip(const Endpoint&,
-              const GossipMessage&,
-              Duration,
-              std::function<void(std::optional<GossipMessage>)>) override {}
-  void PingVia(const Endpoint&,
-               const Endpoint&,
-               Duration,
-               std::function<void(bool)>) override {}
-  void Forward(const Endpoint&,
-               const std::string&,
-               Duration,
-               std::function<void(ForwardOutcome)>) override {}
-  void FetchParts(
-      const Endpoint&,
-      const std::vector<std::string>&,
-      Duration,
-      std::function<void(std::optional<std::vector<std::string>>)>) override {}
-};
-
 // Answers each search at once, and counts them: what runs.
 class CountingExecutor final : public SearchExecutor {
  public:
@@ -69,11 +49,6 @@
   bool SetLogLevel(const std::string& name) override { return name == "info"; }
 };
 
-class NullObserver final : public RequestObserver {
- public:
-  void OnRequestEnd(const CallerSearch&, const RequestEnd&) override {}
-};
-
 std::shared_ptr<const RoutingTable> MakeTable() {
   auto table = std::make_shared<RoutingTable>();
   auto route = std::make_shared<ServiceRoute>();
@@ -140,7 +115,7 @@
   std::unique_ptr<EventLoop> m_loop = EventLoop::Create();
   ManualClock m_clock;
   FreshnessLease m_lease;
-  NoPeers m_peers;
+  FakePeers m_peers;
   CountingExecutor m_executor;
   NullObserver m_observer;
   FakeActions m_actions;
--- a/tests/search_router_test.cc
+++ b/tests/search_router_test.cc
@@ -9,6 +9,7 @@
 
 #include "manual_loop.h"
 #include "process/freshness_lease.h"
+#include "router_fakes.h"
 
 namespace bramleyspoke {
 namespace {
@@ -30,38 +31,6 @@
          "~0~" + suffix;
 }
 
-// Records forwards and answers them as the test says.
-class FakePeers final : public PeerNetwork {
- public:
-  struct Call {
-    Endpoint peer;
-    Duration timeout;
-    std::function<void(ForwardOutcome)> done;
-  };
-
-  void Gossip(const Endpoint&,
-              const GossipMessage&,
-              Duration,
-              std::function<void(std::optional<GossipMessage>)>) override {}
-  void PingVia(const Endpoint&,
-               const Endpoint&,
-               Duration,
-               std::function<void(bool)>) override {}
-  void Forward(const Endpoint& peer,
-               const std::string&,
-               Duration timeout,
-               std::function<void(ForwardOutcome)> done) override {
-    calls.push_back(Call{peer, timeout, std::move(done)});
-  }
-  void FetchParts(
-      const Endpoint&,
-      const std::vector<std::string>&,
-      Duration,
-      std::function<void(std::optional<std::vector<std::string>>)>) override {}
-
-  std::vector<Call> calls;
-};
-
 class FakeExecutor final : public SearchExecutor {
  public:
   void Execute(QueryNumber, SearchRequest, Done done) override {
@@ -73,11 +42,6 @@
   int gone = 0;
 };
 
-class NullObserver final : public RequestObserver {
- public:
-  void OnRequestEnd(const CallerSearch&, const RequestEnd&) override {}
-};
-
 SearchOutcome Ran() {
   SearchOutcome outcome;
   outcome.answer = SearchAnswer{};
