--- a/src/process/service_runner.cc
+++ b/src/process/service_runner.cc
@@ -15,18 +15,6 @@
 // at once, this often at the most.
 constexpr std::chrono::milliseconds kLeastStatusInterval{200};
 
-std::set<Endpoint> LeafsOf(const ServiceRoute& route) {
-  std::set<Endpoint> leafs;
-  for (const Layout& layout : route.spec.layouts) {
-    for (const Shard& shard : layout.shards) {
-      for (const Replica& replica : shard.replicas) {
-        leafs.insert(replica.leaf);
-      }
-    }
-  }
-  return leafs;
-}
-
 AttemptOutcome NotSent() {
   AttemptOutcome outcome;
   outcome.result = AttemptResult::kNotSent;
--- a/src/process/traffic_threads.cc
+++ b/src/process/traffic_threads.cc
@@ -94,6 +94,7 @@
       }
     }
     DropRetired();
+    CloseUnused();
   }
 
   void TakeEvidence(const EvidenceNotice& evidence) {
@@ -132,6 +133,22 @@
     m_runners.emplace(name, std::move(runner));
   }
 
+  // Leafs that no service here names any longer keep no connection.
+  void CloseUnused() {
+    std::set<Endpoint> used;
+    for (const auto& [name, runner] : m_runners) {
+      const std::set<Endpoint> leafs = LeafsOf(runner->Route());
+      used.insert(leafs.begin(), leafs.end());
+    }
+    for (const Endpoint& leaf : m_leafs) {
+      if (!used.contains(leaf)) {
+        m_pool->KeepOpen(leaf, 0);
+        m_pool->SetConnectionLimit(leaf, 0);
+      }
+    }
+    m_leafs = std::move(used);
+  }
+
   void SetLimits(const ServiceRoute& route) {
     const std::uint32_t share = ConnectionShare(route);
     const std::uint32_t kept_open = std::min(share, route.spec.slots + 1);
@@ -205,6 +222,7 @@
   RunnerContext m_context;
   std::map<std::string, std::shared_ptr<ServiceRunner>> m_runners;
   std::set<std::string> m_retired;
+  std::set<Endpoint> m_leafs;
   std::uint64_t m_last_runner = 0;
   std::unique_ptr<Timer> m_notice_timer;
 };
--- a/src/version/routing_table.h
+++ b/src/version/routing_table.h
@@ -36,6 +36,9 @@
   std::set<Endpoint> leaving;
 };
 
+/// Every leaf that the service's layouts name.
+std::set<Endpoint> LeafsOf(const ServiceRoute& route);
+
 /// All that traffic needs to know; immutable, replaced as a whole.
 struct RoutingTable {
   /// 0 before the first manifest.
