While versions move, queries wait shortly for word of all leafs

Ruled out: the move itself (all leafs take the new version before any drops the old one); asking each leaf more often all the time, which costs the leafs load. Change: for 300 ms after a leaf took or dropped a version, a query that no version covers whole waits up to 200 ms, and one under way backs off without an attempt, while all leafs' status is asked at once (each 50 ms at most, one question a leaf at a time). Red first: with a move time of 0 the new case fails (1 send of 2, no status wanted).

--- a/src/process/service_runner.cc
+++ b/src/process/service_runner.cc
@@ -11,9 +11,9 @@
 
 // Drain words and index versions reach us within this time at the latest.
 constexpr std::chrono::milliseconds kStatusInterval{1000};
-// A leaf that lacks a version tells that versions move: the others are asked
-// at once, this often at the most.
-constexpr std::chrono::milliseconds kLeastStatusInterval{200};
+// A leaf that lacks a version tells that versions move, and queries may wait
+// for word of them: all leafs are asked at once, this often at the most.
+constexpr std::chrono::milliseconds kLeastStatusInterval{50};
 
 AttemptOutcome NotSent() {
   AttemptOutcome outcome;
@@ -89,6 +89,9 @@
   for (FinishAction& finish : actions.finishes) {
     Finish(std::move(finish));
   }
+  if (m_engine->WantsStatus()) {
+    AskStatusSoon();
+  }
   ArmTimer();
 }
 
@@ -168,9 +171,13 @@
 }
 
 void ServiceRunner::AskStatusOf(const Endpoint& leaf) {
+  if (!m_asked.insert(leaf).second) {
+    return;
+  }
   m_context.backend.FetchStatus(
       leaf, [weak = weak_from_this(), leaf](std::optional<LeafStatus> status) {
         if (const auto self = weak.lock()) {
+          self->m_asked.erase(leaf);
           self->Apply(self->m_engine->OnLeafStatus(
               leaf, std::move(status), self->m_context.clock.Now()));
         }
--- a/src/process/service_runner.h
+++ b/src/process/service_runner.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -72,6 +73,8 @@
   TimePoint m_timer_at = TimePoint::max();
   std::unique_ptr<Timer> m_status_timer;
   TimePoint m_status_asked_at;
+  // Leafs whose status is on its way.
+  std::set<Endpoint> m_asked;
 };
 
 }  // namespace bramleyspoke
--- a/src/request/fan_out_engine.h
+++ b/src/request/fan_out_engine.h
@@ -48,6 +48,7 @@
   EngineActions OnPeerDrain(const DrainNotice& notice, TimePoint now) override;
   EngineActions OnTimer(TimePoint now) override;
 
+  bool WantsStatus() const override { return !m_unstarted.empty(); }
   std::optional<TimePoint> NextTimer() const override;
   std::vector<CrashEvidence> TakeEvidence() override;
   std::vector<DrainNotice> TakeDrains() override;
@@ -105,6 +106,8 @@
   ChoiceQuery ChoiceFor(const Query& query, const ShardTask& task) const;
   void OnNoReplica(Query& query, std::uint32_t ordinal);
   bool CanRestart(const Query& query);
+  void BackOff(Query& query, ShardTask& task, Duration backoff);
+  bool MayAwaitVersion(const Query& query, Duration backoff);
   bool CanBackOff(const Query& query, const ShardPlan& shard) const;
   void GiveUp(Query& query, ShardTask& task);
   void RunRetries(Query& query);
--- a/src/request/fan_out_outcomes.cc
+++ b/src/request/fan_out_outcomes.cc
@@ -61,7 +61,7 @@
     const bool is_known = query != nullptr && query->epoch == record.epoch;
     if (is_known && query->snapshot) {
       has_changed |=
-          m_book.OnVersionMissing(record.leaf, query->snapshot->version);
+          m_book.OnVersionMissing(record.leaf, query->snapshot->version, m_now);
     }
   }
   const bool has_word = outcome.result == AttemptResult::kAnswered ||
--- a/src/request/fan_out_tasks.cc
+++ b/src/request/fan_out_tasks.cc
@@ -31,10 +31,13 @@
 }
 
 // A daemon that has just become a holder hears of its leafs one by one; a
-// query that took the first for all would cover a single shard.
+// query that took the first for all would cover a single shard. While versions
+// move, the old one may be known gone before the new one is known everywhere.
 bool FanOutEngine::IsSnapshotSettled() {
   const std::optional<Snapshot>& snapshot = CurrentSnapshot();
-  return snapshot && (snapshot->coverage >= 1 || !m_book.HasUnheard());
+  const bool may_improve =
+      m_book.HasUnheard() || m_book.AreVersionsMoving(m_now);
+  return snapshot && (snapshot->coverage >= 1 || !may_improve);
 }
 
 void FanOutEngine::Start(Query& query) {
@@ -266,26 +269,40 @@
     m_guard.CloseCanary(query.fingerprint, *task.canary);
     task.canary.reset();
   }
+  const Duration backoff =
+      std::min(kMostBackoff,
+               kFirstBackoff * (1U << std::min(task.rounds, kMostDoublings)));
+  if (task.is_version_missing && MayAwaitVersion(query, backoff)) {
+    BackOff(query, task, backoff);
+    return;
+  }
   if (task.is_version_missing && CanRestart(query)) {
     query.wants_restart = true;
     m_touched.push_back(query.number);
     return;
   }
-  const Duration backoff =
-      std::min(kMostBackoff,
-               kFirstBackoff * (1U << std::min(task.rounds, kMostDoublings)));
   const bool is_allowed =
       m_now + backoff < query.end_by && !m_admission.WasOverloaded(m_now);
   if (!is_allowed || !CanBackOff(query, shard) || !m_budget.TakeForRetry()) {
     GiveUp(query, task);
     return;
   }
+  BackOff(query, task, backoff);
+}
+
+void FanOutEngine::BackOff(Query& query, ShardTask& task, Duration backoff) {
   ++task.rounds;
   task.state = TaskState::kBackingOff;
   task.retry_at = m_now + backoff;
   AddTimer(task.retry_at, query, TimerKind::kRetry);
 }
 
+// Costs no attempt: no replica has the version, so none is asked meanwhile.
+bool FanOutEngine::MayAwaitVersion(const Query& query, Duration backoff) {
+  return query.IsIdempotent() && query.epoch == 0 && !IsSnapshotSettled() &&
+         m_now + backoff + m_latencies.Mean() * 2 < query.end_by;
+}
+
 // Begun again once at most, and only where another version promises more.
 bool FanOutEngine::CanRestart(const Query& query) {
   const std::optional<Snapshot>& snapshot = CurrentSnapshot();
--- a/src/request/query_engine.h
+++ b/src/request/query_engine.h
@@ -83,6 +83,8 @@
                                     TimePoint now) = 0;
   virtual EngineActions OnTimer(TimePoint now) = 0;
 
+  /// Whether queries wait for the leafs' status.
+  virtual bool WantsStatus() const = 0;
   /// When `OnTimer` is due next.
   virtual std::optional<TimePoint> NextTimer() const = 0;
   /// Crash evidence found here since the last call.
--- a/src/request/replica_book.cc
+++ b/src/request/replica_book.cc
@@ -5,6 +5,8 @@
 namespace bramleyspoke {
 namespace {
 
+constexpr Duration kMoveTime = std::chrono::milliseconds(300);
+
 // Word of incarnations may come in any order; a few are kept so that a stale
 // one does not hide the current one.
 constexpr std::size_t kMostKept = 4;
@@ -99,6 +101,11 @@
   });
 }
 
+bool ReplicaBook::AreVersionsMoving(TimePoint now) const {
+  return m_versions_moved_at != TimePoint{} &&
+         now - m_versions_moved_at < kMoveTime;
+}
+
 bool ReplicaBook::OnStatus(LeafIndex index,
                            const std::optional<LeafStatus>& status,
                            TimePoint now) {
@@ -111,6 +118,7 @@
   has_changed |= OnIncarnation(index, status->incarnation, now, now);
   leaf.reported_load = status->reported_load;
   if (leaf.versions != status->versions) {
+    m_versions_moved_at = leaf.versions.empty() ? m_versions_moved_at : now;
     leaf.versions = status->versions;
     has_changed = true;
   }
@@ -118,8 +126,11 @@
 }
 
 bool ReplicaBook::OnVersionMissing(LeafIndex index,
-                                   const IndexVersion& version) {
-  return std::erase(m_leafs[index].versions, version) > 0;
+                                   const IndexVersion& version,
+                                   TimePoint now) {
+  const bool has_changed = std::erase(m_leafs[index].versions, version) > 0;
+  m_versions_moved_at = has_changed ? now : m_versions_moved_at;
+  return has_changed;
 }
 
 bool ReplicaBook::OnReachable(LeafIndex index, bool is_reachable) {
--- a/src/request/replica_book.h
+++ b/src/request/replica_book.h
@@ -71,6 +71,9 @@
   void SetLeaving(const std::set<Endpoint>& leaving);
   /// Whether some leaf's status is still awaited for the first time.
   bool HasUnheard() const;
+  /// Whether a leaf took or dropped a version a moment ago: the others' status
+  /// may not tell yet.
+  bool AreVersionsMoving(TimePoint now) const;
   /// Forgets leafs that no plan names and that owe no outcome; says which.
   std::vector<LeafIndex> Sweep();
 
@@ -78,7 +81,9 @@
   bool OnStatus(LeafIndex index,
                 const std::optional<LeafStatus>& status,
                 TimePoint now);
-  bool OnVersionMissing(LeafIndex index, const IndexVersion& version);
+  bool OnVersionMissing(LeafIndex index,
+                        const IndexVersion& version,
+                        TimePoint now);
   bool OnReachable(LeafIndex index, bool is_reachable);
   /// An incarnation seen in an answer to what was sent at `sent`.
   bool OnIncarnation(LeafIndex index,
@@ -94,6 +99,7 @@
   std::vector<LeafState> m_leafs;
   std::vector<LeafIndex> m_free;
   std::map<Endpoint, LeafIndex> m_by_endpoint;
+  TimePoint m_versions_moved_at;
 };
 
 }  // namespace bramleyspoke
--- a/tests/query_engine_test.cc
+++ b/tests/query_engine_test.cc
@@ -266,6 +266,38 @@
   CHECK(f.finishes[0].outcome.answer->hits[0].id == "new");
 }
 
+TEST_CASE("while versions move, queries wait shortly for word of all leafs") {
+  EngineOptions options;
+  options.has_canaries = false;
+  EngineFixture f(MakeRoute(2, 1), options);
+  f.StatusOfAll(1);
+  SUBCASE("a new query") {
+    f.Status(LeafOf(0, 0), {{2, "a"}});
+    f.Submit(1);
+    CHECK(f.sends.empty());
+    CHECK(f.engine->WantsStatus());
+    f.Status(LeafOf(1, 0), {{2, "a"}});
+    CHECK(f.sends.size() == 2);
+  }
+  SUBCASE("a new query, and no word comes") {
+    f.Status(LeafOf(0, 0), {{2, "a"}});
+    f.Submit(1);
+    f.Advance(milliseconds(500));
+    CHECK(f.sends.size() == 1);
+  }
+  SUBCASE("a query under way") {
+    f.Submit(1);
+    f.Reply(SendAction(f.sends.at(0)), RefusedBy(LeafReason::kVersionMissing));
+    f.Reply(SendAction(f.sends.at(1)), RefusedBy(LeafReason::kVersionMissing));
+    CHECK(f.finishes.empty());
+    f.Status(LeafOf(0, 0), {{2, "a"}});
+    f.Status(LeafOf(1, 0), {{2, "a"}});
+    f.Advance(milliseconds(50));
+    REQUIRE(f.sends.size() == 4);
+    CHECK(f.sends.back().attempt.version.number == 2);
+  }
+}
+
 TEST_CASE("a caller that has gone ends only what may be repeated") {
   ServiceRoute route = MakeRoute(1, 1);
   bool ends = true;
