--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -1,5 +1,7 @@
 #include "connection/http_client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -8,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -47,7 +50,11 @@
   message.version(11);
   message.set(http::field::host, host);
   for (const HttpHeader& header : request.headers) {
-    message.set(header.name, header.value);
+    if (beast::iequals(header.name, "Host")) {
+      message.set(http::field::host, header.value);
+    } else {
+      message.insert(header.name, header.value);
+    }
   }
   if (!request.body.empty() && message.count(http::field::content_type) == 0) {
     message.set(http::field::content_type, "application/json");
@@ -92,6 +99,20 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// Finds a connection that went silent, which no reset tells.
+void SetKeepAlive(int socket) {
+  constexpr int kOn = 1;
+  constexpr int kIdleSeconds = 2;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 2;
+  ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof(kOn));
+  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds,
+               sizeof(kIdleSeconds));
+  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kIntervalSeconds,
+               sizeof(kIntervalSeconds));
+  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+}
+
 // State of one connection, shared with its pending handlers.
 struct Link {
   explicit Link(asio::io_context& context) : stream(context) {}
@@ -100,9 +121,13 @@
   beast::flat_buffer buffer;
   http::request<http::string_body> request;
   std::optional<http::response_parser<http::string_body>> parser;
+  HttpAccepts accepts;
   HttpCallback done;
   std::string host;
   bool is_open = false;
+  bool is_writing = false;
+  /// Whether the answer to another request was read in this call.
+  bool has_skipped = false;
 };
 
 void FinishCall(Link& link, HttpOutcome outcome) {
@@ -131,14 +156,24 @@
                                    });
 }
 
+void ReadAnswer(const std::shared_ptr<Link>& link);
+
+// An answer that came before the request was written whole, or after one that
+// belongs to another request, leaves the connection in doubt: it is closed.
 void OnAnswer(const std::shared_ptr<Link>& link, beast::error_code error) {
   if (error) {
     FailCall(*link, error);
     return;
   }
-  link->stream.expires_never();
-  const bool keep_alive = link->parser->keep_alive();
+  const bool is_in_step = !link->is_writing && !link->has_skipped;
+  const bool keep_alive = link->parser->keep_alive() && is_in_step;
   HttpOutcome outcome{TakeResponse(link->parser->release()), {}};
+  if (link->accepts && !link->accepts(*outcome.response)) {
+    link->has_skipped = true;
+    ReadAnswer(link);
+    return;
+  }
+  link->stream.expires_never();
   if (keep_alive) {
     WatchIdle(link);
   } else {
@@ -172,22 +207,28 @@
   void Send(HttpRequest request,
             TimePoint deadline,
             HttpCallback done) override {
+    SendFor(std::move(request), deadline, nullptr, std::move(done));
+  }
+
+  void SendFor(HttpRequest request,
+               TimePoint deadline,
+               HttpAccepts accepts,
+               HttpCallback done) override {
     if (!m_link->is_open) {
       done(HttpOutcome{std::nullopt, HttpFailure::kConnect});
       return;
     }
     m_link->done = std::move(done);
+    m_link->accepts = std::move(accepts);
+    m_link->is_writing = true;
     m_link->request = MakeMessage(std::move(request), m_link->host);
     m_link->stream.socket().cancel();
     m_link->stream.expires_at(deadline);
     http::async_write(m_link->stream, m_link->request,
                       [link = m_link](auto error, std::size_t) {
-                        if (error) {
-                          FailCall(*link, error);
-                          return;
-                        }
-                        ReadAnswer(link);
+                        link->is_writing = static_cast<bool>(error);
                       });
+    ReadAnswer(m_link);
   }
 
   bool IsOpen() const override {
@@ -328,6 +369,7 @@
         }
         beast::error_code ignored;
         link->stream.socket().set_option(tcp::no_delay(true), ignored);
+        SetKeepAlive(link->stream.socket().native_handle());
         link->stream.expires_never();
         done(std::make_unique<BeastConnection>(link));
       });
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -39,6 +39,9 @@
 
 using HttpCallback = std::function<void(HttpOutcome)>;
 
+/// Whether an answer belongs to the request at hand.
+using HttpAccepts = std::function<bool(const HttpResponse&)>;
+
 /// One client connection, one request at a time; on the loop's thread only.
 class HttpConnection {
  public:
@@ -54,6 +57,12 @@
   virtual void Send(HttpRequest request,
                     TimePoint deadline,
                     HttpCallback done) = 0;
+  /// Same, but answers that `accepts` refuses are passed over; the connection
+  /// is closed after such a call.
+  virtual void SendFor(HttpRequest request,
+                       TimePoint deadline,
+                       HttpAccepts accepts,
+                       HttpCallback done) = 0;
   /// False once closed by either side, as far as seen.
   virtual bool IsOpen() const = 0;
 };
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -1,5 +1,9 @@
 #include "connection/http_server.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -38,6 +42,7 @@
   HttpServerLimits limits;
   HttpHandler& handler;
   bool is_shutting_down = false;
+  bool has_keep_alive = true;
   std::uint64_t last_id = 0;
   std::map<std::uint64_t, std::shared_ptr<Session>> sessions;
 };
@@ -60,6 +65,17 @@
 
   std::uint64_t Id() const { return m_id; }
 
+  std::optional<Duration> RoundTrip() {
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const int socket = m_stream.socket().native_handle();
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+        info.tcpi_rtt == 0) {
+      return std::nullopt;
+    }
+    return std::chrono::microseconds(info.tcpi_rtt);
+  }
+
   void Start() {
     if (m_state->limits.accept_delay == Duration::zero()) {
       ReadFirstByte();
@@ -213,12 +229,14 @@
     http::response<http::string_body> head;
     head.result(static_cast<unsigned>(response.status));
     head.version(11);
-    head.set(http::field::content_type, response.content_type);
+    if (!response.content_type.empty()) {
+      head.set(http::field::content_type, response.content_type);
+    }
     for (const HttpHeader& header : response.headers) {
-      head.set(header.name, header.value);
+      head.insert(header.name, header.value);
     }
     const bool is_last = HeaderValue(response.headers, "Connection") == "close";
-    m_keep_alive = m_keep_alive && !is_last;
+    m_keep_alive = m_keep_alive && !is_last && m_state->has_keep_alive;
     head.keep_alive(m_keep_alive && !m_state->is_shutting_down);
     return head;
   }
@@ -303,6 +321,10 @@
 
   std::uint64_t ConnectionId() const override { return m_session->Id(); }
 
+  std::optional<Duration> RoundTrip() const override {
+    return m_session->RoundTrip();
+  }
+
   void Respond(HttpResponse response) override {
     if (!std::exchange(m_is_done, true)) {
       m_session->Write(std::move(response));
@@ -398,6 +420,12 @@
 
   Endpoint Address() const override { return m_address; }
 
+  void SetLimits(const HttpServerLimits& limits) override {
+    m_state->limits = limits;
+  }
+
+  void EndKeepAlive() override { m_state->has_keep_alive = false; }
+
   void BeginShutdown() override {
     beast::error_code ignored;
     m_acceptor->close(ignored);
@@ -477,7 +505,7 @@
                 "a free address; " + ToString(listen) + ": " + error.message());
   }
   auto state = std::make_shared<ServerState>(
-      ServerState{loop, limits, handler, false, 0, {}});
+      ServerState{loop, limits, handler, false, true, 0, {}});
   return std::unique_ptr<HttpServer>(
       std::make_unique<BeastServer>(std::move(state), std::move(acceptor)));
 }
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "base/endpoint.h"
@@ -21,6 +22,8 @@
   virtual const HttpRequest& Request() const = 0;
   /// Number of the connection, unique in the process.
   virtual std::uint64_t ConnectionId() const = 0;
+  /// The connection's round trip time, where the system tells it.
+  virtual std::optional<Duration> RoundTrip() const { return std::nullopt; }
   /// Sends the answer; only the first call counts.
   virtual void Respond(HttpResponse response) = 0;
   /// Closes the connection without an answer.
@@ -63,6 +66,10 @@
 
   /// Port listened on; differs from the one asked for when that was 0.
   virtual Endpoint Address() const = 0;
+  /// Takes effect from the next request of each connection on.
+  virtual void SetLimits(const HttpServerLimits& limits) = 0;
+  /// Ends each connection after its next answer, which says so.
+  virtual void EndKeepAlive() = 0;
   /// Stops listening and closes idle connections; others end after their
   /// answer, which carries "Connection: close".
   virtual void BeginShutdown() = 0;
--- /dev/null
+++ b/src/connection/key_value_store.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace bramleyspoke {
+
+/// How a call to a key-value store ended.
+enum class KeyValueStatus {
+  kOk,
+  /// The key, or the lease, is not there.
+  kNotFound,
+  /// The events asked for are no longer kept.
+  kHistoryGone,
+  /// Refused: nothing was done.
+  kRefused,
+  /// No answer: a write may have taken effect, or may yet.
+  kUnknown,
+};
+
+std::string_view ToString(KeyValueStatus status);
+
+using LeaseId = std::int64_t;
+
+struct KeyValueItem {
+  std::string key;
+  std::string value;
+};
+
+/// A change of one key; no value if it was removed.
+struct KeyValueEvent {
+  std::string key;
+  std::optional<std::string> value;
+};
+
+struct KeyValuePage {
+  KeyValueStatus status = KeyValueStatus::kUnknown;
+  std::vector<KeyValueItem> items;
+  bool has_more = false;
+  /// Revision of the store when the page was read.
+  std::int64_t revision = 0;
+};
+
+struct KeyValueChanges {
+  KeyValueStatus status = KeyValueStatus::kUnknown;
+  std::vector<KeyValueEvent> events;
+  /// To watch on from.
+  std::int64_t revision = 0;
+};
+
+struct LeaseGrant {
+  KeyValueStatus status = KeyValueStatus::kUnknown;
+  LeaseId lease = 0;
+  Duration time_to_live{0};
+};
+
+/// A store of keys with revisions, watches and leases.
+///
+/// Each callback comes exactly once, on the loop of the implementation.
+class KeyValueStore {
+ public:
+  virtual ~KeyValueStore() = default;
+
+  /// One page of the keys under `prefix` that come after `after`.
+  virtual void Range(const std::string& prefix,
+                     const std::string& after,
+                     std::function<void(KeyValuePage)> done) = 0;
+  /// Waits up to `wait` for changes under `prefix` after `revision`.
+  virtual void Watch(const std::string& prefix,
+                     std::int64_t revision,
+                     Duration wait,
+                     std::function<void(KeyValueChanges)> done) = 0;
+  virtual void Grant(Duration time_to_live,
+                     std::function<void(LeaseGrant)> done) = 0;
+  virtual void Renew(LeaseId lease,
+                     std::function<void(KeyValueStatus)> done) = 0;
+  virtual void Revoke(LeaseId lease,
+                      std::function<void(KeyValueStatus)> done) = 0;
+  /// Writes `key`, which goes when `lease` ends.
+  virtual void Put(const std::string& key,
+                   const std::string& value,
+                   LeaseId lease,
+                   std::function<void(KeyValueStatus)> done) = 0;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/leaf_exchanges.cc
@@ -0,0 +1,215 @@
+#include "connection/leaf_exchanges.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "connection/event_loop.h"
+
+namespace bramleyspoke {
+namespace {
+
+// For a leaf that does not say how long it keeps idle connections.
+constexpr std::chrono::seconds kDefaultIdleTime{30};
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+// "timeout=N" of a Keep-Alive header, in seconds.
+Duration IdleTimeOf(const HttpResponse& response) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view text = HeaderValue(response.headers, "Keep-Alive");
+  const std::size_t begin = text.find(kTimeout);
+  if (begin == std::string_view::npos) {
+    return kDefaultIdleTime;
+  }
+  const std::string_view number = text.substr(begin + kTimeout.size());
+  std::uint32_t seconds = 0;
+  const auto read =
+      std::from_chars(number.data(), number.data() + number.size(), seconds);
+  return read.ec == std::errc() ? std::chrono::seconds(seconds)
+                                : Duration(kDefaultIdleTime);
+}
+
+}  // namespace
+
+LeafExchanges::LeafExchanges(EventLoop& loop, Reachability on_reachable)
+    : m_loop(loop),
+      m_on_reachable(std::move(on_reachable)),
+      m_self(std::make_shared<LeafExchanges*>(this)) {
+  m_timer = m_loop.At(Now() + kMaintainTime, [this] { Maintain(); });
+}
+
+LeafExchanges::~LeafExchanges() = default;
+
+void LeafExchanges::Send(ExchangeNumber number,
+                         const Endpoint& leaf,
+                         HttpRequest request,
+                         TimePoint deadline,
+                         HttpAccepts accepts,
+                         HttpCallback done) {
+  Exchange& exchange = m_exchanges[number];
+  exchange.leaf = leaf;
+  exchange.request = std::move(request);
+  exchange.deadline = deadline;
+  exchange.accepts = std::move(accepts);
+  exchange.done = std::move(done);
+  Leaf& state = m_leafs[leaf];
+  ++state.busy;
+  exchange.connection = TakeIdle(state);
+  if (exchange.connection) {
+    Write(number, exchange);
+  } else {
+    OpenFor(number);
+  }
+}
+
+void LeafExchanges::Abandon(ExchangeNumber number) {
+  const auto found = m_exchanges.find(number);
+  if (found == m_exchanges.end()) {
+    return;
+  }
+  --m_leafs[found->second.leaf].busy;
+  m_exchanges.erase(found);
+}
+
+void LeafExchanges::Keep(std::set<Endpoint> leafs) {
+  m_kept = std::move(leafs);
+  for (const Endpoint& endpoint : m_kept) {
+    OpenAhead(endpoint, m_leafs[endpoint]);
+  }
+  for (auto& [endpoint, leaf] : m_leafs) {
+    if (!m_kept.contains(endpoint)) {
+      leaf.idle.clear();
+    }
+  }
+  std::erase_if(m_leafs, [&](const auto& row) {
+    return !m_kept.contains(row.first) && row.second.busy == 0 &&
+           !row.second.is_opening;
+  });
+}
+
+std::size_t LeafExchanges::OpenConnections() const {
+  std::size_t count = m_exchanges.size();
+  for (const auto& [endpoint, leaf] : m_leafs) {
+    count += leaf.idle.size();
+  }
+  return count;
+}
+
+std::unique_ptr<HttpConnection> LeafExchanges::TakeIdle(Leaf& leaf) {
+  while (!leaf.idle.empty()) {
+    Idle idle = std::move(leaf.idle.back());
+    leaf.idle.pop_back();
+    if (Now() < idle.usable_until && idle.connection->IsOpen()) {
+      return std::move(idle.connection);
+    }
+  }
+  return nullptr;
+}
+
+void LeafExchanges::OpenFor(ExchangeNumber number) {
+  const Exchange& exchange = m_exchanges[number];
+  const TimePoint deadline =
+      std::min(exchange.deadline, Now() + Duration(kConnectTime));
+  ++m_opened;
+  HttpConnection::Open(
+      m_loop, exchange.leaf, deadline,
+      [this, weak = std::weak_ptr(m_self),
+       number](std::unique_ptr<HttpConnection> connection) {
+        if (!weak.lock()) {
+          return;
+        }
+        const auto found = m_exchanges.find(number);
+        if (found == m_exchanges.end()) {
+          return;
+        }
+        if (!connection) {
+          OnOutcome(number, HttpOutcome{std::nullopt, HttpFailure::kConnect});
+          return;
+        }
+        found->second.connection = std::move(connection);
+        Write(number, found->second);
+      });
+}
+
+void LeafExchanges::Write(ExchangeNumber number, Exchange& exchange) {
+  exchange.connection->SendFor(std::move(exchange.request), exchange.deadline,
+                               std::move(exchange.accepts),
+                               [this, number](HttpOutcome outcome) {
+                                 OnOutcome(number, std::move(outcome));
+                               });
+}
+
+// The connection is dropped outside its own callback.
+void LeafExchanges::OnOutcome(ExchangeNumber number, HttpOutcome outcome) {
+  const auto found = m_exchanges.find(number);
+  if (found == m_exchanges.end()) {
+    return;
+  }
+  Exchange exchange = std::move(found->second);
+  m_exchanges.erase(found);
+  --m_leafs[exchange.leaf].busy;
+  if (exchange.connection) {
+    if (outcome.response) {
+      Return(exchange.leaf, std::move(exchange.connection), *outcome.response);
+    } else {
+      m_loop.Post(
+          [dropped = std::shared_ptr(std::move(exchange.connection))] {});
+    }
+  }
+  exchange.done(std::move(outcome));
+}
+
+void LeafExchanges::Return(const Endpoint& endpoint,
+                           std::unique_ptr<HttpConnection> connection,
+                           const HttpResponse& response) {
+  Leaf& leaf = m_leafs[endpoint];
+  if (!connection->IsOpen() || !m_kept.contains(endpoint)) {
+    m_loop.Post([dropped = std::shared_ptr(std::move(connection))] {});
+    return;
+  }
+  const auto usable =
+      std::chrono::duration_cast<Duration>(IdleTimeOf(response) * kIdleShare);
+  leaf.idle.push_back(Idle{std::move(connection), Now() + usable});
+}
+
+void LeafExchanges::Maintain() {
+  const TimePoint now = Now();
+  for (auto& [endpoint, leaf] : m_leafs) {
+    std::erase_if(leaf.idle, [&](const Idle& idle) {
+      return now >= idle.usable_until || !idle.connection->IsOpen();
+    });
+    if (m_kept.contains(endpoint)) {
+      OpenAhead(endpoint, leaf);
+    }
+  }
+  m_timer = m_loop.At(now + kMaintainTime, [this] { Maintain(); });
+}
+
+void LeafExchanges::OpenAhead(const Endpoint& endpoint, Leaf& leaf) {
+  if (leaf.busy > 0 || !leaf.idle.empty() || leaf.is_opening) {
+    return;
+  }
+  leaf.is_opening = true;
+  ++m_opened;
+  HttpConnection::Open(
+      m_loop, endpoint, Now() + Duration(kConnectTime),
+      [this, weak = std::weak_ptr(m_self),
+       endpoint](std::unique_ptr<HttpConnection> connection) {
+        if (!weak.lock()) {
+          return;
+        }
+        Leaf& opened = m_leafs[endpoint];
+        opened.is_opening = false;
+        const bool is_reachable = connection != nullptr;
+        if (is_reachable && m_kept.contains(endpoint)) {
+          opened.idle.push_back(
+              Idle{std::move(connection), Now() + Duration(kDefaultIdleTime)});
+        }
+        m_on_reachable(endpoint, is_reachable);
+      });
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/connection/leaf_exchanges.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "connection/http_client.h"
+
+namespace bramleyspoke {
+
+class EventLoop;
+class Timer;
+
+/// Number of an exchange, given by whoever sends it.
+using ExchangeNumber = std::uint64_t;
+
+/// HTTP requests to leafs over kept connections, each one at a time.
+///
+/// How many run at a leaf is up to the caller. Used on the loop's thread only.
+class LeafExchanges {
+ public:
+  static constexpr Duration kConnectTime = std::chrono::seconds(1);
+  /// How often kept leafs without a connection are tried.
+  static constexpr Duration kMaintainTime = std::chrono::milliseconds(500);
+  /// Idle connections are not used beyond this share of the time that the leaf
+  /// keeps them.
+  static constexpr double kIdleShare = 0.8;
+
+  using Reachability = std::function<void(const Endpoint&, bool)>;
+
+  /// `on_reachable` hears whether kept leafs take connections.
+  LeafExchanges(EventLoop& loop, Reachability on_reachable);
+  ~LeafExchanges();
+
+  /// `done` comes once, unless the exchange is abandoned.
+  void Send(ExchangeNumber number,
+            const Endpoint& leaf,
+            HttpRequest request,
+            TimePoint deadline,
+            HttpAccepts accepts,
+            HttpCallback done);
+  /// Closes the exchange's connection; its callback does not come.
+  void Abandon(ExchangeNumber number);
+  /// Leafs to which one connection is kept open; others' idle ones are closed.
+  void Keep(std::set<Endpoint> leafs);
+
+  std::size_t OpenConnections() const;
+  std::uint64_t Opened() const { return m_opened; }
+
+ private:
+  struct Idle {
+    std::unique_ptr<HttpConnection> connection;
+    TimePoint usable_until;
+  };
+  struct Leaf {
+    std::vector<Idle> idle;
+    std::size_t busy = 0;
+    bool is_opening = false;
+  };
+  struct Exchange {
+    Endpoint leaf;
+    HttpRequest request;
+    TimePoint deadline;
+    HttpAccepts accepts;
+    HttpCallback done;
+    std::unique_ptr<HttpConnection> connection;
+  };
+
+  std::unique_ptr<HttpConnection> TakeIdle(Leaf& leaf);
+  void OpenFor(ExchangeNumber number);
+  void Write(ExchangeNumber number, Exchange& exchange);
+  void OnOutcome(ExchangeNumber number, HttpOutcome outcome);
+  void Return(const Endpoint& endpoint,
+              std::unique_ptr<HttpConnection> connection,
+              const HttpResponse& response);
+  void Maintain();
+  void OpenAhead(const Endpoint& endpoint, Leaf& leaf);
+
+  EventLoop& m_loop;
+  Reachability m_on_reachable;
+  std::map<Endpoint, Leaf> m_leafs;
+  std::map<ExchangeNumber, Exchange> m_exchanges;
+  std::set<Endpoint> m_kept;
+  std::uint64_t m_opened = 0;
+  std::unique_ptr<Timer> m_timer;
+  std::shared_ptr<LeafExchanges*> m_self;
+};
+
+}  // namespace bramleyspoke
--- a/src/process/daemon_main.cc
+++ b/src/process/daemon_main.cc
@@ -10,13 +10,21 @@
 #include <string>
 
 #include "base/problems.h"
+#include "connection/event_loop.h"
+#include "platform/entry_calls.h"
+#include "platform/platform_protocol.h"
+#include "platform/store_client.h"
+#include "platform/store_entries.h"
 #include "process/daemon.h"
 #include "process/log.h"
+#include "process/relay_daemon.h"
+#include "process/relay_settings.h"
 #include "process/settings.h"
 
 namespace {
 
 using bramleyspoke::Problems;
+using bramleyspoke::RelaySettings;
 using bramleyspoke::Result;
 using bramleyspoke::Settings;
 
@@ -55,14 +63,14 @@
   return line;
 }
 
-Result<Settings> ReadSettings(const std::string& file) {
+Result<std::string> ReadFile(const std::string& file) {
   std::ifstream stream(file);
   if (!stream) {
     return bramleyspoke::Fail("", "a readable file: " + file);
   }
   std::ostringstream text;
   text << stream.rdbuf();
-  return bramleyspoke::ParseSettings(text.str());
+  return text.str();
 }
 
 Result<int> Serve(const Settings& settings) {
@@ -70,11 +78,43 @@
   return daemon->Run() ? EXIT_SUCCESS : kExitCutOff;
 }
 
+Result<RelaySettings> ReadRelaySettings(const std::string& file) {
+  BOOST_LEAF_AUTO(text, ReadFile(file));
+  return bramleyspoke::ParseRelaySettings(text);
+}
+
+Result<int> Relay(const RelaySettings& settings, const std::string& file) {
+  const bramleyspoke::Platform::PlatformProtocol protocol;
+  const bramleyspoke::Platform::StoreEntries schema;
+  const bramleyspoke::Platform::EntryCalls entry;
+  const bramleyspoke::RelayAdapters adapters{
+      protocol, schema, entry,
+      [](bramleyspoke::EventLoop& loop, const bramleyspoke::Endpoint& store) {
+        return bramleyspoke::Platform::StoreClient::Create(loop, store);
+      }};
+  BOOST_LEAF_AUTO(daemon,
+                  bramleyspoke::RelayDaemon::Create(settings, adapters, [file] {
+                    return ReadRelaySettings(file);
+                  }));
+  return daemon->Run() ? EXIT_SUCCESS : kExitCutOff;
+}
+
 int CheckAndServe(const CommandLine& line) {
   int failure = kExitSettings;
   return boost::leaf::try_handle_all(
       [&]() -> Result<int> {
-        BOOST_LEAF_AUTO(settings, ReadSettings(line.settings_file));
+        BOOST_LEAF_AUTO(text, ReadFile(line.settings_file));
+        if (bramleyspoke::IsRelaySettings(text)) {
+          BOOST_LEAF_AUTO(relay, bramleyspoke::ParseRelaySettings(text));
+          if (line.is_check) {
+            std::cout << "settings: ok\n";
+            return EXIT_SUCCESS;
+          }
+          bramleyspoke::StartLog(relay.log_level);
+          failure = kExitBind;
+          return Relay(relay, line.settings_file);
+        }
+        BOOST_LEAF_AUTO(settings, bramleyspoke::ParseSettings(text));
         if (line.is_check) {
           std::cout << "settings: ok\n";
           return EXIT_SUCCESS;
--- a/src/process/log.cc
+++ b/src/process/log.cc
@@ -93,7 +93,7 @@
 void StartLog(LogLevel level) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(kLinePattern);
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
+      layout, log4cxx::ConsoleAppender::getSystemOut());
   Logger()->removeAllAppenders();
   Logger()->addAppender(appender);
   Logger()->setAdditivity(false);
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -53,7 +53,7 @@
   return {name, static_cast<std::int64_t>(value)};
 }
 
-/// Sends the process's log to standard error, one JSON object a line.
+/// Sends the process's log to standard output, one JSON object a line.
 void StartLog(LogLevel level);
 /// Takes effect at once; from any thread.
 void SetLogLevel(LogLevel level);
--- /dev/null
+++ b/src/process/relay_control.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "connection/key_value_store.h"
+#include "process/store_schema.h"
+
+namespace bramleyspoke {
+
+class EventLoop;
+
+/// What control tells traffic; on the control loop.
+class RelayControlListener {
+ public:
+  virtual ~RelayControlListener() = default;
+  virtual void OnTable(std::shared_ptr<const RouteTable> table) = 0;
+  virtual void OnLeafs(std::vector<LeafRegistration> leafs) = 0;
+  virtual void OnDaemons(std::vector<DaemonEntry> daemons) = 0;
+  /// Whether the store answers.
+  virtual void OnStore(bool is_reachable) = 0;
+};
+
+/// Keeps up with the store: routes, leafs and daemons; registers this daemon.
+///
+/// Runs on one loop of its own; the listener hands on what it hears.
+class RelayControl {
+ public:
+  static std::unique_ptr<RelayControl> Create(EventLoop& loop,
+                                              KeyValueStore& store,
+                                              const StoreSchema& schema,
+                                              std::string name,
+                                              DaemonEntry self,
+                                              RelayControlListener& listener);
+  virtual ~RelayControl() = default;
+
+  virtual void Start() = 0;
+  /// Takes this daemon out of the others' sight.
+  virtual void BeginLeaving() = 0;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/relay_daemon.cc
@@ -0,0 +1,370 @@
+#include "process/relay_daemon.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "base/problems.h"
+#include "connection/event_loop.h"
+#include "connection/http_server.h"
+#include "process/entry_choice.h"
+#include "process/log.h"
+#include "process/log_quota.h"
+#include "process/planned_stop.h"
+#include "process/relay_control.h"
+#include "process/relay_front.h"
+#include "process/relay_metrics.h"
+#include "process/stop_signal.h"
+
+namespace bramleyspoke {
+namespace {
+
+namespace json = boost::json;
+
+// How often a planned stop looks at what is left.
+constexpr std::chrono::milliseconds kStopCheckInterval{50};
+// Of the time for a planned stop: served on, while callers still come.
+constexpr double kKeepServingShare = 0.55;
+// Of the time for a planned stop: its end leaves room to exit.
+constexpr double kStopShare = 0.93;
+// From a whole request on, which its client must have sent by then.
+constexpr std::chrono::seconds kRequestTime{10};
+constexpr std::uint32_t kLogLinesPerSecond = 40;
+// Routes may be out of date once the store was away for so long.
+constexpr std::chrono::milliseconds kStaleTime{1500};
+
+Duration Scale(Duration duration, double factor) {
+  return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+class RelayProcess final : public RelayDaemon,
+                           public RelayControlListener,
+                           public RelayObserver,
+                           public HttpHandler {
+ public:
+  RelayProcess(const RelaySettings& settings,
+               const RelayAdapters& adapters,
+               ReadSettings read_settings)
+      : m_settings(settings),
+        m_adapters(adapters),
+        m_read_settings(std::move(read_settings)),
+        m_loop(EventLoop::Create()),
+        m_control_loop(EventLoop::Create()),
+        m_metrics(RelayMetrics::Create()),
+        m_front(*m_loop,
+                adapters.protocol,
+                Locality{settings.failure_domain, settings.region,
+                         settings.regions},
+                settings.repeats,
+                *this),
+        m_log_quota(kLogLinesPerSecond),
+        m_stop(PlannedStopOptions{Scale(settings.stop_bound, kKeepServingShare),
+                                  Scale(settings.stop_bound, kStopShare)}) {}
+
+  ~RelayProcess() override { m_control_loop->Stop(); }
+
+  Result<void> Bind() {
+    BOOST_LEAF_ASSIGN(m_callers,
+                      HttpServer::Create(*m_loop, m_settings.caller_listen,
+                                         HttpServerLimits{}, m_front));
+    BOOST_LEAF_CHECK(Listen(m_settings.readiness_listen));
+    BOOST_LEAF_CHECK(Listen(m_settings.address_listen));
+    if (m_settings.operator_listen) {
+      BOOST_LEAF_CHECK(Listen(*m_settings.operator_listen));
+    }
+    m_store = m_adapters.open_store(*m_control_loop, m_settings.store);
+    m_control = RelayControl::Create(
+        *m_control_loop, *m_store, m_adapters.schema, m_settings.name,
+        DaemonEntry{m_settings.caller_listen, m_settings.failure_domain,
+                    m_settings.region},
+        *this);
+    return {};
+  }
+
+  bool Run() override {
+    m_stop_signal = StopSignal::Create(*m_loop, [this] { BeginStop(); });
+    m_reload_signal = ReloadSignal::Create(*m_loop, [this] { Reload(); });
+    m_control_loop->Post([this] { m_control->Start(); });
+    m_control_loop->Start();
+    WriteLog(LogLevel::kInfo, "started",
+             {Field("name", m_settings.name),
+              Field("callers", ToString(m_settings.caller_listen)),
+              Field("region", m_settings.region)});
+    m_loop->Run();
+    WriteLog(LogLevel::kInfo, "stopped",
+             {Field("cut_off", m_stop.HasCutOff())});
+    return !m_stop.HasCutOff();
+  }
+
+  // RelayControlListener, on the control loop.
+
+  void OnTable(std::shared_ptr<const RouteTable> table) override {
+    m_loop->Post([this, table] {
+      HttpServerLimits limits;
+      limits.header_bytes = table->Limits().header_bytes;
+      limits.body_bytes = table->Limits().body_bytes;
+      limits.request_time =
+          std::max<Duration>(table->Limits().header_time, kRequestTime);
+      limits.idle_time = table->Limits().idle_time;
+      m_callers->SetLimits(limits);
+      m_front.SetTable(table);
+    });
+  }
+
+  void OnLeafs(std::vector<LeafRegistration> leafs) override {
+    m_loop->Post([this, leafs = std::move(leafs)] {
+      m_has_leafs = true;
+      m_front.SetLeafs(leafs);
+    });
+  }
+
+  void OnDaemons(std::vector<DaemonEntry> daemons) override {
+    m_loop->Post([this, daemons = std::move(daemons)] {
+      m_daemons = daemons;
+      m_front.SetDaemons(m_daemons.size());
+    });
+  }
+
+  void OnStore(bool is_reachable) override {
+    m_loop->Post([this, is_reachable] {
+      m_is_store_reachable = is_reachable;
+      m_stale_timer.reset();
+      m_front.SetStale(false);
+      if (!is_reachable) {
+        m_stale_timer =
+            m_loop->At(std::chrono::steady_clock::now() + Duration(kStaleTime),
+                       [this] { m_front.SetStale(true); });
+      }
+    });
+  }
+
+  // RelayObserver.
+
+  void OnRequestEnd(const RelayEnd& end) override {
+    m_metrics->Observe(end);
+    const bool is_clean = end.status == 200 && end.repeats == 0 &&
+                          end.missing_shards == 0 && end.route != nullptr &&
+                          end.taken <= end.route->target_latency;
+    const LogLevel level = is_clean ? LogLevel::kDebug : LogLevel::kInfo;
+    if (!MayLog(level)) {
+      return;
+    }
+    WriteLog(
+        level, "request_end",
+        {Field("request_id", end.request_id),
+         Field("route", end.route ? std::string_view(end.route->name)
+                                  : std::string_view()),
+         Field("version", end.version), Field("status", end.status),
+         Field("taken_ms", ToMilliseconds(end.taken)),
+         Field("sends", end.sends), Field("repeats", end.repeats),
+         Field("missing_shards", end.missing_shards),
+         Field("reason", end.refusal ? ToString(end.refusal->reason) : ""),
+         Field("verdict", end.refusal ? ToString(end.refusal->verdict) : "")});
+  }
+
+  void OnSendFailed(std::string_view request_id,
+                    const RelaySendEnd& send) override {
+    m_metrics->Observe(send);
+    if (MayLog(LogLevel::kInfo)) {
+      WriteLog(
+          LogLevel::kInfo, "send_failed",
+          {Field("request_id", request_id), Field("leaf", send.leaf_id),
+           Field("service", send.service), Field("kind", ToString(send.kind)),
+           Field("taken_ms", ToMilliseconds(send.taken))});
+    }
+  }
+
+  // HttpHandler of all but the callers' requests.
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    const HttpRequest& request = exchange->Request();
+    if (m_adapters.entry.IsReadinessQuery(request)) {
+      exchange->Respond(m_adapters.entry.MakeReadinessAnswer(IsReady()));
+      return;
+    }
+    if (const auto region = m_adapters.entry.ReadAddressQuery(request)) {
+      exchange->Respond(m_adapters.entry.MakeAddressAnswer(
+          AddressesFor(*region), m_settings.address_time));
+      return;
+    }
+    exchange->Respond(MakeOperatorAnswer(request.target));
+  }
+
+ private:
+  Result<void> Listen(const Endpoint& address) {
+    BOOST_LEAF_AUTO(server, HttpServer::Create(*m_loop, address,
+                                               HttpServerLimits{}, *this));
+    m_servers.push_back(std::move(server));
+    return {};
+  }
+
+  bool IsReady() const {
+    return m_front.Table() != nullptr && m_has_leafs && !m_stop.IsStopping();
+  }
+
+  std::vector<Endpoint> AddressesFor(const std::string& region) const {
+    std::vector<Endpoint> addresses = ChooseEntryAddresses(
+        m_daemons, m_front.Engine().Book().ServingRegions(), region);
+    if (m_stop.IsStopping() && addresses.size() > 1) {
+      std::erase(addresses, m_settings.caller_listen);
+    }
+    if (addresses.empty() && IsReady()) {
+      addresses.push_back(m_settings.caller_listen);
+    }
+    return addresses;
+  }
+
+  HttpResponse MakeOperatorAnswer(std::string_view target) {
+    HttpResponse response;
+    if (target == "/metrics") {
+      response.content_type = "text/plain; version=0.0.4";
+      response.body = m_metrics->Text(Observation());
+    } else if (target == "/dump") {
+      response.body = MakeDump();
+    } else {
+      response.status = 404;
+      response.body = "{}";
+    }
+    return response;
+  }
+
+  RelayObservation Observation() const {
+    RelayObservation now;
+    now.version = m_front.Table() ? m_front.Table()->Version() : 0;
+    now.leafs = m_front.Engine().Book().Addresses().size();
+    now.daemons = m_daemons.size();
+    now.in_flight = m_front.InFlight();
+    now.caller_connections = m_callers->ConnectionCount();
+    now.leaf_connections = m_front.Exchanges().OpenConnections();
+    now.leaf_connections_opened = m_front.Exchanges().Opened();
+    now.is_store_reachable = m_is_store_reachable;
+    now.is_ready = IsReady();
+    now.engine = m_front.Engine().Counters();
+    return now;
+  }
+
+  std::string MakeDump() const {
+    const TimePoint now = std::chrono::steady_clock::now();
+    const RelayObservation state = Observation();
+    json::array leafs;
+    for (const auto& [name, service] : m_front.Engine().Book().Services()) {
+      for (const auto& leaf : service->leafs) {
+        leafs.push_back(
+            json::object{{"id", leaf->registration.id},
+                         {"service", name},
+                         {"address", ToString(leaf->registration.address)},
+                         {"draining", leaf->registration.is_draining},
+                         {"in_flight", leaf->load.InFlight()},
+                         {"share", leaf->share},
+                         {"silent", leaf->load.IsSilent(now)},
+                         {"usable", leaf->load.IsUsable(now)}});
+      }
+    }
+    json::array daemons;
+    for (const DaemonEntry& daemon : m_daemons) {
+      daemons.push_back(json::object{{"address", ToString(daemon.address)},
+                                     {"region", daemon.region}});
+    }
+    return json::serialize(
+        json::object{{"name", m_settings.name},
+                     {"version", state.version},
+                     {"ready", state.is_ready},
+                     {"stopping", m_stop.IsStopping()},
+                     {"store_reachable", state.is_store_reachable},
+                     {"in_flight", state.in_flight},
+                     {"caller_connections", state.caller_connections},
+                     {"leaf_connections", state.leaf_connections},
+                     {"daemons", std::move(daemons)},
+                     {"leafs", std::move(leafs)}});
+  }
+
+  bool MayLog(LogLevel level) {
+    if (!IsLogged(level)) {
+      return false;
+    }
+    if (!m_log_quota.Take(std::chrono::steady_clock::now())) {
+      return false;
+    }
+    const std::uint64_t suppressed = m_log_quota.TakeSuppressed();
+    if (suppressed > 0) {
+      WriteLog(LogLevel::kWarning, "log_lines_suppressed",
+               {Field("lines", suppressed)});
+    }
+    return true;
+  }
+
+  void Reload() {
+    const auto read = Check(m_read_settings);
+    if (!read.value) {
+      WriteLog(LogLevel::kError, "reload_refused",
+               {Field("problems", ToString(read.problems))});
+      return;
+    }
+    SetLogLevel(read.value->log_level);
+    WriteLog(LogLevel::kInfo, "reloaded", {});
+  }
+
+  void BeginStop() {
+    if (m_stop.IsStopping()) {
+      return;
+    }
+    WriteLog(LogLevel::kInfo, "stop_begun",
+             {Field("in_flight", m_front.InFlight())});
+    m_stop.Begin(std::chrono::steady_clock::now());
+    m_callers->EndKeepAlive();
+    m_control_loop->Post([this] { m_control->BeginLeaving(); });
+    CheckStop();
+  }
+
+  void CheckStop() {
+    const TimePoint now = std::chrono::steady_clock::now();
+    const std::size_t left = m_callers->ConnectionCount() + m_front.InFlight();
+    const StopStep before = m_stop.Step();
+    const StopStep step = m_stop.Update(left, now);
+    if (step == StopStep::kDone) {
+      m_loop->Stop();
+      return;
+    }
+    if (step == StopStep::kFinishing && before != step) {
+      m_callers->BeginShutdown();
+    }
+    m_stop_timer =
+        m_loop->At(now + Duration(kStopCheckInterval), [this] { CheckStop(); });
+  }
+
+  const RelaySettings m_settings;
+  const RelayAdapters m_adapters;
+  const ReadSettings m_read_settings;
+  const std::unique_ptr<EventLoop> m_loop;
+  const std::unique_ptr<EventLoop> m_control_loop;
+  const std::unique_ptr<RelayMetrics> m_metrics;
+  RelayFront m_front;
+  LogQuota m_log_quota;
+  PlannedStop m_stop;
+  std::unique_ptr<HttpServer> m_callers;
+  std::vector<std::unique_ptr<HttpServer>> m_servers;
+  std::unique_ptr<KeyValueStore> m_store;
+  std::unique_ptr<RelayControl> m_control;
+  std::vector<DaemonEntry> m_daemons;
+  bool m_has_leafs = false;
+  bool m_is_store_reachable = false;
+  std::unique_ptr<StopSignal> m_stop_signal;
+  std::unique_ptr<ReloadSignal> m_reload_signal;
+  std::unique_ptr<Timer> m_stop_timer;
+  std::unique_ptr<Timer> m_stale_timer;
+};
+
+}  // namespace
+
+Result<std::unique_ptr<RelayDaemon>> RelayDaemon::Create(
+    const RelaySettings& settings,
+    const RelayAdapters& adapters,
+    ReadSettings read_settings) {
+  auto daemon = std::make_unique<RelayProcess>(settings, adapters,
+                                               std::move(read_settings));
+  BOOST_LEAF_CHECK(daemon->Bind());
+  return std::unique_ptr<RelayDaemon>(std::move(daemon));
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/relay_front.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "connection/http_server.h"
+#include "connection/leaf_exchanges.h"
+#include "connection/relay_protocol.h"
+#include "request/relay_engine.h"
+
+namespace bramleyspoke {
+
+class EventLoop;
+class Timer;
+
+/// A relayed request that ended, as metrics and the log see it.
+struct RelayEnd {
+  std::string_view request_id;
+  /// Null if no route was found.
+  const Route* route = nullptr;
+  std::uint64_t version = 0;
+  int status = 0;
+  Duration taken{0};
+  std::uint32_t sends = 0;
+  std::uint32_t repeats = 0;
+  std::size_t missing_shards = 0;
+  std::optional<RelayRefusal> refusal;
+};
+
+/// Hears of what a `RelayFront` did; on its loop.
+class RelayObserver {
+ public:
+  virtual ~RelayObserver() = default;
+  virtual void OnRequestEnd(const RelayEnd& end) = 0;
+  virtual void OnSendFailed(std::string_view request_id,
+                            const RelaySendEnd& send) = 0;
+};
+
+/// Relays callers' requests: sockets on one side, `RelayEngine` on the other.
+///
+/// Used on the loop's thread only.
+class RelayFront final : public HttpHandler {
+ public:
+  /// Kept back from the caller's time for the way of the answer.
+  static constexpr Duration kAnswerMargin = std::chrono::milliseconds(40);
+  /// Way to the caller and back, where the connection does not tell.
+  static constexpr Duration kDefaultRoundTrip = std::chrono::milliseconds(8);
+
+  RelayFront(EventLoop& loop,
+             const RelayProtocol& protocol,
+             Locality locality,
+             const RepeatAllowance& repeats,
+             RelayObserver& observer);
+  ~RelayFront() override;
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override;
+
+  void SetTable(std::shared_ptr<const RouteTable> table);
+  void SetLeafs(const std::vector<LeafRegistration>& leafs);
+  void SetDaemons(std::size_t daemons);
+  /// Whether routes may be out of date, so that a missing one proves nothing.
+  void SetStale(bool is_stale) { m_is_stale = is_stale; }
+
+  const RouteTable* Table() const { return m_table.get(); }
+  const RelayEngine& Engine() const { return m_engine; }
+  const LeafExchanges& Exchanges() const { return m_exchanges; }
+  std::size_t InFlight() const { return m_open.size(); }
+
+ private:
+  struct Open {
+    std::shared_ptr<HttpExchange> exchange;
+    std::string request_id;
+    std::shared_ptr<const RouteTable> table;
+    const Route* route = nullptr;
+    TimePoint arrived;
+  };
+
+  void Submit(std::shared_ptr<HttpExchange> exchange,
+              CallerHead head,
+              const Route& route);
+  void Refuse(HttpExchange& exchange,
+              const CallerHead& head,
+              const RelayRefusal& refusal);
+  void Apply(RelayActions actions);
+  void Send(const RelaySend& send);
+  void Finish(RelayFinish finish);
+  void ReportFailedSends();
+  void ArmTimer();
+
+  EventLoop& m_loop;
+  const RelayProtocol& m_protocol;
+  RelayObserver& m_observer;
+  RelayEngine m_engine;
+  LeafExchanges m_exchanges;
+  std::shared_ptr<const RouteTable> m_table;
+  bool m_is_stale = false;
+  std::unordered_map<RelayNumber, Open> m_open;
+  RelayNumber m_last_number = 0;
+  std::unique_ptr<Timer> m_timer;
+  std::optional<TimePoint> m_timer_at;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/relay_metrics.cc
@@ -0,0 +1,93 @@
+#include "process/relay_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace bramleyspoke {
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+const prometheus::Histogram::BucketBoundaries kLatencySeconds{
+    0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12,
+    0.16,  0.2,  0.3,  0.4,  0.6,  1,    2,   4};
+
+class PrometheusRelayMetrics final : public RelayMetrics {
+ public:
+  PrometheusRelayMetrics()
+      : m_requests(BuildCounter()
+                       .Name("bramleyspoke_relay_requests_total")
+                       .Help("Relayed requests by status")
+                       .Register(m_registry)),
+        m_latency(BuildHistogram()
+                      .Name("bramleyspoke_relay_latency_seconds")
+                      .Help("From a request read whole to its answer")
+                      .Register(m_registry)
+                      .Add({}, kLatencySeconds)),
+        m_missing(BuildCounter()
+                      .Name("bramleyspoke_relay_missing_shards_total")
+                      .Help("Shards that answers did not cover")
+                      .Register(m_registry)
+                      .Add({})),
+        m_failed_sends(BuildCounter()
+                           .Name("bramleyspoke_relay_failed_sends_total")
+                           .Help("Sendings to leafs that failed, by how")
+                           .Register(m_registry)),
+        m_gauges(BuildGauge()
+                     .Name("bramleyspoke_relay_state")
+                     .Help("What the daemon holds or has counted so far")
+                     .Register(m_registry)) {}
+
+  void Observe(const RelayEnd& end) override {
+    m_requests.Add({{"status", std::to_string(end.status)}}).Increment();
+    m_latency.Observe(std::chrono::duration<double>(end.taken).count());
+    m_missing.Increment(static_cast<double>(end.missing_shards));
+  }
+
+  void Observe(const RelaySendEnd& send) override {
+    m_failed_sends.Add({{"kind", std::string(ToString(send.kind))}})
+        .Increment();
+  }
+
+  std::string Text(const RelayObservation& now) override {
+    Set("version", now.version);
+    Set("leafs", now.leafs);
+    Set("daemons", now.daemons);
+    Set("in_flight", now.in_flight);
+    Set("caller_connections", now.caller_connections);
+    Set("leaf_connections", now.leaf_connections);
+    Set("leaf_connections_opened", now.leaf_connections_opened);
+    Set("store_reachable", now.is_store_reachable ? 1 : 0);
+    Set("ready", now.is_ready ? 1 : 0);
+    Set("sends", now.engine.sends);
+    Set("hedges", now.engine.hedges);
+    Set("retries", now.engine.retries);
+    Set("budget_refusals", now.engine.budget_refusals);
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+  }
+
+ private:
+  void Set(const char* name, std::uint64_t value) {
+    m_gauges.Add({{"what", name}}).Set(static_cast<double>(value));
+  }
+
+  prometheus::Registry m_registry;
+  prometheus::Family<prometheus::Counter>& m_requests;
+  prometheus::Histogram& m_latency;
+  prometheus::Counter& m_missing;
+  prometheus::Family<prometheus::Counter>& m_failed_sends;
+  prometheus::Family<prometheus::Gauge>& m_gauges;
+};
+
+}  // namespace
+
+std::unique_ptr<RelayMetrics> RelayMetrics::Create() {
+  return std::make_unique<PrometheusRelayMetrics>();
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/relay_metrics.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "process/relay_front.h"
+
+namespace bramleyspoke {
+
+/// What a relaying daemon holds at the moment.
+struct RelayObservation {
+  std::uint64_t version = 0;
+  std::size_t leafs = 0;
+  std::size_t daemons = 0;
+  std::size_t in_flight = 0;
+  std::size_t caller_connections = 0;
+  std::size_t leaf_connections = 0;
+  std::uint64_t leaf_connections_opened = 0;
+  bool is_store_reachable = false;
+  bool is_ready = false;
+  RelayCounters engine;
+};
+
+/// Metrics of a relaying daemon; used on one thread.
+class RelayMetrics {
+ public:
+  static std::unique_ptr<RelayMetrics> Create();
+  virtual ~RelayMetrics() = default;
+
+  virtual void Observe(const RelayEnd& end) = 0;
+  virtual void Observe(const RelaySendEnd& send) = 0;
+  /// All metrics in the Prometheus text format.
+  virtual std::string Text(const RelayObservation& now) = 0;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/relay_settings.cc
@@ -0,0 +1,68 @@
+#include "process/relay_settings.h"
+
+#include <boost/json/value.hpp>
+
+#include "base/json_reader.h"
+#include "base/json_text.h"
+#include "base/problems.h"
+
+namespace bramleyspoke {
+namespace {
+
+constexpr NumberRange kRatio{0, 10, "repeats per request"};
+constexpr NumberRange kSlack{0, 1'000'000, "repeats"};
+constexpr NumberRange kAddressTime{1'000, 60'000, "ms"};
+constexpr NumberRange kStopBound{500, 3'600'000, "ms"};
+
+constexpr std::string_view kSection = "relay";
+
+void ReadRelay(JsonReader& object, RelaySettings& settings) {
+  settings.name = object.Name("name");
+  settings.caller_listen = object.Address("caller_listen");
+  settings.readiness_listen = object.Address("readiness_listen");
+  settings.address_listen = object.Address("address_listen");
+  const Endpoint none;
+  const Endpoint operators = object.Address("operator_listen", none);
+  if (operators != none) {
+    settings.operator_listen = operators;
+  }
+  settings.failure_domain = object.Name("failure_domain");
+  settings.region = object.Name("region");
+  object.Objects("failure_domains", 1, [&](JsonReader& row) {
+    const std::string domain = row.Name("name");
+    settings.regions[domain] = row.Name("region");
+  });
+  settings.store = object.Address("store");
+  object.Object("repeats", false, [&](JsonReader& part) {
+    settings.repeats.ratio = part.Real("ratio", kRatio);
+    settings.repeats.slack = part.Real("slack", kSlack);
+  });
+  settings.address_time = object.Milliseconds("address_time_ms", kAddressTime,
+                                              settings.address_time);
+  settings.stop_bound =
+      object.Milliseconds("stop_bound_ms", kStopBound, settings.stop_bound);
+  settings.log_level = object.Choice("log_level", kLogLevelNames,
+                                     std::optional(settings.log_level));
+}
+
+}  // namespace
+
+bool IsRelaySettings(std::string_view text) {
+  const auto parsed = Check([&] { return ParseJsonText(text); });
+  return parsed.value && parsed.value->is_object() &&
+         parsed.value->get_object().contains(kSection.data());
+}
+
+Result<RelaySettings> ParseRelaySettings(std::string_view text) {
+  RelaySettings settings;
+  auto read = ReadJson(text, [&](JsonReader& object) {
+    object.Object(kSection, false,
+                  [&](JsonReader& section) { ReadRelay(section, settings); });
+  });
+  if (!read) {
+    return read.error();
+  }
+  return settings;
+}
+
+}  // namespace bramleyspoke
--- a/src/process/stop_signal.cc
+++ b/src/process/stop_signal.cc
@@ -10,10 +10,14 @@
 namespace bramleyspoke {
 namespace {
 
-class AsioStopSignal final : public StopSignal {
+template <typename Base>
+class AsioSignal final : public Base {
  public:
-  AsioStopSignal(EventLoop& loop, std::function<void()> on_signal)
-      : m_signals(loop.Context(), SIGTERM, SIGINT),
+  template <typename... Signals>
+  AsioSignal(EventLoop& loop,
+             std::function<void()> on_signal,
+             Signals... signals)
+      : m_signals(loop.Context(), signals...),
         m_on_signal(std::move(on_signal)) {
     Wait();
   }
@@ -38,7 +42,15 @@
 std::unique_ptr<StopSignal> StopSignal::Create(
     EventLoop& loop,
     std::function<void()> on_signal) {
-  return std::make_unique<AsioStopSignal>(loop, std::move(on_signal));
+  return std::make_unique<AsioSignal<StopSignal>>(loop, std::move(on_signal),
+                                                  SIGTERM, SIGINT);
+}
+
+std::unique_ptr<ReloadSignal> ReloadSignal::Create(
+    EventLoop& loop,
+    std::function<void()> on_signal) {
+  return std::make_unique<AsioSignal<ReloadSignal>>(loop, std::move(on_signal),
+                                                    SIGHUP);
 }
 
 }  // namespace bramleyspoke
--- a/src/process/stop_signal.h
+++ b/src/process/stop_signal.h
@@ -15,4 +15,12 @@
   virtual ~StopSignal() = default;
 };
 
+/// Calls back on SIGHUP; destroying it ends that.
+class ReloadSignal {
+ public:
+  static std::unique_ptr<ReloadSignal> Create(EventLoop& loop,
+                                              std::function<void()> on_signal);
+  virtual ~ReloadSignal() = default;
+};
+
 }  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/store_follower.cc
@@ -0,0 +1,115 @@
+#include "process/store_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "connection/event_loop.h"
+
+namespace bramleyspoke {
+
+StoreFollower::StoreFollower(EventLoop& loop,
+                             KeyValueStore& store,
+                             std::string prefix,
+                             StoreListener& listener)
+    : m_loop(loop),
+      m_store(store),
+      m_prefix(std::move(prefix)),
+      m_listener(listener),
+      m_self(std::make_shared<StoreFollower*>(this)) {}
+
+StoreFollower::~StoreFollower() = default;
+
+void StoreFollower::Start() {
+  Continue(Duration::zero());
+}
+
+void StoreFollower::ReadPage(const std::string& after) {
+  if (after.empty()) {
+    m_items.clear();
+    m_first_page_revision = 0;
+  }
+  m_store.Range(m_prefix, after,
+                [weak = std::weak_ptr(m_self)](KeyValuePage page) {
+                  if (const auto self = weak.lock()) {
+                    (*self)->OnPage(std::move(page));
+                  }
+                });
+}
+
+// Pages are no snapshot: changes are watched from the first one's revision, so
+// that what changed between the pages is seen again.
+void StoreFollower::OnPage(KeyValuePage page) {
+  if (page.status != KeyValueStatus::kOk) {
+    OnFailure(page.status);
+    return;
+  }
+  if (m_first_page_revision == 0) {
+    m_first_page_revision = page.revision;
+  }
+  std::move(page.items.begin(), page.items.end(), std::back_inserter(m_items));
+  if (page.has_more && !m_items.empty()) {
+    ReadPage(std::string(m_items.back().key));
+    return;
+  }
+  m_revision = m_first_page_revision;
+  OnSuccess();
+  m_listener.OnKeys(m_items);
+  m_items.clear();
+  m_items.shrink_to_fit();
+  Watch();
+}
+
+void StoreFollower::Watch() {
+  m_store.Watch(m_prefix, m_revision, kWatchTime,
+                [weak = std::weak_ptr(m_self)](const KeyValueChanges& changes) {
+                  if (const auto self = weak.lock()) {
+                    (*self)->OnChanges(changes);
+                  }
+                });
+}
+
+void StoreFollower::OnChanges(const KeyValueChanges& changes) {
+  if (changes.status == KeyValueStatus::kHistoryGone) {
+    m_revision = 0;
+    Continue(Duration::zero());
+    return;
+  }
+  if (changes.status != KeyValueStatus::kOk) {
+    OnFailure(changes.status);
+    return;
+  }
+  m_revision = std::max(m_revision, changes.revision);
+  OnSuccess();
+  if (!changes.events.empty()) {
+    m_listener.OnChanges(changes.events);
+  }
+  Continue(changes.events.empty() ? Duration::zero() : kGatherTime);
+}
+
+void StoreFollower::OnFailure(KeyValueStatus status) {
+  if (!std::exchange(m_is_lost, true)) {
+    m_listener.OnStoreLost(status);
+  }
+  const Duration pause = m_pause;
+  m_pause = std::min(m_pause * 2, kLongestPause);
+  Continue(pause);
+}
+
+void StoreFollower::OnSuccess() {
+  m_pause = kFirstPause;
+  if (std::exchange(m_is_lost, false)) {
+    m_listener.OnStoreBack();
+  }
+}
+
+void StoreFollower::Continue(Duration pause) {
+  m_timer = m_loop.At(std::chrono::steady_clock::now() + pause, [this] {
+    if (m_revision == 0) {
+      ReadPage({});
+    } else {
+      Watch();
+    }
+  });
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/store_follower.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "connection/key_value_store.h"
+
+namespace bramleyspoke {
+
+class EventLoop;
+class Timer;
+
+/// Hears what a `StoreFollower` learns, on its loop.
+class StoreListener {
+ public:
+  virtual ~StoreListener() = default;
+  /// All keys under the prefix, as read anew.
+  virtual void OnKeys(const std::vector<KeyValueItem>& items) = 0;
+  virtual void OnChanges(const std::vector<KeyValueEvent>& events) = 0;
+  /// The store no longer answers, or answers again.
+  virtual void OnStoreLost(KeyValueStatus status) = 0;
+  virtual void OnStoreBack() = 0;
+};
+
+/// Keeps up with all keys under a prefix: reads them once, then watches.
+class StoreFollower {
+ public:
+  /// How long one watch waits; a connection that went silent is found by then.
+  static constexpr Duration kWatchTime = std::chrono::seconds(4);
+  /// Pause after a failure, doubled up to the longest.
+  static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
+  static constexpr Duration kLongestPause = std::chrono::milliseconds(800);
+  /// Between an answer with changes and the next watch, so that changes that
+  /// come close together share a call.
+  static constexpr Duration kGatherTime = std::chrono::milliseconds(150);
+
+  StoreFollower(EventLoop& loop,
+                KeyValueStore& store,
+                std::string prefix,
+                StoreListener& listener);
+  ~StoreFollower();
+
+  void Start();
+  bool IsLost() const { return m_is_lost; }
+
+ private:
+  void ReadPage(const std::string& after);
+  void OnPage(KeyValuePage page);
+  void Watch();
+  void OnChanges(const KeyValueChanges& changes);
+  void OnFailure(KeyValueStatus status);
+  void OnSuccess();
+  void Continue(Duration pause);
+
+  EventLoop& m_loop;
+  KeyValueStore& m_store;
+  std::string m_prefix;
+  StoreListener& m_listener;
+  std::vector<KeyValueItem> m_items;
+  /// To watch from; 0 until all keys were read.
+  std::int64_t m_revision = 0;
+  /// Of the first page of the reading under way.
+  std::int64_t m_first_page_revision = 0;
+  Duration m_pause = kFirstPause;
+  bool m_is_lost = false;
+  std::unique_ptr<Timer> m_timer;
+  std::shared_ptr<StoreFollower*> m_self;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/process/store_schema.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "connection/http_message.h"
+#include "version/leaf_registry.h"
+#include "version/route_table.h"
+
+namespace bramleyspoke {
+
+/// A daemon as others find it in the store.
+struct DaemonEntry {
+  /// Where it serves callers.
+  Endpoint address;
+  std::string failure_domain;
+  std::string region;
+
+  bool operator==(const DaemonEntry&) const = default;
+};
+
+enum class StoreKeyKind {
+  kRoutes,
+  kLeaf,
+  kDaemon,
+  kOther,
+};
+
+/// What the platform's store holds under which keys.
+class StoreSchema {
+ public:
+  virtual ~StoreSchema() = default;
+
+  virtual StoreKeyKind KindOf(std::string_view key) const = 0;
+  /// The part of a key that names its leaf or daemon.
+  virtual std::string NameOf(std::string_view key) const = 0;
+  virtual Result<std::shared_ptr<const RouteTable>> ReadRoutes(
+      std::string_view value) const = 0;
+  virtual Result<LeafRegistration> ReadLeaf(std::string_view name,
+                                            std::string_view value) const = 0;
+  virtual Result<DaemonEntry> ReadDaemon(std::string_view value) const = 0;
+  virtual std::string DaemonKey(std::string_view name) const = 0;
+  virtual std::string WriteDaemon(const DaemonEntry& daemon) const = 0;
+};
+
+/// How callers and the platform ask a daemon about itself.
+class EntryProtocol {
+ public:
+  virtual ~EntryProtocol() = default;
+
+  /// The region of a caller who asks for addresses; nothing if the request is
+  /// no such question.
+  virtual std::optional<std::string> ReadAddressQuery(
+      const HttpRequest& request) const = 0;
+  virtual HttpResponse MakeAddressAnswer(const std::vector<Endpoint>& addresses,
+                                         Duration time_to_live) const = 0;
+  virtual bool IsReadinessQuery(const HttpRequest& request) const = 0;
+  virtual HttpResponse MakeReadinessAnswer(bool is_ready) const = 0;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/coverage_wait.cc
@@ -0,0 +1,41 @@
+#include "request/coverage_wait.h"
+
+namespace bramleyspoke {
+namespace {
+
+// The least share is a decimal fraction: 0.9 x 10 must not miss 9.
+constexpr double kRounding = 1e-9;
+
+bool IsEnough(std::size_t count, std::size_t shards, double min_coverage) {
+  return count > 0 && static_cast<double>(count) + kRounding >=
+                          min_coverage * static_cast<double>(shards);
+}
+
+}  // namespace
+
+CoverageStep NextCoverageStep(const FanOutProgress& progress,
+                              double min_coverage,
+                              const CoverageTimes& times,
+                              TimePoint now) {
+  const std::size_t reachable = progress.answered + progress.open;
+  if (!IsEnough(reachable, progress.shards, min_coverage)) {
+    return CoverageStep::kGiveUp;
+  }
+  if (progress.open == 0) {
+    return CoverageStep::kAnswer;
+  }
+  const bool is_enough =
+      IsEnough(progress.answered, progress.shards, min_coverage);
+  if (now >= times.deadline) {
+    return is_enough ? CoverageStep::kAnswer : CoverageStep::kGiveUp;
+  }
+  const bool is_due = now >= times.answer_by;
+  const bool was_due_long = now >= times.answer_by + kLateWait;
+  const bool is_in_time = now < times.answer_by + kLateWait / 10;
+  if (is_enough && is_due && (is_in_time || was_due_long)) {
+    return CoverageStep::kAnswer;
+  }
+  return CoverageStep::kWait;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/leaf_book.cc
@@ -0,0 +1,216 @@
+#include "request/leaf_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+// Latency of a leaf from which no answer came yet, by where it stands.
+constexpr Duration kNearPrior = std::chrono::milliseconds(8);
+constexpr Duration kRegionPrior = std::chrono::milliseconds(10);
+constexpr Duration kFarPrior = std::chrono::milliseconds(45);
+
+constexpr std::uint32_t kDefaultConnections = 8;
+
+enum class LeafTier {
+  kReady,
+  kDraining,
+  kEjected,
+  kNone,
+};
+
+// Leafs that drain or failed of late are a last resort: a request is better
+// tried there than not at all.
+LeafTier TierOf(const RelayLeaf& leaf, TimePoint now) {
+  if (leaf.is_gone || leaf.load.IsUnreachable(now)) {
+    return LeafTier::kNone;
+  }
+  if (leaf.draining_since) {
+    return now < *leaf.draining_since + LeafBook::kDrainUse
+               ? LeafTier::kDraining
+               : LeafTier::kNone;
+  }
+  return leaf.load.IsUsable(now) ? LeafTier::kReady : LeafTier::kEjected;
+}
+
+}  // namespace
+
+bool Locality::IsSameRegion(const std::string& domain) const {
+  const auto found = regions.find(domain);
+  return found != regions.end() && found->second == region;
+}
+
+void LeafBook::SetTable(std::shared_ptr<const RouteTable> table) {
+  m_table = std::move(table);
+  Share();
+}
+
+void LeafBook::SetLeafs(const std::vector<LeafRegistration>& leafs,
+                        TimePoint now) {
+  std::map<std::string, std::shared_ptr<RelayLeaf>> kept;
+  for (const LeafRegistration& registration : leafs) {
+    const auto known = m_leafs.find(registration.id);
+    const bool is_same_run =
+        known != m_leafs.end() &&
+        known->second->registration.started_at_ms ==
+            registration.started_at_ms &&
+        known->second->registration.address == registration.address &&
+        known->second->registration.service == registration.service;
+    std::shared_ptr<RelayLeaf> leaf;
+    if (is_same_run) {
+      leaf = known->second;
+      leaf->registration = registration;
+    } else {
+      leaf = std::make_shared<RelayLeaf>(
+          RelayLeaf{registration,
+                    LeafLoad(registration.slots, PriorLatency(registration)),
+                    false, std::nullopt, 1});
+    }
+    if (!registration.is_draining) {
+      leaf->draining_since.reset();
+    } else if (!leaf->draining_since) {
+      leaf->draining_since = now;
+    }
+    kept.emplace(registration.id, std::move(leaf));
+  }
+  for (auto& [id, leaf] : m_leafs) {
+    const auto found = kept.find(id);
+    leaf->is_gone = found == kept.end() || found->second != leaf;
+  }
+  m_leafs = std::move(kept);
+  for (auto& [name, service] : m_services) {
+    service->leafs.clear();
+  }
+  for (const auto& [id, leaf] : m_leafs) {
+    Service(leaf->registration.service).leafs.push_back(leaf);
+  }
+  Share();
+}
+
+void LeafBook::SetDaemons(std::size_t daemons) {
+  m_daemons = std::max<std::size_t>(daemons, 1);
+  for (auto& [name, service] : m_services) {
+    service->budget.SetDaemons(m_daemons);
+  }
+  Share();
+}
+
+void LeafBook::OnReachable(const Endpoint& address,
+                           bool is_reachable,
+                           TimePoint now) {
+  for (const auto& [id, leaf] : m_leafs) {
+    if (leaf->registration.address != address) {
+      continue;
+    }
+    if (is_reachable) {
+      leaf->load.OnReachable();
+    } else {
+      leaf->load.OnUnreachable(now);
+    }
+  }
+}
+
+RelayService& LeafBook::Service(const std::string& name) {
+  auto& service = m_services[name];
+  if (!service) {
+    service = std::make_unique<RelayService>(
+        RelayService{name, {}, RepeatBudget(m_allowance), {}});
+    service->budget.SetDaemons(m_daemons);
+  }
+  return *service;
+}
+
+std::set<Endpoint> LeafBook::Addresses() const {
+  std::set<Endpoint> addresses;
+  for (const auto& [id, leaf] : m_leafs) {
+    if (!leaf->draining_since) {
+      addresses.insert(leaf->registration.address);
+    }
+  }
+  return addresses;
+}
+
+std::set<std::string> LeafBook::ServingRegions() const {
+  std::map<std::string, std::size_t> services_in;
+  for (const auto& [name, service] : m_services) {
+    std::set<std::string> seen;
+    for (const auto& leaf : service->leafs) {
+      const auto region =
+          m_locality.regions.find(leaf->registration.failure_domain);
+      if (region != m_locality.regions.end() && !leaf->draining_since) {
+        seen.insert(region->second);
+      }
+    }
+    for (const std::string& region : seen) {
+      ++services_in[region];
+    }
+  }
+  std::size_t most = 0;
+  for (const auto& [region, count] : services_in) {
+    most = std::max(most, count);
+  }
+  std::set<std::string> serving;
+  for (const auto& [region, count] : services_in) {
+    if (2 * count >= most) {
+      serving.insert(region);
+    }
+  }
+  return serving;
+}
+
+void LeafBook::Share() {
+  for (const auto& [id, leaf] : m_leafs) {
+    const double usable =
+        ConnectionLimit(leaf->registration.service) * (1 - kConnectionReserve);
+    leaf->share = std::max<std::uint32_t>(
+        1, static_cast<std::uint32_t>(usable / static_cast<double>(m_daemons)));
+  }
+}
+
+std::uint32_t LeafBook::ConnectionLimit(const std::string& service) const {
+  if (!m_table) {
+    return kDefaultConnections;
+  }
+  const auto found = m_table->Services().find(service);
+  return found == m_table->Services().end() ? kDefaultConnections
+                                            : found->second.connection_limit;
+}
+
+Duration LeafBook::PriorLatency(const LeafRegistration& leaf) const {
+  if (leaf.failure_domain == m_locality.failure_domain) {
+    return kNearPrior;
+  }
+  return m_locality.IsSameRegion(leaf.failure_domain) ? kRegionPrior
+                                                      : kFarPrior;
+}
+
+LeafChoice ChooseLeaf(const RelayService& service,
+                      const std::string& kind,
+                      const std::vector<const RelayLeaf*>& tried,
+                      TimePoint now) {
+  LeafChoice choice;
+  LeafTier best_tier = LeafTier::kNone;
+  Duration best_cost{0};
+  for (const auto& leaf : service.leafs) {
+    const LeafTier tier = TierOf(*leaf, now);
+    if (tier == LeafTier::kNone ||
+        std::find(tried.begin(), tried.end(), leaf.get()) != tried.end()) {
+      continue;
+    }
+    if (leaf->load.InFlight() >= leaf->share) {
+      choice.is_full = true;
+      continue;
+    }
+    const Duration cost = leaf->load.Cost(kind, now);
+    if (!choice.leaf || tier < best_tier ||
+        (tier == best_tier && cost < best_cost)) {
+      choice.leaf = leaf;
+      best_tier = tier;
+      best_cost = cost;
+    }
+  }
+  return choice;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/leaf_book.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "request/leaf_load.h"
+#include "request/repeat_budget.h"
+#include "version/leaf_registry.h"
+#include "version/route_table.h"
+
+namespace bramleyspoke {
+
+/// Where this daemon stands, and which failure domains are near.
+struct Locality {
+  std::string failure_domain;
+  std::string region;
+  /// Region of each failure domain.
+  std::map<std::string, std::string, std::less<>> regions;
+
+  bool IsSameRegion(const std::string& domain) const;
+};
+
+/// One run of a registered leaf, and what is known of its load.
+struct RelayLeaf {
+  LeafRegistration registration;
+  LeafLoad load;
+  /// No longer registered.
+  bool is_gone = false;
+  std::optional<TimePoint> draining_since;
+  /// Attempts that this daemon may have there at once.
+  std::uint32_t share = 1;
+};
+
+/// An attempt that waits for room at one of a service's leafs.
+struct WaitingPart {
+  std::uint32_t priority = 0;
+  std::uint64_t sequence = 0;
+  std::uint64_t request = 0;
+  std::size_t part = 0;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads <=>.
+  auto operator<=>(const WaitingPart&) const = default;
+};
+
+/// A service's leafs and what all requests to it share.
+struct RelayService {
+  std::string name;
+  std::vector<std::shared_ptr<RelayLeaf>> leafs;
+  RepeatBudget budget;
+  std::set<WaitingPart> waiting;
+};
+
+/// All services and leafs that routes name or that registered themselves.
+class LeafBook {
+ public:
+  /// A draining leaf still takes work for this long, if no other can.
+  static constexpr Duration kDrainUse = std::chrono::milliseconds(1000);
+  /// Connections of a leaf that its holders leave free for restarts.
+  static constexpr double kConnectionReserve = 0.1;
+
+  LeafBook(Locality locality, const RepeatAllowance& allowance)
+      : m_locality(std::move(locality)), m_allowance(allowance) {}
+
+  void SetTable(std::shared_ptr<const RouteTable> table);
+  void SetLeafs(const std::vector<LeafRegistration>& leafs, TimePoint now);
+  /// Daemons that share the leafs' connections and the allowance of repeats.
+  void SetDaemons(std::size_t daemons);
+  void OnReachable(const Endpoint& address, bool is_reachable, TimePoint now);
+
+  RelayService& Service(const std::string& name);
+  const std::map<std::string, std::unique_ptr<RelayService>>& Services() const {
+    return m_services;
+  }
+  /// Leafs to which connections are worth keeping.
+  std::set<Endpoint> Addresses() const;
+  /// Regions with the most services that have a leaf there that is not
+  /// draining.
+  std::set<std::string> ServingRegions() const;
+  const Locality& Place() const { return m_locality; }
+
+ private:
+  void Share();
+  std::uint32_t ConnectionLimit(const std::string& service) const;
+  Duration PriorLatency(const LeafRegistration& leaf) const;
+
+  Locality m_locality;
+  RepeatAllowance m_allowance;
+  std::shared_ptr<const RouteTable> m_table;
+  std::size_t m_daemons = 1;
+  std::map<std::string, std::unique_ptr<RelayService>> m_services;
+  std::map<std::string, std::shared_ptr<RelayLeaf>> m_leafs;
+};
+
+/// The best leaf of `service` for a request of this kind; null if none will
+/// do. `tried` leafs are passed over.
+struct LeafChoice {
+  std::shared_ptr<RelayLeaf> leaf;
+  /// Leafs are there, but this daemon's share of each is in use.
+  bool is_full = false;
+};
+
+LeafChoice ChooseLeaf(const RelayService& service,
+                      const std::string& kind,
+                      const std::vector<const RelayLeaf*>& tried,
+                      TimePoint now);
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/leaf_load.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+
+namespace bramleyspoke {
+
+/// What a leaf says of its load in an answer.
+struct ReportedLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+/// Latency of one kind of request at one leaf.
+class LatencyEstimate {
+ public:
+  explicit LatencyEstimate(Duration prior) : m_usual(prior), m_recent(prior) {}
+
+  void Record(Duration latency, TimePoint now);
+  /// What is usual there; moves slowly.
+  Duration Usual() const { return m_usual; }
+  /// What is to be expected now: recent latency, which loses weight with age.
+  Duration Expected(TimePoint now) const;
+
+ private:
+  Duration m_usual;
+  Duration m_recent;
+  TimePoint m_recorded_at;
+  bool m_has_samples = false;
+};
+
+/// What one daemon sees of one leaf's load, mostly from its own requests.
+///
+/// Answers the load of leafs that pause for a quarter of a second now and
+/// then, turn slow for seconds, or fail part of their requests: a leaf that
+/// has been silent for longer than usual is passed over for new work until it
+/// answers again.
+class LeafLoad {
+ public:
+  /// A leaf is silent after this many times its usual latency...
+  static constexpr double kSilentFactor = 2.5;
+  /// ...and this.
+  static constexpr Duration kSilentMargin = std::chrono::milliseconds(5);
+  /// Expected rest of a pause.
+  static constexpr Duration kSilentCost = std::chrono::milliseconds(150);
+  /// Cost of a request that fails, for weighing a leaf's failures.
+  static constexpr Duration kFailureCost = std::chrono::milliseconds(200);
+
+  LeafLoad(std::uint32_t slots, Duration prior)
+      : m_slots(slots), m_prior(prior) {}
+
+  void OnSent(TimePoint now);
+  /// An attempt ended without word of the leaf's state.
+  void OnEnded(TimePoint now);
+  void OnAnswered(const std::string& kind,
+                  Duration latency,
+                  const std::optional<ReportedLoad>& load,
+                  TimePoint now);
+  void OnSuccess(TimePoint now);
+  void OnFailure(TimePoint now);
+  /// The leaf has no room: it is left alone for a moment.
+  void OnShed(TimePoint now);
+  void OnUnreachable(TimePoint now);
+  void OnReachable();
+
+  std::uint32_t InFlight() const { return m_in_flight; }
+  bool IsSilent(TimePoint now) const;
+  /// Whether it may get work at all just now.
+  bool IsUsable(TimePoint now) const;
+  bool IsUnreachable(TimePoint now) const { return now < m_unreachable_until; }
+  /// Expected time to an answer, with the queue there.
+  Duration Cost(const std::string& kind, TimePoint now) const;
+  /// After how long an attempt there is overdue.
+  Duration Overdue(const std::string& kind) const;
+  Duration Usual(const std::string& kind) const;
+  /// Requests that are believed to be at the leaf, all daemons' together.
+  double Occupancy(TimePoint now) const;
+
+ private:
+  const LatencyEstimate* Find(const std::string& kind) const;
+
+  std::uint32_t m_slots;
+  Duration m_prior;
+  std::map<std::string, LatencyEstimate> m_latencies;
+  std::uint32_t m_in_flight = 0;
+  /// Last sign of life, or when the first attempt now out was sent.
+  TimePoint m_progress_at;
+  /// Others' requests, as of `m_reported_at`.
+  double m_others = 0;
+  TimePoint m_reported_at;
+  double m_failure_share = 0;
+  TimePoint m_failed_at;
+  std::uint32_t m_failures_in_row = 0;
+  std::uint32_t m_ejections_in_row = 0;
+  std::uint32_t m_sheds_in_row = 0;
+  TimePoint m_ejected_until;
+  TimePoint m_unreachable_until;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/relay_engine.cc
@@ -0,0 +1,336 @@
+#include "request/relay_engine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "request/coverage_wait.h"
+#include "request/relay_request.h"
+
+namespace bramleyspoke {
+namespace {
+
+// How long a leaf may go on with what nobody waits for: closing costs the
+// leaf a new connection, and most answers come within this.
+constexpr Duration kAbandonDelay = std::chrono::milliseconds(200);
+
+}  // namespace
+
+RelayEngine::RelayEngine(Locality locality, const RepeatAllowance& allowance)
+    : m_book(std::move(locality), allowance) {}
+
+RelayEngine::~RelayEngine() = default;
+
+RelayActions RelayEngine::Submit(RelayNumber number,
+                                 RelayRequest submitted,
+                                 TimePoint now) {
+  m_now = now;
+  auto owned = std::make_unique<Request>();
+  Request& request = *owned;
+  request.number = number;
+  request.request = std::move(submitted);
+  const Route& route = request.TheRoute();
+  if (route.IsFanOut()) {
+    for (const std::string& shard : route.shards) {
+      request.parts.emplace_back().service = &m_book.Service(shard);
+    }
+  } else {
+    const std::size_t place = route.services.size() > 1
+                                  ? m_rotation.Next(route.name, route.services)
+                                  : 0;
+    request.parts.emplace_back().service =
+        &m_book.Service(route.services.at(place).service);
+  }
+  m_requests.emplace(number, std::move(owned));
+  if (!Refuse(request)) {
+    for (std::size_t index = 0; index < request.parts.size(); ++index) {
+      request.parts[index].service->budget.OnRequest();
+      Place(request, index);
+    }
+    Touch(number);
+  }
+  return End();
+}
+
+RelayActions RelayEngine::OnReply(SendNumber number,
+                                  LeafReply reply,
+                                  TimePoint now) {
+  m_now = now;
+  const auto found = m_sendings.find(number);
+  if (found == m_sendings.end()) {
+    return End();
+  }
+  const Sending sending = std::move(found->second);
+  m_sendings.erase(found);
+  Observe(sending, reply);
+  if (Request* request = Find(sending.request)) {
+    Part& part = request->parts[sending.part];
+    std::erase(part.running, number);
+    Apply(*request, sending.part, std::move(reply));
+    Touch(sending.request);
+  }
+  Pump(*sending.service);
+  return End();
+}
+
+RelayActions RelayEngine::OnCallerGone(RelayNumber number, TimePoint now) {
+  m_now = now;
+  Request* request = Find(number);
+  if (request == nullptr) {
+    return End();
+  }
+  if (request->IsIdempotent()) {
+    AbandonSends(*request);
+  }
+  for (std::size_t index = 0; index < request->parts.size(); ++index) {
+    Dequeue(*request, index);
+  }
+  if (request->timer) {
+    m_timers.erase({*request->timer, number});
+  }
+  m_requests.erase(number);
+  return End();
+}
+
+RelayActions RelayEngine::OnTimer(TimePoint now) {
+  m_now = now;
+  while (!m_timers.empty() && m_timers.begin()->first <= now) {
+    const RelayNumber number = m_timers.begin()->second;
+    m_timers.erase(m_timers.begin());
+    if (Request* request = Find(number)) {
+      request->timer.reset();
+      Touch(number);
+    }
+  }
+  while (!m_abandons.empty() && m_abandons.begin()->first <= now) {
+    const SendNumber number = m_abandons.begin()->second;
+    m_abandons.erase(m_abandons.begin());
+    const auto found = m_sendings.find(number);
+    if (found == m_sendings.end()) {
+      continue;
+    }
+    found->second.leaf->load.OnEnded(now);
+    RelayService& service = *found->second.service;
+    m_sendings.erase(found);
+    m_actions.abandons.push_back(number);
+    Pump(service);
+  }
+  return End();
+}
+
+RelayActions RelayEngine::SetTable(std::shared_ptr<const RouteTable> table,
+                                   TimePoint now) {
+  m_now = now;
+  m_rotation.Retain(*table);
+  m_book.SetTable(std::move(table));
+  return End();
+}
+
+RelayActions RelayEngine::SetLeafs(const std::vector<LeafRegistration>& leafs,
+                                   TimePoint now) {
+  m_now = now;
+  m_book.SetLeafs(leafs, now);
+  for (const auto& [name, service] : m_book.Services()) {
+    Pump(*service);
+  }
+  return End();
+}
+
+RelayActions RelayEngine::OnReachable(const Endpoint& address,
+                                      bool is_reachable,
+                                      TimePoint now) {
+  m_now = now;
+  m_book.OnReachable(address, is_reachable, now);
+  return End();
+}
+
+std::optional<TimePoint> RelayEngine::NextTimer() const {
+  std::optional<TimePoint> next;
+  if (!m_timers.empty()) {
+    next = m_timers.begin()->first;
+  }
+  if (!m_abandons.empty() && (!next || m_abandons.begin()->first < *next)) {
+    next = m_abandons.begin()->first;
+  }
+  return next;
+}
+
+std::vector<RelaySendEnd> RelayEngine::TakeFailedSends() {
+  return std::exchange(m_failed_sends, {});
+}
+
+// Settling may send and finish, which touches no other request.
+RelayActions RelayEngine::End() {
+  while (!m_touched.empty()) {
+    const RelayNumber number = *m_touched.begin();
+    m_touched.erase(m_touched.begin());
+    if (Request* request = Find(number)) {
+      Settle(*request);
+    }
+  }
+  return std::exchange(m_actions, {});
+}
+
+RelayEngine::Request* RelayEngine::Find(RelayNumber number) {
+  const auto found = m_requests.find(number);
+  return found == m_requests.end() ? nullptr : found->second.get();
+}
+
+void RelayEngine::Settle(Request& request) {
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    Part& part = request.parts[index];
+    if (part.IsOpen() && part.retry_at && *part.retry_at <= m_now) {
+      part.retry_at.reset();
+      Place(request, index);
+    }
+    if (part.IsOpen() && part.hedge_at && *part.hedge_at <= m_now) {
+      part.hedge_at.reset();
+      Hedge(request, index);
+    }
+  }
+  if (!IsEnded(request)) {
+    Schedule(request);
+  }
+}
+
+void RelayEngine::Schedule(Request& request) {
+  TimePoint next = request.request.deadline;
+  const auto consider = [&](TimePoint at) {
+    if (at > m_now) {
+      next = std::min(next, at);
+    }
+  };
+  if (request.TheRoute().IsFanOut()) {
+    consider(request.request.answer_by);
+    consider(request.request.answer_by + kLateWait);
+  }
+  for (const Part& part : request.parts) {
+    if (!part.IsOpen()) {
+      continue;
+    }
+    if (part.hedge_at) {
+      consider(*part.hedge_at);
+    }
+    if (part.retry_at) {
+      consider(*part.retry_at);
+    }
+  }
+  if (request.timer == next) {
+    return;
+  }
+  if (request.timer) {
+    m_timers.erase({*request.timer, request.number});
+  }
+  request.timer = next;
+  m_timers.emplace(next, request.number);
+}
+
+bool RelayEngine::IsEnded(Request& request) {
+  if (!request.TheRoute().IsFanOut()) {
+    Part& part = request.parts.front();
+    if (!part.IsOpen()) {
+      FinishOne(request);
+      return true;
+    }
+    if (m_now >= request.request.deadline) {
+      FinishRefused(request, RefusalReason::kDeadlinePassed, std::nullopt);
+      return true;
+    }
+    return false;
+  }
+  FanOutProgress progress;
+  progress.shards = request.parts.size();
+  for (const Part& part : request.parts) {
+    progress.answered += part.answer ? 1 : 0;
+    progress.open += part.IsOpen() ? 1 : 0;
+  }
+  const CoverageTimes times{request.request.answer_by,
+                            request.request.deadline};
+  switch (NextCoverageStep(progress, request.TheRoute().min_coverage, times,
+                           m_now)) {
+    case CoverageStep::kWait:
+      return false;
+    case CoverageStep::kAnswer:
+      FinishMerged(request);
+      return true;
+    case CoverageStep::kGiveUp:
+      break;
+  }
+  FinishRefused(request,
+                m_now >= request.request.deadline
+                    ? RefusalReason::kDeadlinePassed
+                    : RefusalReason::kNoReplica,
+                kRetryLater);
+  return true;
+}
+
+void RelayEngine::FinishOne(Request& request) {
+  Part& part = request.parts.front();
+  std::optional<HttpResponse>& response =
+      part.answer ? part.answer : part.failure;
+  if (!response) {
+    FinishRefused(request,
+                  part.verdict == Verdict::kNotRun ? RefusalReason::kNoReplica
+                                                   : RefusalReason::kLost,
+                  kRetryLater);
+    return;
+  }
+  RelayOutcome outcome;
+  outcome.answers.push_back(std::move(*response));
+  Finish(request, std::move(outcome));
+}
+
+void RelayEngine::FinishMerged(Request& request) {
+  RelayOutcome outcome;
+  for (Part& part : request.parts) {
+    if (part.answer) {
+      outcome.answers.push_back(std::move(*part.answer));
+    } else {
+      ++outcome.missing_shards;
+    }
+  }
+  Finish(request, std::move(outcome));
+}
+
+void RelayEngine::FinishRefused(Request& request,
+                                RefusalReason reason,
+                                std::optional<Duration> retry_after) {
+  RelayOutcome outcome;
+  outcome.refusal = RelayRefusal{reason, VerdictOfParts(request), retry_after};
+  Finish(request, std::move(outcome));
+}
+
+// What still runs for a request that ended goes on, so that its connection is
+// kept: its answer comes soon, or the leaf stops at the deadline.
+void RelayEngine::Finish(Request& request, RelayOutcome outcome) {
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    Dequeue(request, index);
+  }
+  outcome.sends = request.sends;
+  outcome.repeats = request.repeats;
+  m_actions.finishes.push_back({request.number, std::move(outcome)});
+  if (request.timer) {
+    m_timers.erase({*request.timer, request.number});
+  }
+  m_requests.erase(request.number);
+}
+
+Verdict RelayEngine::VerdictOfParts(const Request& request) const {
+  Verdict verdict = Verdict::kNotRun;
+  for (const Part& part : request.parts) {
+    verdict = Combine(verdict, part.verdict);
+    if (!part.running.empty()) {
+      verdict = Verdict::kMayHaveRun;
+    }
+  }
+  return verdict;
+}
+
+void RelayEngine::AbandonSends(Request& request) {
+  for (const Part& part : request.parts) {
+    for (const SendNumber number : part.running) {
+      m_abandons.emplace(m_now + kAbandonDelay, number);
+    }
+  }
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/relay_engine.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "request/leaf_book.h"
+#include "request/relay.h"
+#include "request/weighted_rotation.h"
+
+namespace bramleyspoke {
+
+/// Totals of a `RelayEngine`.
+struct RelayCounters {
+  std::uint64_t sends = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t budget_refusals = 0;
+};
+
+/// All decisions about relayed requests: which leaf, when again, when enough.
+///
+/// Pure: takes events with the time, returns actions; reads no clock and no
+/// socket.
+class RelayEngine {
+ public:
+  /// Requests under way, beyond which new ones are refused.
+  static constexpr std::size_t kMostRequests = 2000;
+  /// Attempts that may wait at one service.
+  static constexpr std::size_t kMostWaiting = 200;
+  /// When callers should come back: after a shortage of room, of leafs.
+  static constexpr Duration kRetrySoon = std::chrono::milliseconds(150);
+  static constexpr Duration kRetryLater = std::chrono::milliseconds(500);
+
+  RelayEngine(Locality locality, const RepeatAllowance& allowance);
+  ~RelayEngine();
+
+  /// Every request submitted gets exactly one `RelayFinish`, unless its caller
+  /// goes first.
+  RelayActions Submit(RelayNumber number, RelayRequest request, TimePoint now);
+  RelayActions OnReply(SendNumber number, LeafReply reply, TimePoint now);
+  RelayActions OnCallerGone(RelayNumber number, TimePoint now);
+  RelayActions OnTimer(TimePoint now);
+
+  RelayActions SetTable(std::shared_ptr<const RouteTable> table, TimePoint now);
+  RelayActions SetLeafs(const std::vector<LeafRegistration>& leafs,
+                        TimePoint now);
+  RelayActions OnReachable(const Endpoint& address,
+                           bool is_reachable,
+                           TimePoint now);
+  void SetDaemons(std::size_t daemons) { m_book.SetDaemons(daemons); }
+
+  std::optional<TimePoint> NextTimer() const;
+  const LeafBook& Book() const { return m_book; }
+  const RelayCounters& Counters() const { return m_counters; }
+  std::size_t InFlight() const { return m_requests.size(); }
+  /// Sendings that ended since the last call and that went wrong.
+  std::vector<RelaySendEnd> TakeFailedSends();
+
+ private:
+  struct Part;
+  struct Request;
+  struct Sending;
+
+  // Events.
+  RelayActions End();
+  Request* Find(RelayNumber number);
+  void Touch(RelayNumber number) { m_touched.insert(number); }
+  void Settle(Request& request);
+  void Schedule(Request& request);
+
+  // Sending.
+  bool Refuse(Request& request);
+  void Place(Request& request, std::size_t index);
+  void Send(Request& request,
+            std::size_t index,
+            const std::shared_ptr<RelayLeaf>& leaf);
+  void Enqueue(Request& request, std::size_t index);
+  void Dequeue(Request& request, std::size_t index);
+  void Pump(RelayService& service);
+  void Hedge(Request& request, std::size_t index);
+  std::optional<TimePoint> HedgeAt(const Request& request,
+                                   const Part& part,
+                                   const Sending& sending) const;
+  void Retry(Request& request, std::size_t index);
+
+  // Replies.
+  void Observe(const Sending& sending, const LeafReply& reply);
+  void Apply(Request& request, std::size_t index, LeafReply reply);
+  void GiveUp(Part& part);
+
+  // Ending.
+  bool IsEnded(Request& request);
+  void FinishOne(Request& request);
+  void FinishMerged(Request& request);
+  void FinishRefused(Request& request,
+                     RefusalReason reason,
+                     std::optional<Duration> retry_after);
+  void Finish(Request& request, RelayOutcome outcome);
+  Verdict VerdictOfParts(const Request& request) const;
+  void AbandonSends(Request& request);
+
+  LeafBook m_book;
+  WeightedRotation m_rotation;
+  std::unordered_map<RelayNumber, std::unique_ptr<Request>> m_requests;
+  std::unordered_map<SendNumber, Sending> m_sendings;
+  std::set<std::pair<TimePoint, RelayNumber>> m_timers;
+  /// Sendings that nobody waits for, by the time to close them.
+  std::set<std::pair<TimePoint, SendNumber>> m_abandons;
+  std::vector<RelaySendEnd> m_failed_sends;
+  RelayCounters m_counters;
+  SendNumber m_last_send = 0;
+  std::uint64_t m_last_sequence = 0;
+
+  // Of the event at hand.
+  TimePoint m_now;
+  RelayActions m_actions;
+  std::set<RelayNumber> m_touched;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/relay_request.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "request/leaf_book.h"
+#include "request/relay.h"
+#include "request/relay_engine.h"
+
+namespace bramleyspoke {
+
+/// One service's part in a request: all of it, or one shard.
+struct RelayEngine::Part {
+  RelayService* service = nullptr;
+  std::vector<SendNumber> running;
+  /// Leafs that had their try.
+  std::vector<std::shared_ptr<RelayLeaf>> tried;
+  /// Leafs at which it may have run.
+  std::uint32_t runs = 0;
+  std::uint32_t sends = 0;
+  /// The last send reached no leaf, so the next one is no repeat.
+  bool is_next_free = true;
+  std::optional<HttpResponse> answer;
+  std::optional<HttpResponse> failure;
+  bool is_failed = false;
+  std::optional<WaitingPart> waiting;
+  std::optional<TimePoint> hedge_at;
+  std::optional<TimePoint> retry_at;
+  Verdict verdict = Verdict::kNotRun;
+
+  bool IsOpen() const { return !answer && !is_failed; }
+};
+
+/// A request under way.
+struct RelayEngine::Request {
+  RelayNumber number = 0;
+  RelayRequest request;
+  std::vector<Part> parts;
+  std::uint32_t sends = 0;
+  std::uint32_t repeats = 0;
+  std::optional<TimePoint> timer;
+
+  const Route& TheRoute() const { return *request.route; }
+  bool IsIdempotent() const {
+    return TheRoute().kind == RequestKind::kIdempotent;
+  }
+};
+
+/// One sending of a part to a leaf.
+struct RelayEngine::Sending {
+  RelayNumber request = 0;
+  std::size_t part = 0;
+  std::shared_ptr<RelayLeaf> leaf;
+  RelayService* service = nullptr;
+  std::string kind;
+  TimePoint sent;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/relay_sends.cc
@@ -0,0 +1,258 @@
+#include <algorithm>
+#include <utility>
+
+#include "request/relay_engine.h"
+#include "request/relay_request.h"
+
+namespace bramleyspoke {
+namespace {
+
+// Pause before a leaf that refused is asked again by the same request.
+constexpr Duration kRefusedPause = std::chrono::milliseconds(30);
+// Sendings of one part that may be refused, beyond the route's attempts.
+constexpr std::uint32_t kMostRefusals = 6;
+// Pause of a repeat for which the budget has no room.
+constexpr Duration kBudgetPause = std::chrono::milliseconds(15);
+// A sibling with more work per slot than this gets no hedge.
+constexpr double kHedgeOccupancy = 6;
+
+std::vector<const RelayLeaf*> Pointers(
+    const std::vector<std::shared_ptr<RelayLeaf>>& leafs) {
+  std::vector<const RelayLeaf*> pointers;
+  for (const auto& leaf : leafs) {
+    pointers.push_back(leaf.get());
+  }
+  return pointers;
+}
+
+}  // namespace
+
+// Load: bursts, and shards whose leafs are all gone. What can't be served is
+// refused before anything is sent, so that "not run" is true.
+bool RelayEngine::Refuse(Request& request) {
+  const Route& route = request.TheRoute();
+  std::size_t without_leaf = 0;
+  std::size_t most_waiting = 0;
+  for (const Part& part : request.parts) {
+    const LeafChoice choice = ChooseLeaf(*part.service, route.name, {}, m_now);
+    without_leaf += choice.leaf || choice.is_full ? 0 : 1;
+    most_waiting = std::max(most_waiting, part.service->waiting.size());
+  }
+  const auto shards = static_cast<double>(request.parts.size());
+  const double reachable = shards - static_cast<double>(without_leaf);
+  const double needed = route.IsFanOut() ? route.min_coverage * shards : 1;
+  if (reachable == 0 || reachable < needed) {
+    FinishRefused(request, RefusalReason::kNoReplica, kRetryLater);
+    return true;
+  }
+  if (m_requests.size() > kMostRequests || most_waiting > kMostWaiting) {
+    FinishRefused(request, RefusalReason::kOverloaded, kRetrySoon);
+    return true;
+  }
+  return false;
+}
+
+void RelayEngine::Place(Request& request, std::size_t index) {
+  Part& part = request.parts[index];
+  const std::string& kind = request.TheRoute().name;
+  const LeafChoice choice =
+      ChooseLeaf(*part.service, kind, Pointers(part.tried), m_now);
+  if (!choice.leaf) {
+    if (choice.is_full) {
+      Enqueue(request, index);
+    } else {
+      GiveUp(part);
+    }
+    return;
+  }
+  if (!part.is_next_free && !part.service->budget.TakeForRetry()) {
+    ++m_counters.budget_refusals;
+    part.retry_at = m_now + kBudgetPause;
+    return;
+  }
+  if (!part.is_next_free) {
+    ++m_counters.retries;
+    ++request.repeats;
+  }
+  Send(request, index, choice.leaf);
+}
+
+void RelayEngine::Send(Request& request,
+                       std::size_t index,
+                       const std::shared_ptr<RelayLeaf>& leaf) {
+  Part& part = request.parts[index];
+  const SendNumber number = ++m_last_send;
+  Sending sending;
+  sending.request = request.number;
+  sending.part = index;
+  sending.leaf = leaf;
+  sending.service = part.service;
+  sending.kind = request.TheRoute().name;
+  sending.sent = m_now;
+  leaf->load.OnSent(m_now);
+  part.running.push_back(number);
+  part.tried.push_back(leaf);
+  part.is_next_free = false;
+  ++part.sends;
+  ++request.sends;
+  ++m_counters.sends;
+  part.hedge_at = HedgeAt(request, part, sending);
+  m_sendings.emplace(number, std::move(sending));
+  m_actions.sends.push_back({request.number, number, leaf->registration.id,
+                             leaf->registration.address,
+                             request.request.deadline});
+}
+
+void RelayEngine::Enqueue(Request& request, std::size_t index) {
+  Part& part = request.parts[index];
+  part.waiting = WaitingPart{request.TheRoute().priority, ++m_last_sequence,
+                             request.number, index};
+  part.service->waiting.insert(*part.waiting);
+}
+
+void RelayEngine::Dequeue(Request& request, std::size_t index) {
+  Part& part = request.parts[index];
+  if (part.waiting) {
+    part.service->waiting.erase(*part.waiting);
+    part.waiting.reset();
+  }
+}
+
+void RelayEngine::Pump(RelayService& service) {
+  while (!service.waiting.empty()) {
+    const WaitingPart next = *service.waiting.begin();
+    Request* request = Find(next.request);
+    if (request == nullptr) {
+      service.waiting.erase(service.waiting.begin());
+      continue;
+    }
+    Part& part = request->parts[next.part];
+    const LeafChoice choice = ChooseLeaf(service, request->TheRoute().name,
+                                         Pointers(part.tried), m_now);
+    if (!choice.leaf && choice.is_full) {
+      return;
+    }
+    Dequeue(*request, next.part);
+    Place(*request, next.part);
+    Touch(next.request);
+  }
+}
+
+std::optional<TimePoint> RelayEngine::HedgeAt(const Request& request,
+                                              const Part& part,
+                                              const Sending& sending) const {
+  if (!request.IsIdempotent() || part.running.size() > 1 ||
+      part.tried.size() >= request.TheRoute().max_attempts) {
+    return std::nullopt;
+  }
+  return m_now + sending.leaf->load.Overdue(sending.kind);
+}
+
+// Load: a leaf that pauses holds up everything sent to it shortly before.
+void RelayEngine::Hedge(Request& request, std::size_t index) {
+  Part& part = request.parts[index];
+  if (part.running.size() != 1 ||
+      part.runs + part.running.size() >= request.TheRoute().max_attempts) {
+    return;
+  }
+  const LeafChoice choice = ChooseLeaf(*part.service, request.TheRoute().name,
+                                       Pointers(part.tried), m_now);
+  const bool can_take = choice.leaf && choice.leaf->load.IsUsable(m_now) &&
+                        !choice.leaf->load.IsSilent(m_now) &&
+                        choice.leaf->load.Occupancy(m_now) < kHedgeOccupancy;
+  if (!can_take || !part.service->budget.TakeForHedge()) {
+    part.hedge_at = m_now + kBudgetPause;
+    return;
+  }
+  ++m_counters.hedges;
+  ++request.repeats;
+  Send(request, index, choice.leaf);
+}
+
+void RelayEngine::Observe(const Sending& sending, const LeafReply& reply) {
+  LeafLoad& load = sending.leaf->load;
+  const Duration taken = m_now - sending.sent;
+  load.OnEnded(m_now);
+  switch (reply.kind) {
+    case LeafReplyKind::kSucceeded:
+      load.OnAnswered(sending.kind, taken, reply.load, m_now);
+      load.OnSuccess(m_now);
+      return;
+    case LeafReplyKind::kFailed:
+      load.OnAnswered(sending.kind, taken, reply.load, m_now);
+      load.OnFailure(m_now);
+      break;
+    case LeafReplyKind::kRefused:
+      load.OnShed(m_now);
+      break;
+    case LeafReplyKind::kOtherLeaf:
+    case LeafReplyKind::kNotSent:
+      load.OnUnreachable(m_now);
+      break;
+    case LeafReplyKind::kLost:
+    case LeafReplyKind::kTimedOut:
+    case LeafReplyKind::kMalformed:
+      load.OnFailure(m_now);
+      break;
+  }
+  m_failed_sends.push_back({sending.request, sending.leaf->registration.id,
+                            sending.service->name, reply.kind, taken});
+}
+
+void RelayEngine::Apply(Request& request, std::size_t index, LeafReply reply) {
+  Part& part = request.parts[index];
+  if (!part.IsOpen()) {
+    return;
+  }
+  const Verdict verdict = VerdictOf(reply.kind);
+  part.verdict = Combine(part.verdict, verdict);
+  part.runs += verdict == Verdict::kNotRun ? 0 : 1;
+  if (reply.kind == LeafReplyKind::kSucceeded) {
+    part.answer = std::move(reply.response);
+    return;
+  }
+  if (reply.kind == LeafReplyKind::kFailed) {
+    part.failure = std::move(reply.response);
+  }
+  if (reply.kind == LeafReplyKind::kNotSent) {
+    part.is_next_free = part.sends == 1;
+  }
+  Retry(request, index);
+}
+
+void RelayEngine::Retry(Request& request, std::size_t index) {
+  Part& part = request.parts[index];
+  if (!part.running.empty()) {
+    return;
+  }
+  const Route& route = request.TheRoute();
+  const bool may_have_run = part.verdict != Verdict::kNotRun;
+  if ((may_have_run && !request.IsIdempotent()) ||
+      part.runs >= route.max_attempts ||
+      part.sends >= route.max_attempts + kMostRefusals) {
+    GiveUp(part);
+    return;
+  }
+  const LeafChoice other =
+      ChooseLeaf(*part.service, route.name, Pointers(part.tried), m_now);
+  if (other.leaf || other.is_full) {
+    Place(request, index);
+    return;
+  }
+  // Every leaf had its try; those that only refused may have room again.
+  part.tried.clear();
+  const LeafChoice again = ChooseLeaf(*part.service, route.name, {}, m_now);
+  if (!again.leaf && !again.is_full) {
+    GiveUp(part);
+    return;
+  }
+  part.retry_at = m_now + kRefusedPause * part.sends;
+}
+
+void RelayEngine::GiveUp(Part& part) {
+  if (part.running.empty()) {
+    part.is_failed = true;
+  }
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/repeat_budget.cc
@@ -0,0 +1,40 @@
+#include "request/repeat_budget.h"
+
+#include <algorithm>
+
+namespace bramleyspoke {
+
+void RepeatBudget::SetDaemons(std::size_t daemons) {
+  m_daemons = std::max<std::size_t>(daemons, 1);
+  m_tokens = std::min(m_tokens, Most());
+}
+
+void RepeatBudget::OnRequest() {
+  m_tokens = std::min(Most(), m_tokens + m_allowance.ratio * kSafety);
+}
+
+bool RepeatBudget::TakeForRetry() {
+  return Take(0);
+}
+
+bool RepeatBudget::TakeForHedge() {
+  return Take(Most() * kRetryReserve);
+}
+
+double RepeatBudget::Most() const {
+  const double share = m_allowance.slack / static_cast<double>(m_daemons);
+  return std::max(1.0, share * kSafety);
+}
+
+bool RepeatBudget::Take(double floor) {
+  if (m_tokens < floor + 1 && m_tokens < Most()) {
+    return false;
+  }
+  if (m_tokens < 1) {
+    return false;
+  }
+  m_tokens -= 1;
+  return true;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/request/repeat_budget.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/time.h"
+
+namespace bramleyspoke {
+
+/// What all daemons together may send beyond the first attempts at a service.
+struct RepeatAllowance {
+  /// Repeats per request.
+  double ratio = 0.1;
+  /// Repeats in a window on top of these, whatever the requests.
+  double slack = 0;
+};
+
+/// One daemon's part of a service's allowance for hedges and retries.
+///
+/// Daemons do not tell each other what they spend: each earns the ratio on the
+/// requests it serves itself and saves up its even part of the slack. The sum
+/// over all daemons stays within the allowance in any window, since savings are
+/// bounded by the slack and earnings by the requests.
+class RepeatBudget {
+ public:
+  /// Part of the allowance that is spent; the rest covers what this daemon
+  /// does not see, such as a daemon counted too late.
+  static constexpr double kSafety = 0.8;
+  /// Savings that hedges leave to retries, as a share of the most.
+  static constexpr double kRetryReserve = 0.25;
+
+  explicit RepeatBudget(const RepeatAllowance& allowance)
+      : m_allowance(allowance) {}
+
+  void SetDaemons(std::size_t daemons);
+  /// A request needs this service.
+  void OnRequest();
+  bool TakeForRetry();
+  bool TakeForHedge();
+  double Tokens() const { return m_tokens; }
+
+ private:
+  double Most() const;
+  bool Take(double floor);
+
+  RepeatAllowance m_allowance;
+  std::size_t m_daemons = 1;
+  // A daemon that starts has earned nothing: restarts in a row must not each
+  // spend the slack anew.
+  double m_tokens = 1;
+};
+
+}  // namespace bramleyspoke
