Shards that stand in other regions are asked through a daemon there

Hedges had to leave a quarter of the savings to retries, which a fresh daemon first had to earn. Ruled out: sending callers elsewhere (every region has leafs of two thirds of the shards only). Change: query over Cap'n Proto to one daemon of the region, which asks its leafs and answers their merged records; engine decides, fall back to the leafs when the peer is lost. Half a token is kept for retries. Tests not run yet.

--- a/src/connection/capnp_peers.cc
+++ b/src/connection/capnp_peers.cc
@@ -14,6 +14,32 @@
 namespace bramleyspoke {
 namespace {
 
+// Ends a call; touched on the kj thread only.
+struct CancelSlot {
+  kj::Own<kj::PromiseFulfiller<void>> fulfiller;
+  bool is_cancelled = false;
+};
+
+class PostedCall final : public PeerCall {
+ public:
+  PostedCall(std::shared_ptr<KjQueue> queue, std::shared_ptr<CancelSlot> slot)
+      : m_queue(std::move(queue)), m_slot(std::move(slot)) {}
+
+  ~PostedCall() override {
+    m_queue->Post([slot = std::move(m_slot)] {
+      slot->is_cancelled = true;
+      if (slot->fulfiller.get() != nullptr) {
+        slot->fulfiller->fulfill();
+        slot->fulfiller = nullptr;
+      }
+    });
+  }
+
+ private:
+  std::shared_ptr<KjQueue> m_queue;
+  std::shared_ptr<CancelSlot> m_slot;
+};
+
 // Hands calls over to the client on the kj thread.
 class PostedNetwork final : public PeerNetwork {
  public:
@@ -58,6 +84,22 @@
     });
   }
 
+  std::unique_ptr<PeerCall> QueryShards(
+      const Endpoint& peer,
+      const ShardQuery& query,
+      std::function<void(ShardOutcome)> done) override {
+    auto slot = std::make_shared<CancelSlot>();
+    m_queue->Post([this, slot, peer, query, done = std::move(done)] {
+      if (slot->is_cancelled) {
+        return;
+      }
+      auto pair = kj::newPromiseAndFulfiller<void>();
+      slot->fulfiller = kj::mv(pair.fulfiller);
+      m_client->QueryShards(peer, query, kj::mv(pair.promise), done);
+    });
+    return std::make_unique<PostedCall>(m_queue, std::move(slot));
+  }
+
  private:
   std::shared_ptr<KjQueue> m_queue;
   // Set and reset on the kj thread, where posted calls run.
--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -48,6 +48,32 @@
   bucketDigest @10 :UInt64;
 }
 
+# Shards of a caller's fan-out that stand near the peer.
+struct ShardQuery {
+  requestId @0 :Text;
+  method @1 :Text;
+  target @2 :Text;
+  # Names and values by turns.
+  headers @3 :List(Text);
+  body @4 :Data;
+  route @5 :Text;
+  shards @6 :List(Text);
+  maxAttempts @7 :UInt32;
+  resultLimit @8 :UInt32;
+  priority @9 :UInt32;
+  # Milliseconds until the caller gives up, and until what is there is wanted.
+  deadlineMs @10 :UInt32;
+  answerByMs @11 :UInt32;
+}
+
+struct ShardAnswer {
+  # Places in the query's list of the shards that the answer covers.
+  covered @0 :List(UInt16);
+  headers @1 :List(Text);
+  body @2 :Data;
+  servedInUs @3 :UInt32;
+}
+
 interface Peer {
   gossip @0 (message :Gossip) -> (reply :Gossip);
   # Pings another daemon for one that could not reach it.
@@ -57,4 +83,6 @@
   forward @2 (body :Data, deadlineMs :UInt32) -> (status :UInt16, body :Data);
   # Manifest parts by hash; absent ones come back empty.
   fetchParts @3 (hashes :List(Text)) -> (parts :List(Data));
+  # Asks leafs near the peer; a query that is cancelled is dropped there.
+  queryShards @4 (query :ShardQuery) -> (answer :ShardAnswer);
 }
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "connection/backend_server.h"
+#include "connection/http_message.h"
 #include "version/routing_table.h"
 
 namespace bramleyspoke {
@@ -87,6 +89,42 @@
   ForwardReply reply;
 };
 
+/// Shards of a caller's fan-out that a peer near their leafs is to ask.
+struct ShardQuery {
+  std::string request_id;
+  HttpRequest request;
+  std::string route;
+  std::vector<std::string> shards;
+  std::uint32_t max_attempts = 1;
+  std::uint32_t result_limit = 0;
+  std::uint32_t priority = 0;
+  /// Until the caller gives up.
+  Duration time_left{0};
+  /// Until what is there by then is wanted.
+  Duration answer_time{0};
+};
+
+/// What a peer answers: the shards' records, merged.
+struct ShardAnswer {
+  /// Places in the query's list of the shards that `answer` covers.
+  std::vector<std::size_t> covered;
+  HttpResponse answer;
+  /// Time that the peer took, without the way.
+  Duration served_in{0};
+};
+
+/// What a query to a peer came to; no answer unless `kReplied`.
+struct ShardOutcome {
+  ForwardResult result = ForwardResult::kNotSent;
+  ShardAnswer answer;
+};
+
+/// A call under way; destroying it ends the call, and no callback comes.
+class PeerCall {
+ public:
+  virtual ~PeerCall() = default;
+};
+
 /// Calls to other daemons; callbacks come on the implementation's thread.
 class PeerNetwork {
  public:
@@ -112,6 +150,12 @@
       const std::vector<std::string>& hashes,
       Duration timeout,
       std::function<void(std::optional<std::vector<std::string>>)> done) = 0;
+  virtual std::unique_ptr<PeerCall> QueryShards(
+      const Endpoint& /*peer*/,
+      const ShardQuery& /*query*/,
+      std::function<void(ShardOutcome)> /*done*/) {
+    return nullptr;
+  }
 };
 
 /// Answers other daemons' calls; called on the implementation's thread.
@@ -128,6 +172,13 @@
   virtual void OnFetchParts(
       std::vector<std::string> hashes,
       std::function<void(std::vector<std::string>)> reply) = 0;
+  /// Returns what is to be called, from any thread, if the asking peer gives
+  /// up. A handler that serves no shards never replies.
+  virtual std::function<void()> OnQueryShards(
+      ShardQuery /*query*/,
+      std::function<void(ShardAnswer)> /*reply*/) {
+    return [] {};
+  }
 };
 
 }  // namespace bramleyspoke
--- a/src/connection/peer_client.cc
+++ b/src/connection/peer_client.cc
@@ -31,20 +31,26 @@
         m_network(*m_stream,
                   capnp::rpc::twoparty::Side::CLIENT,
                   MessageLimits()),
-        m_rpc(capnp::makeRpcClient(m_network)) {}
+        m_rpc(capnp::makeRpcClient(m_network)),
+        m_peer(Bootstrap(m_rpc)) {}
 
-  wire::Peer::Client Bootstrap() {
+  wire::Peer::Client Peer() { return m_peer; }
+  kj::Promise<void> OnDisconnect() { return m_network.onDisconnect(); }
+
+ private:
+  using Rpc = capnp::RpcSystem<capnp::rpc::twoparty::VatId>;
+
+  static wire::Peer::Client Bootstrap(Rpc& rpc) {
     capnp::MallocMessageBuilder message;
     auto server = message.getRoot<capnp::rpc::twoparty::VatId>();
     server.setSide(capnp::rpc::twoparty::Side::SERVER);
-    return m_rpc.bootstrap(server).castAs<wire::Peer>();
+    return rpc.bootstrap(server).castAs<wire::Peer>();
   }
-  kj::Promise<void> OnDisconnect() { return m_network.onDisconnect(); }
 
- private:
   kj::Own<kj::AsyncIoStream> m_stream;
   capnp::TwoPartyVatNetwork m_network;
-  capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+  Rpc m_rpc;
+  wire::Peer::Client m_peer;
 };
 
 }  // namespace
@@ -56,7 +62,7 @@
         m_connected(Connect(io, peer).fork()) {}
 
   kj::Promise<void> Connected() { return m_connected.addBranch(); }
-  wire::Peer::Client Peer() { return m_session->Bootstrap(); }
+  wire::Peer::Client Peer() { return m_session->Peer(); }
   kj::Promise<void> OnDisconnect() { return m_session->OnDisconnect(); }
 
   void Begin() { ++m_running; }
@@ -174,6 +180,15 @@
     Duration timeout,
     Send send,
     std::function<void(std::optional<Reply>, bool is_sent)> done) {
+  m_tasks.add(Run<Reply>(peer, timeout, std::move(send), std::move(done)));
+}
+
+template <typename Reply, typename Send>
+kj::Promise<void> PeerClient::Run(
+    const Endpoint& peer,
+    Duration timeout,
+    Send send,
+    std::function<void(std::optional<Reply>, bool is_sent)> done) {
   const ConnectionPtr connection = Open(peer);
   connection->Begin();
   auto is_sent = std::make_shared<bool>(false);
@@ -196,12 +211,10 @@
     }
     done(std::move(result), *is_sent);
   };
-  m_tasks.add(reply.exclusiveJoin(kj::mv(expired))
-                  .then(
-                      [finish](std::optional<Reply> result) {
-                        finish(std::move(result));
-                      },
-                      [finish](kj::Exception&&) { finish({}); }));
+  return reply.exclusiveJoin(kj::mv(expired))
+      .then(
+          [finish](std::optional<Reply> result) { finish(std::move(result)); },
+          [finish](kj::Exception&&) { finish({}); });
 }
 
 void PeerClient::Gossip(
@@ -289,4 +302,38 @@
       });
 }
 
+// A call that is cancelled is dropped whole: the peer hears of it, and the
+// connection counts it as ended.
+void PeerClient::QueryShards(const Endpoint& peer,
+                             const ShardQuery& query,
+                             kj::Promise<void> cancelled,
+                             std::function<void(ShardOutcome)> done) {
+  const ConnectionPtr connection = Open(peer);
+  auto running = Run<ShardAnswer>(
+      peer, query.time_left,
+      [query](wire::Peer::Client server) {
+        auto request = server.queryShardsRequest();
+        WriteShardQuery(query, request.initQuery());
+        return request.send().then([](auto&& response) {
+          return std::optional<ShardAnswer>(
+              ReadShardAnswer(response.getAnswer()));
+        });
+      },
+      [done = std::move(done)](std::optional<ShardAnswer> answer,
+                               bool is_sent) {
+        ShardOutcome outcome;
+        outcome.result =
+            is_sent ? ForwardResult::kLost : ForwardResult::kNotSent;
+        if (answer) {
+          outcome.result = ForwardResult::kReplied;
+          outcome.answer = std::move(*answer);
+        }
+        done(std::move(outcome));
+      });
+  kj::Timer& timer = m_thread.Io().provider->getTimer();
+  auto dropped =
+      cancelled.then([connection, &timer] { connection->End(timer.now()); });
+  m_tasks.add(running.exclusiveJoin(kj::mv(dropped)));
+}
+
 }  // namespace bramleyspoke
--- a/src/connection/peer_client.h
+++ b/src/connection/peer_client.h
@@ -41,6 +41,11 @@
       std::vector<std::string> hashes,
       Duration timeout,
       std::function<void(std::optional<std::vector<std::string>>)> done);
+  /// `cancelled` ends the call without a callback once it is fulfilled.
+  void QueryShards(const Endpoint& peer,
+                   const ShardQuery& query,
+                   kj::Promise<void> cancelled,
+                   std::function<void(ShardOutcome)> done);
 
  private:
   class Connection;
@@ -53,6 +58,13 @@
   kj::Promise<void> SweepLoop();
   void CloseIdle();
 
+  /// Runs until it ends by itself or `cancelled` is fulfilled.
+  template <typename Reply, typename Send>
+  kj::Promise<void> Run(
+      const Endpoint& peer,
+      Duration timeout,
+      Send send,
+      std::function<void(std::optional<Reply>, bool is_sent)> done);
   template <typename Reply, typename Send>
   void Call(const Endpoint& peer,
             Duration timeout,
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -73,6 +73,24 @@
   }
 }
 
+// Names and values by turns.
+void WriteHeaders(const std::vector<HttpHeader>& headers,
+                  capnp::List<capnp::Text>::Builder builder) {
+  unsigned place = 0;
+  for (const HttpHeader& header : headers) {
+    builder.set(place++, header.name);
+    builder.set(place++, header.value);
+  }
+}
+
+std::vector<HttpHeader> ReadHeaders(capnp::List<capnp::Text>::Reader reader) {
+  std::vector<HttpHeader> headers;
+  for (unsigned place = 0; place + 1 < reader.size(); place += 2) {
+    headers.push_back({ToStd(reader[place]), ToStd(reader[place + 1])});
+  }
+  return headers;
+}
+
 }  // namespace
 
 void WriteGossip(const GossipMessage& message, wire::Gossip::Builder builder) {
@@ -158,4 +176,63 @@
   return duration.count() * kj::NANOSECONDS;
 }
 
+void WriteShardQuery(const ShardQuery& query,
+                     wire::ShardQuery::Builder builder) {
+  builder.setRequestId(query.request_id);
+  builder.setMethod(query.request.method);
+  builder.setTarget(query.request.target);
+  WriteHeaders(query.request.headers,
+               builder.initHeaders(query.request.headers.size() * 2));
+  builder.setBody(AsData(query.request.body));
+  builder.setRoute(query.route);
+  WriteTexts(query.shards, builder.initShards(query.shards.size()));
+  builder.setMaxAttempts(query.max_attempts);
+  builder.setResultLimit(query.result_limit);
+  builder.setPriority(query.priority);
+  builder.setDeadlineMs(ToWireMilliseconds(query.time_left));
+  builder.setAnswerByMs(ToWireMilliseconds(query.answer_time));
+}
+
+ShardQuery ReadShardQuery(wire::ShardQuery::Reader reader) {
+  ShardQuery query;
+  query.request_id = ToStd(reader.getRequestId());
+  query.request.method = ToStd(reader.getMethod());
+  query.request.target = ToStd(reader.getTarget());
+  query.request.headers = ReadHeaders(reader.getHeaders());
+  query.request.body = FromData(reader.getBody());
+  query.route = ToStd(reader.getRoute());
+  query.shards = ReadTexts(reader.getShards());
+  query.max_attempts = reader.getMaxAttempts();
+  query.result_limit = reader.getResultLimit();
+  query.priority = reader.getPriority();
+  query.time_left = std::chrono::milliseconds(reader.getDeadlineMs());
+  query.answer_time = std::chrono::milliseconds(reader.getAnswerByMs());
+  return query;
+}
+
+void WriteShardAnswer(const ShardAnswer& answer,
+                      wire::ShardAnswer::Builder builder) {
+  auto covered = builder.initCovered(answer.covered.size());
+  for (unsigned i = 0; i < covered.size(); ++i) {
+    covered.set(i, static_cast<std::uint16_t>(answer.covered[i]));
+  }
+  WriteHeaders(answer.answer.headers,
+               builder.initHeaders(answer.answer.headers.size() * 2));
+  builder.setBody(AsData(answer.answer.body));
+  const auto taken =
+      std::chrono::duration_cast<std::chrono::microseconds>(answer.served_in);
+  builder.setServedInUs(static_cast<std::uint32_t>(taken.count()));
+}
+
+ShardAnswer ReadShardAnswer(wire::ShardAnswer::Reader reader) {
+  ShardAnswer answer;
+  for (const std::uint16_t place : reader.getCovered()) {
+    answer.covered.push_back(place);
+  }
+  answer.answer.headers = ReadHeaders(reader.getHeaders());
+  answer.answer.body = FromData(reader.getBody());
+  answer.served_in = std::chrono::microseconds(reader.getServedInUs());
+  return answer;
+}
+
 }  // namespace bramleyspoke
--- a/src/connection/peer_messages.h
+++ b/src/connection/peer_messages.h
@@ -18,6 +18,13 @@
 /// sender itself is malformed.
 std::optional<GossipMessage> ReadGossip(wire::Gossip::Reader reader);
 
+void WriteShardQuery(const ShardQuery& query,
+                     wire::ShardQuery::Builder builder);
+ShardQuery ReadShardQuery(wire::ShardQuery::Reader reader);
+void WriteShardAnswer(const ShardAnswer& answer,
+                      wire::ShardAnswer::Builder builder);
+ShardAnswer ReadShardAnswer(wire::ShardAnswer::Reader reader);
+
 void WriteTexts(const std::vector<std::string>& texts,
                 capnp::List<capnp::Text>::Builder builder);
 std::vector<std::string> ReadTexts(capnp::List<capnp::Text>::Reader reader);
--- a/src/connection/peer_service.cc
+++ b/src/connection/peer_service.cc
@@ -97,4 +97,20 @@
       });
 }
 
+// A dropped call destroys its promise, which tells the handler; after a reply
+// that changes nothing.
+kj::Promise<void> PeerService::queryShards(QueryShardsContext context) {
+  ShardQuery query = ReadShardQuery(context.getParams().getQuery());
+  context.releaseParams();
+  std::function<void()> give_up;
+  auto answered = Ask<ShardAnswer>([&](std::function<void(ShardAnswer)> reply) {
+    give_up = m_handler.OnQueryShards(std::move(query), std::move(reply));
+  });
+  return answered
+      .then([context](const ShardAnswer& answer) mutable {
+        WriteShardAnswer(answer, context.getResults().initAnswer());
+      })
+      .attach(kj::defer(std::move(give_up)));
+}
+
 }  // namespace bramleyspoke
--- a/src/connection/relay_protocol.h
+++ b/src/connection/relay_protocol.h
@@ -39,7 +39,8 @@
 
   /// A leaf's answer as the caller gets it.
   virtual HttpResponse MakeAnswer(HttpResponse response) const = 0;
-  /// The greatest `limit` records of the shards' answers.
+  /// The greatest `limit` records of the shards' answers, of which some may be
+  /// merged already.
   virtual HttpResponse MakeMergedAnswer(
       const std::vector<HttpResponse>& answers,
       std::size_t missing_shards,
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/problems.h"
+#include "connection/capnp_peers.h"
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
 #include "process/entry_choice.h"
@@ -41,6 +42,7 @@
 class RelayProcess final : public RelayDaemon,
                            public RelayControlListener,
                            public RelayObserver,
+                           public PeerHandler,
                            public HttpHandler {
  public:
   RelayProcess(const RelaySettings& settings,
@@ -52,22 +54,31 @@
         m_loop(EventLoop::Create()),
         m_control_loop(EventLoop::Create()),
         m_metrics(RelayMetrics::Create()),
-        m_front(*m_loop,
-                adapters.protocol,
-                Locality{settings.failure_domain, settings.region,
-                         settings.regions},
-                settings.repeats,
-                *this),
         m_log_quota(kLogLinesPerSecond),
         m_stop(PlannedStopOptions{Scale(settings.stop_bound, kKeepServingShare),
                                   Scale(settings.stop_bound, kStopShare)}) {}
 
-  ~RelayProcess() override { m_control_loop->Stop(); }
+  ~RelayProcess() override {
+    m_control_loop->Stop();
+    if (m_front) {
+      m_front->DropPeerCalls();
+    }
+    if (m_peers) {
+      m_peers->Stop();
+    }
+  }
 
   Result<void> Bind() {
+    BOOST_LEAF_ASSIGN(m_peers,
+                      CapnpPeers::Create(m_settings.peer_listen, *this));
+    m_front = std::make_unique<RelayFront>(
+        *m_loop, m_adapters.protocol,
+        Locality{m_settings.failure_domain, m_settings.region,
+                 m_settings.regions},
+        m_settings.repeats, m_peers->Network(), *this);
     BOOST_LEAF_ASSIGN(m_callers,
                       HttpServer::Create(*m_loop, m_settings.caller_listen,
-                                         HttpServerLimits{}, m_front));
+                                         HttpServerLimits{}, *m_front));
     BOOST_LEAF_CHECK(Listen(m_settings.readiness_listen));
     BOOST_LEAF_CHECK(Listen(m_settings.address_listen));
     if (m_settings.operator_listen) {
@@ -76,8 +87,8 @@
     m_store = m_adapters.open_store(*m_control_loop, m_settings.store);
     m_control = RelayControl::Create(
         *m_control_loop, *m_store, m_adapters.schema, m_settings.name,
-        DaemonEntry{m_settings.caller_listen, m_settings.failure_domain,
-                    m_settings.region},
+        DaemonEntry{m_settings.caller_listen, m_settings.peer_listen,
+                    m_settings.failure_domain, m_settings.region},
         *this);
     return {};
   }
@@ -87,6 +98,7 @@
     m_reload_signal = ReloadSignal::Create(*m_loop, [this] { Reload(); });
     m_control_loop->Post([this] { m_control->Start(); });
     m_control_loop->Start();
+    m_peers->Start();
     WriteLog(LogLevel::kInfo, "started",
              {Field("name", m_settings.name),
               Field("callers", ToString(m_settings.caller_listen)),
@@ -108,21 +120,22 @@
           std::max<Duration>(table->Limits().header_time, kRequestTime);
       limits.idle_time = table->Limits().idle_time;
       m_callers->SetLimits(limits);
-      m_front.SetTable(table);
+      m_front->SetTable(table);
     });
   }
 
   void OnLeafs(std::vector<LeafRegistration> leafs) override {
     m_loop->Post([this, leafs = std::move(leafs)] {
       m_has_leafs = true;
-      m_front.SetLeafs(leafs);
+      m_front->SetLeafs(leafs);
     });
   }
 
   void OnDaemons(std::vector<DaemonEntry> daemons) override {
     m_loop->Post([this, daemons = std::move(daemons)] {
       m_daemons = daemons;
-      m_front.SetDaemons(m_daemons.size());
+      m_front->SetDaemons(m_daemons.size());
+      m_front->SetPeers(Peers());
     });
   }
 
@@ -130,11 +143,11 @@
     m_loop->Post([this, is_reachable] {
       m_is_store_reachable = is_reachable;
       m_stale_timer.reset();
-      m_front.SetStale(false);
+      m_front->SetStale(false);
       if (!is_reachable) {
         m_stale_timer =
             m_loop->At(std::chrono::steady_clock::now() + Duration(kStaleTime),
-                       [this] { m_front.SetStale(true); });
+                       [this] { m_front->SetStale(true); });
       }
     });
   }
@@ -142,8 +155,11 @@
   // RelayObserver.
 
   void OnRequestEnd(const RelayEnd& end) override {
-    m_metrics->Observe(end);
-    const bool is_clean = end.status == 200 && end.repeats == 0 &&
+    if (!end.is_for_peer) {
+      m_metrics->Observe(end);
+    }
+    const bool is_answered = end.is_for_peer || end.status == 200;
+    const bool is_clean = is_answered && end.repeats == 0 &&
                           end.missing_shards == 0 && end.route != nullptr &&
                           end.taken <= end.route->target_latency;
     const LogLevel level = is_clean ? LogLevel::kDebug : LogLevel::kInfo;
@@ -175,6 +191,30 @@
     }
   }
 
+  // PeerHandler, on the peers' thread; a relaying daemon serves shards only.
+
+  void OnGossip(GossipMessage /*message*/,
+                std::function<void(GossipMessage)> /*reply*/) override {}
+  void OnPingVia(const Endpoint& /*target*/,
+                 std::function<void(bool)> /*reply*/) override {}
+  void OnForward(std::string /*body*/,
+                 Duration /*time_left*/,
+                 std::function<void(ForwardReply)> /*reply*/) override {}
+  void OnFetchParts(
+      std::vector<std::string> /*hashes*/,
+      std::function<void(std::vector<std::string>)> /*reply*/) override {}
+
+  std::function<void()> OnQueryShards(
+      ShardQuery query,
+      std::function<void(ShardAnswer)> reply) override {
+    auto give_up = std::make_shared<std::function<void()>>();
+    m_loop->Post([this, give_up, query = std::move(query),
+                  reply = std::move(reply)]() mutable {
+      *give_up = m_front->ServePeer(std::move(query), std::move(reply));
+    });
+    return [this, give_up] { m_loop->Post([give_up] { (*give_up)(); }); };
+  }
+
   // HttpHandler of all but the callers' requests.
 
   void Handle(std::shared_ptr<HttpExchange> exchange) override {
@@ -199,13 +239,23 @@
     return {};
   }
 
+  std::vector<RelayPeer> Peers() const {
+    std::vector<RelayPeer> peers;
+    for (const DaemonEntry& daemon : m_daemons) {
+      if (daemon.peer != m_settings.peer_listen) {
+        peers.push_back({daemon.peer, daemon.region});
+      }
+    }
+    return peers;
+  }
+
   bool IsReady() const {
-    return m_front.Table() != nullptr && m_has_leafs && !m_stop.IsStopping();
+    return m_front->Table() != nullptr && m_has_leafs && !m_stop.IsStopping();
   }
 
   std::vector<Endpoint> AddressesFor(const std::string& region) const {
     std::vector<Endpoint> addresses = ChooseEntryAddresses(
-        m_daemons, m_front.Engine().Book().ServingRegions(), region);
+        m_daemons, m_front->Engine().Book().ServingRegions(), region);
     if (m_stop.IsStopping() && addresses.size() > 1) {
       std::erase(addresses, m_settings.caller_listen);
     }
@@ -231,16 +281,16 @@
 
   RelayObservation Observation() const {
     RelayObservation now;
-    now.version = m_front.Table() ? m_front.Table()->Version() : 0;
-    now.leafs = m_front.Engine().Book().Addresses().size();
+    now.version = m_front->Table() ? m_front->Table()->Version() : 0;
+    now.leafs = m_front->Engine().Book().Addresses().size();
     now.daemons = m_daemons.size();
-    now.in_flight = m_front.InFlight();
+    now.in_flight = m_front->InFlight();
     now.caller_connections = m_callers->ConnectionCount();
-    now.leaf_connections = m_front.Exchanges().OpenConnections();
-    now.leaf_connections_opened = m_front.Exchanges().Opened();
+    now.leaf_connections = m_front->Exchanges().OpenConnections();
+    now.leaf_connections_opened = m_front->Exchanges().Opened();
     now.is_store_reachable = m_is_store_reachable;
     now.is_ready = IsReady();
-    now.engine = m_front.Engine().Counters();
+    now.engine = m_front->Engine().Counters();
     return now;
   }
 
@@ -248,7 +298,7 @@
     const TimePoint now = std::chrono::steady_clock::now();
     const RelayObservation state = Observation();
     json::array leafs;
-    for (const auto& [name, service] : m_front.Engine().Book().Services()) {
+    for (const auto& [name, service] : m_front->Engine().Book().Services()) {
       for (const auto& leaf : service->leafs) {
         leafs.push_back(
             json::object{{"id", leaf->registration.id},
@@ -310,7 +360,7 @@
       return;
     }
     WriteLog(LogLevel::kInfo, "stop_begun",
-             {Field("in_flight", m_front.InFlight())});
+             {Field("in_flight", m_front->InFlight())});
     m_stop.Begin(std::chrono::steady_clock::now());
     m_callers->EndKeepAlive();
     m_control_loop->Post([this] { m_control->BeginLeaving(); });
@@ -319,7 +369,7 @@
 
   void CheckStop() {
     const TimePoint now = std::chrono::steady_clock::now();
-    const std::size_t left = m_callers->ConnectionCount() + m_front.InFlight();
+    const std::size_t left = m_callers->ConnectionCount() + m_front->InFlight();
     const StopStep before = m_stop.Step();
     const StopStep step = m_stop.Update(left, now);
     if (step == StopStep::kDone) {
@@ -339,7 +389,8 @@
   const std::unique_ptr<EventLoop> m_loop;
   const std::unique_ptr<EventLoop> m_control_loop;
   const std::unique_ptr<RelayMetrics> m_metrics;
-  RelayFront m_front;
+  std::unique_ptr<CapnpPeers> m_peers;
+  std::unique_ptr<RelayFront> m_front;
   LogQuota m_log_quota;
   PlannedStop m_stop;
   std::unique_ptr<HttpServer> m_callers;
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -21,14 +21,18 @@
                        const RelayProtocol& protocol,
                        Locality locality,
                        const RepeatAllowance& repeats,
+                       PeerNetwork& peers,
                        RelayObserver& observer)
     : m_loop(loop),
       m_protocol(protocol),
       m_observer(observer),
       m_engine(std::move(locality), repeats),
-      m_exchanges(loop, [this](const Endpoint& leaf, bool is_reachable) {
-        Apply(m_engine.OnReachable(leaf, is_reachable, Now()));
-      }) {}
+      m_exchanges(loop,
+                  [this](const Endpoint& leaf, bool is_reachable) {
+                    Apply(m_engine.OnReachable(leaf, is_reachable, Now()));
+                  }),
+      m_peers(peers),
+      m_self(std::make_shared<RelayFront*>(this)) {}
 
 RelayFront::~RelayFront() = default;
 
@@ -82,7 +86,8 @@
   request.deadline = now + std::max(allowed - kAnswerMargin, allowed / 2);
   request.answer_by = now + route.target_latency - round_trip;
   m_open.emplace(
-      number, Open{exchange, std::move(head.request_id), m_table, &route, now});
+      number,
+      Open{exchange, {}, {}, std::move(head.request_id), m_table, &route, now});
   exchange->OnClientGone([this, number] {
     m_open.erase(number);
     Apply(m_engine.OnCallerGone(number, Now()));
@@ -104,13 +109,57 @@
   m_engine.SetDaemons(daemons);
 }
 
+void RelayFront::SetPeers(const std::vector<RelayPeer>& peers) {
+  m_engine.SetPeers(peers);
+}
+
+// The asking daemon knows the caller's route: its figures come with the query,
+// whatever version is in force here.
+std::function<void()> RelayFront::ServePeer(
+    ShardQuery query,
+    std::function<void(ShardAnswer)> reply) {
+  const TimePoint now = Now();
+  const RelayNumber number = ++m_last_number;
+  Route route;
+  route.name = query.route;
+  route.shards = std::move(query.shards);
+  route.max_attempts = query.max_attempts;
+  route.result_limit = query.result_limit;
+  route.priority = query.priority;
+  route.timeout = query.time_left;
+  route.target_latency = query.answer_time;
+  auto table = std::make_shared<const RouteTable>(
+      0, std::vector{std::move(route)}, std::vector<RoutedService>(),
+      CallerLimits());
+  RelayRequest request;
+  request.request_id = query.request_id;
+  request.table = table;
+  request.route = &table->Routes().front();
+  request.deadline = now + query.time_left;
+  request.answer_by = now + query.answer_time;
+  request.is_for_peer = true;
+  m_open.emplace(number,
+                 Open{nullptr, std::move(query.request), std::move(reply),
+                      std::move(query.request_id), table, request.route, now});
+  Apply(m_engine.Submit(number, std::move(request), now));
+  return [this, weak = std::weak_ptr(m_self), number] {
+    if (weak.lock() && m_open.erase(number) > 0) {
+      Apply(m_engine.OnCallerGone(number, Now()));
+    }
+  };
+}
+
 void RelayFront::Apply(RelayActions actions) {
   for (const SendNumber number : actions.abandons) {
     m_exchanges.Abandon(number);
+    m_peer_calls.erase(number);
   }
   for (const RelaySend& send : actions.sends) {
     Send(send);
   }
+  for (const RelayDelegation& delegation : actions.delegations) {
+    Delegate(delegation);
+  }
   ReportFailedSends();
   for (RelayFinish& finish : actions.finishes) {
     Finish(std::move(finish));
@@ -125,7 +174,7 @@
   }
   const Duration left = send.deadline - Now();
   HttpRequest request = m_protocol.MakeLeafRequest(
-      found->second.exchange->Request(), send.leaf_id,
+      found->second.Request(), send.leaf_id,
       std::max<Duration>(left, std::chrono::milliseconds(1)));
   const SendNumber number = send.number;
   m_exchanges.Send(
@@ -139,6 +188,89 @@
       });
 }
 
+void RelayFront::Delegate(const RelayDelegation& delegation) {
+  const auto found = m_open.find(delegation.request);
+  if (found == m_open.end()) {
+    return;
+  }
+  const Open& open = found->second;
+  const TimePoint now = Now();
+  ShardQuery query;
+  query.request_id = open.request_id;
+  query.request = open.Request();
+  query.route = open.route->name;
+  query.shards = delegation.shards;
+  query.max_attempts = open.route->max_attempts;
+  query.result_limit = open.route->result_limit;
+  query.priority = open.route->priority;
+  query.time_left = delegation.deadline - now;
+  query.answer_time = std::max(delegation.answer_by - now, Duration::zero());
+  m_peer_calls[delegation.number] = m_peers.QueryShards(
+      delegation.peer, query,
+      [this, weak = std::weak_ptr(m_self), &loop = m_loop,
+       number = delegation.number,
+       shards = query.shards.size()](ShardOutcome outcome) {
+        loop.Post([this, weak, number, shards,
+                   outcome = std::move(outcome)]() mutable {
+          if (weak.lock()) {
+            OnPeerOutcome(number, shards, std::move(outcome));
+          }
+        });
+      });
+}
+
+void RelayFront::OnPeerOutcome(SendNumber number,
+                               std::size_t shards,
+                               ShardOutcome outcome) {
+  if (m_peer_calls.erase(number) == 0) {
+    return;
+  }
+  DelegationReply reply;
+  switch (outcome.result) {
+    case ForwardResult::kReplied:
+      reply.kind = LeafReplyKind::kSucceeded;
+      break;
+    case ForwardResult::kNotSent:
+      reply.kind = LeafReplyKind::kNotSent;
+      break;
+    case ForwardResult::kLost:
+      reply.kind = LeafReplyKind::kLost;
+      break;
+  }
+  reply.covered = std::move(outcome.answer.covered);
+  reply.answer = std::move(outcome.answer.answer);
+  reply.served_in = outcome.answer.served_in;
+  const bool is_valid =
+      std::all_of(reply.covered.begin(), reply.covered.end(),
+                  [&](std::size_t place) { return place < shards; });
+  if (!is_valid) {
+    reply.kind = LeafReplyKind::kLost;
+    reply.covered.clear();
+  }
+  Apply(m_engine.OnDelegationReply(number, std::move(reply), Now()));
+}
+
+void RelayFront::AnswerPeer(const Open& open, const RelayOutcome& outcome) {
+  ShardAnswer answer;
+  answer.covered = outcome.covered;
+  if (!outcome.answers.empty()) {
+    answer.answer = m_protocol.MakeMergedAnswer(outcome.answers, 0,
+                                                open.route->result_limit);
+  }
+  answer.served_in = Now() - open.arrived;
+  RelayEnd end;
+  end.request_id = open.request_id;
+  end.route = open.route;
+  end.taken = answer.served_in;
+  end.sends = outcome.sends;
+  end.repeats = outcome.repeats;
+  end.missing_shards = open.route->shards.size() - outcome.covered.size();
+  end.refusal = outcome.refusal;
+  end.is_for_peer = true;
+  m_observer.OnRequestEnd(end);
+  open.peer_reply(std::move(answer));
+}
+
 void RelayFront::Finish(RelayFinish finish) {
   const auto found = m_open.find(finish.request);
   if (found == m_open.end()) {
@@ -147,6 +279,10 @@
   const Open open = std::move(found->second);
   m_open.erase(found);
   RelayOutcome& outcome = finish.outcome;
+  if (!open.exchange) {
+    AnswerPeer(open, outcome);
+    return;
+  }
   HttpResponse response;
   if (outcome.refusal) {
     response = m_protocol.MakeRefusal(*outcome.refusal);
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -9,6 +9,7 @@
 
 #include "connection/http_server.h"
 #include "connection/leaf_exchanges.h"
+#include "connection/peer.h"
 #include "connection/relay_protocol.h"
 #include "request/relay_engine.h"
 
@@ -29,6 +30,8 @@
   std::uint32_t repeats = 0;
   std::size_t missing_shards = 0;
   std::optional<RelayRefusal> refusal;
+  /// Asked by another daemon for its caller.
+  bool is_for_peer = false;
 };
 
 /// Hears of what a `RelayFront` did; on its loop.
@@ -54,14 +57,22 @@
              const RelayProtocol& protocol,
              Locality locality,
              const RepeatAllowance& repeats,
+             PeerNetwork& peers,
              RelayObserver& observer);
   ~RelayFront() override;
 
   void Handle(std::shared_ptr<HttpExchange> exchange) override;
 
+  /// Serves a peer's query; returns what to call if the peer gives up.
+  std::function<void()> ServePeer(ShardQuery query,
+                                  std::function<void(ShardAnswer)> reply);
+  /// Ends all calls to peers.
+  void DropPeerCalls() { m_peer_calls.clear(); }
+
   void SetTable(std::shared_ptr<const RouteTable> table);
   void SetLeafs(const std::vector<LeafRegistration>& leafs);
   void SetDaemons(std::size_t daemons);
+  void SetPeers(const std::vector<RelayPeer>& peers);
   /// Whether routes may be out of date, so that a missing one proves nothing.
   void SetStale(bool is_stale) { m_is_stale = is_stale; }
 
@@ -72,11 +83,18 @@
 
  private:
   struct Open {
+    /// Null if a peer asked.
     std::shared_ptr<HttpExchange> exchange;
+    HttpRequest peer_request;
+    std::function<void(ShardAnswer)> peer_reply;
     std::string request_id;
     std::shared_ptr<const RouteTable> table;
     const Route* route = nullptr;
     TimePoint arrived;
+
+    const HttpRequest& Request() const {
+      return exchange ? exchange->Request() : peer_request;
+    }
   };
 
   void Submit(std::shared_ptr<HttpExchange> exchange,
@@ -87,7 +105,12 @@
               const RelayRefusal& refusal);
   void Apply(RelayActions actions);
   void Send(const RelaySend& send);
+  void Delegate(const RelayDelegation& delegation);
+  void OnPeerOutcome(SendNumber number,
+                     std::size_t shards,
+                     ShardOutcome outcome);
   void Finish(RelayFinish finish);
+  void AnswerPeer(const Open& open, const RelayOutcome& outcome);
   void ReportFailedSends();
   void ArmTimer();
 
@@ -96,12 +119,15 @@
   RelayObserver& m_observer;
   RelayEngine m_engine;
   LeafExchanges m_exchanges;
+  PeerNetwork& m_peers;
+  std::unordered_map<SendNumber, std::unique_ptr<PeerCall>> m_peer_calls;
   std::shared_ptr<const RouteTable> m_table;
   bool m_is_stale = false;
   std::unordered_map<RelayNumber, Open> m_open;
   RelayNumber m_last_number = 0;
   std::unique_ptr<Timer> m_timer;
   std::optional<TimePoint> m_timer_at;
+  std::shared_ptr<RelayFront*> m_self;
 };
 
 }  // namespace bramleyspoke
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -67,6 +67,7 @@
     Set("sends", now.engine.sends);
     Set("hedges", now.engine.hedges);
     Set("retries", now.engine.retries);
+    Set("delegations", now.engine.delegations);
     Set("budget_refusals", now.engine.budget_refusals);
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
   }
--- a/src/process/relay_settings.cc
+++ b/src/process/relay_settings.cc
@@ -21,6 +21,7 @@
   settings.caller_listen = object.Address("caller_listen");
   settings.readiness_listen = object.Address("readiness_listen");
   settings.address_listen = object.Address("address_listen");
+  settings.peer_listen = object.Address("peer_listen");
   const Endpoint none;
   const Endpoint operators = object.Address("operator_listen", none);
   if (operators != none) {
--- a/src/process/relay_settings.h
+++ b/src/process/relay_settings.h
@@ -19,6 +19,7 @@
   Endpoint caller_listen;
   Endpoint readiness_listen;
   Endpoint address_listen;
+  Endpoint peer_listen;
   /// Metrics and the state dump; none if absent.
   std::optional<Endpoint> operator_listen;
   std::string failure_domain;
--- a/src/process/store_schema.h
+++ b/src/process/store_schema.h
@@ -19,6 +19,8 @@
 struct DaemonEntry {
   /// Where it serves callers.
   Endpoint address;
+  /// Where it serves other daemons.
+  Endpoint peer;
   std::string failure_domain;
   std::string region;
 
--- /dev/null
+++ b/src/request/peer_book.cc
@@ -0,0 +1,50 @@
+#include "request/peer_book.h"
+
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+// A peer runs many queries side by side; its slots are no bound.
+constexpr std::uint32_t kPeerSlots = 1000;
+
+}  // namespace
+
+void PeerBook::SetPeers(const std::vector<RelayPeer>& peers) {
+  std::map<Endpoint, std::shared_ptr<PeerState>> kept;
+  for (const RelayPeer& peer : peers) {
+    const auto known = m_peers.find(peer.address);
+    if (known != m_peers.end() && known->second->peer == peer) {
+      kept.insert(*known);
+    } else {
+      kept.emplace(
+          peer.address,
+          std::make_shared<PeerState>(PeerState{
+              peer, LeafLoad(kPeerSlots, kPriorRoundTrip), kPriorRoundTrip}));
+    }
+  }
+  m_peers = std::move(kept);
+}
+
+// The one with the fewest queries under way; among equals each in turn.
+std::shared_ptr<PeerState> PeerBook::Choose(const std::string& region,
+                                            TimePoint now) {
+  std::vector<std::shared_ptr<PeerState>> usable;
+  for (const auto& [address, state] : m_peers) {
+    if (state->peer.region != region || !state->load.IsUsable(now) ||
+        state->load.IsSilent(now)) {
+      continue;
+    }
+    if (!usable.empty() &&
+        state->load.InFlight() < usable.front()->load.InFlight()) {
+      usable.clear();
+    }
+    if (usable.empty() ||
+        state->load.InFlight() == usable.front()->load.InFlight()) {
+      usable.push_back(state);
+    }
+  }
+  return usable.empty() ? nullptr : usable[m_turn++ % usable.size()];
+}
+
+}  // namespace bramleyspoke
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -31,6 +31,9 @@
   TimePoint deadline;
   /// An answer sent until then reaches the caller within the route's target.
   TimePoint answer_by;
+  /// Asked by a peer for its own region's leafs: what is there by `answer_by`
+  /// is wanted, however little, and nothing is handed on.
+  bool is_for_peer = false;
 };
 
 /// How one sending to a leaf ended.
@@ -73,8 +76,10 @@
 
 /// How a relayed request ended: answers of leafs, or a refusal.
 struct RelayOutcome {
-  /// One answer, or those of a fan-out's shards.
+  /// One answer, or those of a fan-out's shards; a peer's covers several.
   std::vector<HttpResponse> answers;
+  /// Places of the shards that `answers` cover.
+  std::vector<std::size_t> covered;
   std::size_t missing_shards = 0;
   std::optional<RelayRefusal> refusal;
   std::uint32_t sends = 0;
@@ -90,6 +95,28 @@
   TimePoint deadline;
 };
 
+/// Shards that a peer is to ask its leafs for.
+struct RelayDelegation {
+  RelayNumber request = 0;
+  SendNumber number = 0;
+  Endpoint peer;
+  std::vector<std::string> shards;
+  TimePoint deadline;
+  /// The peer should answer by then.
+  TimePoint answer_by;
+};
+
+/// How a delegation ended.
+struct DelegationReply {
+  /// `kSucceeded`, `kNotSent` or `kLost`.
+  LeafReplyKind kind = LeafReplyKind::kNotSent;
+  /// Places in the delegation's list of the shards that `answer` covers.
+  std::vector<std::size_t> covered;
+  HttpResponse answer;
+  /// Time that the peer took, without the way.
+  Duration served_in{0};
+};
+
 struct RelayFinish {
   RelayNumber request = 0;
   RelayOutcome outcome;
@@ -107,6 +134,8 @@
 /// What is to be done after an event, in this order.
 struct RelayActions {
   std::vector<RelaySend> sends;
+  std::vector<RelayDelegation> delegations;
+  /// Sends and delegations whose outcome no longer matters.
   std::vector<SendNumber> abandons;
   std::vector<RelayFinish> finishes;
 };
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -42,9 +42,12 @@
   }
   m_requests.emplace(number, std::move(owned));
   if (!Refuse(request)) {
+    DelegateParts(request);
     for (std::size_t index = 0; index < request.parts.size(); ++index) {
-      request.parts[index].service->budget.OnRequest();
-      Place(request, index);
+      if (!request.parts[index].delegation) {
+        request.parts[index].service->budget.OnRequest();
+        Place(request, index);
+      }
     }
     Touch(number);
   }
@@ -104,6 +107,13 @@
   while (!m_abandons.empty() && m_abandons.begin()->first <= now) {
     const SendNumber number = m_abandons.begin()->second;
     m_abandons.erase(m_abandons.begin());
+    const auto delegated = m_delegated.find(number);
+    if (delegated != m_delegated.end()) {
+      delegated->second.peer->load.OnEnded(now);
+      m_delegated.erase(delegated);
+      m_actions.abandons.push_back(number);
+      continue;
+    }
     const auto found = m_sendings.find(number);
     if (found == m_sendings.end()) {
       continue;
@@ -240,13 +250,14 @@
   FanOutProgress progress;
   progress.shards = request.parts.size();
   for (const Part& part : request.parts) {
-    progress.answered += part.answer ? 1 : 0;
+    progress.answered += part.IsAnswered() ? 1 : 0;
     progress.open += part.IsOpen() ? 1 : 0;
   }
   const CoverageTimes times{request.request.answer_by,
                             request.request.deadline};
-  switch (NextCoverageStep(progress, request.TheRoute().min_coverage, times,
-                           m_now)) {
+  const double min_coverage =
+      request.request.is_for_peer ? 0 : request.TheRoute().min_coverage;
+  switch (NextCoverageStep(progress, min_coverage, times, m_now)) {
     case CoverageStep::kWait:
       return false;
     case CoverageStep::kAnswer:
@@ -281,9 +292,14 @@
 
 void RelayEngine::FinishMerged(Request& request) {
   RelayOutcome outcome;
-  for (Part& part : request.parts) {
+  outcome.answers = std::move(request.peer_answers);
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    Part& part = request.parts[index];
     if (part.answer) {
       outcome.answers.push_back(std::move(*part.answer));
+    }
+    if (part.IsAnswered()) {
+      outcome.covered.push_back(index);
     } else {
       ++outcome.missing_shards;
     }
@@ -318,7 +334,7 @@
   Verdict verdict = Verdict::kNotRun;
   for (const Part& part : request.parts) {
     verdict = Combine(verdict, part.verdict);
-    if (!part.running.empty()) {
+    if (!part.running.empty() || part.delegation) {
       verdict = Verdict::kMayHaveRun;
     }
   }
@@ -330,6 +346,9 @@
     for (const SendNumber number : part.running) {
       m_abandons.emplace(m_now + kAbandonDelay, number);
     }
+    if (part.delegation) {
+      m_abandons.emplace(m_now, *part.delegation);
+    }
   }
 }
 
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "request/leaf_book.h"
+#include "request/peer_book.h"
 #include "request/relay.h"
 #include "request/weighted_rotation.h"
 
@@ -21,6 +22,7 @@
   std::uint64_t sends = 0;
   std::uint64_t hedges = 0;
   std::uint64_t retries = 0;
+  std::uint64_t delegations = 0;
   std::uint64_t budget_refusals = 0;
 };
 
@@ -45,6 +47,9 @@
   /// goes first.
   RelayActions Submit(RelayNumber number, RelayRequest request, TimePoint now);
   RelayActions OnReply(SendNumber number, LeafReply reply, TimePoint now);
+  RelayActions OnDelegationReply(SendNumber number,
+                                 DelegationReply reply,
+                                 TimePoint now);
   RelayActions OnCallerGone(RelayNumber number, TimePoint now);
   RelayActions OnTimer(TimePoint now);
 
@@ -54,7 +59,11 @@
   RelayActions OnReachable(const Endpoint& address,
                            bool is_reachable,
                            TimePoint now);
+  /// Daemons, this one included, that share the leafs.
   void SetDaemons(std::size_t daemons) { m_book.SetDaemons(daemons); }
+  void SetPeers(const std::vector<RelayPeer>& peers) {
+    m_peers.SetPeers(peers);
+  }
 
   std::optional<TimePoint> NextTimer() const;
   const LeafBook& Book() const { return m_book; }
@@ -67,6 +76,7 @@
   struct Part;
   struct Request;
   struct Sending;
+  struct Delegated;
 
   // Events.
   RelayActions End();
@@ -90,6 +100,17 @@
                                    const Sending& sending) const;
   void Retry(Request& request, std::size_t index);
 
+  // Handing parts to peers.
+  void DelegateParts(Request& request);
+  void Delegate(Request& request,
+                const std::vector<std::size_t>& parts,
+                const std::shared_ptr<PeerState>& peer);
+  void ObservePeer(const Delegated& delegated, const DelegationReply& reply);
+  void ApplyDelegation(Request& request,
+                       const Delegated& delegated,
+                       SendNumber number,
+                       DelegationReply reply);
+
   // Replies.
   void Observe(const Sending& sending, const LeafReply& reply);
   void Apply(Request& request, std::size_t index, LeafReply reply);
@@ -107,9 +128,11 @@
   void AbandonSends(Request& request);
 
   LeafBook m_book;
+  PeerBook m_peers;
   WeightedRotation m_rotation;
   std::unordered_map<RelayNumber, std::unique_ptr<Request>> m_requests;
   std::unordered_map<SendNumber, Sending> m_sendings;
+  std::unordered_map<SendNumber, Delegated> m_delegated;
   std::set<std::pair<TimePoint, RelayNumber>> m_timers;
   /// Sendings that nobody waits for, by the time to close them.
   std::set<std::pair<TimePoint, SendNumber>> m_abandons;
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -23,6 +23,10 @@
   /// The last send reached no leaf, so the next one is no repeat.
   bool is_next_free = true;
   std::optional<HttpResponse> answer;
+  /// A peer's answer covers it.
+  bool is_covered = false;
+  /// Set while a peer was asked for it.
+  std::optional<SendNumber> delegation;
   std::optional<HttpResponse> failure;
   bool is_failed = false;
   std::optional<WaitingPart> waiting;
@@ -30,7 +34,8 @@
   std::optional<TimePoint> retry_at;
   Verdict verdict = Verdict::kNotRun;
 
-  bool IsOpen() const { return !answer && !is_failed; }
+  bool IsAnswered() const { return answer || is_covered; }
+  bool IsOpen() const { return !IsAnswered() && !is_failed; }
 };
 
 /// A request under way.
@@ -38,6 +43,7 @@
   RelayNumber number = 0;
   RelayRequest request;
   std::vector<Part> parts;
+  std::vector<HttpResponse> peer_answers;
   std::uint32_t sends = 0;
   std::uint32_t repeats = 0;
   std::optional<TimePoint> timer;
@@ -58,4 +64,13 @@
   TimePoint sent;
 };
 
+/// Some of a request's parts, as handed to a peer.
+struct RelayEngine::Delegated {
+  RelayNumber request = 0;
+  std::vector<std::size_t> parts;
+  std::shared_ptr<PeerState> peer;
+  std::string kind;
+  TimePoint sent;
+};
+
 }  // namespace bramleyspoke
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -151,7 +151,8 @@
 // Load: a leaf that pauses holds up everything sent to it shortly before.
 void RelayEngine::Hedge(Request& request, std::size_t index) {
   Part& part = request.parts[index];
-  if (part.running.size() != 1 ||
+  const std::size_t out = part.running.size() + (part.delegation ? 1 : 0);
+  if (out != 1 ||
       part.runs + part.running.size() >= request.TheRoute().max_attempts) {
     return;
   }
@@ -222,7 +223,7 @@
 
 void RelayEngine::Retry(Request& request, std::size_t index) {
   Part& part = request.parts[index];
-  if (!part.running.empty()) {
+  if (!part.running.empty() || part.delegation) {
     return;
   }
   const Route& route = request.TheRoute();
--- a/src/request/repeat_budget.cc
+++ b/src/request/repeat_budget.cc
@@ -18,19 +18,16 @@
 }
 
 bool RepeatBudget::TakeForHedge() {
-  return Take(Most() * kRetryReserve);
+  return Take(kRetryReserve);
 }
 
 double RepeatBudget::Most() const {
   const double share = m_allowance.slack / static_cast<double>(m_daemons);
-  return std::max(1.0, share * kSafety);
+  return std::max(1 + kRetryReserve, share * kSafety);
 }
 
 bool RepeatBudget::Take(double floor) {
-  if (m_tokens < floor + 1 && m_tokens < Most()) {
-    return false;
-  }
-  if (m_tokens < 1) {
+  if (m_tokens < floor + 1) {
     return false;
   }
   m_tokens -= 1;
--- a/src/request/repeat_budget.h
+++ b/src/request/repeat_budget.h
@@ -23,8 +23,8 @@
   /// Part of the allowance that is spent; the rest covers what this daemon
   /// does not see, such as a daemon counted too late.
   static constexpr double kSafety = 0.8;
-  /// Savings that hedges leave to retries, as a share of the most.
-  static constexpr double kRetryReserve = 0.25;
+  /// Savings that hedges leave to retries.
+  static constexpr double kRetryReserve = 0.5;
 
   explicit RepeatBudget(const RepeatAllowance& allowance)
       : m_allowance(allowance) {}
