Way and work apart in latency estimates; two connections kept to each leaf

Cause: a far leaf's first slow answer set its usual latency, and hedges waited 2.5 times the way as well as the work (150 ms of a target of 120); a hedge to a far leaf often had to open a connection first (46 ms). What a peer left out was asked for again though the answer could not be in time. Ruled out: the budget (tokens were there), the leafs' shares (free). Change: the connection's round trip is taken off each latency, a leaf that was not seen at work yet takes what is usual over all; two kept connections; 10 ms kept for a peer's answer; late repeats only if the answer needs them.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -1,7 +1,5 @@
 #include "connection/http_client.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -22,6 +20,7 @@
 #include <utility>
 
 #include "connection/event_loop.h"
+#include "connection/socket_options.h"
 
 namespace bramleyspoke {
 namespace {
@@ -99,20 +98,6 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-// Finds a connection that went silent, which no reset tells.
-void SetKeepAlive(int socket) {
-  constexpr int kOn = 1;
-  constexpr int kIdleSeconds = 2;
-  constexpr int kIntervalSeconds = 1;
-  constexpr int kProbes = 2;
-  ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof(kOn));
-  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds,
-               sizeof(kIdleSeconds));
-  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kIntervalSeconds,
-               sizeof(kIntervalSeconds));
-  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
-}
-
 // State of one connection, shared with its pending handlers.
 struct Link {
   explicit Link(asio::io_context& context) : stream(context) {}
@@ -168,6 +153,7 @@
   const bool is_in_step = !link->is_writing && !link->has_skipped;
   const bool keep_alive = link->parser->keep_alive() && is_in_step;
   HttpOutcome outcome{TakeResponse(link->parser->release()), {}};
+  outcome.round_trip = RoundTripOf(link->stream.socket().native_handle());
   if (link->accepts && !link->accepts(*outcome.response)) {
     link->has_skipped = true;
     ReadAnswer(link);
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -35,6 +35,8 @@
 struct HttpOutcome {
   std::optional<HttpResponse> response;
   HttpFailure failure = HttpFailure::kConnect;
+  /// The connection's, where the system tells it.
+  std::optional<Duration> round_trip = {};
 };
 
 using HttpCallback = std::function<void(HttpOutcome)>;
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -1,9 +1,5 @@
 #include "connection/http_server.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -25,6 +21,7 @@
 #include <utility>
 
 #include "connection/event_loop.h"
+#include "connection/socket_options.h"
 
 namespace bramleyspoke {
 namespace {
@@ -66,14 +63,7 @@
   std::uint64_t Id() const { return m_id; }
 
   std::optional<Duration> RoundTrip() {
-    tcp_info info{};
-    socklen_t size = sizeof(info);
-    const int socket = m_stream.socket().native_handle();
-    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
-        info.tcpi_rtt == 0) {
-      return std::nullopt;
-    }
-    return std::chrono::microseconds(info.tcpi_rtt);
+    return RoundTripOf(m_stream.socket().native_handle());
   }
 
   void Start() {
--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -86,7 +86,7 @@
   }
   std::erase_if(m_leafs, [&](const auto& row) {
     return !m_kept.contains(row.first) && row.second.busy == 0 &&
-           !row.second.is_opening;
+           row.second.opening == 0;
   });
 }
 
@@ -189,10 +189,13 @@
 }
 
 void LeafExchanges::OpenAhead(const Endpoint& endpoint, Leaf& leaf) {
-  if (leaf.busy > 0 || !leaf.idle.empty() || leaf.is_opening) {
-    return;
+  while (leaf.busy + leaf.idle.size() + leaf.opening < kKeptOpen) {
+    ++leaf.opening;
+    OpenOneAhead(endpoint);
   }
-  leaf.is_opening = true;
+}
+
+void LeafExchanges::OpenOneAhead(const Endpoint& endpoint) {
   ++m_opened;
   HttpConnection::Open(
       m_loop, endpoint, Now() + Duration(kConnectTime),
@@ -202,7 +205,7 @@
           return;
         }
         Leaf& opened = m_leafs[endpoint];
-        opened.is_opening = false;
+        --opened.opening;
         const bool is_reachable = connection != nullptr;
         if (is_reachable && m_kept.contains(endpoint)) {
           opened.idle.push_back(
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -31,6 +31,10 @@
   /// keeps them.
   static constexpr double kIdleShare = 0.8;
 
+  /// Connections that are kept open to each leaf: a request and its sibling's
+  /// hedge may come together, and a new connection costs a round trip and more.
+  static constexpr std::size_t kKeptOpen = 2;
+
   using Reachability = std::function<void(const Endpoint&, bool)>;
 
   /// `on_reachable` hears whether kept leafs take connections.
@@ -46,7 +50,7 @@
             HttpCallback done);
   /// Closes the exchange's connection; its callback does not come.
   void Abandon(ExchangeNumber number);
-  /// Leafs to which one connection is kept open; others' idle ones are closed.
+  /// Leafs to which connections are kept open; others' idle ones are closed.
   void Keep(std::set<Endpoint> leafs);
 
   std::size_t OpenConnections() const;
@@ -60,7 +64,7 @@
   struct Leaf {
     std::vector<Idle> idle;
     std::size_t busy = 0;
-    bool is_opening = false;
+    std::size_t opening = 0;
   };
   struct Exchange {
     Endpoint leaf;
@@ -80,6 +84,7 @@
               const HttpResponse& response);
   void Maintain();
   void OpenAhead(const Endpoint& endpoint, Leaf& leaf);
+  void OpenOneAhead(const Endpoint& endpoint);
 
   EventLoop& m_loop;
   Reachability m_on_reachable;
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -6,10 +6,10 @@
 namespace bramleyspoke {
 namespace {
 
-// Latency of a leaf from which no answer came yet, by where it stands.
-constexpr Duration kNearPrior = std::chrono::milliseconds(8);
-constexpr Duration kRegionPrior = std::chrono::milliseconds(10);
-constexpr Duration kFarPrior = std::chrono::milliseconds(45);
+// Way to a leaf from which no answer came yet, by where it stands.
+constexpr Duration kNearWay = std::chrono::microseconds(400);
+constexpr Duration kRegionWay = std::chrono::milliseconds(1);
+constexpr Duration kFarWay = std::chrono::milliseconds(40);
 
 constexpr std::uint32_t kDefaultConnections = 8;
 
@@ -62,10 +62,10 @@
       leaf = known->second;
       leaf->registration = registration;
     } else {
-      leaf = std::make_shared<RelayLeaf>(
-          RelayLeaf{registration,
-                    LeafLoad(registration.slots, PriorLatency(registration)),
-                    false, std::nullopt, 1});
+      leaf = std::make_shared<RelayLeaf>(RelayLeaf{
+          registration,
+          LeafLoad(registration.slots, PriorWay(registration), m_work), false,
+          std::nullopt, 1});
     }
     if (!registration.is_draining) {
       leaf->draining_since.reset();
@@ -177,12 +177,11 @@
                                             : found->second.connection_limit;
 }
 
-Duration LeafBook::PriorLatency(const LeafRegistration& leaf) const {
+Duration LeafBook::PriorWay(const LeafRegistration& leaf) const {
   if (leaf.failure_domain == m_locality.failure_domain) {
-    return kNearPrior;
+    return kNearWay;
   }
-  return m_locality.IsSameRegion(leaf.failure_domain) ? kRegionPrior
-                                                      : kFarPrior;
+  return m_locality.IsSameRegion(leaf.failure_domain) ? kRegionWay : kFarWay;
 }
 
 LeafChoice ChooseLeaf(const RelayService& service,
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -88,12 +88,13 @@
  private:
   void Share();
   std::uint32_t ConnectionLimit(const std::string& service) const;
-  Duration PriorLatency(const LeafRegistration& leaf) const;
+  Duration PriorWay(const LeafRegistration& leaf) const;
 
   Locality m_locality;
   RepeatAllowance m_allowance;
   std::shared_ptr<const RouteTable> m_table;
   std::size_t m_daemons = 1;
+  std::shared_ptr<WorkTable> m_work = std::make_shared<WorkTable>();
   std::map<std::string, std::unique_ptr<RelayService>> m_services;
   std::map<std::string, std::shared_ptr<RelayLeaf>> m_leafs;
 };
--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -16,6 +16,8 @@
 constexpr double kRecentFadeSeconds = 1.5;
 // Until others' requests, as reported, have mostly gone or been replaced.
 constexpr double kReportFadeSeconds = 0.3;
+// What is left of a latency at the least once the way is taken off.
+constexpr Duration kLeastWork = std::chrono::milliseconds(1);
 constexpr double kFailureWeight = 0.15;
 constexpr double kFailureFadeSeconds = 2;
 
@@ -40,13 +42,6 @@
 }  // namespace
 
 void LatencyEstimate::Record(Duration latency, TimePoint now) {
-  if (!m_has_samples) {
-    m_has_samples = true;
-    m_usual = latency;
-    m_recent = latency;
-    m_recorded_at = now;
-    return;
-  }
   const double step = latency > m_usual ? 1 + kUsualStep : 1 / (1 + kUsualStep);
   const Duration recent = Expected(now);
   const Duration capped = std::min(latency, Scale(recent, kRecentCap));
@@ -60,6 +55,15 @@
                          Fade(m_recorded_at, now, kRecentFadeSeconds));
 }
 
+void WorkTable::Record(const std::string& kind, Duration work, TimePoint now) {
+  m_kinds.try_emplace(kind, work).first->second.Record(work, now);
+}
+
+Duration WorkTable::Usual(const std::string& kind) const {
+  const auto found = m_kinds.find(kind);
+  return found == m_kinds.end() ? kPrior : found->second.Usual();
+}
+
 void LeafLoad::OnSent(TimePoint now) {
   if (m_in_flight++ == 0) {
     m_progress_at = now;
@@ -72,12 +76,17 @@
 
 void LeafLoad::OnAnswered(const std::string& kind,
                           Duration latency,
+                          std::optional<Duration> way,
                           const std::optional<ReportedLoad>& load,
                           TimePoint now) {
   m_progress_at = now;
   m_sheds_in_row = 0;
   m_unreachable_until = {};
-  m_latencies.try_emplace(kind, m_prior).first->second.Record(latency, now);
+  m_way = way.value_or(m_way);
+  const Duration work = std::max(latency - m_way, kLeastWork);
+  m_work->Record(kind, work, now);
+  m_latencies.try_emplace(kind, m_work->Usual(kind))
+      .first->second.Record(work, now);
   if (load) {
     const double all = static_cast<double>(load->running) + load->waiting;
     m_others = std::max(0.0, all - static_cast<double>(m_in_flight));
@@ -127,11 +136,12 @@
   if (m_in_flight == 0) {
     return false;
   }
-  Duration longest = m_prior;
+  Duration longest = m_latencies.empty() ? WorkTable::kPrior : kLeastWork;
   for (const auto& [kind, latency] : m_latencies) {
     longest = std::max(longest, latency.Usual());
   }
-  return now - m_progress_at > Scale(longest, kSilentFactor) + kSilentMargin;
+  return now - m_progress_at >
+         m_way + Scale(longest, kSilentFactor) + kSilentMargin;
 }
 
 bool LeafLoad::IsUsable(TimePoint now) const {
@@ -140,23 +150,27 @@
 
 Duration LeafLoad::Cost(const std::string& kind, TimePoint now) const {
   const LatencyEstimate* latency = Find(kind);
-  const Duration expected = latency ? latency->Expected(now) : m_prior;
-  const Duration usual = latency ? latency->Usual() : m_prior;
+  const Duration usual = UsualWork(kind);
+  const Duration expected = latency ? latency->Expected(now) : usual;
   const double queue =
       std::max(0.0, Occupancy(now) + 1 - static_cast<double>(m_slots));
-  Duration cost = expected + Scale(usual, queue / m_slots);
+  Duration cost = m_way + expected + Scale(usual, queue / m_slots);
   cost += Scale(kFailureCost,
                 m_failure_share * Fade(m_failed_at, now, kFailureFadeSeconds));
   return IsSilent(now) ? cost + kSilentCost : cost;
 }
 
 Duration LeafLoad::Overdue(const std::string& kind) const {
-  return Scale(Usual(kind), kSilentFactor) + kSilentMargin;
+  return m_way + Scale(UsualWork(kind), kSilentFactor) + kSilentMargin;
 }
 
 Duration LeafLoad::Usual(const std::string& kind) const {
+  return m_way + UsualWork(kind);
+}
+
+Duration LeafLoad::UsualWork(const std::string& kind) const {
   const LatencyEstimate* latency = Find(kind);
-  return latency ? latency->Usual() : m_prior;
+  return latency ? latency->Usual() : m_work->Usual(kind);
 }
 
 double LeafLoad::Occupancy(TimePoint now) const {
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "base/time.h"
 
@@ -16,10 +18,10 @@
   std::uint32_t slots = 0;
 };
 
-/// Latency of one kind of request at one leaf.
+/// How long one kind of request takes somewhere.
 class LatencyEstimate {
  public:
-  explicit LatencyEstimate(Duration prior) : m_usual(prior), m_recent(prior) {}
+  explicit LatencyEstimate(Duration usual) : m_usual(usual), m_recent(usual) {}
 
   void Record(Duration latency, TimePoint now);
   /// What is usual there; moves slowly.
@@ -31,7 +33,20 @@
   Duration m_usual;
   Duration m_recent;
   TimePoint m_recorded_at;
-  bool m_has_samples = false;
+};
+
+/// How long each kind of request usually takes, over all leafs: what is assumed
+/// of a leaf that was not seen at work yet.
+class WorkTable {
+ public:
+  /// Before the first answer of a kind.
+  static constexpr Duration kPrior = std::chrono::milliseconds(8);
+
+  void Record(const std::string& kind, Duration work, TimePoint now);
+  Duration Usual(const std::string& kind) const;
+
+ private:
+  std::map<std::string, LatencyEstimate> m_kinds;
 };
 
 /// What one daemon sees of one leaf's load, mostly from its own requests.
@@ -42,7 +57,8 @@
 /// answers again.
 class LeafLoad {
  public:
-  /// A leaf is silent after this many times its usual latency...
+  /// A leaf is silent after the way there and back, this many times its usual
+  /// work...
   static constexpr double kSilentFactor = 2.5;
   /// ...and this.
   static constexpr Duration kSilentMargin = std::chrono::milliseconds(5);
@@ -51,14 +67,17 @@
   /// Cost of a request that fails, for weighing a leaf's failures.
   static constexpr Duration kFailureCost = std::chrono::milliseconds(200);
 
-  LeafLoad(std::uint32_t slots, Duration prior)
-      : m_slots(slots), m_prior(prior) {}
+  /// `way` is what is assumed of the way there and back until it was seen.
+  LeafLoad(std::uint32_t slots, Duration way, std::shared_ptr<WorkTable> work)
+      : m_slots(slots), m_way(way), m_work(std::move(work)) {}
 
   void OnSent(TimePoint now);
   /// An attempt ended without word of the leaf's state.
   void OnEnded(TimePoint now);
+  /// `way` is the part of `latency` that the way there and back took.
   void OnAnswered(const std::string& kind,
                   Duration latency,
+                  std::optional<Duration> way,
                   const std::optional<ReportedLoad>& load,
                   TimePoint now);
   void OnSuccess(TimePoint now);
@@ -78,14 +97,18 @@
   /// After how long an attempt there is overdue.
   Duration Overdue(const std::string& kind) const;
   Duration Usual(const std::string& kind) const;
+  Duration Way() const { return m_way; }
   /// Requests that are believed to be at the leaf, all daemons' together.
   double Occupancy(TimePoint now) const;
 
  private:
   const LatencyEstimate* Find(const std::string& kind) const;
+  Duration UsualWork(const std::string& kind) const;
 
   std::uint32_t m_slots;
-  Duration m_prior;
+  Duration m_way;
+  std::shared_ptr<WorkTable> m_work;
+  /// Without the way.
   std::map<std::string, LatencyEstimate> m_latencies;
   std::uint32_t m_in_flight = 0;
   /// Last sign of life, or when the first attempt now out was sent.
--- a/src/request/peer_book.cc
+++ b/src/request/peer_book.cc
@@ -17,10 +17,9 @@
     if (known != m_peers.end() && known->second->peer == peer) {
       kept.insert(*known);
     } else {
-      kept.emplace(
-          peer.address,
-          std::make_shared<PeerState>(PeerState{
-              peer, LeafLoad(kPeerSlots, kPriorRoundTrip), kPriorRoundTrip}));
+      kept.emplace(peer.address,
+                   std::make_shared<PeerState>(PeerState{
+                       peer, LeafLoad(kPeerSlots, kPriorRoundTrip, m_work)}));
     }
   }
   m_peers = std::move(kept);
--- a/src/request/peer_book.h
+++ b/src/request/peer_book.h
@@ -23,8 +23,6 @@
 struct PeerState {
   RelayPeer peer;
   LeafLoad load;
-  /// Way there and back, without the work done there.
-  Duration round_trip;
 };
 
 /// Peers by region, and which one to ask.
@@ -39,6 +37,7 @@
 
  private:
   std::map<Endpoint, std::shared_ptr<PeerState>> m_peers;
+  std::shared_ptr<WorkTable> m_work = std::make_shared<WorkTable>();
   std::size_t m_turn = 0;
 };
 
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -65,6 +65,8 @@
   /// Set for `kSucceeded` and `kFailed`.
   HttpResponse response;
   std::optional<ReportedLoad> load;
+  /// Part of the latency that the way there and back took, if known.
+  std::optional<Duration> way;
 };
 
 /// Why a request got no answer.
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -15,9 +15,9 @@
 constexpr double kPeerOverdueFactor = 1.6;
 constexpr Duration kPeerOverdueMargin = std::chrono::milliseconds(15);
 // Weight of a new sample of the way to a peer.
-constexpr double kRoundTripWeight = 0.2;
+constexpr double kWayWeight = 0.2;
 // Kept of the time for the answer on its way back.
-constexpr Duration kReturnMargin = std::chrono::milliseconds(4);
+constexpr Duration kReturnMargin = std::chrono::milliseconds(10);
 
 }  // namespace
 
@@ -63,7 +63,7 @@
   delegation.peer = peer->peer.address;
   delegation.deadline = request.request.deadline;
   delegation.answer_by =
-      request.request.answer_by - peer->round_trip / 2 - kReturnMargin;
+      request.request.answer_by - peer->load.Way() / 2 - kReturnMargin;
   const Duration overdue = std::chrono::duration_cast<Duration>(
       peer->load.Usual(kind) * kPeerOverdueFactor);
   for (const std::size_t index : parts) {
@@ -106,11 +106,12 @@
   const Duration taken = m_now - delegated.sent;
   peer.load.OnEnded(m_now);
   if (reply.kind == LeafReplyKind::kSucceeded) {
-    peer.load.OnAnswered(delegated.kind, taken, std::nullopt, m_now);
-    peer.load.OnSuccess(m_now);
     const Duration way = std::max(taken - reply.served_in, Duration::zero());
-    peer.round_trip += std::chrono::duration_cast<Duration>(
-        (way - peer.round_trip) * kRoundTripWeight);
+    const Duration smooth =
+        peer.load.Way() + std::chrono::duration_cast<Duration>(
+                              (way - peer.load.Way()) * kWayWeight);
+    peer.load.OnAnswered(delegated.kind, taken, smooth, std::nullopt, m_now);
+    peer.load.OnSuccess(m_now);
     return;
   }
   peer.load.OnUnreachable(m_now);
@@ -148,7 +149,23 @@
     } else {
       part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
     }
+    RetryIfInTime(request, index);
+  }
+}
+
+// What the peer left out is asked for again if that can still be in time; else
+// only once the answer turns out to need it.
+void RelayEngine::RetryIfInTime(Request& request, std::size_t index) {
+  Part& part = request.parts[index];
+  const std::string& kind = request.TheRoute().name;
+  const LeafChoice choice = ChooseLeaf(*part.service, kind, {}, m_now);
+  const bool is_in_time =
+      choice.leaf &&
+      m_now + choice.leaf->load.Cost(kind, m_now) < request.request.answer_by;
+  if (is_in_time || m_now > request.request.answer_by) {
     Retry(request, index);
+  } else {
+    part.retry_at = request.request.answer_by + kReturnMargin;
   }
 }
 
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -111,6 +111,8 @@
                        SendNumber number,
                        DelegationReply reply);
 
+  void RetryIfInTime(Request& request, std::size_t index);
+
   // Replies.
   void Observe(const Sending& sending, const LeafReply& reply);
   void Apply(Request& request, std::size_t index, LeafReply reply);
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -176,11 +176,11 @@
   load.OnEnded(m_now);
   switch (reply.kind) {
     case LeafReplyKind::kSucceeded:
-      load.OnAnswered(sending.kind, taken, reply.load, m_now);
+      load.OnAnswered(sending.kind, taken, reply.way, reply.load, m_now);
       load.OnSuccess(m_now);
       return;
     case LeafReplyKind::kFailed:
-      load.OnAnswered(sending.kind, taken, reply.load, m_now);
+      load.OnAnswered(sending.kind, taken, reply.way, reply.load, m_now);
       load.OnFailure(m_now);
       break;
     case LeafReplyKind::kRefused:
