--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -64,7 +64,7 @@
     } else {
       leaf = std::make_shared<RelayLeaf>(RelayLeaf{
           registration,
-          LeafLoad(registration.slots, PriorWay(registration), m_work), false,
+          LeafLoad(registration.slots, PriorWay(registration), m_fleet), false,
           std::nullopt, 1});
     }
     if (!registration.is_draining) {
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -94,7 +94,7 @@
   RepeatAllowance m_allowance;
   std::shared_ptr<const RouteTable> m_table;
   std::size_t m_daemons = 1;
-  std::shared_ptr<WorkTable> m_work = std::make_shared<WorkTable>();
+  std::shared_ptr<FleetPatterns> m_fleet = std::make_shared<FleetPatterns>();
   std::map<std::string, std::unique_ptr<RelayService>> m_services;
   std::map<std::string, std::shared_ptr<RelayLeaf>> m_leafs;
 };
--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -18,6 +18,10 @@
 constexpr double kReportFadeSeconds = 0.3;
 // What is left of a latency at the least once the way is taken off.
 constexpr Duration kLeastWork = std::chrono::milliseconds(1);
+// Silence of this many times the usual work is taken for a stall.
+constexpr double kStallFactor = 2;
+// Work is taken to last this many times the usual when a stall is near.
+constexpr double kStallLead = 1.5;
 constexpr double kFailureWeight = 0.15;
 constexpr double kFailureFadeSeconds = 2;
 
@@ -79,13 +83,14 @@
                           std::optional<Duration> way,
                           const std::optional<ReportedLoad>& load,
                           TimePoint now) {
-  m_progress_at = now;
   m_sheds_in_row = 0;
   m_unreachable_until = {};
   m_way = way.value_or(m_way);
   const Duration work = std::max(latency - m_way, kLeastWork);
-  m_work->Record(kind, work, now);
-  m_latencies.try_emplace(kind, m_work->Usual(kind))
+  ObserveStall(kind, work, now);
+  m_progress_at = now;
+  m_fleet->work.Record(kind, work, now);
+  m_latencies.try_emplace(kind, m_fleet->work.Usual(kind))
       .first->second.Record(work, now);
   if (load) {
     const double all = static_cast<double>(load->running) + load->waiting;
@@ -157,7 +162,30 @@
   Duration cost = m_way + expected + Scale(usual, queue / m_slots);
   cost += Scale(kFailureCost,
                 m_failure_share * Fade(m_failed_at, now, kFailureFadeSeconds));
-  return IsSilent(now) ? cost + kSilentCost : cost;
+  const Duration held_up = HoldUp(expected, now);
+  return cost + (IsSilent(now) ? std::max(kSilentCost, held_up) : held_up);
+}
+
+// Work that the leaf still has at hand when a stall begins stands still too.
+Duration LeafLoad::HoldUp(Duration work, TimePoint now) const {
+  const TimePoint arrives = now + m_way / 2;
+  return m_stalls.HoldUp(arrives, arrives + Scale(work, kStallLead),
+                         m_fleet->stalls);
+}
+
+// Silence counts from the leaf's last answer, or since it has something to do.
+void LeafLoad::ObserveStall(const std::string& kind,
+                            Duration work,
+                            TimePoint now) {
+  const TimePoint answered = now - m_way / 2;
+  const TimePoint sent = now - m_way - work;
+  const TimePoint silent_since = std::max(m_progress_at, sent) + m_way / 2;
+  const Duration usual = UsualWork(kind);
+  if (work < Scale(usual, 2)) {
+    m_stalls.OnPrompt(sent + m_way / 2, answered, m_fleet->stalls);
+  } else if (answered - silent_since > Scale(usual, kStallFactor)) {
+    m_stalls.OnStall(silent_since, answered, m_fleet->stalls);
+  }
 }
 
 Duration LeafLoad::Overdue(const std::string& kind) const {
@@ -170,7 +198,7 @@
 
 Duration LeafLoad::UsualWork(const std::string& kind) const {
   const LatencyEstimate* latency = Find(kind);
-  return latency ? latency->Usual() : m_work->Usual(kind);
+  return latency ? latency->Usual() : m_fleet->work.Usual(kind);
 }
 
 double LeafLoad::Occupancy(TimePoint now) const {
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "request/stall_predictor.h"
 
 namespace bramleyspoke {
 
@@ -49,6 +50,12 @@
   std::map<std::string, LatencyEstimate> m_kinds;
 };
 
+/// What is known of all leafs together.
+struct FleetPatterns {
+  WorkTable work;
+  StallPeriod stalls;
+};
+
 /// What one daemon sees of one leaf's load, mostly from its own requests.
 ///
 /// Answers the load of leafs that pause for a quarter of a second now and
@@ -68,8 +75,10 @@
   static constexpr Duration kFailureCost = std::chrono::milliseconds(200);
 
   /// `way` is what is assumed of the way there and back until it was seen.
-  LeafLoad(std::uint32_t slots, Duration way, std::shared_ptr<WorkTable> work)
-      : m_slots(slots), m_way(way), m_work(std::move(work)) {}
+  LeafLoad(std::uint32_t slots,
+           Duration way,
+           std::shared_ptr<FleetPatterns> fleet)
+      : m_slots(slots), m_way(way), m_fleet(std::move(fleet)) {}
 
   void OnSent(TimePoint now);
   /// An attempt ended without word of the leaf's state.
@@ -104,10 +113,13 @@
  private:
   const LatencyEstimate* Find(const std::string& kind) const;
   Duration UsualWork(const std::string& kind) const;
+  void ObserveStall(const std::string& kind, Duration work, TimePoint now);
+  Duration HoldUp(Duration work, TimePoint now) const;
 
   std::uint32_t m_slots;
   Duration m_way;
-  std::shared_ptr<WorkTable> m_work;
+  std::shared_ptr<FleetPatterns> m_fleet;
+  StallPredictor m_stalls;
   /// Without the way.
   std::map<std::string, LatencyEstimate> m_latencies;
   std::uint32_t m_in_flight = 0;
--- a/src/request/peer_book.cc
+++ b/src/request/peer_book.cc
@@ -19,7 +19,7 @@
     } else {
       kept.emplace(peer.address,
                    std::make_shared<PeerState>(PeerState{
-                       peer, LeafLoad(kPeerSlots, kPriorRoundTrip, m_work)}));
+                       peer, LeafLoad(kPeerSlots, kPriorRoundTrip, m_fleet)}));
     }
   }
   m_peers = std::move(kept);
--- a/src/request/peer_book.h
+++ b/src/request/peer_book.h
@@ -37,7 +37,7 @@
 
  private:
   std::map<Endpoint, std::shared_ptr<PeerState>> m_peers;
-  std::shared_ptr<WorkTable> m_work = std::make_shared<WorkTable>();
+  std::shared_ptr<FleetPatterns> m_fleet = std::make_shared<FleetPatterns>();
   std::size_t m_turn = 0;
 };
 
