--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -134,7 +134,11 @@
   void OnDaemons(std::vector<DaemonEntry> daemons) override {
     m_loop->Post([this, daemons = std::move(daemons)] {
       m_daemons = daemons;
-      m_front->SetDaemons(m_daemons.size());
+      std::map<std::string, std::size_t> by_region;
+      for (const DaemonEntry& daemon : m_daemons) {
+        ++by_region[daemon.region];
+      }
+      m_front->SetDaemons(std::move(by_region));
       m_front->SetPeers(Peers());
     });
   }
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -105,8 +105,8 @@
   m_exchanges.Keep(m_engine.Book().Addresses());
 }
 
-void RelayFront::SetDaemons(std::size_t daemons) {
-  m_engine.SetDaemons(daemons);
+void RelayFront::SetDaemons(std::map<std::string, std::size_t> by_region) {
+  m_engine.SetDaemons(std::move(by_region));
 }
 
 void RelayFront::SetPeers(const std::vector<RelayPeer>& peers) {
@@ -203,7 +203,7 @@
   query.max_attempts = open.route->max_attempts;
   query.result_limit = open.route->result_limit;
   query.priority = open.route->priority;
-  query.time_left = delegation.deadline - now;
+  query.time_left = std::max(delegation.deadline - now, Duration::zero());
   query.answer_time = std::max(delegation.answer_by - now, Duration::zero());
   m_peer_calls[delegation.number] = m_peers.QueryShards(
       delegation.peer, query,
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -71,7 +72,7 @@
 
   void SetTable(std::shared_ptr<const RouteTable> table);
   void SetLeafs(const std::vector<LeafRegistration>& leafs);
-  void SetDaemons(std::size_t daemons);
+  void SetDaemons(std::map<std::string, std::size_t> by_region);
   void SetPeers(const std::vector<RelayPeer>& peers);
   /// Whether routes may be out of date, so that a missing one proves nothing.
   void SetStale(bool is_stale) { m_is_stale = is_stale; }
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -88,14 +88,22 @@
   Share();
 }
 
-void LeafBook::SetDaemons(std::size_t daemons) {
-  m_daemons = std::max<std::size_t>(daemons, 1);
+void LeafBook::SetDaemons(std::map<std::string, std::size_t> by_region) {
+  m_daemons = std::move(by_region);
   for (auto& [name, service] : m_services) {
-    service->budget.SetDaemons(m_daemons);
+    service->budget.SetDaemons(DaemonCount());
   }
   Share();
 }
 
+std::size_t LeafBook::DaemonCount() const {
+  std::size_t count = 0;
+  for (const auto& [region, daemons] : m_daemons) {
+    count += daemons;
+  }
+  return std::max<std::size_t>(count, 1);
+}
+
 void LeafBook::OnReachable(const Endpoint& address,
                            bool is_reachable,
                            TimePoint now) {
@@ -116,7 +124,7 @@
   if (!service) {
     service = std::make_unique<RelayService>(
         RelayService{name, {}, RepeatBudget(m_allowance), {}});
-    service->budget.SetDaemons(m_daemons);
+    service->budget.SetDaemons(DaemonCount());
   }
   return *service;
 }
@@ -161,13 +169,33 @@
 
 void LeafBook::Share() {
   for (const auto& [id, leaf] : m_leafs) {
-    const double usable =
-        ConnectionLimit(leaf->registration.service) * (1 - kConnectionReserve);
-    leaf->share = std::max<std::uint32_t>(
-        1, static_cast<std::uint32_t>(usable / static_cast<double>(m_daemons)));
+    leaf->share = ShareOf(leaf->registration);
   }
 }
 
+// Load: few connections to a leaf, many daemons. The daemons of the leaf's own
+// region send it most of its work, so the others leave them the larger part.
+std::uint32_t LeafBook::ShareOf(const LeafRegistration& leaf) const {
+  const auto usable = static_cast<std::uint32_t>(ConnectionLimit(leaf.service) *
+                                                 (1 - kConnectionReserve));
+  const auto all = static_cast<std::uint32_t>(DaemonCount());
+  const std::uint32_t even = std::max<std::uint32_t>(1, usable / all);
+  const auto region = m_locality.regions.find(leaf.failure_domain);
+  const auto found = region == m_locality.regions.end()
+                         ? m_daemons.end()
+                         : m_daemons.find(region->second);
+  if (found == m_daemons.end() || found->second == 0) {
+    return even;
+  }
+  const std::uint32_t far_share = std::min(even, kFarShare);
+  if (region->second != m_locality.region) {
+    return far_share;
+  }
+  const auto near = static_cast<std::uint32_t>(found->second);
+  const std::uint32_t taken = far_share * (all - near);
+  return std::max(even, taken < usable ? (usable - taken) / near : 1);
+}
+
 std::uint32_t LeafBook::ConnectionLimit(const std::string& service) const {
   if (!m_table) {
     return kDefaultConnections;
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -64,14 +64,18 @@
   static constexpr Duration kDrainUse = std::chrono::milliseconds(1000);
   /// Connections of a leaf that its holders leave free for restarts.
   static constexpr double kConnectionReserve = 0.1;
+  /// Connections to a leaf of another region: most work there goes through a
+  /// daemon of that region.
+  static constexpr std::uint32_t kFarShare = 2;
 
   LeafBook(Locality locality, const RepeatAllowance& allowance)
       : m_locality(std::move(locality)), m_allowance(allowance) {}
 
   void SetTable(std::shared_ptr<const RouteTable> table);
   void SetLeafs(const std::vector<LeafRegistration>& leafs, TimePoint now);
-  /// Daemons that share the leafs' connections and the allowance of repeats.
-  void SetDaemons(std::size_t daemons);
+  /// Daemons, this one included, by region: they share the leafs' connections
+  /// and the allowance of repeats.
+  void SetDaemons(std::map<std::string, std::size_t> by_region);
   void OnReachable(const Endpoint& address, bool is_reachable, TimePoint now);
 
   RelayService& Service(const std::string& name);
@@ -87,13 +91,15 @@
 
  private:
   void Share();
+  std::size_t DaemonCount() const;
+  std::uint32_t ShareOf(const LeafRegistration& leaf) const;
   std::uint32_t ConnectionLimit(const std::string& service) const;
   Duration PriorWay(const LeafRegistration& leaf) const;
 
   Locality m_locality;
   RepeatAllowance m_allowance;
   std::shared_ptr<const RouteTable> m_table;
-  std::size_t m_daemons = 1;
+  std::map<std::string, std::size_t> m_daemons;
   std::shared_ptr<FleetPatterns> m_fleet = std::make_shared<FleetPatterns>();
   std::map<std::string, std::unique_ptr<RelayService>> m_services;
   std::map<std::string, std::shared_ptr<RelayLeaf>> m_leafs;
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -17,7 +17,7 @@
 // Weight of a new sample of the way to a peer.
 constexpr double kWayWeight = 0.2;
 // Kept of the time for the answer on its way back.
-constexpr Duration kReturnMargin = std::chrono::milliseconds(10);
+constexpr Duration kReturnMargin = std::chrono::milliseconds(6);
 
 }  // namespace
 
@@ -61,9 +61,10 @@
   delegation.request = request.number;
   delegation.number = number;
   delegation.peer = peer->peer.address;
-  delegation.deadline = request.request.deadline;
-  delegation.answer_by =
-      request.request.answer_by - peer->load.Way() / 2 - kReturnMargin;
+  // Both travel as time left, which the way there uses up unseen.
+  const Duration way = peer->load.Way() + kReturnMargin;
+  delegation.deadline = request.request.deadline - way;
+  delegation.answer_by = request.request.answer_by - way;
   const Duration overdue = std::chrono::duration_cast<Duration>(
       peer->load.Usual(kind) * kPeerOverdueFactor);
   for (const std::size_t index : parts) {
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -59,8 +59,10 @@
   RelayActions OnReachable(const Endpoint& address,
                            bool is_reachable,
                            TimePoint now);
-  /// Daemons, this one included, that share the leafs.
-  void SetDaemons(std::size_t daemons) { m_book.SetDaemons(daemons); }
+  /// Daemons, this one included, by region.
+  void SetDaemons(std::map<std::string, std::size_t> by_region) {
+    m_book.SetDaemons(std::move(by_region));
+  }
   void SetPeers(const std::vector<RelayPeer>& peers) {
     m_peers.SetPeers(peers);
   }
