--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -118,6 +118,7 @@
   // Replies.
   void Observe(const Sending& sending, const LeafReply& reply);
   void Apply(Request& request, std::size_t index, LeafReply reply);
+  void CancelLosers(const Request& request, const Part& part);
   void GiveUp(Part& part);
 
   // Ending.
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -13,6 +13,8 @@
 constexpr std::uint32_t kMostRefusals = 6;
 // Pause of a repeat for which the budget has no room.
 constexpr Duration kBudgetPause = std::chrono::milliseconds(15);
+// What a new connection costs a leaf, with some to spare.
+constexpr Duration kReconnectCost = std::chrono::milliseconds(15);
 // A sibling with more work per slot than this gets no hedge.
 constexpr double kHedgeOccupancy = 6;
 
@@ -210,6 +212,7 @@
   part.runs += verdict == Verdict::kNotRun ? 0 : 1;
   if (reply.kind == LeafReplyKind::kSucceeded) {
     part.answer = std::move(reply.response);
+    CancelLosers(request, part);
     return;
   }
   if (reply.kind == LeafReplyKind::kFailed) {
@@ -221,6 +224,21 @@
   Retry(request, index);
 }
 
+// Load: when a leaf pauses, its sibling runs what waits there; the paused leaf
+// would run it too. Closing the connection spares it that, and costs it a new
+// connection, which is worth it for work that takes longer.
+void RelayEngine::CancelLosers(const Request& request, const Part& part) {
+  for (const SendNumber number : part.running) {
+    const auto found = m_sendings.find(number);
+    if (found != m_sendings.end() &&
+        found->second.leaf->load.Usual(request.TheRoute().name) -
+                found->second.leaf->load.Way() >
+            kReconnectCost) {
+      m_abandons.emplace(m_now, number);
+    }
+  }
+}
+
 void RelayEngine::Retry(Request& request, std::size_t index) {
   Part& part = request.parts[index];
   if (!part.running.empty() || part.delegation) {
