Parts that stand in other regions go to as few of them as serve them

Cause: shards with leafs in two other regions were split over both by the least cost, two queries where one would do; names and headers travelled as lists of padded texts.

--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -53,11 +53,12 @@
   requestId @0 :Text;
   method @1 :Text;
   target @2 :Text;
-  # Names and values by turns.
-  headers @3 :List(Text);
+  # Lines of a name, a colon and a value.
+  headers @3 :Text;
   body @4 :Data;
   route @5 :Text;
-  shards @6 :List(Text);
+  # Names, separated by spaces.
+  shards @6 :Text;
   maxAttempts @7 :UInt32;
   resultLimit @8 :UInt32;
   priority @9 :UInt32;
@@ -69,7 +70,7 @@
 struct ShardAnswer {
   # Places in the query's list of the shards that the answer covers.
   covered @0 :List(UInt16);
-  headers @1 :List(Text);
+  headers @1 :Text;
   body @2 :Data;
   servedInUs @3 :UInt32;
 }
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -73,24 +73,48 @@
   }
 }
 
-// Names and values by turns.
-void WriteHeaders(const std::vector<HttpHeader>& headers,
-                  capnp::List<capnp::Text>::Builder builder) {
-  unsigned place = 0;
+// One text costs fewer bytes than a list of them: each would be a pointer and
+// padded. Neither names nor values hold line ends, and no name a colon.
+std::string JoinHeaders(const std::vector<HttpHeader>& headers) {
+  std::string text;
   for (const HttpHeader& header : headers) {
-    builder.set(place++, header.name);
-    builder.set(place++, header.value);
+    text.append(header.name).append(":").append(header.value).append("\n");
   }
+  return text;
 }
 
-std::vector<HttpHeader> ReadHeaders(capnp::List<capnp::Text>::Reader reader) {
+std::vector<HttpHeader> SplitHeaders(std::string_view text) {
   std::vector<HttpHeader> headers;
-  for (unsigned place = 0; place + 1 < reader.size(); place += 2) {
-    headers.push_back({ToStd(reader[place]), ToStd(reader[place + 1])});
+  while (!text.empty()) {
+    const std::string_view line = text.substr(0, text.find('\n'));
+    text.remove_prefix(std::min(line.size() + 1, text.size()));
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+      headers.push_back({std::string(line.substr(0, colon)),
+                         std::string(line.substr(colon + 1))});
+    }
   }
   return headers;
 }
 
+std::string JoinNames(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names) {
+    text.append(text.empty() ? "" : " ").append(name);
+  }
+  return text;
+}
+
+std::vector<std::string> SplitNames(std::string_view text) {
+  std::vector<std::string> names;
+  while (!text.empty()) {
+    const std::string_view name = text.substr(0, text.find(' '));
+    text.remove_prefix(std::min(name.size() + 1, text.size()));
+    names.emplace_back(name);
+  }
+  return names;
+}
+
 }  // namespace
 
 void WriteGossip(const GossipMessage& message, wire::Gossip::Builder builder) {
@@ -181,11 +205,10 @@
   builder.setRequestId(query.request_id);
   builder.setMethod(query.request.method);
   builder.setTarget(query.request.target);
-  WriteHeaders(query.request.headers,
-               builder.initHeaders(query.request.headers.size() * 2));
+  builder.setHeaders(JoinHeaders(query.request.headers));
   builder.setBody(AsData(query.request.body));
   builder.setRoute(query.route);
-  WriteTexts(query.shards, builder.initShards(query.shards.size()));
+  builder.setShards(JoinNames(query.shards));
   builder.setMaxAttempts(query.max_attempts);
   builder.setResultLimit(query.result_limit);
   builder.setPriority(query.priority);
@@ -198,10 +221,10 @@
   query.request_id = ToStd(reader.getRequestId());
   query.request.method = ToStd(reader.getMethod());
   query.request.target = ToStd(reader.getTarget());
-  query.request.headers = ReadHeaders(reader.getHeaders());
+  query.request.headers = SplitHeaders(ToStd(reader.getHeaders()));
   query.request.body = FromData(reader.getBody());
   query.route = ToStd(reader.getRoute());
-  query.shards = ReadTexts(reader.getShards());
+  query.shards = SplitNames(ToStd(reader.getShards()));
   query.max_attempts = reader.getMaxAttempts();
   query.result_limit = reader.getResultLimit();
   query.priority = reader.getPriority();
@@ -216,8 +239,7 @@
   for (unsigned i = 0; i < covered.size(); ++i) {
     covered.set(i, static_cast<std::uint16_t>(answer.covered[i]));
   }
-  WriteHeaders(answer.answer.headers,
-               builder.initHeaders(answer.answer.headers.size() * 2));
+  builder.setHeaders(JoinHeaders(answer.answer.headers));
   builder.setBody(AsData(answer.answer.body));
   const auto taken =
       std::chrono::duration_cast<std::chrono::microseconds>(answer.served_in);
@@ -229,7 +251,7 @@
   for (const std::uint16_t place : reader.getCovered()) {
     answer.covered.push_back(place);
   }
-  answer.answer.headers = ReadHeaders(reader.getHeaders());
+  answer.answer.headers = SplitHeaders(ToStd(reader.getHeaders()));
   answer.answer.body = FromData(reader.getBody());
   answer.served_in = std::chrono::microseconds(reader.getServedInUs());
   return answer;
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -167,6 +167,11 @@
   return serving;
 }
 
+std::string LeafBook::RegionOf(const RelayLeaf& leaf) const {
+  const auto found = m_locality.regions.find(leaf.registration.failure_domain);
+  return found == m_locality.regions.end() ? std::string() : found->second;
+}
+
 void LeafBook::Share() {
   for (const auto& [id, leaf] : m_leafs) {
     leaf->share = ShareOf(leaf->registration);
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -87,6 +87,8 @@
   /// Regions with the most services that have a leaf there that is not
   /// draining.
   std::set<std::string> ServingRegions() const;
+  /// Empty if it is not known.
+  std::string RegionOf(const RelayLeaf& leaf) const;
   const Locality& Place() const { return m_locality; }
 
  private:
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -10,6 +10,9 @@
 
 // Fewer parts than this are asked directly.
 constexpr std::size_t kFewestParts = 2;
+// By how much a leaf may seem slower than the best one and still serve a part,
+// if that keeps the part together with others.
+constexpr std::chrono::milliseconds kNearlyAsGood{15};
 // When parts at a peer are overdue: the peer deals with slow leafs itself, so
 // that only a peer that is lost is meant.
 constexpr double kPeerOverdueFactor = 1.6;
@@ -23,33 +26,72 @@
 
 // Load: each query asks shards whose leafs all stand in other regions. One
 // query to a daemon there crosses once, and its leafs' answers come back
-// merged.
+// merged. Few regions with many parts each cross least; among equals they take
+// turns, so that the leafs of each get their part of the work.
 void RelayEngine::DelegateParts(Request& request) {
   if (!request.TheRoute().IsFanOut() || request.request.is_for_peer) {
     return;
   }
-  const Locality& here = m_book.Place();
   std::map<std::string, std::vector<std::size_t>> by_region;
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
-    const LeafChoice choice = ChooseLeaf(*request.parts[index].service,
-                                         request.TheRoute().name, {}, m_now);
-    if (!choice.leaf) {
+    for (const std::string& region : FarRegions(request, index)) {
+      by_region[region].push_back(index);
+    }
+  }
+  while (!by_region.empty()) {
+    auto most = by_region.begin();
+    const bool is_even_turn = m_last_send % 2 == 0;
+    for (auto row = by_region.begin(); row != by_region.end(); ++row) {
+      const std::size_t size = row->second.size();
+      if (size > most->second.size() ||
+          (size == most->second.size() && is_even_turn)) {
+        most = row;
+      }
+    }
+    const std::vector<std::size_t> parts = std::move(most->second);
+    const std::string region = most->first;
+    by_region.erase(most);
+    if (parts.size() < kFewestParts) {
+      return;
+    }
+    const auto peer = m_peers.Choose(region, m_now);
+    if (!peer) {
       continue;
     }
-    const auto region =
-        here.regions.find(choice.leaf->registration.failure_domain);
-    if (region != here.regions.end() && region->second != here.region) {
-      by_region[region->second].push_back(index);
+    Delegate(request, parts, peer);
+    for (auto& [other, left] : by_region) {
+      std::erase_if(left, [&](std::size_t index) {
+        return request.parts[index].delegation.has_value();
+      });
     }
   }
-  for (const auto& [region, parts] : by_region) {
-    if (parts.size() < kFewestParts) {
+}
+
+// Regions whose leafs serve a part best or nearly so; none if a leaf of this
+// region does.
+std::vector<std::string> RelayEngine::FarRegions(const Request& request,
+                                                 std::size_t index) const {
+  const RelayService& service = *request.parts[index].service;
+  const std::string& kind = request.TheRoute().name;
+  const LeafChoice best = ChooseLeaf(service, kind, {}, m_now);
+  if (!best.leaf || m_book.RegionOf(*best.leaf) == m_book.Place().region) {
+    return {};
+  }
+  const Duration bound =
+      best.leaf->load.Cost(kind, m_now) + Duration(kNearlyAsGood);
+  std::vector<std::string> regions;
+  for (const auto& leaf : service.leafs) {
+    const std::string region = m_book.RegionOf(*leaf);
+    if (leaf->draining_since || !leaf->load.IsUsable(m_now) ||
+        region == m_book.Place().region ||
+        leaf->load.Cost(kind, m_now) > bound) {
       continue;
     }
-    if (const auto peer = m_peers.Choose(region, m_now)) {
-      Delegate(request, parts, peer);
+    if (std::find(regions.begin(), regions.end(), region) == regions.end()) {
+      regions.push_back(region);
     }
   }
+  return regions;
 }
 
 void RelayEngine::Delegate(Request& request,
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -104,6 +104,8 @@
 
   // Handing parts to peers.
   void DelegateParts(Request& request);
+  std::vector<std::string> FarRegions(const Request& request,
+                                      std::size_t index) const;
   void Delegate(Request& request,
                 const std::vector<std::size_t>& parts,
                 const std::shared_ptr<PeerState>& peer);
