Daemons tell each other of stalls in their regions

Cause: a daemon that hands shards to a region does not see which of its leafs stalls; the peer then asks the sibling in a third region, 40 ms too late for urgent lookups. Change: a peer's answer names stalls that ended within 1.5 s; the asking daemon foretells the next ones and picks the region by it.

--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -67,12 +67,23 @@
   answerByMs @11 :UInt32;
 }
 
+# When a leaf near the peer last stalled.
+struct Stall {
+  # Place of its shard in the query's list, and of the leaf among the shard's
+  # leafs by id.
+  shard @0 :UInt16;
+  leaf @1 :UInt16;
+  endedAgoMs @2 :UInt16;
+  lengthMs @3 :UInt16;
+}
+
 struct ShardAnswer {
   # Places in the query's list of the shards that the answer covers.
   covered @0 :List(UInt16);
   headers @1 :Text;
   body @2 :Data;
   servedInUs @3 :UInt32;
+  stalls @4 :List(Stall);
 }
 
 interface Peer {
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -104,6 +104,16 @@
   Duration answer_time{0};
 };
 
+/// When a leaf near a peer last stalled.
+struct StallNotice {
+  /// Place of its shard in the query's list.
+  std::size_t shard = 0;
+  /// Its place among the shard's leafs by id.
+  std::size_t leaf = 0;
+  Duration ended_ago{0};
+  Duration length{0};
+};
+
 /// What a peer answers: the shards' records, merged.
 struct ShardAnswer {
   /// Places in the query's list of the shards that `answer` covers.
@@ -111,6 +121,7 @@
   HttpResponse answer;
   /// Time that the peer took, without the way.
   Duration served_in{0};
+  std::vector<StallNotice> stalls;
 };
 
 /// What a query to a peer came to; no answer unless `kReplied`.
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -244,6 +244,16 @@
   const auto taken =
       std::chrono::duration_cast<std::chrono::microseconds>(answer.served_in);
   builder.setServedInUs(static_cast<std::uint32_t>(taken.count()));
+  auto stalls = builder.initStalls(answer.stalls.size());
+  for (unsigned i = 0; i < stalls.size(); ++i) {
+    const StallNotice& stall = answer.stalls[i];
+    stalls[i].setShard(static_cast<std::uint16_t>(stall.shard));
+    stalls[i].setLeaf(static_cast<std::uint16_t>(stall.leaf));
+    stalls[i].setEndedAgoMs(
+        static_cast<std::uint16_t>(ToMilliseconds(stall.ended_ago)));
+    stalls[i].setLengthMs(
+        static_cast<std::uint16_t>(ToMilliseconds(stall.length)));
+  }
 }
 
 ShardAnswer ReadShardAnswer(wire::ShardAnswer::Reader reader) {
@@ -254,6 +264,11 @@
   answer.answer.headers = SplitHeaders(ToStd(reader.getHeaders()));
   answer.answer.body = FromData(reader.getBody());
   answer.served_in = std::chrono::microseconds(reader.getServedInUs());
+  for (const auto stall : reader.getStalls()) {
+    answer.stalls.push_back({stall.getShard(), stall.getLeaf(),
+                             std::chrono::milliseconds(stall.getEndedAgoMs()),
+                             std::chrono::milliseconds(stall.getLengthMs())});
+  }
   return answer;
 }
 
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -171,7 +171,7 @@
       return;
     }
     WriteLog(
-        level, "request_end",
+        level, end.is_for_peer ? "peer_query_end" : "request_end",
         {Field("request_id", end.request_id),
          Field("route", end.route ? std::string_view(end.route->name)
                                   : std::string_view()),
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -240,6 +240,7 @@
   reply.covered = std::move(outcome.answer.covered);
   reply.answer = std::move(outcome.answer.answer);
   reply.served_in = outcome.answer.served_in;
+  reply.stalls = std::move(outcome.answer.stalls);
   const bool is_valid =
       std::all_of(reply.covered.begin(), reply.covered.end(),
                   [&](std::size_t place) { return place < shards; });
@@ -258,6 +259,7 @@
                                                 open.route->result_limit);
   }
   answer.served_in = Now() - open.arrived;
+  answer.stalls = m_engine.RecentStalls(open.route->shards, Now());
   RelayEnd end;
   end.request_id = open.request_id;
   end.route = open.route;
--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -137,6 +137,10 @@
   m_unreachable_until = {};
 }
 
+void LeafLoad::NoteStall(TimePoint begin, TimePoint end) {
+  m_stalls.OnStall(begin, end, m_fleet->stalls);
+}
+
 bool LeafLoad::IsSilent(TimePoint now) const {
   if (m_in_flight == 0) {
     return false;
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -96,6 +96,10 @@
   void OnUnreachable(TimePoint now);
   void OnReachable();
 
+  /// Another daemon saw the leaf stall.
+  void NoteStall(TimePoint begin, TimePoint end);
+  const StallPredictor& Stalls() const { return m_stalls; }
+
   std::uint32_t InFlight() const { return m_in_flight; }
   bool IsSilent(TimePoint now) const;
   /// Whether it may get work at all just now.
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "base/verdict.h"
 #include "connection/http_message.h"
+#include "connection/peer.h"
 #include "request/leaf_load.h"
 #include "version/route_table.h"
 
@@ -117,6 +118,7 @@
   HttpResponse answer;
   /// Time that the peer took, without the way.
   Duration served_in{0};
+  std::vector<StallNotice> stalls;
 };
 
 struct RelayFinish {
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -17,6 +17,8 @@
 // that only a peer that is lost is meant.
 constexpr double kPeerOverdueFactor = 1.6;
 constexpr Duration kPeerOverdueMargin = std::chrono::milliseconds(15);
+// How long a stall is told on after its end; several queries come meanwhile.
+constexpr std::chrono::milliseconds kStallNews{1500};
 // Weight of a new sample of the way to a peer.
 constexpr double kWayWeight = 0.2;
 // Kept of the time for the answer on its way back.
@@ -109,6 +111,7 @@
   delegation.answer_by = request.request.answer_by - way;
   const Duration overdue = std::chrono::duration_cast<Duration>(
       peer->load.Usual(kind) * kPeerOverdueFactor);
+  std::vector<RelayService*> services;
   for (const std::size_t index : parts) {
     Part& part = request.parts[index];
     part.delegation = number;
@@ -116,12 +119,14 @@
     part.hedge_at = m_now + overdue + kPeerOverdueMargin;
     ++part.sends;
     delegation.shards.push_back(part.service->name);
+    services.push_back(part.service);
   }
   ++request.sends;
   ++m_counters.delegations;
   peer->load.OnSent(m_now);
-  m_delegated.emplace(number,
-                      Delegated{request.number, parts, peer, kind, m_now});
+  m_delegated.emplace(
+      number,
+      Delegated{request.number, parts, std::move(services), peer, kind, m_now});
   m_actions.delegations.push_back(std::move(delegation));
 }
 
@@ -155,6 +160,7 @@
                               (way - peer.load.Way()) * kWayWeight);
     peer.load.OnAnswered(delegated.kind, taken, smooth, std::nullopt, m_now);
     peer.load.OnSuccess(m_now);
+    ObserveStalls(delegated, reply);
     return;
   }
   peer.load.OnUnreachable(m_now);
@@ -162,6 +168,40 @@
                             "peer", reply.kind, taken});
 }
 
+void RelayEngine::ObserveStalls(const Delegated& delegated,
+                                const DelegationReply& reply) {
+  const TimePoint answered = m_now - delegated.peer->load.Way() / 2;
+  for (const StallNotice& stall : reply.stalls) {
+    if (stall.shard >= delegated.services.size()) {
+      continue;
+    }
+    const RelayService& service = *delegated.services[stall.shard];
+    if (stall.leaf < service.leafs.size()) {
+      const TimePoint end = answered - stall.ended_ago;
+      service.leafs[stall.leaf]->load.NoteStall(end - stall.length, end);
+    }
+  }
+}
+
+std::vector<StallNotice> RelayEngine::RecentStalls(
+    const std::vector<std::string>& shards,
+    TimePoint now) {
+  std::vector<StallNotice> stalls;
+  for (std::size_t shard = 0; shard < shards.size(); ++shard) {
+    const auto& leafs = m_book.Service(shards[shard]).leafs;
+    for (std::size_t index = 0; index < leafs.size(); ++index) {
+      const StallPredictor& seen = leafs[index]->load.Stalls();
+      const bool is_recent = seen.LastEnd() && *seen.LastEnd() <= now &&
+                             now - *seen.LastEnd() < kStallNews;
+      if (is_recent &&
+          m_book.RegionOf(*leafs[index]) == m_book.Place().region) {
+        stalls.push_back({shard, index, now - *seen.LastEnd(), seen.Length()});
+      }
+    }
+  }
+  return stalls;
+}
+
 // A part that was answered directly meanwhile gives way: the peer's answer is
 // merged and can't be taken apart.
 void RelayEngine::ApplyDelegation(Request& request,
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -71,6 +71,9 @@
   const LeafBook& Book() const { return m_book; }
   const RelayCounters& Counters() const { return m_counters; }
   std::size_t InFlight() const { return m_requests.size(); }
+  /// Stalls of late at leafs of these shards in this daemon's own region.
+  std::vector<StallNotice> RecentStalls(const std::vector<std::string>& shards,
+                                        TimePoint now);
   /// Sendings that ended since the last call and that went wrong.
   std::vector<RelaySendEnd> TakeFailedSends();
 
@@ -110,6 +113,7 @@
                 const std::vector<std::size_t>& parts,
                 const std::shared_ptr<PeerState>& peer);
   void ObservePeer(const Delegated& delegated, const DelegationReply& reply);
+  void ObserveStalls(const Delegated& delegated, const DelegationReply& reply);
   void ApplyDelegation(Request& request,
                        const Delegated& delegated,
                        SendNumber number,
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -68,6 +68,8 @@
 struct RelayEngine::Delegated {
   RelayNumber request = 0;
   std::vector<std::size_t> parts;
+  /// Of the parts, in their order.
+  std::vector<RelayService*> services;
   std::shared_ptr<PeerState> peer;
   std::string kind;
   TimePoint sent;
--- a/src/request/stall_predictor.h
+++ b/src/request/stall_predictor.h
@@ -46,6 +46,9 @@
   void OnStall(TimePoint begin, TimePoint end, StallPeriod& period);
   /// The leaf answered at `now` what it was sent at `sent`, as fast as usual.
   void OnPrompt(TimePoint sent, TimePoint now, const StallPeriod& period);
+  /// The last stall, if one is remembered.
+  std::optional<TimePoint> LastEnd() const { return m_last_end; }
+  Duration Length() const { return m_length; }
   /// How long work that would run from `from` to `to` is held up by a stall.
   Duration HoldUp(TimePoint from,
                   TimePoint to,
