--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -65,6 +65,8 @@
   # Milliseconds until the caller gives up, and until what is there is wanted.
   deadlineMs @10 :UInt32;
   answerByMs @11 :UInt32;
+  # Asks for what an earlier answer left pending; names no request again.
+  isContinuation @12 :Bool;
 }
 
 # When a leaf near the peer last stalled.
@@ -77,6 +79,12 @@
   lengthMs @3 :UInt16;
 }
 
+struct Uncovered {
+  place @0 :UInt16;
+  runs @1 :UInt16;
+  isPending @2 :Bool;
+}
+
 struct ShardAnswer {
   # Places in the query's list of the shards that the answer covers.
   covered @0 :List(UInt16);
@@ -84,6 +92,7 @@
   body @2 :Data;
   servedInUs @3 :UInt32;
   stalls @4 :List(Stall);
+  uncovered @5 :List(Uncovered);
 }
 
 interface Peer {
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -102,6 +102,19 @@
   Duration time_left{0};
   /// Until what is there by then is wanted.
   Duration answer_time{0};
+  /// Asks for shards that an answer to this request left pending; the peer
+  /// has the request itself.
+  bool is_continuation = false;
+};
+
+/// A shard that a peer's answer leaves out.
+struct UncoveredShard {
+  /// Place in the query's list.
+  std::size_t place = 0;
+  /// Leafs at which the request may have run.
+  std::uint32_t runs = 0;
+  /// Still running: a continuation gets the answer.
+  bool is_pending = false;
 };
 
 /// When a leaf near a peer last stalled.
@@ -118,6 +131,7 @@
 struct ShardAnswer {
   /// Places in the query's list of the shards that `answer` covers.
   std::vector<std::size_t> covered;
+  std::vector<UncoveredShard> uncovered;
   HttpResponse answer;
   /// Time that the peer took, without the way.
   Duration served_in{0};
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -214,6 +214,7 @@
   builder.setPriority(query.priority);
   builder.setDeadlineMs(ToWireMilliseconds(query.time_left));
   builder.setAnswerByMs(ToWireMilliseconds(query.answer_time));
+  builder.setIsContinuation(query.is_continuation);
 }
 
 ShardQuery ReadShardQuery(wire::ShardQuery::Reader reader) {
@@ -230,6 +231,7 @@
   query.priority = reader.getPriority();
   query.time_left = std::chrono::milliseconds(reader.getDeadlineMs());
   query.answer_time = std::chrono::milliseconds(reader.getAnswerByMs());
+  query.is_continuation = reader.getIsContinuation();
   return query;
 }
 
@@ -244,6 +246,13 @@
   const auto taken =
       std::chrono::duration_cast<std::chrono::microseconds>(answer.served_in);
   builder.setServedInUs(static_cast<std::uint32_t>(taken.count()));
+  auto uncovered = builder.initUncovered(answer.uncovered.size());
+  for (unsigned i = 0; i < uncovered.size(); ++i) {
+    const UncoveredShard& shard = answer.uncovered[i];
+    uncovered[i].setPlace(static_cast<std::uint16_t>(shard.place));
+    uncovered[i].setRuns(static_cast<std::uint16_t>(shard.runs));
+    uncovered[i].setIsPending(shard.is_pending);
+  }
   auto stalls = builder.initStalls(answer.stalls.size());
   for (unsigned i = 0; i < stalls.size(); ++i) {
     const StallNotice& stall = answer.stalls[i];
@@ -264,6 +273,10 @@
   answer.answer.headers = SplitHeaders(ToStd(reader.getHeaders()));
   answer.answer.body = FromData(reader.getBody());
   answer.served_in = std::chrono::microseconds(reader.getServedInUs());
+  for (const auto shard : reader.getUncovered()) {
+    answer.uncovered.push_back(
+        {shard.getPlace(), shard.getRuns(), shard.getIsPending()});
+  }
   for (const auto stall : reader.getStalls()) {
     answer.stalls.push_back({stall.getShard(), stall.getLeaf(),
                              std::chrono::milliseconds(stall.getEndedAgoMs()),
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -126,6 +126,9 @@
 std::function<void()> RelayFront::ServePeer(
     ShardQuery query,
     std::function<void(ShardAnswer)> reply) {
+  if (query.is_continuation) {
+    return ContinueForPeer(query, std::move(reply));
+  }
   const TimePoint now = Now();
   const RelayNumber number = ++m_last_number;
   Route route;
@@ -150,13 +153,44 @@
                  Open{nullptr, std::move(query.request), std::move(reply),
                       std::move(query.request_id), table, request.route, now});
   Apply(m_engine.Submit(number, std::move(request), now));
+  return GiveUpCall(number);
+}
+
+// Once answered, a request is left to the engine, which may still hold a part.
+std::function<void()> RelayFront::GiveUpCall(RelayNumber number) {
   return [this, weak = std::weak_ptr(m_self), number] {
-    if (weak.lock() && m_open.erase(number) > 0) {
+    if (!weak.lock()) {
+      return;
+    }
+    const auto found = m_open.find(number);
+    if (found != m_open.end() && found->second.peer_reply) {
+      m_lingering.erase(found->second.request_id);
+      m_open.erase(found);
       Apply(m_engine.OnCallerGone(number, Now()));
     }
   };
 }
 
+// A continuation that comes too late is told that nothing is pending.
+std::function<void()> RelayFront::ContinueForPeer(
+    const ShardQuery& query,
+    std::function<void(ShardAnswer)> reply) {
+  const TimePoint now = Now();
+  const auto lingering = m_lingering.find(query.request_id);
+  if (lingering == m_lingering.end() ||
+      !m_engine.Continue(lingering->second, now + query.time_left, now)) {
+    reply(ShardAnswer());
+    return [] {};
+  }
+  const RelayNumber number = lingering->second;
+  m_lingering.erase(lingering);
+  Open& open = m_open.at(number);
+  open.peer_reply = std::move(reply);
+  open.arrived = now;
+  Apply(m_engine.OnTimer(now));
+  return GiveUpCall(number);
+}
+
 void RelayFront::Apply(RelayActions actions) {
   for (const SendNumber number : actions.abandons) {
     m_exchanges.Abandon(number);
@@ -205,8 +239,11 @@
   const TimePoint now = Now();
   ShardQuery query;
   query.request_id = open.request_id;
-  query.request = open.Request();
-  query.route = open.route->name;
+  query.is_continuation = delegation.is_continuation;
+  if (!delegation.is_continuation) {
+    query.request = open.Request();
+    query.route = open.route->name;
+  }
   query.shards = delegation.shards;
   query.max_attempts = open.route->max_attempts;
   query.result_limit = open.route->result_limit;
@@ -217,7 +254,7 @@
       delegation.peer, query,
       [this, weak = std::weak_ptr(m_self), &loop = m_loop,
        number = delegation.number,
-       shards = query.shards.size()](ShardOutcome outcome) {
+       shards = open.route->shards.size()](ShardOutcome outcome) {
         loop.Post([this, weak, number, shards,
                    outcome = std::move(outcome)]() mutable {
           if (weak.lock()) {
@@ -246,6 +283,7 @@
       break;
   }
   reply.covered = std::move(outcome.answer.covered);
+  reply.uncovered = std::move(outcome.answer.uncovered);
   reply.answer = std::move(outcome.answer.answer);
   reply.served_in = outcome.answer.served_in;
   reply.stalls = std::move(outcome.answer.stalls);
@@ -259,9 +297,25 @@
   Apply(m_engine.OnDelegationReply(number, std::move(reply), Now()));
 }
 
-void RelayFront::AnswerPeer(const Open& open, const RelayOutcome& outcome) {
+void RelayFront::AnswerPeer(RelayNumber number, const RelayOutcome& outcome) {
+  Open& open = m_open.at(number);
+  const auto reply = std::exchange(open.peer_reply, nullptr);
+  if (reply) {
+    reply(MakePeerAnswer(open, outcome));
+  }
+  if (outcome.is_continued) {
+    m_lingering[open.request_id] = number;
+    return;
+  }
+  m_lingering.erase(open.request_id);
+  m_open.erase(number);
+}
+
+ShardAnswer RelayFront::MakePeerAnswer(const Open& open,
+                                       const RelayOutcome& outcome) {
   ShardAnswer answer;
   answer.covered = outcome.covered;
+  answer.uncovered = outcome.uncovered;
   if (!outcome.answers.empty()) {
     answer.answer = m_protocol.MakeMergedAnswer(outcome.answers, 0,
                                                 open.route->result_limit);
@@ -274,11 +328,11 @@
   end.taken = answer.served_in;
   end.sends = outcome.sends;
   end.repeats = outcome.repeats;
-  end.missing_shards = open.route->shards.size() - outcome.covered.size();
+  end.missing_shards = outcome.uncovered.size();
   end.refusal = outcome.refusal;
   end.is_for_peer = true;
   m_observer.OnRequestEnd(end);
-  open.peer_reply(std::move(answer));
+  return answer;
 }
 
 void RelayFront::Finish(RelayFinish finish) {
@@ -286,13 +340,13 @@
   if (found == m_open.end()) {
     return;
   }
-  const Open open = std::move(found->second);
-  m_open.erase(found);
   RelayOutcome& outcome = finish.outcome;
-  if (!open.exchange) {
-    AnswerPeer(open, outcome);
+  if (!found->second.exchange) {
+    AnswerPeer(finish.request, outcome);
     return;
   }
+  const Open open = std::move(found->second);
+  m_open.erase(found);
   HttpResponse response;
   if (outcome.refusal) {
     response = m_protocol.MakeRefusal(*outcome.refusal);
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -117,7 +117,11 @@
                      std::size_t shards,
                      ShardOutcome outcome);
   void Finish(RelayFinish finish);
-  void AnswerPeer(const Open& open, const RelayOutcome& outcome);
+  std::function<void()> GiveUpCall(RelayNumber number);
+  std::function<void()> ContinueForPeer(const ShardQuery& query,
+                                        std::function<void(ShardAnswer)> reply);
+  void AnswerPeer(RelayNumber number, const RelayOutcome& outcome);
+  ShardAnswer MakePeerAnswer(const Open& open, const RelayOutcome& outcome);
   void ReportFailedSends();
   void ArmTimer();
 
@@ -131,6 +135,8 @@
   std::shared_ptr<const RouteTable> m_table;
   bool m_is_stale = false;
   std::unordered_map<RelayNumber, Open> m_open;
+  /// Peers' requests of which a part is still pending, by their id.
+  std::unordered_map<std::string, RelayNumber> m_lingering;
   RelayNumber m_last_number = 0;
   std::unique_ptr<Timer> m_timer;
   std::optional<TimePoint> m_timer_at;
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -83,6 +83,10 @@
   std::vector<HttpResponse> answers;
   /// Places of the shards that `answers` cover.
   std::vector<std::size_t> covered;
+  /// For a peer: the other shards.
+  std::vector<UncoveredShard> uncovered;
+  /// For a peer: pending shards may be asked for in a continuation.
+  bool is_continued = false;
   std::size_t missing_shards = 0;
   std::optional<RelayRefusal> refusal;
   std::uint32_t sends = 0;
@@ -107,6 +111,8 @@
   TimePoint deadline;
   /// The peer should answer by then.
   TimePoint answer_by;
+  /// Asks for what the peer's first answer left pending.
+  bool is_continuation = false;
 };
 
 /// How a delegation ended.
@@ -115,6 +121,7 @@
   LeafReplyKind kind = LeafReplyKind::kNotSent;
   /// Places in the delegation's list of the shards that `answer` covers.
   std::vector<std::size_t> covered;
+  std::vector<UncoveredShard> uncovered;
   HttpResponse answer;
   /// Time that the peer took, without the way.
   Duration served_in{0};
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kStallNews{1500};
 // Weight of a new sample of the way to a peer.
 constexpr double kWayWeight = 0.2;
+// After the time at which an answer with shards left out would be sent.
+constexpr Duration kPendingDelay = std::chrono::milliseconds(1);
 // Kept of the time for the answer on its way back.
 constexpr Duration kReturnMargin = std::chrono::milliseconds(6);
 
@@ -99,34 +101,64 @@
 void RelayEngine::Delegate(Request& request,
                            const std::vector<std::size_t>& parts,
                            const std::shared_ptr<PeerState>& peer) {
-  const SendNumber number = ++m_last_send;
-  const std::string& kind = request.TheRoute().name;
+  const Route& route = request.TheRoute();
+  Delegated delegated;
+  delegated.parts = parts;
+  delegated.peer = peer;
   RelayDelegation delegation;
-  delegation.request = request.number;
-  delegation.number = number;
-  delegation.peer = peer->peer.address;
   // Both travel as time left, which the way there uses up unseen.
   const Duration way = peer->load.Way() + kReturnMargin;
   delegation.deadline = request.request.deadline - way;
   delegation.answer_by = request.request.answer_by - way;
   const Duration overdue = std::chrono::duration_cast<Duration>(
-      peer->load.Usual(kind) * kPeerOverdueFactor);
-  std::vector<RelayService*> services;
+      peer->load.Usual(route.name) * kPeerOverdueFactor);
   for (const std::size_t index : parts) {
     Part& part = request.parts[index];
-    part.delegation = number;
+    part.delegation = m_last_send + 1;
     part.is_next_free = false;
-    part.hedge_at = m_now + overdue + kPeerOverdueMargin;
-    ++part.sends;
+    if (MayAskBeside(part, route)) {
+      part.hedge_at = m_now + overdue + kPeerOverdueMargin;
+    }
+    delegated.services.push_back(part.service);
     delegation.shards.push_back(part.service->name);
-    services.push_back(part.service);
   }
-  ++request.sends;
   ++m_counters.delegations;
-  peer->load.OnSent(m_now);
-  m_delegated.emplace(
-      number,
-      Delegated{request.number, parts, std::move(services), peer, kind, m_now});
+  Launch(request, std::move(delegated), std::move(delegation));
+}
+
+void RelayEngine::ContinueDelegation(
+    Request& request,
+    const std::shared_ptr<const Delegated>& delegated) {
+  Delegated next = *delegated;
+  next.continued = delegated;
+  RelayDelegation delegation;
+  delegation.is_continuation = true;
+  delegation.deadline =
+      request.request.deadline - next.peer->load.Way() - kReturnMargin;
+  delegation.answer_by = delegation.deadline;
+  for (Part& part : request.parts) {
+    if (part.pending == delegated) {
+      part.pending.reset();
+      part.retry_at.reset();
+      part.delegation = m_last_send + 1;
+    }
+  }
+  Launch(request, std::move(next), std::move(delegation));
+}
+
+void RelayEngine::Launch(Request& request,
+                         Delegated delegated,
+                         RelayDelegation delegation) {
+  const SendNumber number = ++m_last_send;
+  delegation.request = request.number;
+  delegation.number = number;
+  delegation.peer = delegated.peer->peer.address;
+  delegated.request = request.number;
+  delegated.kind = request.TheRoute().name;
+  delegated.sent = m_now;
+  delegated.peer->load.OnSent(m_now);
+  ++request.sends;
+  m_delegated.emplace(number, std::move(delegated));
   m_actions.delegations.push_back(std::move(delegation));
 }
 
@@ -153,6 +185,10 @@
   PeerState& peer = *delegated.peer;
   const Duration taken = m_now - delegated.sent;
   peer.load.OnEnded(m_now);
+  if (reply.kind == LeafReplyKind::kSucceeded && delegated.continued) {
+    peer.load.OnSuccess(m_now);
+    return;
+  }
   if (reply.kind == LeafReplyKind::kSucceeded) {
     const Duration way = std::max(taken - reply.served_in, Duration::zero());
     const Duration smooth =
@@ -208,31 +244,100 @@
                                   const Delegated& delegated,
                                   SendNumber number,
                                   DelegationReply reply) {
-  const bool is_answered =
-      reply.kind == LeafReplyKind::kSucceeded && !reply.covered.empty();
-  if (is_answered) {
-    request.peer_answers.push_back(std::move(reply.answer));
-    for (const std::size_t place : reply.covered) {
-      Part& part = request.parts[delegated.parts.at(place)];
-      part.answer.reset();
-      part.is_covered = true;
-    }
-  }
+  std::vector<std::size_t> waiting;
   for (const std::size_t index : delegated.parts) {
     Part& part = request.parts[index];
-    if (part.delegation != number) {
-      continue;
+    if (part.delegation == number) {
+      part.delegation.reset();
+      part.is_next_free = reply.kind == LeafReplyKind::kNotSent;
+      waiting.push_back(index);
     }
-    part.delegation.reset();
-    if (!part.IsOpen()) {
-      continue;
+  }
+  if (reply.kind != LeafReplyKind::kSucceeded) {
+    for (const std::size_t index : waiting) {
+      OnPeerLost(request, index);
+    }
+    return;
+  }
+  if (!reply.covered.empty()) {
+    request.peer_answers.push_back(std::move(reply.answer));
+  }
+  for (const std::size_t place : reply.covered) {
+    Part& part = request.parts[delegated.parts.at(place)];
+    part.answer.reset();
+    part.is_covered = true;
+  }
+  const auto kept = delegated.continued
+                        ? delegated.continued
+                        : std::make_shared<const Delegated>(delegated);
+  for (const UncoveredShard& shard : reply.uncovered) {
+    if (shard.place < delegated.parts.size()) {
+      ApplyUncovered(request, kept, shard);
     }
-    if (reply.kind == LeafReplyKind::kNotSent) {
-      part.is_next_free = true;
-    } else {
-      part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
+  }
+  // What the peer said nothing of is no longer known there.
+  for (const std::size_t index : waiting) {
+    const Part& part = request.parts[index];
+    if (!part.pending && !part.retry_at && !part.waiting) {
+      OnPeerLost(request, index);
     }
+  }
+}
+
+void RelayEngine::OnPeerLost(Request& request, std::size_t index) {
+  Part& part = request.parts[index];
+  if (!part.IsOpen() || !part.running.empty()) {
+    return;
+  }
+  if (!part.is_next_free) {
+    part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
+  }
+  if (part.is_next_free || MayAskBeside(part, request.TheRoute())) {
+    Retry(request, index);
+  } else {
+    GiveUp(part);
+  }
+}
+
+// A lost peer may have asked as many leafs as the route allows. Asking again is
+// safe only if there are no others that would come on top.
+bool RelayEngine::MayAskBeside(const Part& part, const Route& route) {
+  return part.service->leafs.size() <= route.max_attempts;
+}
+
+void RelayEngine::ApplyUncovered(
+    Request& request,
+    const std::shared_ptr<const Delegated>& delegated,
+    const UncoveredShard& shard) {
+  const std::size_t index = delegated->parts[shard.place];
+  Part& part = request.parts[index];
+  if (!part.IsOpen()) {
+    return;
+  }
+  // A continuation tells the same leafs again.
+  part.runs = std::max(part.runs, shard.runs);
+  if (shard.runs > 0) {
+    part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
+  }
+  if (!part.running.empty()) {
+    return;
+  }
+  if (!shard.is_pending) {
     RetryIfInTime(request, index);
+    return;
+  }
+  part.pending = delegated;
+  part.retry_at = std::max(m_now, request.request.answer_by + kPendingDelay);
+}
+
+// Parts that are pending at peers, once the answer needs them.
+void RelayEngine::AskForPending(Request& request) {
+  for (Part& part : request.parts) {
+    if (part.IsOpen() && part.pending && part.retry_at &&
+        *part.retry_at <= m_now) {
+      const auto pending = part.pending;
+      ContinueDelegation(request, pending);
+    }
   }
 }
 
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -12,6 +12,8 @@
 // How long a leaf may go on with what nobody waits for: closing costs the
 // leaf a new connection, and most answers come within this.
 constexpr Duration kAbandonDelay = std::chrono::milliseconds(200);
+// How long a peer may take to ask for the rest of an answer.
+constexpr Duration kLingerTime = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -87,10 +89,7 @@
   for (std::size_t index = 0; index < request->parts.size(); ++index) {
     Dequeue(*request, index);
   }
-  if (request->timer) {
-    m_timers.erase({*request->timer, number});
-  }
-  m_requests.erase(number);
+  Erase(*request);
   return End();
 }
 
@@ -186,6 +185,16 @@
 }
 
 void RelayEngine::Settle(Request& request) {
+  if (request.lingers_until) {
+    if (!IsLingeringOver(request)) {
+      Schedule(request);
+    }
+    return;
+  }
+  if (IsEnded(request)) {
+    return;
+  }
+  AskForPending(request);
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     Part& part = request.parts[index];
     if (part.IsOpen() && part.retry_at && *part.retry_at <= m_now) {
@@ -203,7 +212,7 @@
 }
 
 void RelayEngine::Schedule(Request& request) {
-  TimePoint next = request.request.deadline;
+  TimePoint next = request.lingers_until.value_or(request.request.deadline);
   const auto consider = [&](TimePoint at) {
     if (at > m_now) {
       next = std::min(next, at);
@@ -248,8 +257,11 @@
     return false;
   }
   FanOutProgress progress;
-  progress.shards = request.parts.size();
   for (const Part& part : request.parts) {
+    if (part.is_delivered) {
+      continue;
+    }
+    ++progress.shards;
     progress.answered += part.IsAnswered() ? 1 : 0;
     progress.open += part.IsOpen() ? 1 : 0;
   }
@@ -261,6 +273,10 @@
     case CoverageStep::kWait:
       return false;
     case CoverageStep::kAnswer:
+      if (request.request.is_for_peer) {
+        AnswerPeer(request);
+        return !request.lingers_until;
+      }
       FinishMerged(request);
       return true;
     case CoverageStep::kGiveUp:
@@ -307,6 +323,61 @@
   Finish(request, std::move(outcome));
 }
 
+// What was there by the time goes out; what still runs may be asked for, as
+// the asking daemon may need it to cover enough.
+void RelayEngine::AnswerPeer(Request& request) {
+  RelayOutcome outcome;
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    Part& part = request.parts[index];
+    if (part.is_delivered) {
+      continue;
+    }
+    if (part.answer) {
+      outcome.answers.push_back(std::move(*part.answer));
+      outcome.covered.push_back(index);
+      part.is_delivered = true;
+      continue;
+    }
+    const auto out = static_cast<std::uint32_t>(part.running.size());
+    outcome.uncovered.push_back({index, part.runs + out, part.IsOpen()});
+    outcome.is_continued = outcome.is_continued || part.IsOpen();
+  }
+  if (!outcome.is_continued || m_now >= request.request.deadline) {
+    outcome.is_continued = false;
+    AbandonSends(request);
+    Finish(request, std::move(outcome));
+    return;
+  }
+  outcome.sends = request.sends;
+  outcome.repeats = request.repeats;
+  request.lingers_until = m_now + kLingerTime;
+  m_actions.finishes.push_back({request.number, std::move(outcome)});
+}
+
+bool RelayEngine::IsLingeringOver(Request& request) {
+  if (m_now < *request.lingers_until) {
+    return false;
+  }
+  AbandonSends(request);
+  Finish(request, RelayOutcome());
+  return true;
+}
+
+bool RelayEngine::Continue(RelayNumber number,
+                           TimePoint deadline,
+                           TimePoint now) {
+  m_now = now;
+  Request* request = Find(number);
+  if (request == nullptr || !request->lingers_until) {
+    return false;
+  }
+  request->lingers_until.reset();
+  request->request.deadline = deadline;
+  request->request.answer_by = deadline;
+  Touch(number);
+  return true;
+}
+
 void RelayEngine::FinishRefused(Request& request,
                                 RefusalReason reason,
                                 std::optional<Duration> retry_after) {
@@ -324,6 +395,10 @@
   outcome.sends = request.sends;
   outcome.repeats = request.repeats;
   m_actions.finishes.push_back({request.number, std::move(outcome)});
+  Erase(request);
+}
+
+void RelayEngine::Erase(Request& request) {
   if (request.timer) {
     m_timers.erase({*request.timer, request.number});
   }
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -50,6 +50,9 @@
   RelayActions OnDelegationReply(SendNumber number,
                                  DelegationReply reply,
                                  TimePoint now);
+  /// A peer asks for what was pending in an answer of this request; false if
+  /// that is gone.
+  bool Continue(RelayNumber number, TimePoint deadline, TimePoint now);
   RelayActions OnCallerGone(RelayNumber number, TimePoint now);
   RelayActions OnTimer(TimePoint now);
 
@@ -112,6 +115,17 @@
   void Delegate(Request& request,
                 const std::vector<std::size_t>& parts,
                 const std::shared_ptr<PeerState>& peer);
+  void ContinueDelegation(Request& request,
+                          const std::shared_ptr<const Delegated>& delegated);
+  void Launch(Request& request,
+              Delegated delegated,
+              RelayDelegation delegation);
+  void AskForPending(Request& request);
+  void OnPeerLost(Request& request, std::size_t index);
+  static bool MayAskBeside(const Part& part, const Route& route);
+  void ApplyUncovered(Request& request,
+                      const std::shared_ptr<const Delegated>& delegated,
+                      const UncoveredShard& shard);
   void ObservePeer(const Delegated& delegated, const DelegationReply& reply);
   void ObserveStalls(const Delegated& delegated, const DelegationReply& reply);
   void ApplyDelegation(Request& request,
@@ -131,6 +145,9 @@
   bool IsEnded(Request& request);
   void FinishOne(Request& request);
   void FinishMerged(Request& request);
+  void AnswerPeer(Request& request);
+  bool IsLingeringOver(Request& request);
+  void Erase(Request& request);
   void FinishRefused(Request& request,
                      RefusalReason reason,
                      std::optional<Duration> retry_after);
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -29,6 +29,10 @@
   std::optional<SendNumber> delegation;
   std::optional<HttpResponse> failure;
   bool is_failed = false;
+  /// Set if a peer still runs it, though its answer left it out.
+  std::shared_ptr<const Delegated> pending;
+  /// Told to the peer that asked for it.
+  bool is_delivered = false;
   std::optional<WaitingPart> waiting;
   std::optional<TimePoint> hedge_at;
   std::optional<TimePoint> retry_at;
@@ -47,6 +51,8 @@
   std::uint32_t sends = 0;
   std::uint32_t repeats = 0;
   std::optional<TimePoint> timer;
+  /// Set while a peer that got a part of the answer may ask for the rest.
+  std::optional<TimePoint> lingers_until;
 
   const Route& TheRoute() const { return *request.route; }
   bool IsIdempotent() const {
@@ -73,6 +79,8 @@
   std::shared_ptr<PeerState> peer;
   std::string kind;
   TimePoint sent;
+  /// The delegation that this one continues.
+  std::shared_ptr<const Delegated> continued;
 };
 
 }  // namespace bramleyspoke
