--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -74,10 +74,10 @@
   m_exchanges.erase(found);
 }
 
-void LeafExchanges::Keep(std::set<Endpoint> leafs) {
+void LeafExchanges::Keep(std::map<Endpoint, std::size_t> leafs) {
   m_kept = std::move(leafs);
-  for (const Endpoint& endpoint : m_kept) {
-    OpenAhead(endpoint, m_leafs[endpoint]);
+  for (const auto& [endpoint, count] : m_kept) {
+    OpenAhead(endpoint, m_leafs[endpoint], count);
   }
   for (auto& [endpoint, leaf] : m_leafs) {
     if (!m_kept.contains(endpoint)) {
@@ -172,24 +172,41 @@
   }
   const auto usable =
       std::chrono::duration_cast<Duration>(IdleTimeOf(response) * kIdleShare);
-  leaf.idle.push_back(Idle{std::move(connection), Now() + usable});
+  leaf.idle.push_back(Idle{std::move(connection), Now() + usable, true});
+  leaf.pause = Duration::zero();
 }
 
 void LeafExchanges::Maintain() {
   const TimePoint now = Now();
   for (auto& [endpoint, leaf] : m_leafs) {
+    const bool is_refused =
+        std::any_of(leaf.idle.begin(), leaf.idle.end(), [](const Idle& idle) {
+          return !idle.is_used && !idle.connection->IsOpen();
+        });
     std::erase_if(leaf.idle, [&](const Idle& idle) {
       return now >= idle.usable_until || !idle.connection->IsOpen();
     });
-    if (m_kept.contains(endpoint)) {
-      OpenAhead(endpoint, leaf);
+    if (is_refused) {
+      BackOff(leaf, now);
+    }
+    const auto kept = m_kept.find(endpoint);
+    if (kept != m_kept.end() && now >= leaf.not_before) {
+      OpenAhead(endpoint, leaf, kept->second);
     }
   }
   m_timer = m_loop.At(now + kMaintainTime, [this] { Maintain(); });
 }
 
-void LeafExchanges::OpenAhead(const Endpoint& endpoint, Leaf& leaf) {
-  while (leaf.busy + leaf.idle.size() + leaf.opening < kKeptOpen) {
+void LeafExchanges::BackOff(Leaf& leaf, TimePoint now) {
+  leaf.pause = std::clamp(leaf.pause * 2, Duration(kFirstPause),
+                          Duration(kLongestPause));
+  leaf.not_before = now + leaf.pause;
+}
+
+void LeafExchanges::OpenAhead(const Endpoint& endpoint,
+                              Leaf& leaf,
+                              std::size_t count) {
+  while (leaf.busy + leaf.idle.size() + leaf.opening < count) {
     ++leaf.opening;
     OpenOneAhead(endpoint);
   }
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -31,9 +30,10 @@
   /// keeps them.
   static constexpr double kIdleShare = 0.8;
 
-  /// Connections that are kept open to each leaf: a request and its sibling's
-  /// hedge may come together, and a new connection costs a round trip and more.
-  static constexpr std::size_t kKeptOpen = 2;
+  /// Pause before a leaf that closed an unused connection gets a new one,
+  /// doubled each time: it may have too many.
+  static constexpr Duration kFirstPause = std::chrono::seconds(1);
+  static constexpr Duration kLongestPause = std::chrono::seconds(8);
 
   using Reachability = std::function<void(const Endpoint&, bool)>;
 
@@ -50,8 +50,9 @@
             HttpCallback done);
   /// Closes the exchange's connection; its callback does not come.
   void Abandon(ExchangeNumber number);
-  /// Leafs to which connections are kept open; others' idle ones are closed.
-  void Keep(std::set<Endpoint> leafs);
+  /// How many connections are kept open to which leafs, so that a request
+  /// need not wait for one; idle ones to other leafs are closed.
+  void Keep(std::map<Endpoint, std::size_t> leafs);
 
   std::size_t OpenConnections() const;
   std::uint64_t Opened() const { return m_opened; }
@@ -60,11 +61,14 @@
   struct Idle {
     std::unique_ptr<HttpConnection> connection;
     TimePoint usable_until;
+    bool is_used = false;
   };
   struct Leaf {
     std::vector<Idle> idle;
     std::size_t busy = 0;
     std::size_t opening = 0;
+    Duration pause{0};
+    TimePoint not_before;
   };
   struct Exchange {
     Endpoint leaf;
@@ -83,14 +87,15 @@
               std::unique_ptr<HttpConnection> connection,
               const HttpResponse& response);
   void Maintain();
-  void OpenAhead(const Endpoint& endpoint, Leaf& leaf);
+  static void BackOff(Leaf& leaf, TimePoint now);
+  void OpenAhead(const Endpoint& endpoint, Leaf& leaf, std::size_t count);
   void OpenOneAhead(const Endpoint& endpoint);
 
   EventLoop& m_loop;
   Reachability m_on_reachable;
   std::map<Endpoint, Leaf> m_leafs;
   std::map<ExchangeNumber, Exchange> m_exchanges;
-  std::set<Endpoint> m_kept;
+  std::map<Endpoint, std::size_t> m_kept;
   std::uint64_t m_opened = 0;
   std::unique_ptr<Timer> m_timer;
   std::shared_ptr<LeafExchanges*> m_self;
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -286,7 +286,7 @@
   RelayObservation Observation() const {
     RelayObservation now;
     now.version = m_front->Table() ? m_front->Table()->Version() : 0;
-    now.leafs = m_front->Engine().Book().Addresses().size();
+    now.leafs = m_front->Engine().Book().KeptConnections().size();
     now.daemons = m_daemons.size();
     now.in_flight = m_front->InFlight();
     now.caller_connections = m_callers->ConnectionCount();
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -110,7 +110,7 @@
 
 void RelayFront::SetLeafs(const std::vector<LeafRegistration>& leafs) {
   Apply(m_engine.SetLeafs(leafs, Now()));
-  m_exchanges.Keep(m_engine.Book().Addresses());
+  m_exchanges.Keep(m_engine.Book().KeptConnections());
 }
 
 void RelayFront::SetDaemons(std::map<std::string, std::size_t> by_region) {
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -129,14 +129,15 @@
   return *service;
 }
 
-std::set<Endpoint> LeafBook::Addresses() const {
-  std::set<Endpoint> addresses;
+std::map<Endpoint, std::size_t> LeafBook::KeptConnections() const {
+  std::map<Endpoint, std::size_t> kept;
   for (const auto& [id, leaf] : m_leafs) {
     if (!leaf->draining_since) {
-      addresses.insert(leaf->registration.address);
+      const bool is_near = RegionOf(*leaf) == m_locality.region;
+      kept[leaf->registration.address] = is_near ? kNearKept : kFarKept;
     }
   }
-  return addresses;
+  return kept;
 }
 
 std::set<std::string> LeafBook::ServingRegions() const {
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -67,6 +67,10 @@
   /// Connections to a leaf of another region: most work there goes through a
   /// daemon of that region.
   static constexpr std::uint32_t kFarShare = 2;
+  /// Connections that are kept open: near, a request and another's hedge come
+  /// together often.
+  static constexpr std::size_t kNearKept = 2;
+  static constexpr std::size_t kFarKept = 2;
 
   LeafBook(Locality locality, const RepeatAllowance& allowance)
       : m_locality(std::move(locality)), m_allowance(allowance) {}
@@ -82,8 +86,8 @@
   const std::map<std::string, std::unique_ptr<RelayService>>& Services() const {
     return m_services;
   }
-  /// Leafs to which connections are worth keeping.
-  std::set<Endpoint> Addresses() const;
+  /// How many connections are worth keeping to which leafs.
+  std::map<Endpoint, std::size_t> KeptConnections() const;
   /// Regions with the most services that have a leaf there that is not
   /// draining.
   std::set<std::string> ServingRegions() const;
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -116,6 +116,7 @@
     Part& part = request.parts[index];
     part.delegation = m_last_send + 1;
     part.is_next_free = false;
+    part.service->budget.OnRequest(kDelegatorShare);
     if (MayAskBeside(part, route)) {
       part.hedge_at = m_now + overdue + kPeerOverdueMargin;
     }
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -47,7 +47,8 @@
     DelegateParts(request);
     for (std::size_t index = 0; index < request.parts.size(); ++index) {
       if (!request.parts[index].delegation) {
-        request.parts[index].service->budget.OnRequest();
+        request.parts[index].service->budget.OnRequest(
+            request.request.is_for_peer ? 1 - kDelegatorShare : 1);
         Place(request, index);
       }
     }
--- a/src/request/repeat_budget.cc
+++ b/src/request/repeat_budget.cc
@@ -9,8 +9,8 @@
   m_tokens = std::min(m_tokens, Most());
 }
 
-void RepeatBudget::OnRequest() {
-  m_tokens = std::min(Most(), m_tokens + m_allowance.ratio * kSafety);
+void RepeatBudget::OnRequest(double share) {
+  m_tokens = std::min(Most(), m_tokens + m_allowance.ratio * kSafety * share);
 }
 
 bool RepeatBudget::TakeForRetry() {
--- a/src/request/repeat_budget.h
+++ b/src/request/repeat_budget.h
@@ -30,8 +30,8 @@
       : m_allowance(allowance) {}
 
   void SetDaemons(std::size_t daemons);
-  /// A request needs this service.
-  void OnRequest();
+  /// A request needs this service; `share` of it is this daemon's to repeat.
+  void OnRequest(double share = 1);
   bool TakeForRetry();
   bool TakeForHedge();
   double Tokens() const { return m_tokens; }
