--- /dev/null
+++ b/tests/platform_protocol_test.cc
@@ -0,0 +1,155 @@
+#include "platform/platform_protocol.h"
+
+#include <doctest/doctest.h>
+
+#include "platform/entry_calls.h"
+#include "platform/record_merge.h"
+#include "process/entry_choice.h"
+
+namespace bramleyspoke::Platform {
+namespace {
+
+HttpOutcome Answer(int status, std::vector<HttpHeader> headers) {
+  HttpResponse response;
+  response.status = status;
+  response.headers = std::move(headers);
+  return {response, {}};
+}
+
+struct ReplyRow {
+  const char* what;
+  HttpOutcome outcome;
+  LeafReplyKind kind;
+};
+
+}  // namespace
+
+TEST_CASE("what a leaf's answer says of the request") {
+  const PlatformProtocol protocol;
+  const std::vector<ReplyRow> rows{
+      {"success", Answer(200, {{"Response-Stamp", "s"}}),
+       LeafReplyKind::kSucceeded},
+      {"unsigned success", Answer(200, {}), LeafReplyKind::kMalformed},
+      {"encoded body",
+       Answer(200, {{"Response-Stamp", "s"}, {"Content-Encoding", "gzip"}}),
+       LeafReplyKind::kMalformed},
+      {"refusal", Answer(503, {{"Not-Executed", "1"}}),
+       LeafReplyKind::kRefused},
+      {"503 without word of not running",
+       Answer(503, {{"Response-Stamp", "s"}}), LeafReplyKind::kFailed},
+      {"another leaf", Answer(421, {}), LeafReplyKind::kOtherLeaf},
+      {"failure", Answer(500, {{"Response-Stamp", "s"}}),
+       LeafReplyKind::kFailed},
+      {"no connection",
+       {std::nullopt, HttpFailure::kConnect},
+       LeafReplyKind::kNotSent},
+      {"reset", {std::nullopt, HttpFailure::kClosed}, LeafReplyKind::kLost},
+      {"no answer",
+       {std::nullopt, HttpFailure::kTimeout},
+       LeafReplyKind::kTimedOut},
+      {"no HTTP",
+       {std::nullopt, HttpFailure::kMalformed},
+       LeafReplyKind::kMalformed},
+  };
+  for (const ReplyRow& row : rows) {
+    CAPTURE(row.what);
+    CHECK(protocol.ReadReply(row.outcome).kind == row.kind);
+  }
+}
+
+TEST_CASE("a leaf's failure promises the caller nothing") {
+  const PlatformProtocol protocol;
+  HttpResponse failure = *Answer(503, {{"Response-Stamp", "s"}}).response;
+  const HttpResponse answer = protocol.MakeAnswer(failure);
+  CHECK(answer.status == 502);
+  CHECK(HeaderValue(answer.headers, "Response-Stamp").empty());
+}
+
+TEST_CASE("an answer belongs to a request only by its id") {
+  const PlatformProtocol protocol;
+  const auto belongs = [&](int status, std::vector<HttpHeader> headers) {
+    return protocol.IsAnswerTo("id",
+                               *Answer(status, std::move(headers)).response);
+  };
+  CHECK(belongs(200, {{"Request-Id", "id"}}));
+  CHECK_FALSE(belongs(200, {{"Request-Id", "other"}}));
+  CHECK_FALSE(belongs(200, {{"Response-Stamp", "s"}}));
+  CHECK(belongs(421, {}));
+}
+
+TEST_CASE("a request goes to a leaf whole, less what is between two") {
+  const PlatformProtocol protocol;
+  HttpRequest request{"POST",
+                      "/a/b?c=d",
+                      {{"Host", "h"},
+                       {"Connection", "keep-alive"},
+                       {"Deadline-Milliseconds", "2000"},
+                       {"X-Own", "1"},
+                       {"X-Own", "2"}},
+                      "body"};
+  const HttpRequest sent =
+      protocol.MakeLeafRequest(request, "leaf", std::chrono::milliseconds(70));
+  CHECK(sent.method == "POST");
+  CHECK(sent.target == "/a/b?c=d");
+  CHECK(sent.body == "body");
+  CHECK(HeaderValue(sent.headers, "Host") == "h");
+  CHECK(HeaderValue(sent.headers, "Connection").empty());
+  CHECK(HeaderValue(sent.headers, "Deadline-Milliseconds") == "70");
+  CHECK(HeaderValue(sent.headers, "Expected-Instance") == "leaf");
+  CHECK(sent.headers.size() == 5);
+}
+
+TEST_CASE("a refusal says \"not run\" only if that is so") {
+  const PlatformProtocol protocol;
+  RelayRefusal refusal{RefusalReason::kOverloaded, Verdict::kNotRun,
+                       std::chrono::milliseconds(150)};
+  const HttpResponse not_run = protocol.MakeRefusal(refusal);
+  CHECK(not_run.status == 503);
+  CHECK(HeaderValue(not_run.headers, "Retry-After") == "0.150");
+  refusal.verdict = Verdict::kMayHaveRun;
+  CHECK(protocol.MakeRefusal(refusal).status == 502);
+  refusal.reason = RefusalReason::kDeadlinePassed;
+  CHECK(protocol.MakeRefusal(refusal).status == 504);
+}
+
+TEST_CASE("merged answers hold the greatest records and every stamp") {
+  const std::string low(16, 'a');
+  const std::string mid(16, 'b');
+  const std::string high(16, 'c');
+  CHECK(GreatestRecords({low + high + "rest", mid}, 2) == high + mid);
+  CHECK(GreatestRecords({high, high}, 5) == high + high);
+  CHECK(GreatestRecords({"short"}, 5).empty());
+
+  const PlatformProtocol protocol;
+  HttpResponse one = *Answer(200, {{"Response-Stamp", "s1"}}).response;
+  one.body = low;
+  HttpResponse other = *Answer(200, {{"Part-Stamps", "s2, s3"}}).response;
+  other.body = high;
+  const HttpResponse merged = protocol.MakeMergedAnswer({one, other}, 2, 10);
+  CHECK(HeaderValue(merged.headers, "Part-Stamps") == "s1, s2, s3");
+  CHECK(HeaderValue(merged.headers, "Missing-Parts") == "2");
+  CHECK(merged.body == high + low);
+}
+
+TEST_CASE("who asks for addresses gets those near the leafs") {
+  const EntryCalls calls;
+  HttpRequest request;
+  request.target = "/-/resolve?name=h&region=r3&zone=z";
+  CHECK(calls.ReadAddressQuery(request) == "r3");
+  request.target = "/-/readiness";
+  CHECK_FALSE(calls.ReadAddressQuery(request));
+  CHECK(calls.IsReadinessQuery(request));
+
+  const Endpoint a{"127.0.0.1", 1};
+  const Endpoint b{"127.0.0.2", 1};
+  const Endpoint c{"127.0.0.3", 1};
+  const std::vector<DaemonEntry> daemons{
+      {a, a, "d1", "r1"}, {b, b, "d1", "r1"}, {c, c, "d3", "r3"}};
+  CHECK(ChooseEntryAddresses(daemons, {"r1"}, "r1") == std::vector{a, b});
+  CHECK(ChooseEntryAddresses(daemons, {"r1"}, "r3") == std::vector{a, b});
+  CHECK(ChooseEntryAddresses(daemons, {"r3"}, "r3") == std::vector{a, b, c});
+  CHECK(calls.MakeAddressAnswer({a}, std::chrono::seconds(2)).body ==
+        R"({"addrs":["127.0.0.1:1"],"ttl_s":2})");
+}
+
+}  // namespace bramleyspoke::Platform
--- /dev/null
+++ b/tests/relay_delegation_test.cc
@@ -0,0 +1,137 @@
+#include <doctest/doctest.h>
+
+#include "relay_fixture.h"
+
+namespace bramleyspoke {
+namespace {
+
+/// Four shards with a leaf in each of two far regions, and a peer in each.
+struct FarShards : RelayFixture {
+  FarShards() {
+    for (int shard = 0; shard < 4; ++shard) {
+      const std::string name = "s" + std::to_string(shard);
+      AddLeaf(name, name + "-2", "d2");
+      AddLeaf(name, name + "-3", "d3");
+    }
+    engine.SetPeers({{{"127.0.0.2", 1}, "r2"}, {{"127.0.0.3", 1}, "r3"}});
+  }
+
+  void Answer(std::vector<std::size_t> covered,
+              std::vector<UncoveredShard> uncovered = {}) {
+    DelegationReply reply;
+    reply.kind = LeafReplyKind::kSucceeded;
+    reply.covered = std::move(covered);
+    reply.uncovered = std::move(uncovered);
+    Take(engine.OnDelegationReply(delegations.back().number, std::move(reply),
+                                  now));
+  }
+
+  void LosePeer() {
+    DelegationReply reply;
+    reply.kind = LeafReplyKind::kLost;
+    Take(engine.OnDelegationReply(delegations.back().number, std::move(reply),
+                                  now));
+  }
+};
+
+}  // namespace
+
+TEST_CASE("shards of another region are asked for with one query") {
+  FarShards fixture;
+  const RelayNumber number = fixture.Submit(4);
+  REQUIRE(fixture.delegations.size() == 1);
+  CHECK(fixture.delegations.front().shards.size() == 4);
+  CHECK(fixture.sends.empty());
+  fixture.Advance(milliseconds(60));
+
+  SUBCASE("its answer covers them all") {
+    fixture.Answer({0, 1, 2, 3});
+    CHECK(fixture.Outcome(number).missing_shards == 0);
+    CHECK(fixture.Outcome(number).answers.size() == 1);
+  }
+  SUBCASE("a shard left out is answered without, once that is due") {
+    fixture.Answer({0, 1, 2}, {{3, 1, true}});
+    CHECK_FALSE(fixture.outcomes.contains(number));
+    fixture.Advance(milliseconds(140));
+    CHECK(fixture.Outcome(number).missing_shards == 1);
+    CHECK(fixture.delegations.size() == 1);
+  }
+  SUBCASE("what is pending is asked for if the answer needs it") {
+    fixture.Answer({0, 1}, {{2, 1, true}, {3, 1, true}});
+    fixture.Advance(milliseconds(140));
+    REQUIRE(fixture.delegations.size() == 2);
+    CHECK(fixture.delegations.back().is_continuation);
+    fixture.Answer({2, 3});
+    CHECK(fixture.Outcome(number).missing_shards == 0);
+  }
+  SUBCASE("a peer that no longer knows of it ends the wait") {
+    fixture.Answer({0, 1}, {{2, 2, true}, {3, 2, true}});
+    fixture.Advance(milliseconds(140));
+    REQUIRE(fixture.delegations.size() == 2);
+    fixture.Answer({});
+    CHECK(fixture.outcomes.contains(number));
+  }
+  SUBCASE("a lost peer's shards are asked for directly") {
+    fixture.LosePeer();
+    CHECK(fixture.sends.size() == 4);
+  }
+}
+
+TEST_CASE("a lost peer's shards are not asked again at a third leaf") {
+  FarShards fixture;
+  fixture.AddLeaf("s0", "s0-new", "d2");
+  fixture.Submit(4);
+  fixture.LosePeer();
+  CHECK(fixture.sends.size() == 3);
+  CHECK_FALSE(fixture.IsSentTo("s0-new"));
+}
+
+TEST_CASE(
+    "a shard that the route's attempts were spent on is not asked again") {
+  FarShards fixture;
+  fixture.AddLeaf("s3", "s3-new", "d2");
+  fixture.Submit(4);
+  fixture.Advance(milliseconds(20));
+  fixture.Answer({0, 1, 2}, {{3, 2, false}});
+  CHECK(fixture.sends.empty());
+}
+
+TEST_CASE("a silent peer is passed over") {
+  FarShards fixture;
+  fixture.Submit(4);
+  const Endpoint silent = fixture.delegations.back().peer;
+  fixture.Advance(milliseconds(300));
+  fixture.Submit(4);
+  CHECK(fixture.delegations.back().peer != silent);
+}
+
+TEST_CASE("for a peer, what is there by the time goes out") {
+  RelayFixture fixture;
+  fixture.is_for_peer = true;
+  for (int shard = 0; shard < 3; ++shard) {
+    const std::string name = "s" + std::to_string(shard);
+    fixture.AddLeaf(name, name + "-a");
+  }
+  const RelayNumber number = fixture.Submit(3);
+  fixture.Reply("s0-a", LeafReplyKind::kSucceeded);
+  fixture.Advance(milliseconds(195));
+  REQUIRE(fixture.Outcome(number).covered == std::vector<std::size_t>{0});
+  CHECK(fixture.Outcome(number).uncovered.size() == 2);
+  CHECK(fixture.Outcome(number).is_continued);
+  fixture.outcomes.clear();
+
+  SUBCASE("a continuation gets the rest, and only the rest") {
+    REQUIRE(fixture.engine.Continue(number, fixture.now + milliseconds(500),
+                                    fixture.now));
+    fixture.Reply("s1-a", LeafReplyKind::kSucceeded);
+    fixture.Reply("s2-a", LeafReplyKind::kSucceeded);
+    CHECK(fixture.Outcome(number).covered == std::vector<std::size_t>{1, 2});
+  }
+  SUBCASE("without one, what still runs is closed") {
+    fixture.Advance(milliseconds(400));
+    CHECK(fixture.abandons.size() == 2);
+    CHECK_FALSE(fixture.engine.Continue(number, fixture.now, fixture.now));
+  }
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/relay_engine_test.cc
@@ -0,0 +1,191 @@
+#include "request/relay_engine.h"
+
+#include <doctest/doctest.h>
+
+#include "relay_fixture.h"
+
+namespace bramleyspoke {
+
+TEST_CASE("a request to one service is answered by its leaf") {
+  RelayFixture fixture;
+  fixture.AddLeaf("s0", "a");
+  const RelayNumber number = fixture.Submit(0);
+  REQUIRE(fixture.sends.size() == 1);
+  fixture.Advance(milliseconds(5));
+  fixture.Reply("a", LeafReplyKind::kSucceeded);
+  CHECK(fixture.Outcome(number).answers.at(0).body == "a");
+  CHECK_FALSE(fixture.Outcome(number).refusal);
+}
+
+TEST_CASE("a non-idempotent request is sent again only after \"not run\"") {
+  RelayFixture fixture;
+  fixture.AddLeaf("s0", "a");
+  fixture.AddLeaf("s0", "b");
+  const RelayNumber number = fixture.Submit(0, RequestKind::kNonIdempotent);
+  REQUIRE(fixture.sends.size() == 1);
+  const std::string first = fixture.sends.front().leaf_id;
+  const std::string other = first == "a" ? "b" : "a";
+
+  SUBCASE("a refusal moves it to the other leaf") {
+    fixture.Reply(first, LeafReplyKind::kRefused);
+    CHECK(fixture.IsSentTo(other));
+  }
+  SUBCASE("another leaf at the address moves it, too") {
+    fixture.Reply(first, LeafReplyKind::kOtherLeaf);
+    CHECK(fixture.IsSentTo(other));
+  }
+  SUBCASE("a lost answer ends it, as it may have run") {
+    fixture.Reply(first, LeafReplyKind::kLost);
+    CHECK(fixture.sends.empty());
+    CHECK(fixture.Outcome(number).refusal->verdict == Verdict::kMayHaveRun);
+  }
+  SUBCASE("it gets no hedge, however long it takes") {
+    fixture.Advance(milliseconds(1500));
+    CHECK(fixture.sends.size() == 1);
+  }
+  SUBCASE("its deadline ends it as what may have run") {
+    fixture.Advance(milliseconds(2100));
+    CHECK(fixture.Outcome(number).refusal->reason ==
+          RefusalReason::kDeadlinePassed);
+    CHECK(fixture.Outcome(number).refusal->verdict == Verdict::kMayHaveRun);
+  }
+}
+
+TEST_CASE("a request that can't be served is refused at once as not run") {
+  RelayFixture fixture;
+  SUBCASE("the service has no leaf") {
+    const RelayNumber number = fixture.Submit(0);
+    CHECK(fixture.Outcome(number).refusal->verdict == Verdict::kNotRun);
+    CHECK(fixture.Outcome(number).refusal->retry_after);
+  }
+  SUBCASE("too many shards have no leaf, so no shard is asked") {
+    fixture.AddLeaf("s0", "a");
+    fixture.AddLeaf("s1", "b");
+    const RelayNumber number = fixture.Submit(4);
+    CHECK(fixture.Outcome(number).refusal->verdict == Verdict::kNotRun);
+    CHECK(fixture.sends.empty());
+  }
+  SUBCASE("its only leaf drains for long") {
+    fixture.AddLeaf("s0", "a", "d1", true);
+    fixture.Advance(milliseconds(1100));
+    const RelayNumber number = fixture.Submit(0);
+    CHECK(fixture.Outcome(number).refusal->verdict == Verdict::kNotRun);
+  }
+}
+
+TEST_CASE("a leaf that is overdue is hedged at its sibling") {
+  RelayFixture fixture;
+  fixture.AddLeaf("s0", "a");
+  fixture.AddLeaf("s0", "b");
+  const RelayNumber number = fixture.Submit(0);
+  const std::string first = fixture.sends.front().leaf_id;
+  const std::string other = first == "a" ? "b" : "a";
+  fixture.Advance(milliseconds(60));
+  REQUIRE(fixture.IsSentTo(other));
+
+  SUBCASE("the hedge answers") {
+    fixture.Reply(other, LeafReplyKind::kSucceeded);
+    CHECK(fixture.Outcome(number).answers.at(0).body == other);
+  }
+  SUBCASE("a new request passes the silent leaf over") {
+    fixture.Reply(other, LeafReplyKind::kSucceeded);
+    fixture.Submit(0);
+    CHECK(fixture.IsSentTo(other));
+  }
+}
+
+TEST_CASE("no request goes to more leafs than its route allows") {
+  RelayFixture fixture;
+  fixture.AddLeaf("s0", "a");
+  fixture.AddLeaf("s0", "b");
+  fixture.AddLeaf("s0", "c");
+  const RelayNumber number = fixture.Submit(0);
+  const std::string first = fixture.sends.front().leaf_id;
+  fixture.Reply(first, LeafReplyKind::kLost);
+  REQUIRE(fixture.sends.size() == 1);
+  fixture.Reply(fixture.sends.front().leaf_id, LeafReplyKind::kLost);
+  CHECK(fixture.sends.empty());
+  CHECK(fixture.Outcome(number).refusal->verdict == Verdict::kMayHaveRun);
+}
+
+TEST_CASE("without budget nothing is repeated") {
+  RelayFixture fixture({0, 0});
+  fixture.AddLeaf("s0", "a");
+  fixture.AddLeaf("s0", "b");
+  for (int i = 0; i < 5; ++i) {
+    fixture.Submit(0);
+    fixture.Reply(fixture.sends.back().leaf_id, LeafReplyKind::kLost);
+    fixture.Advance(milliseconds(200));
+  }
+  CHECK(fixture.engine.Counters().retries <= 1);
+}
+
+TEST_CASE("a fan-out waits for stragglers until its answer is due") {
+  RelayFixture fixture;
+  for (int shard = 0; shard < 4; ++shard) {
+    const std::string name = "s" + std::to_string(shard);
+    fixture.AddLeaf(name, name + "-a");
+  }
+  const RelayNumber number = fixture.Submit(4);
+  for (const char* leaf : {"s0-a", "s1-a", "s2-a"}) {
+    fixture.Reply(leaf, LeafReplyKind::kSucceeded);
+  }
+  fixture.Advance(milliseconds(180));
+  CHECK_FALSE(fixture.outcomes.contains(number));
+
+  SUBCASE("then it answers with the coverage that it has") {
+    fixture.Advance(milliseconds(15));
+    CHECK(fixture.Outcome(number).answers.size() == 3);
+    CHECK(fixture.Outcome(number).missing_shards == 1);
+  }
+  SUBCASE("the last one makes it whole") {
+    fixture.Reply("s3-a", LeafReplyKind::kSucceeded);
+    CHECK(fixture.Outcome(number).missing_shards == 0);
+  }
+  SUBCASE("a shard that is lost is not waited for") {
+    fixture.Reply("s3-a", LeafReplyKind::kNotSent);
+    CHECK(fixture.Outcome(number).missing_shards == 1);
+  }
+}
+
+TEST_CASE("a caller that leaves ends an idempotent request's sendings") {
+  RelayFixture fixture;
+  fixture.AddLeaf("s0", "a");
+  SUBCASE("an idempotent one") {
+    const RelayNumber number = fixture.Submit(0);
+    fixture.Take(fixture.engine.OnCallerGone(number, fixture.now));
+    fixture.Advance(milliseconds(400));
+    CHECK(fixture.abandons.size() == 1);
+  }
+  SUBCASE("another one runs to its end") {
+    const RelayNumber number = fixture.Submit(0, RequestKind::kNonIdempotent);
+    fixture.Take(fixture.engine.OnCallerGone(number, fixture.now));
+    fixture.Advance(milliseconds(400));
+    CHECK(fixture.abandons.empty());
+  }
+}
+
+TEST_CASE("a leaf that registers again under its id is a new one") {
+  RelayFixture fixture;
+  fixture.AddLeaf("s0", "a");
+  fixture.Submit(0);
+  fixture.Reply("a", LeafReplyKind::kNotSent);
+  const RelayNumber refused = fixture.Submit(0);
+  CHECK(fixture.Outcome(refused).refusal);
+  fixture.leafs.front().started_at_ms = 7;
+  fixture.Take(fixture.engine.SetLeafs(fixture.leafs, fixture.now));
+  fixture.Submit(0);
+  CHECK(fixture.IsSentTo("a"));
+}
+
+TEST_CASE("weighted services share the requests in their weights") {
+  WeightedRotation rotation;
+  const std::vector<WeightedService> services{{"a", 3}, {"b", 1}};
+  std::vector<int> taken(2);
+  for (int i = 0; i < 40; ++i) {
+    ++taken[rotation.Next("route", services)];
+  }
+  CHECK(taken == std::vector{30, 10});
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/relay_fixture.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "request/relay_engine.h"
+
+namespace bramleyspoke {
+
+using std::chrono::milliseconds;
+
+/// One engine with paused time, its leafs and what it asked for.
+///
+/// Service "s0", "s1", ... is a shard each; its leafs are named "s0-near",
+/// "s0-far" and so on, as `AddLeaf` is told.
+class RelayFixture {
+ public:
+  explicit RelayFixture(RepeatAllowance allowance = {1, 100})
+      : engine(Locality{"d1", "r1", {{"d1", "r1"}, {"d2", "r2"}, {"d3", "r3"}}},
+               allowance) {
+    engine.SetDaemons({{"r1", 1}});
+  }
+
+  void AddLeaf(const std::string& service,
+               const std::string& name,
+               const std::string& domain = "d1",
+               bool is_draining = false) {
+    LeafRegistration leaf;
+    leaf.id = name;
+    leaf.service = service;
+    leaf.address = {"127.0.0.1", m_next_port++};
+    leaf.failure_domain = domain;
+    leaf.slots = 2;
+    leaf.is_draining = is_draining;
+    leafs.push_back(leaf);
+    Take(engine.SetLeafs(leafs, now));
+  }
+
+  void RemoveLeaf(const std::string& name) {
+    std::erase_if(leafs, [&](const auto& leaf) { return leaf.id == name; });
+    Take(engine.SetLeafs(leafs, now));
+  }
+
+  /// A route to one service, or to `shards` ones.
+  RelayNumber Submit(std::size_t shards,
+                     RequestKind kind = RequestKind::kIdempotent,
+                     std::uint32_t max_attempts = 2) {
+    Route route;
+    route.name = "route";
+    route.kind = kind;
+    route.max_attempts = max_attempts;
+    route.timeout = milliseconds(2000);
+    route.target_latency = milliseconds(200);
+    route.min_coverage = 0.75;
+    route.result_limit = 10;
+    if (shards == 0) {
+      route.services = {{"s0", 1}};
+    }
+    for (std::size_t shard = 0; shard < shards; ++shard) {
+      route.shards.push_back("s" + std::to_string(shard));
+    }
+    std::vector<RoutedService> services;
+    for (const LeafRegistration& leaf : leafs) {
+      services.push_back({leaf.service, "/health", 100});
+    }
+    const auto table = std::make_shared<const RouteTable>(
+        1, std::vector{route}, services, CallerLimits());
+    Take(engine.SetTable(table, now));
+    RelayRequest request;
+    request.request_id = "id";
+    request.table = table;
+    request.route = &table->Routes().front();
+    request.deadline = now + milliseconds(2000);
+    request.answer_by = now + milliseconds(190);
+    request.is_for_peer = is_for_peer;
+    Take(engine.Submit(++last, std::move(request), now));
+    return last;
+  }
+
+  void Reply(const std::string& leaf, LeafReplyKind kind) {
+    const auto found =
+        std::find_if(sends.begin(), sends.end(),
+                     [&](const auto& send) { return send.leaf_id == leaf; });
+    REQUIRE(found != sends.end());
+    const SendNumber number = found->number;
+    sends.erase(found);
+    LeafReply reply;
+    reply.kind = kind;
+    reply.response.body = leaf;
+    reply.way = milliseconds(1);
+    Take(engine.OnReply(number, std::move(reply), now));
+  }
+
+  /// Moves time on in steps of a millisecond, with timers.
+  void Advance(Duration duration) {
+    const TimePoint end = now + duration;
+    while (now < end) {
+      now += milliseconds(1);
+      if (engine.NextTimer() && *engine.NextTimer() <= now) {
+        Take(engine.OnTimer(now));
+      }
+    }
+  }
+
+  bool IsSentTo(const std::string& leaf) const {
+    return std::any_of(sends.begin(), sends.end(),
+                       [&](const auto& send) { return send.leaf_id == leaf; });
+  }
+
+  const RelayOutcome& Outcome(RelayNumber number) {
+    REQUIRE(outcomes.contains(number));
+    return outcomes.at(number);
+  }
+
+  void Take(RelayActions actions) {
+    std::move(actions.sends.begin(), actions.sends.end(),
+              std::back_inserter(sends));
+    std::move(actions.delegations.begin(), actions.delegations.end(),
+              std::back_inserter(delegations));
+    abandons.insert(abandons.end(), actions.abandons.begin(),
+                    actions.abandons.end());
+    for (RelayFinish& finish : actions.finishes) {
+      outcomes[finish.request] = std::move(finish.outcome);
+    }
+  }
+
+  TimePoint now{std::chrono::hours(1)};
+  RelayEngine engine;
+  std::vector<LeafRegistration> leafs;
+  /// Without a reply yet.
+  std::vector<RelaySend> sends;
+  std::vector<RelayDelegation> delegations;
+  std::vector<SendNumber> abandons;
+  std::map<RelayNumber, RelayOutcome> outcomes;
+  RelayNumber last = 0;
+  bool is_for_peer = false;
+
+ private:
+  std::uint16_t m_next_port = 1;
+};
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/relay_limits_test.cc
@@ -0,0 +1,141 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+#include "request/coverage_wait.h"
+#include "request/leaf_book.h"
+#include "request/repeat_budget.h"
+
+namespace bramleyspoke {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+}  // namespace
+
+TEST_CASE("daemons together keep the allowance in every window") {
+  const RepeatAllowance allowance{0.2, 56};
+  CHECK(rc::check([&] {
+    const auto daemons = *rc::gen::inRange<std::size_t>(1, 20);
+    std::vector<RepeatBudget> budgets(daemons, RepeatBudget(allowance));
+    for (RepeatBudget& budget : budgets) {
+      budget.SetDaemons(daemons);
+    }
+    // Any order of requests and of repeats that are wanted.
+    const auto before = *rc::gen::inRange(0, 400);
+    for (int i = 0; i < before; ++i) {
+      budgets[static_cast<std::size_t>(i) % daemons].OnRequest();
+    }
+    const auto events = *rc::gen::container<std::vector<std::size_t>>(
+        300, rc::gen::inRange<std::size_t>(0, 1000));
+    double requests = 0;
+    double repeats = 0;
+    for (const std::size_t event : events) {
+      RepeatBudget& budget = budgets[event % daemons];
+      if (event % 3 == 0) {
+        budget.OnRequest();
+        ++requests;
+      } else if (event % 3 == 1 ? budget.TakeForHedge()
+                                : budget.TakeForRetry()) {
+        ++repeats;
+      }
+    }
+    RC_ASSERT(repeats <= allowance.ratio * requests + allowance.slack);
+  }));
+}
+
+TEST_CASE("a daemon that starts has no repeats saved up") {
+  RepeatBudget budget({0.2, 1000});
+  budget.SetDaemons(1);
+  CHECK(budget.TakeForRetry());
+  CHECK_FALSE(budget.TakeForRetry());
+}
+
+TEST_CASE("when a fan-out stops waiting") {
+  const CoverageTimes times{kNow + milliseconds(100), kNow + milliseconds(900)};
+  struct Row {
+    const char* what;
+    FanOutProgress progress;
+    int at_ms;
+    CoverageStep step;
+  };
+  const std::vector<Row> rows{
+      {"all are in", {10, 10, 0}, 5, CoverageStep::kAnswer},
+      {"one may still come in time", {10, 9, 1}, 50, CoverageStep::kWait},
+      {"the answer is due", {10, 9, 1}, 100, CoverageStep::kAnswer},
+      {"too few are in when it is due", {10, 8, 2}, 100, CoverageStep::kWait},
+      {"late, a straggler gets a moment", {10, 9, 1}, 200, CoverageStep::kWait},
+      {"and no more than that", {10, 9, 1}, 400, CoverageStep::kAnswer},
+      {"the rest is lost, enough are in", {10, 9, 0}, 5, CoverageStep::kAnswer},
+      {"enough are out of reach", {10, 5, 3}, 5, CoverageStep::kGiveUp},
+      {"the deadline, too few", {10, 8, 2}, 900, CoverageStep::kGiveUp},
+      {"none at all", {10, 0, 0}, 5, CoverageStep::kGiveUp},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.what);
+    CHECK(NextCoverageStep(row.progress, 0.9, times,
+                           kNow + milliseconds(row.at_ms)) == row.step);
+  }
+}
+
+TEST_CASE("daemons share a leaf's connections, the near ones the most") {
+  const auto table = std::make_shared<const RouteTable>(
+      1, std::vector<Route>(), std::vector<RoutedService>{{"s", "/health", 26}},
+      CallerLimits());
+  LeafRegistration leaf;
+  leaf.id = "a";
+  leaf.service = "s";
+  leaf.failure_domain = "d1";
+  const auto share_in = [&](const std::string& region,
+                            const std::string& domain) {
+    LeafBook book(Locality{domain, region, {{"d1", "r1"}, {"d2", "r2"}}},
+                  RepeatAllowance());
+    book.SetTable(table);
+    book.SetDaemons({{"r1", 3}, {"r2", 5}});
+    book.SetLeafs({leaf}, kNow);
+    return book.Service("s").leafs.front()->share;
+  };
+  const std::uint32_t near = share_in("r1", "d1");
+  const std::uint32_t far = share_in("r2", "d2");
+  CHECK(near > far);
+  CHECK(3 * near + 5 * far <= 26);
+}
+
+TEST_CASE("a leaf's load decides what it is expected to cost") {
+  const auto fleet = std::make_shared<FleetPatterns>();
+  LeafLoad leaf(2, milliseconds(1), fleet);
+  for (int i = 0; i < 50; ++i) {
+    leaf.OnSent(kNow);
+    leaf.OnEnded(kNow);
+    leaf.OnAnswered("kind", milliseconds(11), milliseconds(1), std::nullopt,
+                    kNow);
+  }
+  const Duration usual = leaf.Cost("kind", kNow);
+  CHECK(usual <= milliseconds(13));
+
+  SUBCASE("others' requests fill its slots") {
+    leaf.OnAnswered("kind", milliseconds(11), milliseconds(1),
+                    ReportedLoad{2, 4, 2}, kNow);
+    CHECK(leaf.Cost("kind", kNow) > usual + milliseconds(15));
+  }
+  SUBCASE("silence makes it costly until it answers") {
+    leaf.OnSent(kNow);
+    const TimePoint later = kNow + milliseconds(60);
+    CHECK(leaf.IsSilent(later));
+    CHECK(leaf.Cost("kind", later) > usual + milliseconds(100));
+    leaf.OnEnded(later);
+    CHECK_FALSE(leaf.IsSilent(later));
+  }
+  SUBCASE("failures in a row eject it for a while") {
+    for (int i = 0; i < 4; ++i) {
+      leaf.OnFailure(kNow);
+    }
+    CHECK_FALSE(leaf.IsUsable(kNow));
+    CHECK(leaf.IsUsable(kNow + std::chrono::seconds(5)));
+  }
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/stall_predictor_test.cc
@@ -0,0 +1,73 @@
+#include "request/stall_predictor.h"
+
+#include <doctest/doctest.h>
+
+namespace bramleyspoke {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kBegin{std::chrono::hours(1)};
+
+/// Stalls of a leaf every six seconds for a quarter of a second.
+void Stall(StallPredictor& leaf, StallPeriod& period, int first, int count) {
+  for (int i = 0; i < count; ++i) {
+    const TimePoint end = kBegin + milliseconds(first + 6000 * i);
+    leaf.OnStall(end - milliseconds(250), end, period);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("the next stall is foretold from the interval of several leafs") {
+  StallPeriod period;
+  StallPredictor leafs[5];
+  for (int i = 0; i < 5; ++i) {
+    Stall(leafs[i], period, 100 * i, i == 4 ? 1 : 2);
+  }
+  REQUIRE(period.Get() == milliseconds(6000));
+
+  SUBCASE("also for a leaf that stalled once") {
+    const TimePoint next = kBegin + milliseconds(400 + 6000);
+    CHECK(leafs[4].HoldUp(next - milliseconds(100), next, period) ==
+          milliseconds(100));
+  }
+  SUBCASE("work that ends before a stall is not held up") {
+    const TimePoint next = kBegin + milliseconds(6000 + 6000);
+    CHECK(leafs[0].HoldUp(next - milliseconds(300), next - milliseconds(260),
+                          period) == Duration::zero());
+  }
+  SUBCASE("work that runs into a stall is held up for all of it") {
+    const TimePoint next = kBegin + milliseconds(6000 + 6000);
+    CHECK(leafs[0].HoldUp(next - milliseconds(260), next - milliseconds(240),
+                          period) == milliseconds(250));
+  }
+  SUBCASE("a prompt answer within a foretold stall refutes it") {
+    const TimePoint next = kBegin + milliseconds(6000 + 6000);
+    leafs[0].OnPrompt(next - milliseconds(200), next - milliseconds(100),
+                      period);
+    CHECK(leafs[0].HoldUp(next - milliseconds(100), next, period) ==
+          Duration::zero());
+  }
+  SUBCASE("work that merely took long does not move it") {
+    const TimePoint off = kBegin + milliseconds(6000 + 3000);
+    leafs[0].OnStall(off - milliseconds(100), off, period);
+    const TimePoint next = kBegin + milliseconds(6000 + 6000);
+    CHECK(leafs[0].HoldUp(next - milliseconds(100), next, period) ==
+          milliseconds(100));
+  }
+}
+
+TEST_CASE("stalls without a rhythm foretell nothing") {
+  StallPeriod period;
+  StallPredictor leaf;
+  for (const int end : {0, 3100, 9000, 10500, 18000, 23700}) {
+    const TimePoint at = kBegin + milliseconds(end);
+    leaf.OnStall(at - milliseconds(200), at, period);
+  }
+  CHECK_FALSE(period.Get());
+  CHECK(leaf.HoldUp(kBegin, kBegin + std::chrono::hours(1), period) ==
+        Duration::zero());
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/store_entries_test.cc
@@ -0,0 +1,116 @@
+#include "platform/store_entries.h"
+
+#include <doctest/doctest.h>
+
+#include "base/problems.h"
+
+namespace bramleyspoke::Platform {
+namespace {
+
+const std::string kLeaf =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":2,"state":"ready","cold_remaining_ms":0,"seq":4,"born":17})";
+
+const std::string kRoutes =
+    R"({"version":7,"routes":[)"
+    R"({"name":"r1","host":"h","prefix":"/a/","route_kind":"idempotent",)"
+    R"("timeout_ms":1200,"target_latency_ms":120,"priority":2,)"
+    R"("fanout_services":["s1","s2"],"max_attempts":2,"result_limit":5,)"
+    R"("min_shard_ratio":0.75},)"
+    R"({"name":"r2","host":"h","prefix":"/b/","route_kind":"non_idempotent",)"
+    R"("timeout_ms":4000,"weighted_services":[{"service":"s1","weight":3},)"
+    R"({"service":"s2","weight":1}]}],)"
+    R"("services":[{"name":"s1","health_path":"/health",)"
+    R"("connection_limit":26,"protocol":"h1","tls":false}],)"
+    R"("limits":{"header_bytes":16384,"body_bytes":262144,)"
+    R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE("a leaf's registration is read whole") {
+  const StoreEntries entries;
+  const LeafRegistration leaf = entries.ReadLeaf("i-1", kLeaf).value();
+  CHECK(leaf.id == "i-1");
+  CHECK(leaf.service == "s");
+  CHECK(leaf.address == Endpoint{"10.0.0.1", 80});
+  CHECK(leaf.failure_domain == "z");
+  CHECK(leaf.slots == 2);
+  CHECK_FALSE(leaf.is_draining);
+  CHECK(leaf.started_at_ms == 17);
+}
+
+TEST_CASE("a registration from another writer names no leaf") {
+  const StoreEntries entries;
+  const std::vector<std::pair<std::string, std::string>> rows{
+      {"\"service\":\"s\",", ""},
+      {"\"address\":\"10.0.0.1:80\"", "\"address\":80"},
+      {"10.0.0.1:80", "nowhere"},
+      {"\"slots\":2", "\"slots\":\"2\""},
+      {"\"slots\":2", "\"slots\":0"},
+      {"\"ready\"", "\"sleeping\""},
+      {"\"seq\":4", "\"seq\":null"},
+      {"\"born\":17", "\"born\":17.5"},
+      {"\"born\":17", "\"born\":\"17\""},
+      {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":[]"},
+      {"{\"service\"", "[\"service\""},
+  };
+  for (const auto& [from, to] : rows) {
+    CAPTURE(from);
+    CAPTURE(to);
+    const std::string broken = Replaced(kLeaf, from, to);
+    const auto read = Check([&] { return entries.ReadLeaf("i-1", broken); });
+    CHECK_FALSE(read.value);
+    CHECK_FALSE(ToString(read.problems).empty());
+  }
+}
+
+TEST_CASE("routes are read with their targets") {
+  const StoreEntries entries;
+  const auto table = entries.ReadRoutes(kRoutes).value();
+  CHECK(table->Version() == 7);
+  const Route* fan_out = table->Find("h", "/a/x");
+  REQUIRE(fan_out);
+  CHECK(fan_out->shards == std::vector<std::string>{"s1", "s2"});
+  CHECK(fan_out->min_coverage == 0.75);
+  CHECK(fan_out->result_limit == 5);
+  const Route* weighted = table->Find("h", "/b/x");
+  REQUIRE(weighted);
+  CHECK(weighted->kind == RequestKind::kNonIdempotent);
+  CHECK(weighted->services.size() == 2);
+  CHECK(weighted->max_attempts == 1);
+  CHECK(table->Limits().body_bytes == 262144);
+  CHECK(table->Services().at("s1").connection_limit == 26);
+}
+
+TEST_CASE("routes with a fault are refused, and the fault is named") {
+  const StoreEntries entries;
+  const std::string broken = Replaced(kRoutes, "\"route_kind\":\"idempotent\"",
+                                      "\"route_kind\":\"?\"");
+  const auto read = Check([&] { return entries.ReadRoutes(broken); });
+  CHECK_FALSE(read.value);
+  CHECK(ToString(read.problems).find("routes[0].route_kind") !=
+        std::string::npos);
+}
+
+TEST_CASE("a daemon's entry comes back as it was written") {
+  const StoreEntries entries;
+  const DaemonEntry daemon{{"10.0.0.1", 1}, {"10.0.0.1", 2}, "d", "r"};
+  CHECK(entries.ReadDaemon(entries.WriteDaemon(daemon)).value() == daemon);
+  const std::string key = entries.DaemonKey("n");
+  CHECK(entries.KindOf(key) == StoreKeyKind::kDaemon);
+  CHECK(entries.NameOf(key) == "n");
+  CHECK(entries.KindOf("servers/i-1") == StoreKeyKind::kLeaf);
+  CHECK(entries.NameOf("servers/i-1") == "i-1");
+  CHECK(entries.KindOf("op/config") == StoreKeyKind::kRoutes);
+  CHECK(entries.KindOf("else") == StoreKeyKind::kOther);
+}
+
+}  // namespace bramleyspoke::Platform
