--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -70,7 +70,7 @@
   /// Connections that are kept open: near, a request and another's hedge come
   /// together often.
   static constexpr std::size_t kNearKept = 2;
-  static constexpr std::size_t kFarKept = 2;
+  static constexpr std::size_t kFarKept = 1;
 
   LeafBook(Locality locality, const RepeatAllowance& allowance)
       : m_locality(std::move(locality)), m_allowance(allowance) {}
