--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -37,6 +37,8 @@
   HttpFailure failure = HttpFailure::kConnect;
   /// The connection's, where the system tells it.
   std::optional<Duration> round_trip = {};
+  /// The connection was new and ended before it brought anything.
+  bool is_connection_refused = false;
 };
 
 using HttpCallback = std::function<void(HttpOutcome)>;
--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -57,7 +57,7 @@
   exchange.done = std::move(done);
   Leaf& state = m_leafs[leaf];
   ++state.busy;
-  exchange.connection = TakeIdle(state);
+  exchange.connection = TakeIdle(state, exchange.is_connection_new);
   if (exchange.connection) {
     Write(number, exchange);
   } else {
@@ -98,14 +98,17 @@
   return count;
 }
 
-std::unique_ptr<HttpConnection> LeafExchanges::TakeIdle(Leaf& leaf) {
+std::unique_ptr<HttpConnection> LeafExchanges::TakeIdle(Leaf& leaf,
+                                                        bool& is_new) {
   while (!leaf.idle.empty()) {
     Idle idle = std::move(leaf.idle.back());
     leaf.idle.pop_back();
     if (Now() < idle.usable_until && idle.connection->IsOpen()) {
+      is_new = !idle.is_used;
       return std::move(idle.connection);
     }
   }
+  is_new = true;
   return nullptr;
 }
 
@@ -159,6 +162,9 @@
           [dropped = std::shared_ptr(std::move(exchange.connection))] {});
     }
   }
+  outcome.is_connection_refused = exchange.is_connection_new &&
+                                  !outcome.response &&
+                                  outcome.failure == HttpFailure::kClosed;
   exchange.done(std::move(outcome));
 }
 
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -77,9 +77,10 @@
     HttpAccepts accepts;
     HttpCallback done;
     std::unique_ptr<HttpConnection> connection;
+    bool is_connection_new = false;
   };
 
-  std::unique_ptr<HttpConnection> TakeIdle(Leaf& leaf);
+  std::unique_ptr<HttpConnection> TakeIdle(Leaf& leaf, bool& is_new);
   void OpenFor(ExchangeNumber number);
   void Write(ExchangeNumber number, Exchange& exchange);
   void OnOutcome(ExchangeNumber number, HttpOutcome outcome);
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -11,6 +11,9 @@
 constexpr Duration kRegionWay = std::chrono::milliseconds(1);
 constexpr Duration kFarWay = std::chrono::milliseconds(40);
 
+// How long a leaf that closed a new connection gets no more of them.
+constexpr Duration kRefusedConnectionPause = std::chrono::seconds(1);
+
 constexpr std::uint32_t kDefaultConnections = 8;
 
 enum class LeafTier {
@@ -41,6 +44,13 @@
   return found != regions.end() && found->second == region;
 }
 
+// Load: a leaf with a long queue accepts fewer connections than it says. What
+// it holds now is what it has room for.
+void RelayLeaf::OnConnectionRefused(TimePoint now) {
+  reduced_share = std::max<std::uint32_t>(1, load.InFlight());
+  reduced_until = now + kRefusedConnectionPause;
+}
+
 void LeafBook::SetTable(std::shared_ptr<const RouteTable> table) {
   m_table = std::move(table);
   Share();
@@ -65,7 +75,7 @@
       leaf = std::make_shared<RelayLeaf>(RelayLeaf{
           registration,
           LeafLoad(registration.slots, PriorWay(registration), m_fleet), false,
-          std::nullopt, 1});
+          std::nullopt});
     }
     if (!registration.is_draining) {
       leaf->draining_since.reset();
@@ -231,7 +241,7 @@
         std::find(tried.begin(), tried.end(), leaf.get()) != tried.end()) {
       continue;
     }
-    if (leaf->load.InFlight() >= leaf->share) {
+    if (leaf->load.InFlight() >= leaf->Allowed(now)) {
       choice.is_full = true;
       continue;
     }
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -36,6 +36,14 @@
   std::optional<TimePoint> draining_since;
   /// Attempts that this daemon may have there at once.
   std::uint32_t share = 1;
+  /// Fewer for a while, after the leaf closed a new connection.
+  std::uint32_t reduced_share = 1;
+  TimePoint reduced_until = {};
+
+  std::uint32_t Allowed(TimePoint now) const {
+    return now < reduced_until ? reduced_share : share;
+  }
+  void OnConnectionRefused(TimePoint now);
 };
 
 /// An attempt that waits for room at one of a service's leafs.
@@ -63,7 +71,7 @@
   /// A draining leaf still takes work for this long, if no other can.
   static constexpr Duration kDrainUse = std::chrono::milliseconds(1000);
   /// Connections of a leaf that its holders leave free for restarts.
-  static constexpr double kConnectionReserve = 0.1;
+  static constexpr double kConnectionReserve = 0.2;
   /// Connections to a leaf of another region: most work there goes through a
   /// daemon of that region.
   static constexpr std::uint32_t kFarShare = 2;
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -66,6 +66,8 @@
   /// Set for `kSucceeded` and `kFailed`.
   HttpResponse response;
   std::optional<ReportedLoad> load;
+  /// A new connection ended before it brought anything.
+  bool is_connection_refused = false;
   /// Part of the latency that the way there and back took, if known.
   std::optional<Duration> way;
 };
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -176,6 +176,9 @@
   LeafLoad& load = sending.leaf->load;
   const Duration taken = m_now - sending.sent;
   load.OnEnded(m_now);
+  if (reply.is_connection_refused) {
+    sending.leaf->OnConnectionRefused(m_now);
+  }
   switch (reply.kind) {
     case LeafReplyKind::kSucceeded:
       load.OnAnswered(sending.kind, taken, reply.way, reply.load, m_now);
