Parts of an ended request are closed; hedges only where they can be in time

Unknown leafs were taken for 8 ms, so a fresh daemon hedged everything at 25 ms. Change: long work of an ended request is closed; a hedge needs a leaf with under four requests and an answer in time; 20 ms until a kind was seen.

--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -41,7 +41,7 @@
 class WorkTable {
  public:
   /// Before the first answer of a kind.
-  static constexpr Duration kPrior = std::chrono::milliseconds(8);
+  static constexpr Duration kPrior = std::chrono::milliseconds(20);
 
   void Record(const std::string& kind, Duration work, TimePoint now);
   Duration Usual(const std::string& kind) const;
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -387,11 +387,11 @@
   Finish(request, std::move(outcome));
 }
 
-// What still runs for a request that ended goes on, so that its connection is
-// kept: its answer comes soon, or the leaf stops at the deadline.
+// Short work that still runs goes on, so that its connection is kept.
 void RelayEngine::Finish(Request& request, RelayOutcome outcome) {
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     Dequeue(request, index);
+    CancelLosers(request, request.parts[index]);
   }
   outcome.sends = request.sends;
   outcome.repeats = request.repeats;
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -106,6 +106,7 @@
   void Dequeue(Request& request, std::size_t index);
   void Pump(RelayService& service);
   void Hedge(Request& request, std::size_t index);
+  bool CanTakeHedge(const Request& request, const RelayLeaf& leaf) const;
   std::optional<TimePoint> HedgeAt(const Request& request,
                                    const Part& part,
                                    const Sending& sending) const;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -16,7 +16,7 @@
 // What a new connection costs a leaf, with some to spare.
 constexpr Duration kReconnectCost = std::chrono::milliseconds(15);
 // A sibling with more work per slot than this gets no hedge.
-constexpr double kHedgeOccupancy = 6;
+constexpr double kHedgeOccupancy = 4;
 
 std::vector<const RelayLeaf*> Pointers(
     const std::vector<std::shared_ptr<RelayLeaf>>& leafs) {
@@ -160,9 +160,7 @@
   }
   const LeafChoice choice = ChooseLeaf(*part.service, request.TheRoute().name,
                                        Pointers(part.tried), m_now);
-  const bool can_take = choice.leaf && choice.leaf->load.IsUsable(m_now) &&
-                        !choice.leaf->load.IsSilent(m_now) &&
-                        choice.leaf->load.Occupancy(m_now) < kHedgeOccupancy;
+  const bool can_take = choice.leaf && CanTakeHedge(request, *choice.leaf);
   if (!can_take || !part.service->budget.TakeForHedge()) {
     part.hedge_at = m_now + kBudgetPause;
     return;
@@ -172,6 +170,19 @@
   Send(request, index, choice.leaf);
 }
 
+// Load: while all leafs are full, hedges only add to their queues.
+bool RelayEngine::CanTakeHedge(const Request& request,
+                               const RelayLeaf& leaf) const {
+  const LeafLoad& load = leaf.load;
+  if (!load.IsUsable(m_now) || load.IsSilent(m_now) ||
+      load.Occupancy(m_now) >= kHedgeOccupancy) {
+    return false;
+  }
+  const TimePoint expected = m_now + load.Cost(request.TheRoute().name, m_now);
+  return m_now >= request.request.answer_by ||
+         expected < request.request.answer_by;
+}
+
 void RelayEngine::Observe(const Sending& sending, const LeafReply& reply) {
   LeafLoad& load = sending.leaf->load;
   const Duration taken = m_now - sending.sent;
@@ -227,9 +238,10 @@
   Retry(request, index);
 }
 
-// Load: when a leaf pauses, its sibling runs what waits there; the paused leaf
-// would run it too. Closing the connection spares it that, and costs it a new
-// connection, which is worth it for work that takes longer.
+// Load: when a leaf pauses or has a long queue, its sibling runs what waits
+// there, or the answer goes out without; the leaf would run it too. Closing the
+// connection spares it that, and costs it a new connection, which is worth it
+// for work that takes longer.
 void RelayEngine::CancelLosers(const Request& request, const Part& part) {
   for (const SendNumber number : part.running) {
     const auto found = m_sendings.find(number);
