Closes only what is queued; more of the repeat ratio is used

Change: long work is closed behind twice the slots or at a silent leaf; 0.95 of the ratio, 0.8 of the slack; 0.15 of the earnings stay at the origin.

--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -38,7 +38,7 @@
   static constexpr std::size_t kMostWaiting = 200;
   /// Of the repeats that a part handed to a peer earns: for a peer that is
   /// lost. The rest is the peer's, for its leafs.
-  static constexpr double kDelegatorShare = 0.3;
+  static constexpr double kDelegatorShare = 0.15;
   /// When callers should come back: after a shortage of room, of leafs.
   static constexpr Duration kRetrySoon = std::chrono::milliseconds(150);
   static constexpr Duration kRetryLater = std::chrono::milliseconds(500);
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -245,10 +245,16 @@
 void RelayEngine::CancelLosers(const Request& request, const Part& part) {
   for (const SendNumber number : part.running) {
     const auto found = m_sendings.find(number);
-    if (found != m_sendings.end() &&
-        found->second.leaf->load.Usual(request.TheRoute().name) -
-                found->second.leaf->load.Way() >
-            kReconnectCost) {
+    if (found == m_sendings.end()) {
+      continue;
+    }
+    const RelayLeaf& leaf = *found->second.leaf;
+    const Duration work =
+        leaf.load.Usual(request.TheRoute().name) - leaf.load.Way();
+    const bool is_likely_queued =
+        leaf.load.IsSilent(m_now) ||
+        leaf.load.Occupancy(m_now) > 2 * leaf.registration.slots;
+    if (work > kReconnectCost && is_likely_queued) {
       m_abandons.emplace(m_now, number);
     }
   }
--- a/src/request/repeat_budget.cc
+++ b/src/request/repeat_budget.cc
@@ -10,7 +10,7 @@
 }
 
 void RepeatBudget::OnRequest(double share) {
-  m_tokens = std::min(Most(), m_tokens + m_allowance.ratio * kSafety * share);
+  m_tokens = std::min(Most(), m_tokens + m_allowance.ratio * kRatioUse * share);
 }
 
 bool RepeatBudget::TakeForRetry() {
@@ -23,7 +23,7 @@
 
 double RepeatBudget::Most() const {
   const double share = m_allowance.slack / static_cast<double>(m_daemons);
-  return std::max(1 + kRetryReserve, share * kSafety);
+  return std::max(1 + kRetryReserve, share * kSlackUse);
 }
 
 bool RepeatBudget::Take(double floor) {
--- a/src/request/repeat_budget.h
+++ b/src/request/repeat_budget.h
@@ -20,9 +20,10 @@
 /// bounded by the slack and earnings by the requests.
 class RepeatBudget {
  public:
-  /// Part of the allowance that is spent; the rest covers what this daemon
-  /// does not see, such as a daemon counted too late.
-  static constexpr double kSafety = 0.8;
+  /// Parts of the ratio and of the slack that are spent; the rest covers what
+  /// this daemon does not see, such as a daemon counted too late.
+  static constexpr double kRatioUse = 0.95;
+  static constexpr double kSlackUse = 0.8;
   /// Savings that hedges leave to retries.
   static constexpr double kRetryReserve = 0.5;
 
