--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -186,7 +186,8 @@
 
   void TellDaemons() {
     std::vector<DaemonEntry> daemons;
-    for (const auto& [key, daemon] : m_daemons) {
+    for (const auto& row : m_daemons) {
+      const DaemonEntry& daemon = row.second;
       const bool is_known = std::any_of(
           daemons.begin(), daemons.end(),
           [&](const auto& other) { return other.address == daemon.address; });
--- a/tests/store_entries_test.cc
+++ b/tests/store_entries_test.cc
@@ -49,7 +49,11 @@
 
 TEST_CASE("a registration from another writer names no leaf") {
   const StoreEntries entries;
-  const std::vector<std::pair<std::string, std::string>> rows{
+  struct Row {
+    std::string from;
+    std::string to;
+  };
+  const std::vector<Row> rows{
       {"\"service\":\"s\",", ""},
       {"\"address\":\"10.0.0.1:80\"", "\"address\":80"},
       {"10.0.0.1:80", "nowhere"},
@@ -62,10 +66,10 @@
       {"\"cold_remaining_ms\":0", "\"cold_remaining_ms\":[]"},
       {"{\"service\"", "[\"service\""},
   };
-  for (const auto& [from, to] : rows) {
-    CAPTURE(from);
-    CAPTURE(to);
-    const std::string broken = Replaced(kLeaf, from, to);
+  for (const Row& row : rows) {
+    CAPTURE(row.from);
+    CAPTURE(row.to);
+    const std::string broken = Replaced(kLeaf, row.from, row.to);
     const auto read = Check([&] { return entries.ReadLeaf("i-1", broken); });
     CHECK_FALSE(read.value);
     CHECK_FALSE(ToString(read.problems).empty());
