--- a/src/connection/peer_client.cc
+++ b/src/connection/peer_client.cc
@@ -9,11 +9,6 @@
 #include "connection/peer_messages.h"
 #include "connection/socket_address.h"
 
-// g++ 12 takes the empty half of kj::Maybe for read before it was set.
-#ifndef __clang__
-#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
-#endif
-
 namespace bramleyspoke {
 namespace {
 
--- a/src/connection/peer_service.cc
+++ b/src/connection/peer_service.cc
@@ -4,11 +4,6 @@
 
 #include <utility>
 
-// g++ 12 takes the empty half of kj::Maybe for read before it was set.
-#ifndef __clang__
-#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
-#endif
-
 namespace bramleyspoke {
 namespace {
 
