Connections are kept only where a leaf has room for them

Change: far ones only as far as an even share allows, near ones up to the share; changes are gathered for 400 ms, a watch waits 6 s.

--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -115,6 +115,7 @@
 
 void RelayFront::SetDaemons(std::map<std::string, std::size_t> by_region) {
   m_engine.SetDaemons(std::move(by_region));
+  m_exchanges.Keep(m_engine.Book().KeptConnections());
 }
 
 void RelayFront::SetPeers(const std::vector<RelayPeer>& peers) {
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -29,13 +29,13 @@
 class StoreFollower {
  public:
   /// How long one watch waits; a connection that went silent is found by then.
-  static constexpr Duration kWatchTime = std::chrono::seconds(4);
+  static constexpr Duration kWatchTime = std::chrono::seconds(6);
   /// Pause after a failure, doubled up to the longest.
   static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
   static constexpr Duration kLongestPause = std::chrono::milliseconds(800);
   /// Between an answer with changes and the next watch, so that changes that
   /// come close together share a call.
-  static constexpr Duration kGatherTime = std::chrono::milliseconds(150);
+  static constexpr Duration kGatherTime = std::chrono::milliseconds(400);
 
   StoreFollower(EventLoop& loop,
                 KeyValueStore& store,
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -143,13 +143,23 @@
   std::map<Endpoint, std::size_t> kept;
   for (const auto& [id, leaf] : m_leafs) {
     if (!leaf->draining_since) {
-      const bool is_near = RegionOf(*leaf) == m_locality.region;
-      kept[leaf->registration.address] = is_near ? kNearKept : kFarKept;
+      kept[leaf->registration.address] = KeptOf(*leaf);
     }
   }
   return kept;
 }
 
+// Load: a fleet with more daemons than a leaf takes connections. Those of other
+// regions reach it through a daemon of its own, so they keep none then.
+std::size_t LeafBook::KeptOf(const RelayLeaf& leaf) const {
+  const std::size_t even =
+      ConnectionLimit(leaf.registration.service) / DaemonCount();
+  if (RegionOf(leaf) != m_locality.region) {
+    return std::min(even, kFarKept);
+  }
+  return std::min<std::size_t>(leaf.share, kNearKept);
+}
+
 std::set<std::string> LeafBook::ServingRegions() const {
   std::map<std::string, std::size_t> services_in;
   for (const auto& [name, service] : m_services) {
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -105,6 +105,7 @@
 
  private:
   void Share();
+  std::size_t KeptOf(const RelayLeaf& leaf) const;
   std::size_t DaemonCount() const;
   std::uint32_t ShareOf(const LeafRegistration& leaf) const;
   std::uint32_t ConnectionLimit(const std::string& service) const;
