Callers of a large fleet share as many daemons as the leafs have connections for

Cause: 87 daemons saw a quarter of a query a second each, too little to know a leaf, and none could hold connections to all. Change: address answers name, by region, as many daemons as can hold a connection a slot and one more at every leaf; the same ones by hash at every daemon.

--- a/src/process/entry_choice.cc
+++ b/src/process/entry_choice.cc
@@ -1,8 +1,44 @@
 #include "process/entry_choice.h"
 
+#include <algorithm>
+#include <map>
+
 namespace bramleyspoke {
 namespace {
 
+// The same order at every daemon, and no daemon before all others in it for
+// good: whoever comes or goes moves few.
+std::uint64_t RankOf(const DaemonEntry& daemon) {
+  constexpr std::uint64_t kOffset = 14695981039346656037ULL;
+  constexpr std::uint64_t kPrime = 1099511628211ULL;
+  std::uint64_t hash = kOffset;
+  for (const char c : ToString(daemon.address)) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+  }
+  return hash;
+}
+
+std::vector<DaemonEntry> Holders(const std::vector<DaemonEntry>& daemons,
+                                 std::size_t holders) {
+  std::map<std::string, std::vector<DaemonEntry>> by_region;
+  for (const DaemonEntry& daemon : daemons) {
+    by_region[daemon.region].push_back(daemon);
+  }
+  std::vector<DaemonEntry> chosen;
+  for (auto& [region, list] : by_region) {
+    const std::size_t share =
+        (holders * list.size() + daemons.size() - 1) / daemons.size();
+    const std::size_t count =
+        std::min(list.size(), std::max(share, kFewestHolders));
+    std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) {
+      return RankOf(a) < RankOf(b);
+    });
+    chosen.insert(chosen.end(), list.begin(),
+                  list.begin() + static_cast<std::ptrdiff_t>(count));
+  }
+  return chosen;
+}
+
 template <typename Accepts>
 std::vector<Endpoint> Select(const std::vector<DaemonEntry>& daemons,
                              Accepts accepts) {
@@ -20,17 +56,19 @@
 std::vector<Endpoint> ChooseEntryAddresses(
     const std::vector<DaemonEntry>& daemons,
     const std::set<std::string>& serving_regions,
-    const std::string& caller_region) {
+    const std::string& caller_region,
+    std::size_t holders) {
+  const std::vector<DaemonEntry> named = Holders(daemons, holders);
   const bool is_served = serving_regions.contains(caller_region);
   std::vector<Endpoint> addresses =
-      Select(daemons, [&](const DaemonEntry& daemon) {
+      Select(named, [&](const DaemonEntry& daemon) {
         return is_served ? daemon.region == caller_region
                          : serving_regions.contains(daemon.region);
       });
   if (addresses.size() >= kFewestEntryAddresses) {
     return addresses;
   }
-  return Select(daemons, [](const DaemonEntry&) { return true; });
+  return Select(named, [](const DaemonEntry&) { return true; });
 }
 
 }  // namespace bramleyspoke
--- a/src/process/entry_choice.h
+++ b/src/process/entry_choice.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,15 +15,22 @@
 inline constexpr std::size_t kMostEntryAddresses = 64;
 /// Fewer daemons than this are no reason to keep a caller in one region.
 inline constexpr std::size_t kFewestEntryAddresses = 2;
+/// Daemons that a region's callers share at the least, if it has them.
+inline constexpr std::size_t kFewestHolders = 3;
 
 /// The addresses that a caller in `caller_region` is to use.
 ///
 /// A fan-out asks many leafs for one answer, so what crosses regions least is
 /// a daemon in the leafs' region: callers of a region without leafs are sent
 /// to the regions that have them.
+///
+/// Of a large fleet `holders` daemons are named, the same ones by every daemon,
+/// in each region its part of them: each then sees enough of its leafs' answers
+/// to know them, and the leafs' connections suffice.
 std::vector<Endpoint> ChooseEntryAddresses(
     const std::vector<DaemonEntry>& daemons,
     const std::set<std::string>& serving_regions,
-    const std::string& caller_region);
+    const std::string& caller_region,
+    std::size_t holders);
 
 }  // namespace bramleyspoke
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -259,7 +259,8 @@
 
   std::vector<Endpoint> AddressesFor(const std::string& region) const {
     std::vector<Endpoint> addresses = ChooseEntryAddresses(
-        m_daemons, m_front->Engine().Book().ServingRegions(), region);
+        m_daemons, m_front->Engine().Book().ServingRegions(), region,
+        m_front->Engine().Book().HolderCount());
     if (m_stop.IsStopping() && addresses.size() > 1) {
       std::erase(addresses, m_settings.caller_listen);
     }
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -160,6 +160,18 @@
   return std::min<std::size_t>(leaf.share, kNearKept);
 }
 
+std::size_t LeafBook::HolderCount() const {
+  std::size_t fewest = DaemonCount();
+  for (const auto& [id, leaf] : m_leafs) {
+    const double usable =
+        ConnectionLimit(leaf->registration.service) * (1 - kConnectionReserve);
+    const auto holders =
+        static_cast<std::size_t>(usable / (leaf->registration.slots + 1));
+    fewest = std::min(fewest, holders);
+  }
+  return fewest;
+}
+
 std::set<std::string> LeafBook::ServingRegions() const {
   std::map<std::string, std::size_t> services_in;
   for (const auto& [name, service] : m_services) {
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -96,6 +96,9 @@
   }
   /// How many connections are worth keeping to which leafs.
   std::map<Endpoint, std::size_t> KeptConnections() const;
+  /// Daemons that can each hold a connection for every slot of a leaf, and one
+  /// to spare, at every service; more would know less of the leafs each.
+  std::size_t HolderCount() const;
   /// Regions with the most services that have a leaf there that is not
   /// draining.
   std::set<std::string> ServingRegions() const;
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <set>
+
 #include "platform/entry_calls.h"
 #include "platform/record_merge.h"
 #include "process/entry_choice.h"
@@ -145,11 +148,32 @@
   const Endpoint c{"127.0.0.3", 1};
   const std::vector<DaemonEntry> daemons{
       {a, a, "d1", "r1"}, {b, b, "d1", "r1"}, {c, c, "d3", "r3"}};
-  CHECK(ChooseEntryAddresses(daemons, {"r1"}, "r1") == std::vector{a, b});
-  CHECK(ChooseEntryAddresses(daemons, {"r1"}, "r3") == std::vector{a, b});
-  CHECK(ChooseEntryAddresses(daemons, {"r3"}, "r3") == std::vector{a, b, c});
+  const auto choose = [&](const std::set<std::string>& serving,
+                          const std::string& region) {
+    std::vector<Endpoint> chosen =
+        ChooseEntryAddresses(daemons, serving, region, 10);
+    std::sort(chosen.begin(), chosen.end());
+    return chosen;
+  };
+  CHECK(choose({"r1"}, "r1") == std::vector{a, b});
+  CHECK(choose({"r1"}, "r3") == std::vector{a, b});
+  CHECK(choose({"r3"}, "r3") == std::vector{a, b, c});
   CHECK(calls.MakeAddressAnswer({a}, std::chrono::seconds(2)).body ==
         R"({"addrs":["127.0.0.1:1"],"ttl_s":2})");
 }
 
+TEST_CASE("of a large fleet every daemon names the same few") {
+  std::vector<DaemonEntry> daemons;
+  for (std::uint16_t port = 1; port <= 60; ++port) {
+    const Endpoint address{"127.0.0.1", port};
+    daemons.push_back({address, address, "d", port <= 40 ? "r1" : "r2"});
+  }
+  const auto named = ChooseEntryAddresses(daemons, {"r1", "r2"}, "r1", 15);
+  CHECK(named.size() == 10);
+  std::reverse(daemons.begin(), daemons.end());
+  CHECK(ChooseEntryAddresses(daemons, {"r1", "r2"}, "r1", 15) == named);
+  CHECK(ChooseEntryAddresses(daemons, {"r1", "r2"}, "r2", 15).size() == 5);
+  CHECK(ChooseEntryAddresses(daemons, {"r1", "r2"}, "r2", 1).size() == 3);
+}
+
 }  // namespace bramleyspoke::Platform
