Only daemons that callers are told of keep connections and share repeats

Cause: 87 daemons divided the slack of repeats (2.4 each) and kept connections, though 17 serve the callers; hedges waited for budget (185 of the late parts).

--- a/src/process/entry_choice.cc
+++ b/src/process/entry_choice.cc
@@ -18,16 +18,33 @@
   return hash;
 }
 
-std::vector<DaemonEntry> Holders(const std::vector<DaemonEntry>& daemons,
-                                 std::size_t holders) {
+template <typename Accepts>
+std::vector<Endpoint> Select(const std::vector<DaemonEntry>& daemons,
+                             Accepts accepts) {
+  std::vector<Endpoint> addresses;
+  for (const DaemonEntry& daemon : daemons) {
+    if (addresses.size() < kMostEntryAddresses && accepts(daemon)) {
+      addresses.push_back(daemon.address);
+    }
+  }
+  return addresses;
+}
+
+}  // namespace
+
+// Load: many daemons over leafs with few connections. Each of a few sees enough
+// of its leafs' answers to know them, and the connections suffice.
+std::vector<DaemonEntry> ChooseHolders(const std::vector<DaemonEntry>& daemons,
+                                       std::size_t holders) {
   std::map<std::string, std::vector<DaemonEntry>> by_region;
   for (const DaemonEntry& daemon : daemons) {
     by_region[daemon.region].push_back(daemon);
   }
   std::vector<DaemonEntry> chosen;
   for (auto& [region, list] : by_region) {
+    const std::size_t some = std::min(holders, daemons.size());
     const std::size_t share =
-        (holders * list.size() + daemons.size() - 1) / daemons.size();
+        (some * list.size() + daemons.size() - 1) / daemons.size();
     const std::size_t count =
         std::min(list.size(), std::max(share, kFewestHolders));
     std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) {
@@ -39,36 +56,20 @@
   return chosen;
 }
 
-template <typename Accepts>
-std::vector<Endpoint> Select(const std::vector<DaemonEntry>& daemons,
-                             Accepts accepts) {
-  std::vector<Endpoint> addresses;
-  for (const DaemonEntry& daemon : daemons) {
-    if (addresses.size() < kMostEntryAddresses && accepts(daemon)) {
-      addresses.push_back(daemon.address);
-    }
-  }
-  return addresses;
-}
-
-}  // namespace
-
 std::vector<Endpoint> ChooseEntryAddresses(
-    const std::vector<DaemonEntry>& daemons,
+    const std::vector<DaemonEntry>& holders,
     const std::set<std::string>& serving_regions,
-    const std::string& caller_region,
-    std::size_t holders) {
-  const std::vector<DaemonEntry> named = Holders(daemons, holders);
+    const std::string& caller_region) {
   const bool is_served = serving_regions.contains(caller_region);
   std::vector<Endpoint> addresses =
-      Select(named, [&](const DaemonEntry& daemon) {
+      Select(holders, [&](const DaemonEntry& daemon) {
         return is_served ? daemon.region == caller_region
                          : serving_regions.contains(daemon.region);
       });
   if (addresses.size() >= kFewestEntryAddresses) {
     return addresses;
   }
-  return Select(named, [](const DaemonEntry&) { return true; });
+  return Select(holders, [](const DaemonEntry&) { return true; });
 }
 
 }  // namespace bramleyspoke
--- a/src/process/entry_choice.h
+++ b/src/process/entry_choice.h
@@ -18,19 +18,19 @@
 /// Daemons that a region's callers share at the least, if it has them.
 inline constexpr std::size_t kFewestHolders = 3;
 
+/// Of a large fleet, the daemons that serve callers: the same ones by every
+/// daemon, in each region its part of `holders`.
+std::vector<DaemonEntry> ChooseHolders(const std::vector<DaemonEntry>& daemons,
+                                       std::size_t holders);
+
 /// The addresses that a caller in `caller_region` is to use.
 ///
 /// A fan-out asks many leafs for one answer, so what crosses regions least is
 /// a daemon in the leafs' region: callers of a region without leafs are sent
 /// to the regions that have them.
-///
-/// Of a large fleet `holders` daemons are named, the same ones by every daemon,
-/// in each region its part of them: each then sees enough of its leafs' answers
-/// to know them, and the leafs' connections suffice.
 std::vector<Endpoint> ChooseEntryAddresses(
-    const std::vector<DaemonEntry>& daemons,
+    const std::vector<DaemonEntry>& holders,
     const std::set<std::string>& serving_regions,
-    const std::string& caller_region,
-    std::size_t holders);
+    const std::string& caller_region);
 
 }  // namespace bramleyspoke
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -128,18 +128,14 @@
     m_loop->Post([this, leafs = std::move(leafs)] {
       m_has_leafs = true;
       m_front->SetLeafs(leafs);
+      UpdateHolders();
     });
   }
 
   void OnDaemons(std::vector<DaemonEntry> daemons) override {
     m_loop->Post([this, daemons = std::move(daemons)] {
       m_daemons = daemons;
-      std::map<std::string, std::size_t> by_region;
-      for (const DaemonEntry& daemon : m_daemons) {
-        ++by_region[daemon.region];
-      }
-      m_front->SetDaemons(std::move(by_region));
-      m_front->SetPeers(Peers());
+      UpdateHolders();
     });
   }
 
@@ -243,14 +239,31 @@
     return {};
   }
 
-  std::vector<RelayPeer> Peers() const {
+  std::vector<DaemonEntry> Holders() const {
+    return ChooseHolders(m_daemons, m_front->Engine().Book().HolderCount());
+  }
+
+  // Only holders get callers' requests and peers' queries, so only they share
+  // the leafs' connections and the repeats; this daemon counts as one of them.
+  void UpdateHolders() {
+    std::map<std::string, std::size_t> by_region;
     std::vector<RelayPeer> peers;
-    for (const DaemonEntry& daemon : m_daemons) {
-      if (daemon.peer != m_settings.peer_listen) {
+    const std::vector<DaemonEntry> holders = Holders();
+    // While others are missing from the store, nobody is left out.
+    bool is_holder = holders.size() < m_front->Engine().Book().HolderCount();
+    bool is_counted = false;
+    for (const DaemonEntry& daemon : holders) {
+      ++by_region[daemon.region];
+      if (daemon.peer == m_settings.peer_listen) {
+        is_holder = true;
+        is_counted = true;
+      } else {
         peers.push_back({daemon.peer, daemon.region});
       }
     }
-    return peers;
+    by_region[m_settings.region] += is_counted ? 0 : 1;
+    m_front->SetHolders(std::move(by_region), is_holder);
+    m_front->SetPeers(peers);
   }
 
   bool IsReady() const {
@@ -259,8 +272,7 @@
 
   std::vector<Endpoint> AddressesFor(const std::string& region) const {
     std::vector<Endpoint> addresses = ChooseEntryAddresses(
-        m_daemons, m_front->Engine().Book().ServingRegions(), region,
-        m_front->Engine().Book().HolderCount());
+        Holders(), m_front->Engine().Book().ServingRegions(), region);
     if (m_stop.IsStopping() && addresses.size() > 1) {
       std::erase(addresses, m_settings.caller_listen);
     }
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -110,12 +110,22 @@
 
 void RelayFront::SetLeafs(const std::vector<LeafRegistration>& leafs) {
   Apply(m_engine.SetLeafs(leafs, Now()));
-  m_exchanges.Keep(m_engine.Book().KeptConnections());
+  KeepConnections();
 }
 
-void RelayFront::SetDaemons(std::map<std::string, std::size_t> by_region) {
+void RelayFront::SetHolders(std::map<std::string, std::size_t> by_region,
+                            bool is_holder) {
   m_engine.SetDaemons(std::move(by_region));
-  m_exchanges.Keep(m_engine.Book().KeptConnections());
+  m_is_holder = is_holder;
+  KeepConnections();
+}
+
+void RelayFront::KeepConnections() {
+  if (m_is_holder) {
+    m_exchanges.Keep(m_engine.Book().KeptConnections());
+  } else {
+    m_exchanges.Keep({});
+  }
 }
 
 void RelayFront::SetPeers(const std::vector<RelayPeer>& peers) {
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -75,7 +75,9 @@
 
   void SetTable(std::shared_ptr<const RouteTable> table);
   void SetLeafs(const std::vector<LeafRegistration>& leafs);
-  void SetDaemons(std::map<std::string, std::size_t> by_region);
+  /// Holders by region, and whether this daemon is one: only then it keeps
+  /// connections to leafs.
+  void SetHolders(std::map<std::string, std::size_t> by_region, bool is_holder);
   void SetPeers(const std::vector<RelayPeer>& peers);
   /// Whether routes may be out of date, so that a missing one proves nothing.
   void SetStale(bool is_stale) { m_is_stale = is_stale; }
@@ -110,6 +112,7 @@
   void Refuse(HttpExchange& exchange,
               const CallerHead& head,
               const RelayRefusal& refusal);
+  void KeepConnections();
   void Apply(RelayActions actions);
   void Send(const RelaySend& send);
   void Delegate(const RelayDelegation& delegation);
@@ -134,6 +137,7 @@
   std::unordered_map<SendNumber, std::unique_ptr<PeerCall>> m_peer_calls;
   std::shared_ptr<const RouteTable> m_table;
   bool m_is_stale = false;
+  bool m_is_holder = true;
   std::unordered_map<RelayNumber, Open> m_open;
   /// Peers' requests of which a part is still pending, by their id.
   std::unordered_map<std::string, RelayNumber> m_lingering;
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -1,6 +1,7 @@
 #include "request/leaf_book.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace bramleyspoke {
@@ -133,8 +134,7 @@
   auto& service = m_services[name];
   if (!service) {
     service = std::make_unique<RelayService>(
-        RelayService{name, {}, RepeatBudget(m_allowance), {}});
-    service->budget.SetDaemons(DaemonCount());
+        RelayService{name, {}, RepeatBudget(m_allowance, DaemonCount()), {}});
   }
   return *service;
 }
@@ -161,7 +161,7 @@
 }
 
 std::size_t LeafBook::HolderCount() const {
-  std::size_t fewest = DaemonCount();
+  std::size_t fewest = std::numeric_limits<std::size_t>::max();
   for (const auto& [id, leaf] : m_leafs) {
     const double usable =
         ConnectionLimit(leaf->registration.service) * (1 - kConnectionReserve);
--- a/src/request/repeat_budget.cc
+++ b/src/request/repeat_budget.cc
@@ -4,13 +4,21 @@
 
 namespace bramleyspoke {
 
+RepeatBudget::RepeatBudget(const RepeatAllowance& allowance,
+                           std::size_t daemons)
+    : m_allowance(allowance), m_daemons(std::max<std::size_t>(daemons, 1)) {
+  m_tokens = Most() * kStartShare;
+}
+
 void RepeatBudget::SetDaemons(std::size_t daemons) {
   m_daemons = std::max<std::size_t>(daemons, 1);
   m_tokens = std::min(m_tokens, Most());
 }
 
 void RepeatBudget::OnRequest(double share) {
-  m_tokens = std::min(Most(), m_tokens + m_allowance.ratio * kRatioUse * share);
+  // A share below one token still lets what was earned on requests be spent.
+  const double most = std::max(1 + kRetryReserve, Most());
+  m_tokens = std::min(most, m_tokens + m_allowance.ratio * kRatioUse * share);
 }
 
 bool RepeatBudget::TakeForRetry() {
@@ -23,7 +31,7 @@
 
 double RepeatBudget::Most() const {
   const double share = m_allowance.slack / static_cast<double>(m_daemons);
-  return std::max(1 + kRetryReserve, share * kSlackUse);
+  return share * kSlackUse;
 }
 
 bool RepeatBudget::Take(double floor) {
--- a/src/request/repeat_budget.h
+++ b/src/request/repeat_budget.h
@@ -23,12 +23,15 @@
   /// Parts of the ratio and of the slack that are spent; the rest covers what
   /// this daemon does not see, such as a daemon counted too late.
   static constexpr double kRatioUse = 0.95;
-  static constexpr double kSlackUse = 0.8;
+  static constexpr double kSlackUse = 0.6;
+  /// Part of its savings that a daemon starts with: if all start anew, what the
+  /// ones before spent and this stay within the slack.
+  static constexpr double kStartShare = 0.5;
   /// Savings that hedges leave to retries.
   static constexpr double kRetryReserve = 0.5;
 
-  explicit RepeatBudget(const RepeatAllowance& allowance)
-      : m_allowance(allowance) {}
+  /// `daemons` share the allowance.
+  RepeatBudget(const RepeatAllowance& allowance, std::size_t daemons);
 
   void SetDaemons(std::size_t daemons);
   /// A request needs this service; `share` of it is this daemon's to repeat.
@@ -43,9 +46,7 @@
 
   RepeatAllowance m_allowance;
   std::size_t m_daemons = 1;
-  // A daemon that starts has earned nothing: restarts in a row must not each
-  // spend the slack anew.
-  double m_tokens = 1;
+  double m_tokens = 0;
 };
 
 }  // namespace bramleyspoke
