The stand-in store listens again before it says that its fault is over

The stand-in answered the call that ends a fault and only then began to listen; under load the publish came between. Ruled out: the product (connection refused, told as not published, which was true), the HTTP client's change (no connection, so nothing was written or read). Change: a fault that does not close the calling connection is applied first. Measured: the failing order can no longer come; contract tests of both stand-ins pass.

--- a/src/stand_in/faulty_server.cc
+++ b/src/stand_in/faulty_server.cc
@@ -144,9 +144,15 @@
 
 void FaultyServer::HandleFault(HttpExchange& exchange) {
   const Result<CallFault> fault = ParseCallFault(exchange.Request().body);
+  const bool may_close_this =
+      fault && (fault->mode == CallFaultMode::kDown ||
+                fault->mode == CallFaultMode::kBreakWatches);
+  // Whoever ends a fault by this call may connect as soon as it is answered.
+  if (fault && !may_close_this) {
+    Apply(*fault);
+  }
   exchange.Respond(JsonResponse(fault ? 200 : 400));
-  if (fault) {
-    // After the answer has left, since the fault may close its connection.
+  if (may_close_this) {
     m_loop.Post([this, fault = *fault] { Apply(fault); });
   }
 }
