--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -21,6 +21,7 @@
 #include <utility>
 
 #include "connection/event_loop.h"
+#include "connection/http_refusal.h"
 #include "connection/socket_options.h"
 
 namespace bramleyspoke {
@@ -44,14 +45,6 @@
   std::map<std::uint64_t, std::shared_ptr<Session>> sessions;
 };
 
-HttpResponse PlainError(int status, std::string_view detail) {
-  HttpResponse response;
-  response.status = status;
-  response.body = R"({"verdict":"not_run","reason":"bad_request","detail":")" +
-                  std::string(detail) + "\"}\n";
-  return response;
-}
-
 // One connection; kept alive by the server's table and by its own handlers.
 class Session final : public std::enable_shared_from_this<Session> {
  public:
@@ -61,7 +54,6 @@
       : m_state(std::move(state)), m_stream(std::move(socket)), m_id(id) {}
 
   std::uint64_t Id() const { return m_id; }
-
   std::uint64_t RequestCount() const { return m_requests; }
 
   std::optional<Duration> RoundTrip() {
@@ -105,7 +97,6 @@
       return;
     }
     m_on_gone = nullptr;
-    m_is_answering = true;
     m_response = MakeHead(response);
     m_response.body() = std::move(response.body);
     m_response.prepare_payload();
@@ -120,7 +111,6 @@
     if (m_is_closed) {
       return;
     }
-    m_is_streaming = true;
     m_response = MakeHead(head);
     m_response.chunked(true);
     m_response.keep_alive(false);
@@ -208,8 +198,13 @@
 
   void OnRequest(beast::error_code error);
 
+  // Ends the connection, which is out of step.
+  void Refuse(int status, std::string_view detail) {
+    m_keep_alive = false;
+    Write(Detail::MakeReadRefusal(status, detail));
+  }
+
   void OnWritten(beast::error_code error) {
-    m_is_answering = false;
     if (error || !m_response.keep_alive() || m_state->is_shutting_down) {
       Close();
       return;
@@ -295,8 +290,6 @@
   bool m_keep_alive = true;
   bool m_is_idle = false;
   bool m_is_closed = false;
-  bool m_is_answering = false;
-  bool m_is_streaming = false;
 };
 
 class Exchange final : public HttpExchange {
@@ -370,8 +363,7 @@
     return;
   }
   if (error && m_is_request_late) {
-    m_keep_alive = false;
-    Write(PlainError(408, "the request took too long to arrive"));
+    Refuse(408, "the request took too long to arrive");
     return;
   }
   if (error == http::error::end_of_stream || error == beast::error::timeout ||
@@ -382,10 +374,9 @@
     return;
   }
   if (error) {
-    m_keep_alive = false;
     const bool is_too_large =
         error == http::error::body_limit || error == http::error::header_limit;
-    Write(PlainError(is_too_large ? 413 : 400, error.message()));
+    Refuse(is_too_large ? 413 : 400, error.message());
     return;
   }
   m_stream.expires_never();
