A watch in doubt is replaced by a short one

The logs show store_lost at 7.1 s and store_back at 14.4 s on all daemons, though the store was silent from 4 to 8 s only: the watch sent at 7.2 s into the silence was never answered, and its six seconds and a margin went by first. Ruled out: connections (new ones worked from 8 s on, renewals as well).

--- a/src/process/daemon_registration.cc
+++ b/src/process/daemon_registration.cc
@@ -10,11 +10,13 @@
 DaemonRegistration::DaemonRegistration(EventLoop& loop,
                                        KeyValueStore& store,
                                        std::string key,
-                                       std::string value)
+                                       std::string value,
+                                       std::function<void()> on_no_answer)
     : m_loop(loop),
       m_store(store),
       m_key(std::move(key)),
       m_value(std::move(value)),
+      m_on_no_answer(std::move(on_no_answer)),
       m_self(std::make_shared<DaemonRegistration*>(this)) {}
 
 DaemonRegistration::~DaemonRegistration() = default;
@@ -42,6 +44,7 @@
                   if (!self || (*self)->m_is_ended) {
                     return;
                   }
+                  (*self)->CheckAnswered(grant.status);
                   if (grant.status != KeyValueStatus::kOk) {
                     (*self)->After(kRetryTime, &DaemonRegistration::Grant);
                     return;
@@ -58,6 +61,7 @@
                 if (!self || (*self)->m_is_ended) {
                   return;
                 }
+                (*self)->CheckAnswered(status);
                 if (status == KeyValueStatus::kOk) {
                   WriteLog(LogLevel::kInfo, "registered",
                            {Field("lease", (*self)->m_lease)});
@@ -79,7 +83,14 @@
   });
 }
 
+void DaemonRegistration::CheckAnswered(KeyValueStatus status) const {
+  if (status == KeyValueStatus::kUnknown) {
+    m_on_no_answer();
+  }
+}
+
 void DaemonRegistration::OnRenewed(KeyValueStatus status) {
+  CheckAnswered(status);
   if (status == KeyValueStatus::kNotFound) {
     WriteLog(LogLevel::kWarning, "lease_lost", {Field("lease", m_lease)});
     Grant();
--- a/src/process/daemon_registration.h
+++ b/src/process/daemon_registration.h
@@ -19,10 +19,12 @@
   static constexpr Duration kRenewTime = std::chrono::milliseconds(1300);
   static constexpr Duration kRetryTime = std::chrono::milliseconds(500);
 
+  /// `on_no_answer` is called whenever a call got no answer.
   DaemonRegistration(EventLoop& loop,
                      KeyValueStore& store,
                      std::string key,
-                     std::string value);
+                     std::string value,
+                     std::function<void()> on_no_answer);
   ~DaemonRegistration();
 
   void Start();
@@ -34,12 +36,14 @@
   void Put();
   void Renew();
   void OnRenewed(KeyValueStatus status);
+  void CheckAnswered(KeyValueStatus status) const;
   void After(Duration pause, void (DaemonRegistration::*step)());
 
   EventLoop& m_loop;
   KeyValueStore& m_store;
   std::string m_key;
   std::string m_value;
+  std::function<void()> m_on_no_answer;
   LeaseId m_lease = 0;
   bool m_is_ended = false;
   std::unique_ptr<Timer> m_timer;
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -31,7 +31,8 @@
         m_registration(loop,
                        store,
                        schema.DaemonKey(m_name),
-                       schema.WriteDaemon(m_self)) {}
+                       schema.WriteDaemon(m_self),
+                       [this] { m_follower.Doubt(); }) {}
 
   void Start() override {
     m_follower.Start();
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -60,15 +60,33 @@
 }
 
 void StoreFollower::Watch() {
-  m_store.Watch(m_prefix, m_revision, kWatchTime,
-                [weak = std::weak_ptr(m_self)](const KeyValueChanges& changes) {
+  m_watch = ++m_last_watch;
+  m_store.Watch(m_prefix, m_revision,
+                m_is_lost || m_is_probing ? kProbeTime : kWatchTime,
+                [weak = std::weak_ptr(m_self),
+                 watch = m_watch](const KeyValueChanges& changes) {
                   if (const auto self = weak.lock()) {
-                    (*self)->OnChanges(changes);
+                    (*self)->OnChanges(watch, changes);
                   }
                 });
 }
 
-void StoreFollower::OnChanges(const KeyValueChanges& changes) {
+void StoreFollower::Doubt() {
+  if (m_watch == 0 || m_is_lost || m_is_probing) {
+    return;
+  }
+  m_is_probing = true;
+  m_watch = 0;
+  m_store.DropWatches();
+  Watch();
+}
+
+void StoreFollower::OnChanges(std::uint64_t watch,
+                              const KeyValueChanges& changes) {
+  if (watch != m_watch) {
+    return;
+  }
+  m_watch = 0;
   if (changes.status == KeyValueStatus::kHistoryGone) {
     m_revision = 0;
     Continue(Duration::zero());
@@ -97,6 +115,7 @@
 
 void StoreFollower::OnSuccess() {
   m_pause = kFirstPause;
+  m_is_probing = false;
   if (std::exchange(m_is_lost, false)) {
     m_listener.OnStoreBack();
   }
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -30,6 +30,9 @@
  public:
   /// How long one watch waits; a connection that went silent is found by then.
   static constexpr Duration kWatchTime = std::chrono::seconds(6);
+  /// Same, while the store may be silent: that it answers is the news, and what
+  /// it did not answer may be forgotten when it is back.
+  static constexpr Duration kProbeTime = std::chrono::milliseconds(200);
   /// Pause after a failure, doubled up to the longest.
   static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
   static constexpr Duration kLongestPause = std::chrono::milliseconds(800);
@@ -44,13 +47,16 @@
   ~StoreFollower();
 
   void Start();
+  /// Another call got no answer: whether the watch under way will is in doubt,
+  /// so a short one takes its place.
+  void Doubt();
   bool IsLost() const { return m_is_lost; }
 
  private:
   void ReadPage(const std::string& after);
   void OnPage(KeyValuePage page);
   void Watch();
-  void OnChanges(const KeyValueChanges& changes);
+  void OnChanges(std::uint64_t watch, const KeyValueChanges& changes);
   void OnFailure(KeyValueStatus status);
   void OnSuccess();
   void Continue(Duration pause);
@@ -66,6 +72,10 @@
   std::int64_t m_first_page_revision = 0;
   Duration m_pause = kFirstPause;
   bool m_is_lost = false;
+  /// Number of the watch under way; 0: none.
+  std::uint64_t m_watch = 0;
+  std::uint64_t m_last_watch = 0;
+  bool m_is_probing = false;
   std::unique_ptr<Timer> m_timer;
   std::shared_ptr<StoreFollower*> m_self;
 };
--- a/tests/manual_loop.h
+++ b/tests/manual_loop.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <stdexcept>
 #include <utility>
@@ -27,8 +28,11 @@
   void Post(std::function<void()> call) override {
     m_calls.push_back(std::move(call));
   }
-  std::unique_ptr<Timer> At(TimePoint, std::function<void()>) override {
-    return nullptr;
+  std::unique_ptr<Timer> At(TimePoint when,
+                            std::function<void()> call) override {
+    auto timer = std::make_unique<ManualTimer>();
+    m_timers.emplace(when, Waiting{timer->alive, std::move(call)});
+    return timer;
   }
   void Start() override {}
   void Run() override {}
@@ -45,8 +49,30 @@
     }
   }
 
+  /// Runs the earliest timer, whatever the time; false if there is none.
+  bool RunNextTimer() {
+    while (!m_timers.empty()) {
+      const Waiting next = std::move(m_timers.begin()->second);
+      m_timers.erase(m_timers.begin());
+      if (!next.alive.expired()) {
+        next.call();
+        return true;
+      }
+    }
+    return false;
+  }
+
  private:
+  struct ManualTimer final : Timer {
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+  };
+  struct Waiting {
+    std::weak_ptr<bool> alive;
+    std::function<void()> call;
+  };
+
   std::deque<std::function<void()>> m_calls;
+  std::multimap<TimePoint, Waiting> m_timers;
 };
 
 }  // namespace bramleyspoke
