Of VMs of several sizes, the large ones serve callers

Holders were chosen by hash alone. Ruled out: budgets of repeats (0.7 a lookup of 18 allowed), delegation (three leafs a shard, one in each region, so nearly all sends are near). Change: each daemon's entry in the store says how much processor it has (settings: processor.share, processor.speed); a region's holders are those with the most, as many as have the processor of the former number of average ones, three at least. A daemon that is no holder no longer takes itself for one while fewer are chosen than there may be; one that the store does not list does.

--- a/src/process/entry_choice.cc
+++ b/src/process/entry_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace bramleyspoke {
 namespace {
@@ -30,10 +31,30 @@
   return addresses;
 }
 
+// How many of `daemons`, in their order, have the processor of `average`
+// average ones.
+std::size_t CountWithProcessorOf(std::size_t average,
+                                 const std::vector<DaemonEntry>& daemons) {
+  double all = 0;
+  for (const DaemonEntry& daemon : daemons) {
+    all += daemon.processor;
+  }
+  const double needed =
+      all * static_cast<double>(average) / static_cast<double>(daemons.size());
+  std::size_t count = 0;
+  double sum = 0;
+  while (count < daemons.size() && (count < kFewestHolders || sum < needed)) {
+    sum += daemons[count].processor;
+    ++count;
+  }
+  return count;
+}
+
 }  // namespace
 
 // Load: many daemons over leafs with few connections. Each of a few sees enough
-// of its leafs' answers to know them, and the connections suffice.
+// of its leafs' answers to know them, and the connections suffice. And VMs of
+// several sizes: a fan-out takes a small one several times as long.
 std::vector<DaemonEntry> ChooseHolders(const std::vector<DaemonEntry>& daemons,
                                        std::size_t holders) {
   std::map<std::string, std::vector<DaemonEntry>> by_region;
@@ -45,11 +66,11 @@
     const std::size_t some = std::min(holders, daemons.size());
     const std::size_t share =
         (some * list.size() + daemons.size() - 1) / daemons.size();
-    const std::size_t count =
-        std::min(list.size(), std::max(share, kFewestHolders));
     std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) {
-      return RankOf(a) < RankOf(b);
+      return std::make_pair(b.processor, RankOf(a)) <
+             std::make_pair(a.processor, RankOf(b));
     });
+    const std::size_t count = CountWithProcessorOf(share, list);
     chosen.insert(chosen.end(), list.begin(),
                   list.begin() + static_cast<std::ptrdiff_t>(count));
   }
--- a/src/process/entry_choice.h
+++ b/src/process/entry_choice.h
@@ -19,7 +19,8 @@
 inline constexpr std::size_t kFewestHolders = 3;
 
 /// Of a large fleet, the daemons that serve callers: the same ones by every
-/// daemon, in each region its part of `holders`.
+/// daemon. Each region's have the processor of its part of `holders` average
+/// daemons, those with the most first.
 std::vector<DaemonEntry> ChooseHolders(const std::vector<DaemonEntry>& daemons,
                                        std::size_t holders);
 
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -1,5 +1,6 @@
 #include "process/relay_daemon.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -90,7 +91,8 @@
     m_control = RelayControl::Create(
         *m_control_loop, *m_store, m_adapters.schema, m_settings.name,
         DaemonEntry{m_settings.caller_listen, m_settings.peer_listen,
-                    m_settings.failure_domain, m_settings.region},
+                    m_settings.failure_domain, m_settings.region,
+                    m_settings.processor},
         *this);
     return {};
   }
@@ -294,24 +296,29 @@
   void UpdateHolders() {
     std::map<std::string, std::size_t> by_region;
     std::vector<RelayPeer> peers;
-    const std::vector<DaemonEntry> holders = Holders();
-    // While others are missing from the store, nobody is left out.
-    bool is_holder = holders.size() < m_front->Engine().Book().HolderCount();
     bool is_counted = false;
-    for (const DaemonEntry& daemon : holders) {
+    for (const DaemonEntry& daemon : Holders()) {
       ++by_region[daemon.region];
       if (daemon.peer == m_settings.peer_listen) {
-        is_holder = true;
         is_counted = true;
       } else {
         peers.push_back({daemon.peer, daemon.region});
       }
     }
     by_region[m_settings.region] += is_counted ? 0 : 1;
+    // One that the store does not know can't tell whether it is one.
+    const bool is_holder = is_counted || !IsRegistered();
     m_front->SetHolders(std::move(by_region), is_holder);
     m_front->SetPeers(peers);
   }
 
+  bool IsRegistered() const {
+    return std::any_of(m_daemons.begin(), m_daemons.end(),
+                       [this](const DaemonEntry& daemon) {
+                         return daemon.peer == m_settings.peer_listen;
+                       });
+  }
+
   bool IsReady() const {
     return m_front->Table() != nullptr && m_has_leafs && !m_stop.IsStopping();
   }
--- a/src/process/relay_settings.cc
+++ b/src/process/relay_settings.cc
@@ -1,6 +1,8 @@
 #include "process/relay_settings.h"
 
+#include <algorithm>
 #include <boost/json/value.hpp>
+#include <cmath>
 
 #include "base/json_reader.h"
 #include "base/json_text.h"
@@ -11,6 +13,8 @@
 
 constexpr NumberRange kRatio{0, 10, "repeats per request"};
 constexpr NumberRange kSlack{0, 1'000'000, "repeats"};
+constexpr NumberRange kProcessorShare{0, 1, "of a core"};
+constexpr NumberRange kProcessorSpeed{0, 1000, "cores' speed"};
 constexpr NumberRange kAddressTime{1'000, 60'000, "ms"};
 constexpr NumberRange kStopBound{500, 3'600'000, "ms"};
 
@@ -34,6 +38,12 @@
     settings.regions[domain] = row.Name("region");
   });
   settings.store = object.Address("store");
+  object.Object("processor", true, [&](JsonReader& part) {
+    const double share = part.Real("share", kProcessorShare);
+    const double speed = part.Real("speed", kProcessorSpeed);
+    settings.processor = static_cast<std::uint32_t>(
+        std::max(1.0, std::round(share * speed * 1000)));
+  });
   object.Object("repeats", false, [&](JsonReader& part) {
     settings.repeats.ratio = part.Real("ratio", kRatio);
     settings.repeats.slack = part.Real("slack", kSlack);
--- a/src/process/relay_settings.h
+++ b/src/process/relay_settings.h
@@ -27,6 +27,8 @@
   /// Region of each failure domain.
   std::map<std::string, std::string, std::less<>> regions;
   Endpoint store;
+  /// What this daemon may use of a core, in thousandths.
+  std::uint32_t processor = 1000;
   RepeatAllowance repeats;
   /// How long callers keep an address answer, in whole seconds.
   Duration address_time = std::chrono::seconds(1);
--- a/src/process/store_schema.h
+++ b/src/process/store_schema.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,8 @@
   Endpoint peer;
   std::string failure_domain;
   std::string region;
+  /// Of a core, in thousandths.
+  std::uint32_t processor = 1000;
 
   bool operator==(const DaemonEntry&) const = default;
 };
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -180,4 +180,30 @@
   CHECK(choose("r2", 1).size() == 3);
 }
 
+TEST_CASE("of VMs of several sizes the large ones serve callers") {
+  std::vector<DaemonEntry> daemons;
+  for (std::uint16_t port = 1; port <= 29; ++port) {
+    const Endpoint address{"127.0.0.1", port};
+    const std::uint32_t processor = port % 7 == 0 ? 500 : 120;
+    daemons.push_back({address, address, "d", "r", processor});
+  }
+  SUBCASE("as many as have the processor of that many average ones") {
+    const auto holders = ChooseHolders(daemons, 6);
+    CHECK(holders.size() == 3);
+    for (const DaemonEntry& holder : holders) {
+      CHECK(holder.processor == 500);
+    }
+  }
+  SUBCASE("small ones where the large ones do not suffice") {
+    const auto holders = ChooseHolders(daemons, 15);
+    CHECK(holders.size() > 4);
+    CHECK(holders.size() < 15);
+    CHECK(holders.at(3).processor == 500);
+    CHECK(holders.at(4).processor == 120);
+  }
+  SUBCASE("all, if that many are wanted") {
+    CHECK(ChooseHolders(daemons, 29).size() == 29);
+  }
+}
+
 }  // namespace bramleyspoke::Platform
