Standby daemons of a large fleet call the store less; a dropped entry is written again

Change: a daemon that callers are not told of takes a lease of 20 s and renews it each 8, watches for 20 s and gathers changes for 1.2; the key moves to the new lease before the old one ends. An entry of its own that a daemon sees removed is written again (a platform may take keys away without a word). Target latency: what the loop's timers were late by is kept, too (LoopLag).

--- a/src/process/daemon_registration.cc
+++ b/src/process/daemon_registration.cc
@@ -25,9 +25,33 @@
   Grant();
 }
 
+// The key moves to a new lease before the old one ends, so that it is never
+// missing.
+void DaemonRegistration::SetPace(const StorePace& pace) {
+  if (m_pace == pace) {
+    return;
+  }
+  m_pace = pace;
+  if (m_is_registered && !m_is_ended) {
+    m_old_lease = m_lease;
+    Grant();
+  }
+}
+
+void DaemonRegistration::Restore() {
+  if (m_is_registered && !m_is_ended) {
+    WriteLog(LogLevel::kWarning, "registration_missing",
+             {Field("lease", m_lease)});
+    Put();
+  }
+}
+
 void DaemonRegistration::End() {
   m_is_ended = true;
   m_timer.reset();
+  if (m_old_lease != 0) {
+    EndLease(m_old_lease);
+  }
   if (m_lease == 0) {
     return;
   }
@@ -37,56 +61,64 @@
   });
 }
 
+template <typename Result>
+std::function<void(Result)> DaemonRegistration::Then(
+    void (DaemonRegistration::*step)(Result)) {
+  return
+      [weak = std::weak_ptr(m_self), number = ++m_step, step](Result result) {
+        const auto self = weak.lock();
+        if (self && !(*self)->m_is_ended && (*self)->m_step == number) {
+          ((*self)->*step)(result);
+        }
+      };
+}
+
 void DaemonRegistration::Grant() {
-  m_store.Grant(kTimeToLive,
-                [weak = std::weak_ptr(m_self)](const LeaseGrant& grant) {
-                  const auto self = weak.lock();
-                  if (!self || (*self)->m_is_ended) {
-                    return;
-                  }
-                  (*self)->CheckAnswered(grant.status);
-                  if (grant.status != KeyValueStatus::kOk) {
-                    (*self)->After(kRetryTime, &DaemonRegistration::Grant);
-                    return;
-                  }
-                  (*self)->m_lease = grant.lease;
-                  (*self)->Put();
-                });
+  m_is_registered = false;
+  m_timer.reset();
+  m_store.Grant(m_pace.time_to_live,
+                Then<const LeaseGrant&>(&DaemonRegistration::OnGranted));
+}
+
+void DaemonRegistration::OnGranted(const LeaseGrant& grant) {
+  CheckAnswered(grant.status);
+  if (grant.status != KeyValueStatus::kOk) {
+    After(kRetryTime, &DaemonRegistration::Grant);
+    return;
+  }
+  m_lease = grant.lease;
+  Put();
 }
 
 void DaemonRegistration::Put() {
+  m_is_registered = false;
+  m_timer.reset();
   m_store.Put(m_key, m_value, m_lease,
-              [weak = std::weak_ptr(m_self)](KeyValueStatus status) {
-                const auto self = weak.lock();
-                if (!self || (*self)->m_is_ended) {
-                  return;
-                }
-                (*self)->CheckAnswered(status);
-                if (status == KeyValueStatus::kOk) {
-                  WriteLog(LogLevel::kInfo, "registered",
-                           {Field("lease", (*self)->m_lease)});
-                  (*self)->After(kRenewTime, &DaemonRegistration::Renew);
-                } else if (status == KeyValueStatus::kNotFound) {
-                  (*self)->After(kRetryTime, &DaemonRegistration::Grant);
-                } else {
-                  (*self)->After(kRetryTime, &DaemonRegistration::Put);
-                }
-              });
+              Then<KeyValueStatus>(&DaemonRegistration::OnPut));
 }
 
-void DaemonRegistration::Renew() {
-  m_store.Renew(m_lease, [weak = std::weak_ptr(m_self)](KeyValueStatus status) {
-    const auto self = weak.lock();
-    if (self && !(*self)->m_is_ended) {
-      (*self)->OnRenewed(status);
-    }
-  });
+void DaemonRegistration::OnPut(KeyValueStatus status) {
+  CheckAnswered(status);
+  if (status == KeyValueStatus::kNotFound) {
+    After(kRetryTime, &DaemonRegistration::Grant);
+    return;
+  }
+  if (status != KeyValueStatus::kOk) {
+    After(kRetryTime, &DaemonRegistration::Put);
+    return;
+  }
+  m_is_registered = true;
+  WriteLog(LogLevel::kInfo, "registered",
+           {Field("lease", m_lease),
+            Field("ttl_ms", ToMilliseconds(m_pace.time_to_live))});
+  if (const LeaseId old = std::exchange(m_old_lease, 0); old != 0) {
+    EndLease(old);
+  }
+  After(m_pace.renew_time, &DaemonRegistration::Renew);
 }
 
-void DaemonRegistration::CheckAnswered(KeyValueStatus status) const {
-  if (status == KeyValueStatus::kUnknown) {
-    m_on_no_answer();
-  }
+void DaemonRegistration::Renew() {
+  m_store.Renew(m_lease, Then<KeyValueStatus>(&DaemonRegistration::OnRenewed));
 }
 
 void DaemonRegistration::OnRenewed(KeyValueStatus status) {
@@ -96,10 +128,24 @@
     Grant();
     return;
   }
-  After(status == KeyValueStatus::kOk ? kRenewTime : kRetryTime,
+  After(status == KeyValueStatus::kOk ? m_pace.renew_time : kRetryTime,
         &DaemonRegistration::Renew);
 }
 
+// One that is not answered runs out by itself.
+void DaemonRegistration::EndLease(LeaseId lease) {
+  m_store.Revoke(lease, [lease](KeyValueStatus status) {
+    WriteLog(LogLevel::kDebug, "lease_ended",
+             {Field("lease", lease), Field("status", ToString(status))});
+  });
+}
+
+void DaemonRegistration::CheckAnswered(KeyValueStatus status) const {
+  if (status == KeyValueStatus::kUnknown) {
+    m_on_no_answer();
+  }
+}
+
 void DaemonRegistration::After(Duration pause,
                                void (DaemonRegistration::*step)()) {
   m_timer = m_loop.At(std::chrono::steady_clock::now() + pause,
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -39,6 +39,12 @@
     m_registration.Start();
   }
 
+  void SetServing(bool is_serving) override {
+    const StorePace& pace = is_serving ? kServingPace : kStandbyPace;
+    m_follower.SetPace(pace);
+    m_registration.SetPace(pace);
+  }
+
   void BeginLeaving() override { m_registration.End(); }
 
   // StoreListener.
@@ -65,6 +71,9 @@
     }
     m_registry.RetainOnly(leafs, Now());
     m_daemons = std::move(daemons);
+    if (!m_daemons.contains(m_schema.DaemonKey(m_name))) {
+      m_registration.Restore();
+    }
     WriteLog(LogLevel::kInfo, "store_read",
              {Field("keys", items.size()), Field("leafs", m_registry.size()),
               Field("daemons", m_daemons.size())});
@@ -177,6 +186,9 @@
   void TakeDaemonEvent(const KeyValueEvent& event) {
     if (!event.value || !TakeDaemon(event.key, *event.value, m_daemons)) {
       m_daemons.erase(event.key);
+      if (event.key == m_schema.DaemonKey(m_name)) {
+        m_registration.Restore();
+      }
     }
   }
 
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -37,6 +37,8 @@
   virtual ~RelayControl() = default;
 
   virtual void Start() = 0;
+  /// Whether callers are told of this daemon; on the control loop.
+  virtual void SetServing(bool is_serving) = 0;
   /// Takes this daemon out of the others' sight.
   virtual void BeginLeaving() = 0;
 };
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -309,6 +309,8 @@
     // One that the store does not know can't tell whether it is one.
     const bool is_holder = is_counted || !IsRegistered();
     m_front->SetHolders(std::move(by_region), is_holder);
+    m_control_loop->Post(
+        [this, is_holder] { m_control->SetServing(is_holder); });
     m_front->SetPeers(peers);
   }
 
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -10,6 +10,7 @@
 
 #include "connection/http_server.h"
 #include "connection/leaf_exchanges.h"
+#include "connection/loop_lag.h"
 #include "connection/peer.h"
 #include "connection/relay_protocol.h"
 #include "request/relay_engine.h"
@@ -108,8 +109,7 @@
   };
 
   /// What of a route's target latency passes outside of this daemon.
-  static Duration TimeOnTheWay(const HttpExchange& exchange,
-                               const Route& route);
+  Duration TimeOnTheWay(const HttpExchange& exchange, const Route& route) const;
   void Submit(std::shared_ptr<HttpExchange> exchange,
               CallerHead head,
               const Route& route);
@@ -149,6 +149,7 @@
   RelayNumber m_last_number = 0;
   std::unique_ptr<Timer> m_timer;
   std::optional<TimePoint> m_timer_at;
+  LoopLag m_lag;
   std::shared_ptr<RelayFront*> m_self;
 };
 
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -62,7 +62,7 @@
 void StoreFollower::Watch() {
   m_watch = ++m_last_watch;
   m_store.Watch(m_prefix, m_revision,
-                m_is_lost || m_is_probing ? kProbeTime : kWatchTime,
+                m_is_lost || m_is_probing ? kProbeTime : m_pace.watch_time,
                 [weak = std::weak_ptr(m_self),
                  watch = m_watch](const KeyValueChanges& changes) {
                   if (const auto self = weak.lock()) {
@@ -101,7 +101,7 @@
   if (!changes.events.empty()) {
     m_listener.OnChanges(changes.events);
   }
-  Continue(changes.events.empty() ? Duration::zero() : kGatherTime);
+  Continue(changes.events.empty() ? Duration::zero() : m_pace.gather_time);
 }
 
 void StoreFollower::OnFailure(KeyValueStatus status) {
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -7,6 +7,7 @@
 
 #include "base/time.h"
 #include "connection/key_value_store.h"
+#include "process/store_pace.h"
 
 namespace bramleyspoke {
 
@@ -28,17 +29,12 @@
 /// Keeps up with all keys under a prefix: reads them once, then watches.
 class StoreFollower {
  public:
-  /// How long one watch waits; a connection that went silent is found by then.
-  static constexpr Duration kWatchTime = std::chrono::seconds(6);
-  /// Same, while the store may be silent: that it answers is the news, and what
-  /// it did not answer may be forgotten when it is back.
+  /// How long a watch waits while the store may be silent: that it answers is
+  /// the news, and what it did not answer may be forgotten when it is back.
   static constexpr Duration kProbeTime = std::chrono::milliseconds(200);
   /// Pause after a failure, doubled up to the longest.
   static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
   static constexpr Duration kLongestPause = std::chrono::milliseconds(800);
-  /// Between an answer with changes and the next watch, so that changes that
-  /// come close together share a call.
-  static constexpr Duration kGatherTime = std::chrono::milliseconds(400);
 
   StoreFollower(EventLoop& loop,
                 KeyValueStore& store,
@@ -47,6 +43,8 @@
   ~StoreFollower();
 
   void Start();
+  /// From the next watch on.
+  void SetPace(const StorePace& pace) { m_pace = pace; }
   /// Another call got no answer: whether the watch under way will is in doubt,
   /// so a short one takes its place.
   void Doubt();
@@ -70,6 +68,7 @@
   std::int64_t m_revision = 0;
   /// Of the first page of the reading under way.
   std::int64_t m_first_page_revision = 0;
+  StorePace m_pace = kServingPace;
   Duration m_pause = kFirstPause;
   bool m_is_lost = false;
   /// Number of the watch under way; 0: none.
--- /dev/null
+++ b/tests/held_store.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "connection/key_value_store.h"
+
+namespace bramleyspoke {
+
+/// Store whose calls are held until the test answers them.
+class HeldStore final : public KeyValueStore {
+ public:
+  struct HeldWatch {
+    Duration wait{0};
+    std::function<void(KeyValueChanges)> done;
+  };
+  struct HeldGrant {
+    Duration time_to_live{0};
+    std::function<void(LeaseGrant)> done;
+  };
+  using HeldStatus = std::function<void(KeyValueStatus)>;
+
+  void Range(const std::string& /*prefix*/,
+             const std::string& /*after*/,
+             std::function<void(KeyValuePage)> done) override {
+    ranges.push_back(std::move(done));
+  }
+  void Watch(const std::string& /*prefix*/,
+             std::int64_t /*revision*/,
+             Duration wait,
+             std::function<void(KeyValueChanges)> done) override {
+    watches.push_back({wait, std::move(done)});
+  }
+  void DropWatches() override {
+    for (const HeldWatch& watch : std::exchange(watches, {})) {
+      watch.done({KeyValueStatus::kUnknown, {}, 0});
+    }
+  }
+  void Grant(Duration time_to_live,
+             std::function<void(LeaseGrant)> done) override {
+    grants.push_back({time_to_live, std::move(done)});
+  }
+  void Renew(LeaseId /*lease*/, HeldStatus done) override {
+    renews.push_back(std::move(done));
+  }
+  void Revoke(LeaseId lease, HeldStatus /*done*/) override {
+    revoked.push_back(lease);
+  }
+  void Put(const std::string& /*key*/,
+           const std::string& /*value*/,
+           LeaseId /*lease*/,
+           HeldStatus done) override {
+    puts.push_back(std::move(done));
+  }
+
+  void AnswerRange() {
+    REQUIRE(ranges.size() == 1);
+    std::exchange(ranges, {}).front()({KeyValueStatus::kOk, {}, false, 7});
+  }
+  void AnswerWatch(KeyValueStatus status) {
+    REQUIRE(watches.size() == 1);
+    std::exchange(watches, {}).front().done({status, {}, 7});
+  }
+  void AnswerGrant(LeaseId lease) {
+    REQUIRE(grants.size() == 1);
+    std::exchange(grants, {}).front().done({KeyValueStatus::kOk, lease, {}});
+  }
+  void AnswerPut(KeyValueStatus status) {
+    REQUIRE(puts.size() == 1);
+    std::exchange(puts, {}).front()(status);
+  }
+  void AnswerRenew(KeyValueStatus status) {
+    REQUIRE(renews.size() == 1);
+    std::exchange(renews, {}).front()(status);
+  }
+
+  std::vector<std::function<void(KeyValuePage)>> ranges;
+  std::vector<HeldWatch> watches;
+  std::vector<HeldGrant> grants;
+  std::vector<HeldStatus> renews;
+  std::vector<HeldStatus> puts;
+  std::vector<LeaseId> revoked;
+};
+
+}  // namespace bramleyspoke
