Logs: sampled by request, never waiting for their reader, and saying why

Change: LogSampler keeps requests by a hash of their id, failures first; LineWriter writes only what the pipe takes at once and counts the rest (log_lines_lost); request_end names its odd parts (leafs, hedges, what the budget had left), the time for the answer and why waiting ended. Writing moved from relay_daemon to relay_log. Tests: relay_log_test, log_test (an output that nobody reads: fails on the console appender by hanging). The test of LogQuota is replaced by those of LogSampler, which allow 80 lines in the second in which a flood begins and hold each later one to the same bound. Ruled out: log4cxx's AsyncAppender: its summary of discarded lines is no JSON, and its thread would wait at exit.

--- /dev/null
+++ b/src/process/line_writer.cc
@@ -0,0 +1,57 @@
+#include "process/line_writer.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <climits>
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+// A pipe that is ready takes this much at once without blocking.
+constexpr std::size_t kMostBytes = PIPE_BUF;
+
+}  // namespace
+
+LineWriter::LineWriter(int descriptor,
+                       std::function<std::string(std::uint64_t)> describe_lost)
+    : m_descriptor(descriptor), m_describe_lost(std::move(describe_lost)) {}
+
+// The descriptor stays a blocking one: its other holders, such as a terminal's
+// shell, share that switch.
+void LineWriter::Write(std::string_view line) {
+  const std::lock_guard lock(m_mutex);
+  std::string text;
+  if (m_lost > 0) {
+    text = m_describe_lost(m_lost) + "\n";
+  }
+  text.append(line).append("\n");
+  if (text.size() > kMostBytes || !HasRoom() || !WriteAll(text)) {
+    ++m_lost;
+    return;
+  }
+  m_lost = 0;
+}
+
+bool LineWriter::HasRoom() const {
+  pollfd state{m_descriptor, POLLOUT, 0};
+  return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
+bool LineWriter::WriteAll(std::string_view text) const {
+  while (!text.empty()) {
+    const ssize_t written = write(m_descriptor, text.data(), text.size());
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written <= 0) {
+      return false;
+    }
+    text.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return true;
+}
+
+}  // namespace bramleyspoke
--- a/src/process/log.cc
+++ b/src/process/log.cc
@@ -1,8 +1,8 @@
 #include "process/log.h"
 
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
@@ -13,6 +13,8 @@
 #include <ctime>
 #include <memory>
 
+#include "process/line_writer.h"
+
 namespace bramleyspoke {
 namespace {
 
@@ -21,8 +23,7 @@
 // log4cxx's JSONLayout takes fields from the thread's MDC alone: all of them
 // strings, nested in "context_map", set and removed one by one around each
 // call. So the line is built here as one JSON object with typed fields, and
-// log4cxx does the rest: levels, the appender and its lock.
-constexpr const char* kLinePattern = "%m%n";
+// log4cxx does the rest: levels and the way to the appender.
 constexpr const char* kLoggerName = "bramleyspoke";
 
 std::atomic<LogLevel> g_level = LogLevel::kInfo;
@@ -76,6 +77,29 @@
   return std::get<bool>(field.value);
 }
 
+std::string DescribeLostLines(std::uint64_t lines) {
+  return Detail::FormatLogLine(WallTime(), LogLevel::kWarning, "log_lines_lost",
+                               {Field("lines", lines)});
+}
+
+// log4cxx's console appender would wait for whoever reads the output.
+class StandardOutput final : public log4cxx::AppenderSkeleton {
+ public:
+  StandardOutput() : m_writer(STDOUT_FILENO, DescribeLostLines) {}
+
+  void close() override {}
+  bool requiresLayout() const override { return false; }
+
+ protected:
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& /*pool*/) override {
+    m_writer.Write(event->getMessage());
+  }
+
+ private:
+  LineWriter m_writer;
+};
+
 json::string Text(std::string_view text) {
   return json::string(text.data(), text.size());
 }
@@ -91,11 +115,8 @@
 }
 
 void StartLog(LogLevel level) {
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(kLinePattern);
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemOut());
   Logger()->removeAllAppenders();
-  Logger()->addAppender(appender);
+  Logger()->addAppender(std::make_shared<StandardOutput>());
   Logger()->setAdditivity(false);
   SetLogLevel(level);
 }
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -12,10 +12,10 @@
 #include "connection/http_server.h"
 #include "process/entry_choice.h"
 #include "process/log.h"
-#include "process/log_quota.h"
 #include "process/planned_stop.h"
 #include "process/relay_control.h"
 #include "process/relay_front.h"
+#include "process/relay_log.h"
 #include "process/relay_metrics.h"
 #include "process/stop_signal.h"
 
@@ -34,7 +34,6 @@
 constexpr std::chrono::seconds kRequestTime{10};
 // For word of a crash to reach a peer.
 constexpr std::chrono::milliseconds kCrashWordTime{1000};
-constexpr std::uint32_t kLogLinesPerSecond = 40;
 // Routes may be out of date once the store was away for so long.
 constexpr std::chrono::milliseconds kStaleTime{1500};
 
@@ -57,7 +56,6 @@
         m_loop(EventLoop::Create()),
         m_control_loop(EventLoop::Create()),
         m_metrics(RelayMetrics::Create()),
-        m_log_quota(kLogLinesPerSecond),
         m_stop(PlannedStopOptions{Scale(settings.stop_bound, kKeepServingShare),
                                   Scale(settings.stop_bound, kStopShare)}) {}
 
@@ -162,37 +160,13 @@
     if (!end.is_for_peer) {
       m_metrics->Observe(end);
     }
-    const bool is_answered = end.is_for_peer || end.status == 200;
-    const bool is_clean = is_answered && end.repeats == 0 &&
-                          end.missing_shards == 0 && end.route != nullptr &&
-                          end.taken <= end.route->target_latency;
-    const LogLevel level = is_clean ? LogLevel::kDebug : LogLevel::kInfo;
-    if (!MayLog(level)) {
-      return;
-    }
-    WriteLog(
-        level, end.is_for_peer ? "peer_query_end" : "request_end",
-        {Field("request_id", end.request_id),
-         Field("route", end.route ? std::string_view(end.route->name)
-                                  : std::string_view()),
-         Field("version", end.version), Field("status", end.status),
-         Field("taken_ms", ToMilliseconds(end.taken)),
-         Field("sends", end.sends), Field("repeats", end.repeats),
-         Field("missing_shards", end.missing_shards),
-         Field("reason", end.refusal ? ToString(end.refusal->reason) : ""),
-         Field("verdict", end.refusal ? ToString(end.refusal->verdict) : "")});
+    m_log.WriteEnd(end);
   }
 
   void OnSendFailed(std::string_view request_id,
                     const RelaySendEnd& send) override {
     m_metrics->Observe(send);
-    if (MayLog(LogLevel::kInfo)) {
-      WriteLog(
-          LogLevel::kInfo, "send_failed",
-          {Field("request_id", request_id), Field("leaf", send.leaf_id),
-           Field("service", send.service), Field("kind", ToString(send.kind)),
-           Field("taken_ms", ToMilliseconds(send.taken))});
-    }
+    m_log.WriteFailedSend(request_id, send);
   }
 
   // What ended a leaf here may come to any daemon next.
@@ -401,21 +375,6 @@
                      {"leafs", std::move(leafs)}});
   }
 
-  bool MayLog(LogLevel level) {
-    if (!IsLogged(level)) {
-      return false;
-    }
-    if (!m_log_quota.Take(std::chrono::steady_clock::now())) {
-      return false;
-    }
-    const std::uint64_t suppressed = m_log_quota.TakeSuppressed();
-    if (suppressed > 0) {
-      WriteLog(LogLevel::kWarning, "log_lines_suppressed",
-               {Field("lines", suppressed)});
-    }
-    return true;
-  }
-
   void Reload() {
     const auto read = Check(m_read_settings);
     if (!read.value) {
@@ -463,7 +422,7 @@
   const std::unique_ptr<RelayMetrics> m_metrics;
   std::unique_ptr<CapnpPeers> m_peers;
   std::unique_ptr<RelayFront> m_front;
-  LogQuota m_log_quota;
+  RelayLog m_log;
   PlannedStop m_stop;
   std::unique_ptr<HttpServer> m_callers;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -99,9 +99,14 @@
   request.deadline = now + std::max(allowed - kAnswerMargin, allowed / 2);
   request.answer_by =
       now + route.target_latency - TimeOnTheWay(*exchange, route);
-  m_open.emplace(
-      number,
-      Open{exchange, {}, {}, std::move(head.request_id), m_table, &route, now});
+  m_open.emplace(number, Open{exchange,
+                              {},
+                              {},
+                              std::move(head.request_id),
+                              m_table,
+                              &route,
+                              now,
+                              request.answer_by});
   exchange->OnClientGone([this, number] {
     m_open.erase(number);
     Apply(m_engine.OnCallerGone(number, Now()));
@@ -171,9 +176,9 @@
   request.deadline = now + query.time_left;
   request.answer_by = now + query.answer_time;
   request.is_for_peer = true;
-  m_open.emplace(number,
-                 Open{nullptr, std::move(query.request), std::move(reply),
-                      std::move(query.request_id), table, request.route, now});
+  m_open.emplace(number, Open{nullptr, std::move(query.request),
+                              std::move(reply), std::move(query.request_id),
+                              table, request.route, now, request.answer_by});
   Apply(m_engine.Submit(number, std::move(request), now));
   return GiveUpCall(number);
 }
@@ -349,9 +354,9 @@
   end.request_id = open.request_id;
   end.route = open.route;
   end.taken = answer.served_in;
-  end.sends = outcome.sends;
-  end.repeats = outcome.repeats;
+  end.time_for_answer = open.answer_by - open.arrived;
   end.missing_shards = outcome.uncovered.size();
+  end.outcome = &outcome;
   end.refusal = outcome.refusal;
   end.is_for_peer = true;
   m_observer.OnRequestEnd(end);
@@ -385,9 +390,9 @@
   end.version = open.table->Version();
   end.status = response.status;
   end.taken = Now() - open.arrived;
-  end.sends = outcome.sends;
-  end.repeats = outcome.repeats;
+  end.time_for_answer = open.answer_by - open.arrived;
   end.missing_shards = outcome.missing_shards;
+  end.outcome = &outcome;
   end.refusal = outcome.refusal;
   m_observer.OnRequestEnd(end);
   open.exchange->Respond(std::move(response));
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -28,9 +28,11 @@
   std::uint64_t version = 0;
   int status = 0;
   Duration taken{0};
-  std::uint32_t sends = 0;
-  std::uint32_t repeats = 0;
+  /// Until its answer was due.
+  Duration time_for_answer{0};
   std::size_t missing_shards = 0;
+  /// Null if it never came to the engine.
+  const RelayOutcome* outcome = nullptr;
   std::optional<RelayRefusal> refusal;
   /// Asked by another daemon for its caller.
   bool is_for_peer = false;
@@ -102,6 +104,7 @@
     std::shared_ptr<const RouteTable> table;
     const Route* route = nullptr;
     TimePoint arrived;
+    TimePoint answer_by;
 
     const HttpRequest& Request() const {
       return exchange ? exchange->Request() : peer_request;
--- /dev/null
+++ b/src/process/relay_log.cc
@@ -0,0 +1,97 @@
+#include "process/relay_log.h"
+
+#include <chrono>
+
+namespace bramleyspoke {
+namespace {
+
+// In time, whole, and each leaf asked once.
+bool IsPlain(const RelayEnd& end) {
+  const bool is_answered = end.is_for_peer || end.status == 200;
+  const bool is_repeated = end.outcome != nullptr && end.outcome->repeats > 0;
+  return is_answered && !is_repeated && end.missing_shards == 0 &&
+         end.route != nullptr && end.taken <= end.route->target_latency;
+}
+
+LogValue ValueOf(const RelayEnd& end) {
+  const bool is_failed =
+      end.refusal.has_value() || (!end.is_for_peer && end.status != 200);
+  return is_failed ? LogValue::kFailure : LogValue::kOther;
+}
+
+std::string_view NameOf(const Route* route) {
+  return route == nullptr ? std::string_view() : route->name;
+}
+
+}  // namespace
+
+std::string DescribeOddParts(const std::vector<OddPart>& parts) {
+  std::string text;
+  for (const OddPart& part : parts) {
+    text += text.empty() ? "" : "; ";
+    text += part.service + " " + std::string(ToString(part.end));
+    if (!part.answered_by.empty()) {
+      text += " by " + part.answered_by;
+    }
+    text += part.leafs.empty() ? "" : " after";
+    for (const std::string& leaf : part.leafs) {
+      text += " " + leaf;
+    }
+    text += " (hedges " + std::to_string(part.hedges) + ", budget " +
+            std::to_string(static_cast<int>(part.budget)) + ")";
+  }
+  return text;
+}
+
+void RelayLog::WriteEnd(const RelayEnd& end) {
+  const LogLevel level = IsPlain(end) ? LogLevel::kDebug : LogLevel::kInfo;
+  if (!MayWrite(level, end.request_id, ValueOf(end))) {
+    return;
+  }
+  static const RelayOutcome kNone;
+  const RelayOutcome& outcome = end.outcome == nullptr ? kNone : *end.outcome;
+  WriteLog(
+      level, end.is_for_peer ? "peer_query_end" : "request_end",
+      {Field("request_id", end.request_id), Field("route", NameOf(end.route)),
+       Field("version", end.version), Field("status", end.status),
+       Field("taken_ms", ToMilliseconds(end.taken)),
+       Field("time_for_answer_ms", ToMilliseconds(end.time_for_answer)),
+       Field("wait_end", ToString(outcome.wait_end)),
+       Field("sends", outcome.sends), Field("repeats", outcome.repeats),
+       Field("missing_shards", end.missing_shards),
+       Field("odd_parts", outcome.odd_part_count),
+       Field("odd", DescribeOddParts(outcome.odd_parts)),
+       Field("reason", end.refusal ? ToString(end.refusal->reason) : ""),
+       Field("verdict", end.refusal ? ToString(end.refusal->verdict) : ""),
+       Field("retry_after_ms", end.refusal && end.refusal->retry_after
+                                   ? ToMilliseconds(*end.refusal->retry_after)
+                                   : 0)});
+}
+
+void RelayLog::WriteFailedSend(std::string_view request_id,
+                               const RelaySendEnd& send) {
+  if (!MayWrite(LogLevel::kInfo, request_id, LogValue::kOther)) {
+    return;
+  }
+  WriteLog(LogLevel::kInfo, "send_failed",
+           {Field("request_id", request_id), Field("leaf", send.leaf_id),
+            Field("service", send.service), Field("kind", ToString(send.kind)),
+            Field("taken_ms", ToMilliseconds(send.taken))});
+}
+
+bool RelayLog::MayWrite(LogLevel level,
+                        std::string_view request_id,
+                        LogValue value) {
+  if (!IsLogged(level) ||
+      !m_sampler.Take(request_id, value, std::chrono::steady_clock::now())) {
+    return false;
+  }
+  const std::uint64_t suppressed = m_sampler.TakeSuppressed();
+  if (suppressed > 0) {
+    WriteLog(LogLevel::kWarning, "log_lines_suppressed",
+             {Field("lines", suppressed)});
+  }
+  return true;
+}
+
+}  // namespace bramleyspoke
--- a/src/request/relay.cc
+++ b/src/request/relay.cc
@@ -16,12 +16,33 @@
     {LeafReplyKind::kMalformed, "malformed"},
 }}};
 
+constexpr EnumNames<WaitEnd, 3> kWaitEndNames{{{
+    {WaitEnd::kAllEnded, "all_ended"},
+    {WaitEnd::kAnswerDue, "answer_due"},
+    {WaitEnd::kDeadline, "deadline"},
+}}};
+
+constexpr EnumNames<PartEnd, 4> kPartEndNames{{{
+    {PartEnd::kAnswered, "answered"},
+    {PartEnd::kCovered, "covered"},
+    {PartEnd::kFailed, "failed"},
+    {PartEnd::kOpen, "open"},
+}}};
+
 }  // namespace
 
 std::string_view ToString(LeafReplyKind kind) {
   return kReplyNames.NameOf(kind);
 }
 
+std::string_view ToString(WaitEnd end) {
+  return kWaitEndNames.NameOf(end);
+}
+
+std::string_view ToString(PartEnd end) {
+  return kPartEndNames.NameOf(end);
+}
+
 Verdict VerdictOf(LeafReplyKind kind) {
   switch (kind) {
     case LeafReplyKind::kSucceeded:
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -81,6 +81,42 @@
   std::optional<Duration> retry_after;
 };
 
+/// Why a request was waited for no longer.
+enum class WaitEnd {
+  /// All parts had ended.
+  kAllEnded,
+  /// Its answer was due, and covered enough.
+  kAnswerDue,
+  kDeadline,
+};
+
+std::string_view ToString(WaitEnd end);
+
+/// How far a part had come when its request ended.
+enum class PartEnd {
+  kAnswered,
+  /// In a peer's answer.
+  kCovered,
+  kFailed,
+  /// Still waited for.
+  kOpen,
+};
+
+std::string_view ToString(PartEnd end);
+
+/// A part that took more than one sending and its answer; for the log.
+struct OddPart {
+  std::string service;
+  PartEnd end = PartEnd::kOpen;
+  /// Leafs that had it, in order.
+  std::vector<std::string> leafs;
+  std::string answered_by;
+  /// Sendings to a second leaf while the first one was silent.
+  std::uint32_t hedges = 0;
+  /// Repeats that the service's budget had left.
+  double budget = 0;
+};
+
 /// How a relayed request ended: answers of leafs, or a refusal.
 struct RelayOutcome {
   /// One answer, or those of a fan-out's shards; a peer's covers several.
@@ -95,6 +131,10 @@
   std::optional<RelayRefusal> refusal;
   std::uint32_t sends = 0;
   std::uint32_t repeats = 0;
+  WaitEnd wait_end = WaitEnd::kAllEnded;
+  /// Some of the odd parts, and how many there are.
+  std::vector<OddPart> odd_parts;
+  std::size_t odd_part_count = 0;
 };
 
 /// To be sent to a leaf.
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -12,6 +12,8 @@
 // How long a leaf may go on with what nobody waits for: closing costs the
 // leaf a new connection, and most answers come within this.
 constexpr Duration kAbandonDelay = std::chrono::milliseconds(200);
+// Odd parts that a request's outcome names.
+constexpr std::size_t kMostOddParts = 8;
 // How long a peer may take to ask for the rest of an answer.
 constexpr Duration kLingerTime = std::chrono::milliseconds(100);
 
@@ -70,7 +72,7 @@
   if (Request* request = Find(sending.request)) {
     Part& part = request->parts[sending.part];
     std::erase(part.running, number);
-    Apply(*request, sending.part, std::move(reply));
+    Apply(*request, sending.part, sending.leaf, std::move(reply));
     Touch(sending.request);
   }
   Pump(*sending.service);
@@ -352,8 +354,7 @@
     Finish(request, std::move(outcome));
     return;
   }
-  outcome.sends = request.sends;
-  outcome.repeats = request.repeats;
+  Explain(request, outcome);
   request.lingers_until = m_now + kLingerTime;
   m_actions.finishes.push_back({request.number, std::move(outcome)});
 }
@@ -390,14 +391,58 @@
   Finish(request, std::move(outcome));
 }
 
+PartEnd RelayEngine::Part::End() const {
+  if (is_covered) {
+    return PartEnd::kCovered;
+  }
+  if (answered_by) {
+    return PartEnd::kAnswered;
+  }
+  return is_failed ? PartEnd::kFailed : PartEnd::kOpen;
+}
+
+OddPart RelayEngine::Part::Describe() const {
+  OddPart odd;
+  odd.service = service->name;
+  odd.end = End();
+  for (const auto& leaf : tried) {
+    odd.leafs.push_back(leaf->registration.id);
+  }
+  if (answered_by) {
+    odd.answered_by = answered_by->registration.id;
+  }
+  odd.hedges = hedges;
+  odd.budget = service->budget.Tokens();
+  return odd;
+}
+
+void RelayEngine::Explain(const Request& request, RelayOutcome& outcome) const {
+  outcome.sends = request.sends;
+  outcome.repeats = request.repeats;
+  bool is_open = false;
+  for (const Part& part : request.parts) {
+    is_open = is_open || part.IsOpen();
+    if (part.IsOdd()) {
+      ++outcome.odd_part_count;
+      if (outcome.odd_parts.size() < kMostOddParts) {
+        outcome.odd_parts.push_back(part.Describe());
+      }
+    }
+  }
+  if (m_now >= request.request.deadline) {
+    outcome.wait_end = WaitEnd::kDeadline;
+  } else if (is_open) {
+    outcome.wait_end = WaitEnd::kAnswerDue;
+  }
+}
+
 // Short work that still runs goes on, so that its connection is kept.
 void RelayEngine::Finish(Request& request, RelayOutcome outcome) {
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     Dequeue(request, index);
     CancelLosers(request, request.parts[index]);
   }
-  outcome.sends = request.sends;
-  outcome.repeats = request.repeats;
+  Explain(request, outcome);
   m_actions.finishes.push_back({request.number, std::move(outcome)});
   Erase(request);
 }
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -154,7 +154,10 @@
   // Replies.
   void Observe(const Sending& sending, const LeafReply& reply);
   void ObserveCrash(const Sending& sending, LeafReplyKind kind);
-  void Apply(Request& request, std::size_t index, LeafReply reply);
+  void Apply(Request& request,
+             std::size_t index,
+             const std::shared_ptr<RelayLeaf>& leaf,
+             LeafReply reply);
   void CancelLosers(const Request& request, const Part& part);
   void GiveUp(Part& part);
 
@@ -169,6 +172,7 @@
                      RefusalReason reason,
                      std::optional<Duration> retry_after);
   void Finish(Request& request, RelayOutcome outcome);
+  void Explain(const Request& request, RelayOutcome& outcome) const;
   Verdict VerdictOfParts(const Request& request) const;
   void AbandonSends(Request& request);
 
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -25,6 +25,8 @@
   /// The last send reached no leaf, so the next one is no repeat.
   bool is_next_free = true;
   std::optional<HttpResponse> answer;
+  std::shared_ptr<RelayLeaf> answered_by;
+  std::uint32_t hedges = 0;
   /// A peer's answer covers it.
   bool is_covered = false;
   /// Set while a peer was asked for it.
@@ -42,6 +44,10 @@
 
   bool IsAnswered() const { return answer || is_covered; }
   bool IsOpen() const { return !IsAnswered() && !is_failed; }
+  PartEnd End() const;
+  /// Took more than one sending and its answer.
+  bool IsOdd() const { return !IsAnswered() || sends > 1; }
+  OddPart Describe() const;
 };
 
 /// A request under way.
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -195,6 +195,7 @@
   }
   ++m_counters.hedges;
   ++request.repeats;
+  ++part.hedges;
   Send(request, index, choice.leaf);
 }
 
@@ -266,7 +267,10 @@
   }
 }
 
-void RelayEngine::Apply(Request& request, std::size_t index, LeafReply reply) {
+void RelayEngine::Apply(Request& request,
+                        std::size_t index,
+                        const std::shared_ptr<RelayLeaf>& leaf,
+                        LeafReply reply) {
   Part& part = request.parts[index];
   if (!part.IsOpen()) {
     return;
@@ -276,6 +280,7 @@
   part.runs += verdict == Verdict::kNotRun ? 0 : 1;
   if (reply.kind == LeafReplyKind::kSucceeded) {
     part.answer = std::move(reply.response);
+    part.answered_by = leaf;
     CancelLosers(request, part);
     return;
   }
--- a/tests/log_test.cc
+++ b/tests/log_test.cc
@@ -1,8 +1,73 @@
 #include "process/log.h"
 
 #include <doctest/doctest.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+#include "process/line_writer.h"
 
 namespace bramleyspoke {
+namespace {
+
+// A pipe whose reader reads only when told.
+class UnreadPipe {
+ public:
+  UnreadPipe() { REQUIRE(pipe(m_ends.data()) == 0); }
+  ~UnreadPipe() {
+    close(m_ends[0]);
+    close(m_ends[1]);
+  }
+  int Writing() const { return m_ends[1]; }
+
+  std::string ReadAll() const {
+    std::string text;
+    std::array<char, 4096> buffer{};
+    pollfd state{m_ends[0], POLLIN, 0};
+    while (poll(&state, 1, 0) == 1) {
+      const auto size = read(m_ends[0], buffer.data(), buffer.size());
+      REQUIRE(size > 0);
+      text.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    return text;
+  }
+
+ private:
+  std::array<int, 2> m_ends{};
+};
+
+}  // namespace
+
+TEST_CASE("an output that nobody reads holds up no writer") {
+  const UnreadPipe output;
+  LineWriter writer(output.Writing(), [](std::uint64_t lines) {
+    return "lost " + std::to_string(lines);
+  });
+  const std::string line(1000, 'x');
+  constexpr int kLines = 1000;
+  for (int i = 0; i < kLines; ++i) {
+    writer.Write(line);
+  }
+  const std::size_t kept = output.ReadAll().size() / (line.size() + 1);
+  CHECK(kept > 0);
+  CHECK(kept < kLines);
+  writer.Write("next");
+  CHECK(output.ReadAll() ==
+        "lost " + std::to_string(kLines - kept) + "\nnext\n");
+  writer.Write("more");
+  CHECK(output.ReadAll() == "more\n");
+}
+
+TEST_CASE("a line that a pipe may not take at once is left out") {
+  const UnreadPipe output;
+  LineWriter writer(output.Writing(),
+                    [](std::uint64_t) { return std::string("lost"); });
+  writer.Write(std::string(100000, 'x'));
+  writer.Write("next");
+  CHECK(output.ReadAll() == "lost\nnext\n");
+}
 
 TEST_CASE("a log line is one JSON object with typed fields") {
   const std::string line = Detail::FormatLogLine(
--- /dev/null
+++ b/tests/relay_log_test.cc
@@ -0,0 +1,90 @@
+#include "process/relay_log.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "process/log_sampler.h"
+#include "relay_fixture.h"
+
+namespace bramleyspoke {
+namespace {
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+std::string IdOf(int number) {
+  return "request-" + std::to_string(number);
+}
+
+// Lines written of `lines` in one second.
+int WrittenOf(LogSampler& sampler, int lines, LogValue value, TimePoint now) {
+  int written = 0;
+  for (int i = 0; i < lines; ++i) {
+    written += sampler.Take(IdOf(i), value, now) ? 1 : 0;
+  }
+  return written;
+}
+
+}  // namespace
+
+TEST_CASE("log lines are bounded in each second, and the rest is counted") {
+  LogSampler sampler(40);
+  CHECK(WrittenOf(sampler, 40, LogValue::kOther, kNow) == 40);
+  const int flood = WrittenOf(sampler, 1000, LogValue::kOther,
+                              kNow + std::chrono::seconds(1));
+  CHECK(flood >= 40);
+  CHECK(flood <= 80);
+  CHECK(sampler.TakeSuppressed() == 1000 - std::uint64_t(flood));
+  CHECK(sampler.TakeSuppressed() == 0);
+  for (int second = 2; second < 10; ++second) {
+    CHECK(WrittenOf(sampler, 1000, LogValue::kOther,
+                    kNow + std::chrono::seconds(second)) <= 80);
+  }
+}
+
+TEST_CASE("what is kept of a request is whole") {
+  LogSampler here(40);
+  LogSampler there(40);
+  for (LogSampler* sampler : {&here, &there}) {
+    WrittenOf(*sampler, 1000, LogValue::kOther, kNow);
+  }
+  const TimePoint later = kNow + std::chrono::seconds(1);
+  for (int i = 0; i < 100; ++i) {
+    const bool is_kept = here.Take(IdOf(i), LogValue::kOther, later);
+    CHECK(there.Take(IdOf(i), LogValue::kOther, later) == is_kept);
+  }
+}
+
+TEST_CASE("other lines leave the rate to failures") {
+  LogSampler sampler(40);
+  WrittenOf(sampler, 40, LogValue::kFailure, kNow);
+  CHECK(WrittenOf(sampler, 1000, LogValue::kOther, kNow) <= 8);
+  LogSampler other(40);
+  WrittenOf(other, 1000, LogValue::kOther, kNow);
+  CHECK(WrittenOf(other, 40, LogValue::kFailure, kNow) == 40);
+}
+
+TEST_CASE("a request's outcome names its odd parts") {
+  RelayFixture relay;
+  for (const char* shard : {"s0", "s1", "s2", "s3"}) {
+    relay.AddLeaf(shard, shard + std::string("-leaf"));
+  }
+  relay.AddLeaf("s0", "s0-other");
+  const RelayNumber number = relay.Submit(4);
+  const std::string first = relay.IsSentTo("s0-leaf") ? "s0-leaf" : "s0-other";
+  const std::string second = first == "s0-leaf" ? "s0-other" : "s0-leaf";
+  relay.Reply(first, LeafReplyKind::kLost);
+  relay.Reply(second, LeafReplyKind::kSucceeded);
+  relay.Reply("s1-leaf", LeafReplyKind::kSucceeded);
+  relay.Reply("s2-leaf", LeafReplyKind::kSucceeded);
+  relay.Advance(milliseconds(200));
+  const RelayOutcome& outcome = relay.Outcome(number);
+  CHECK(outcome.wait_end == WaitEnd::kAnswerDue);
+  REQUIRE(outcome.odd_part_count == 2);
+  const std::string text = DescribeOddParts(outcome.odd_parts);
+  CHECK(text.find("s0 answered by " + second + " after " + first + " " +
+                  second) == 0);
+  CHECK(text.find("s3 open after s3-leaf (hedges 0") != std::string::npos);
+}
+
+}  // namespace bramleyspoke
--- a/tests/relay_settings_test.cc
+++ b/tests/relay_settings_test.cc
@@ -7,7 +7,6 @@
 #include <sstream>
 
 #include "base/problems.h"
-#include "process/log_quota.h"
 
 namespace bramleyspoke {
 namespace {
@@ -54,17 +53,4 @@
             .find("relay.log_level") != std::string::npos);
 }
 
-TEST_CASE("log lines are bounded in each second, and the rest is counted") {
-  LogQuota quota(3);
-  const TimePoint now{std::chrono::hours(1)};
-  int written = 0;
-  for (int i = 0; i < 10; ++i) {
-    written += quota.Take(now) ? 1 : 0;
-  }
-  CHECK(written == 3);
-  CHECK(quota.TakeSuppressed() == 7);
-  CHECK(quota.TakeSuppressed() == 0);
-  CHECK(quota.Take(now + std::chrono::seconds(1)));
-}
-
 }  // namespace bramleyspoke
