--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -76,12 +76,11 @@
 // A caller's clock runs from before it opens the connection, which takes one
 // more round trip.
 Duration RelayFront::TimeOnTheWay(const HttpExchange& exchange,
-                                  const Route& route) const {
+                                  const Route& route) {
   const Duration round_trip = exchange.RoundTrip().value_or(kDefaultRoundTrip);
   const int trips = exchange.IsFirst() ? 2 : 1;
-  return std::min<Duration>(
-      round_trip * trips + kTargetMargin + m_lag.Expected(),
-      route.target_latency / 2);
+  return std::min<Duration>(round_trip * trips + kTargetMargin,
+                            route.target_latency / 2);
 }
 
 void RelayFront::Submit(std::shared_ptr<HttpExchange> exchange,
@@ -419,11 +418,9 @@
     return;
   }
   m_timer_at = next;
-  m_timer = m_loop.At(*next, [this, due = *next] {
-    const TimePoint now = Now();
-    m_lag.Observe(due, now);
+  m_timer = m_loop.At(*next, [this] {
     m_timer_at.reset();
-    Apply(m_engine.OnTimer(now));
+    Apply(m_engine.OnTimer(Now()));
   });
 }
 
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -10,7 +10,6 @@
 
 #include "connection/http_server.h"
 #include "connection/leaf_exchanges.h"
-#include "connection/loop_lag.h"
 #include "connection/peer.h"
 #include "connection/relay_protocol.h"
 #include "request/relay_engine.h"
@@ -112,7 +111,8 @@
   };
 
   /// What of a route's target latency passes outside of this daemon.
-  Duration TimeOnTheWay(const HttpExchange& exchange, const Route& route) const;
+  static Duration TimeOnTheWay(const HttpExchange& exchange,
+                               const Route& route);
   void Submit(std::shared_ptr<HttpExchange> exchange,
               CallerHead head,
               const Route& route);
@@ -152,7 +152,6 @@
   RelayNumber m_last_number = 0;
   std::unique_ptr<Timer> m_timer;
   std::optional<TimePoint> m_timer_at;
-  LoopLag m_lag;
   std::shared_ptr<RelayFront*> m_self;
 };
 
