bramleyspoke explain: what became of a request, from daemons' logs

Change: log_records reads JSON lines with whatever prefix a collector adds; explanation puts one request's lines in order, says in sentences what they mean, and adds what the same daemons learnt in the ten seconds before its end. Tests without files or sockets: explanation_test.

--- a/src/tool/command.h
+++ b/src/tool/command.h
@@ -39,6 +39,7 @@
 std::unique_ptr<Command> MakeEntriesCommand();
 std::unique_ptr<Command> MakeSearchCommand();
 std::unique_ptr<Command> MakeDrainCommand();
+std::unique_ptr<Command> MakeExplainCommand();
 
 /// All commands, in the order in which the help lists them.
 std::vector<std::unique_ptr<Command>> MakeAllCommands();
--- a/src/tool/command_options.cc
+++ b/src/tool/command_options.cc
@@ -28,6 +28,9 @@
 struct CommandOptions::Impl {
   using Check = std::function<void(Problems&)>;
 
+  /// `count` below 0: all that are left.
+  void AddPosition(const char* name, int count, const char* help);
+
   options::options_description named{"Options"};
   options::options_description words;
   options::positional_options_description positions;
@@ -103,13 +106,19 @@
   });
 }
 
+void CommandOptions::Impl::AddPosition(const char* name,
+                                       int count,
+                                       const char* help) {
+  positions.add(name, count);
+  word_names += std::string(" ") + name + (count < 0 ? "..." : "");
+  word_help += std::string("  ") + name + "  " + help + "\n";
+}
+
 void CommandOptions::AddWord(const char* name,
                              std::string& target,
                              const char* help) {
   m_impl->words.add_options()(name, options::value(&target));
-  m_impl->positions.add(name, 1);
-  m_impl->word_names += std::string(" ") + name;
-  m_impl->word_help += std::string("  ") + name + "  " + help + "\n";
+  m_impl->AddPosition(name, 1, help);
   m_impl->checks.emplace_back([name, &target](Problems& problems) {
     if (target.empty()) {
       problems.list.push_back({name, "a word"});
@@ -117,6 +126,18 @@
   });
 }
 
+void CommandOptions::AddWords(const char* name,
+                              std::vector<std::string>& target,
+                              const char* help) {
+  m_impl->words.add_options()(name, options::value(&target));
+  m_impl->AddPosition(name, -1, help);
+  m_impl->checks.emplace_back([name, &target](Problems& problems) {
+    if (target.empty()) {
+      problems.list.push_back({name, "one word at least"});
+    }
+  });
+}
+
 Result<void> CommandOptions::Parse(const std::vector<std::string>& words) {
   options::options_description all;
   all.add(m_impl->named).add(m_impl->words);
--- a/src/tool/command_options.h
+++ b/src/tool/command_options.h
@@ -36,6 +36,11 @@
   /// A word without an option's name; required.
   void AddWord(const char* name, std::string& target, const char* help);
 
+  /// One word or more at the end of the command line.
+  void AddWords(const char* name,
+                std::vector<std::string>& target,
+                const char* help);
+
   /// Parses the words after the command's name; every fault is reported.
   Result<void> Parse(const std::vector<std::string>& words);
   /// Words and options, as `--help` shows them.
--- /dev/null
+++ b/src/tool/explain_command.cc
@@ -0,0 +1,125 @@
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <ostream>
+
+#include "tool/command.h"
+#include "tool/command_options.h"
+#include "tool/explanation.h"
+
+namespace bramleyspoke {
+namespace {
+
+namespace json = boost::json;
+
+void PrintRecords(const std::vector<LogRecord>& records, std::ostream& out) {
+  for (const LogRecord& record : records) {
+    out << "  " << record.Text("time") << ' ' << record.source << ' '
+        << record.event;
+    for (const auto& field : record.fields) {
+      const bool is_told = field.key() == "time" || field.key() == "event" ||
+                           field.key() == "level" ||
+                           field.key() == "request_id";
+      if (!is_told) {
+        out << ' ' << field.key() << '=' << json::serialize(field.value());
+      }
+    }
+    out << '\n';
+  }
+}
+
+json::array ToJson(const std::vector<LogRecord>& records) {
+  json::array list;
+  for (const LogRecord& record : records) {
+    json::object row = record.fields;
+    row["source"] = record.source;
+    list.push_back(std::move(row));
+  }
+  return list;
+}
+
+class ExplainCommand final : public Command {
+ public:
+  std::string_view Name() const override { return "explain"; }
+  std::string_view Summary() const override {
+    return "says from daemons' logs what became of a request, and why";
+  }
+
+  void Declare(CommandOptions& options) override {
+    options.AddWord("ID", m_request_id, "the request's id");
+    options.AddWords("FILE", m_files, "logs; - for standard input");
+  }
+
+  ExitCode Run(CommandOutput& output) override {
+    std::vector<LogRecord> records;
+    for (const std::string& file : m_files) {
+      if (!Read(file, records)) {
+        output.error << file << ": a readable file\n";
+        return ExitCode::kInvalidInput;
+      }
+    }
+    const Explanation explanation =
+        ExplainRequest(std::move(records), m_request_id);
+    if (output.is_json) {
+      PrintJson(explanation, output.out);
+    } else {
+      Print(explanation, output.out);
+    }
+    return explanation.own.empty() ? ExitCode::kNotDone : ExitCode::kDone;
+  }
+
+ private:
+  static bool Read(const std::string& file, std::vector<LogRecord>& records) {
+    std::ifstream opened;
+    if (file != "-") {
+      opened.open(file);
+      if (!opened) {
+        return false;
+      }
+    }
+    std::istream& stream = file == "-" ? std::cin : opened;
+    auto more = ReadLogRecords(stream, file);
+    std::move(more.begin(), more.end(), std::back_inserter(records));
+    return true;
+  }
+
+  void Print(const Explanation& explanation, std::ostream& out) const {
+    out << "Request " << m_request_id << '\n';
+    if (explanation.own.empty()) {
+      out << "No line bears this id: it went plainly, its lines were left out "
+             "(log_lines_suppressed, log_lines_lost), or another daemon had "
+             "it.\n";
+      return;
+    }
+    PrintRecords(explanation.own, out);
+    out << "Why:\n";
+    for (const std::string& cause : explanation.causes) {
+      out << "  " << cause << '\n';
+    }
+    out << "What these daemons learnt in the " << kContextMs / 1000
+        << " s before its end:\n";
+    PrintRecords(explanation.around, out);
+  }
+
+  static void PrintJson(const Explanation& explanation, std::ostream& out) {
+    json::array causes(explanation.causes.begin(), explanation.causes.end());
+    out << json::serialize(json::object{{"lines", ToJson(explanation.own)},
+                                        {"causes", std::move(causes)},
+                                        {"around", ToJson(explanation.around)}})
+        << '\n';
+  }
+
+  std::string m_request_id;
+  std::vector<std::string> m_files;
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeExplainCommand() {
+  return std::make_unique<ExplainCommand>();
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/src/tool/explanation.cc
@@ -0,0 +1,168 @@
+#include "tool/explanation.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+namespace bramleyspoke {
+namespace {
+
+struct Meaning {
+  std::string_view name;
+  std::string_view text;
+};
+
+constexpr std::array<Meaning, 7> kReasons{{
+    {"not_ready",
+     "No route matched, and the daemon's routes may have been out of date: see "
+     "store_lost, or started, before it."},
+    {"no_replica",
+     "Too few of its leafs could be asked: gone, draining or unreachable. See "
+     "the state dump for the service's leafs."},
+    {"overloaded",
+     "Too many requests were under way or waited at one service."},
+    {"crash_suspect",
+     "Three leafs ended while they ran this request: see leaf_crashed at all "
+     "daemons."},
+    {"deadline_passed", "Its time ran out before enough answers were in."},
+    {"lost",
+     "The connection to a leaf broke after the request went out, and it must "
+     "not run twice: see send_failed, and ask the leaf whether it ran."},
+    {"no_route", "No route of the version named matches it."},
+}};
+
+constexpr std::array<Meaning, 6> kFailures{{
+    {"failed", "answered with a failure"},
+    {"refused", "said that it did not run it"},
+    {"other_leaf", "is another leaf at the same address"},
+    {"not_sent", "could not be connected to"},
+    {"lost", "ended the connection"},
+    {"timed_out", "gave no answer by the deadline"},
+}};
+
+template <std::size_t Count>
+std::string_view MeaningOf(const std::array<Meaning, Count>& meanings,
+                           std::string_view name) {
+  for (const Meaning& meaning : meanings) {
+    if (meaning.name == name) {
+      return meaning.text;
+    }
+  }
+  return {};
+}
+
+bool IsAboutRequests(const LogRecord& record) {
+  return record.fields.contains("request_id");
+}
+
+std::string Milliseconds(std::int64_t count) {
+  return std::to_string(count) + " ms";
+}
+
+std::string DescribeFailedSend(const LogRecord& record) {
+  const std::string_view kind = record.Text("kind");
+  const std::string_view meaning = MeaningOf(kFailures, kind);
+  return "Leaf " + std::string(record.Text("leaf")) + " of " +
+         std::string(record.Text("service")) + " " +
+         std::string(meaning.empty() ? kind : meaning) + " after " +
+         Milliseconds(record.Integer("taken_ms")) + ".";
+}
+
+std::string DescribeRefusal(const LogRecord& record) {
+  const std::string reason(record.Text("reason"));
+  std::string text = "Refused with status " +
+                     std::to_string(record.Integer("status")) + ", " + reason +
+                     " (" + std::string(record.Text("verdict")) + ")";
+  const std::int64_t retry_after = record.Integer("retry_after_ms");
+  if (retry_after > 0) {
+    text += ", to come back after " + Milliseconds(retry_after);
+  }
+  return text + ". " + std::string(MeaningOf(kReasons, reason));
+}
+
+std::string DescribeWait(const LogRecord& record) {
+  const std::string shards = std::to_string(record.Integer("missing_shards"));
+  const std::string_view end = record.Text("wait_end");
+  if (end == "answer_due") {
+    return shards + " shards had not answered when the answer was due, " +
+           Milliseconds(record.Integer("time_for_answer_ms")) +
+           " after the request.";
+  }
+  if (end == "deadline") {
+    return shards + " shards had not answered by the deadline.";
+  }
+  return shards + " shards could not be answered: all that were asked failed.";
+}
+
+void DescribeEnd(const LogRecord& record, std::vector<std::string>& causes) {
+  const bool is_for_peer = record.event == "peer_query_end";
+  if (!record.Text("reason").empty()) {
+    causes.push_back(DescribeRefusal(record));
+  } else if (!is_for_peer) {
+    causes.push_back("Answered with status " +
+                     std::to_string(record.Integer("status")) + " after " +
+                     Milliseconds(record.Integer("taken_ms")) + ".");
+  }
+  const std::string who = is_for_peer ? "At " + record.source +
+                                            ", which was asked for shards of "
+                                            "its region: "
+                                      : "";
+  if (record.Integer("missing_shards") > 0) {
+    causes.push_back(who + DescribeWait(record));
+  }
+  if (!record.Text("odd").empty()) {
+    causes.push_back(who + "parts that did not go plainly: " +
+                     std::string(record.Text("odd")) + ".");
+  }
+}
+
+std::vector<std::string> CausesOf(const std::vector<LogRecord>& own) {
+  std::vector<std::string> causes;
+  for (const LogRecord& record : own) {
+    if (record.event == "send_failed") {
+      causes.push_back(DescribeFailedSend(record));
+    } else if (record.event == "request_end" ||
+               record.event == "peer_query_end") {
+      DescribeEnd(record, causes);
+    }
+  }
+  return causes;
+}
+
+}  // namespace
+
+Explanation ExplainRequest(std::vector<LogRecord> records,
+                           std::string_view request_id) {
+  std::stable_sort(records.begin(), records.end(),
+                   [](const LogRecord& a, const LogRecord& b) {
+                     return a.time_ms < b.time_ms;
+                   });
+  Explanation explanation;
+  std::set<std::string> sources;
+  for (const LogRecord& record : records) {
+    if (record.Text("request_id") == request_id) {
+      sources.insert(record.source);
+      explanation.own.push_back(record);
+    }
+  }
+  if (explanation.own.empty()) {
+    return explanation;
+  }
+  const std::int64_t end = explanation.own.back().time_ms;
+  for (LogRecord& record : records) {
+    if (!IsAboutRequests(record) && sources.contains(record.source) &&
+        record.time_ms <= end && end - record.time_ms <= kContextMs) {
+      explanation.around.push_back(std::move(record));
+    }
+  }
+  if (explanation.around.size() > kMostContext) {
+    explanation.around.erase(
+        explanation.around.begin(),
+        explanation.around.end() - std::ptrdiff_t{kMostContext});
+  }
+  explanation.causes = CausesOf(explanation.own);
+  return explanation;
+}
+
+}  // namespace bramleyspoke
--- a/src/tool/tool.cc
+++ b/src/tool/tool.cc
@@ -80,6 +80,7 @@
   commands.push_back(MakeEntriesCommand());
   commands.push_back(MakeSearchCommand());
   commands.push_back(MakeDrainCommand());
+  commands.push_back(MakeExplainCommand());
   return commands;
 }
 
--- /dev/null
+++ b/tests/explanation_test.cc
@@ -0,0 +1,95 @@
+#include "tool/explanation.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace bramleyspoke {
+namespace {
+
+std::vector<LogRecord> Read(const std::string& text) {
+  std::istringstream stream(text);
+  return ReadLogRecords(stream, "file.log");
+}
+
+std::string Line(const std::string& time, const std::string& rest) {
+  return R"({"time":"2026-06-06T01:01:)" + time + R"(Z","level":"info",)" +
+         rest + "}\n";
+}
+
+}  // namespace
+
+TEST_CASE("records are found among other lines, with or without a prefix") {
+  const auto records =
+      Read("starting up\n" + Line("32.051", R"("event":"started")") +
+           "  7.06 front-1 " + Line("49.067", R"("event":"store_lost")") +
+           R"({"event":"no_time"})" + "\n{broken\n");
+  REQUIRE(records.size() == 2);
+  CHECK(records[0].source == "file.log");
+  CHECK(records[0].event == "started");
+  CHECK(records[1].source == "front-1");
+  CHECK(records[1].time_ms - records[0].time_ms == 17016);
+}
+
+TEST_CASE("a refusal is explained by what its daemon learnt before") {
+  const auto explanation = ExplainRequest(
+      Read("a " + Line("40.000", R"("event":"registered")") + "b " +
+           Line("50.000", R"("event":"store_lost")") + "a " +
+           Line("50.000", R"("event":"store_lost")") + "a " +
+           Line("55.600",
+                R"("event":"request_end","request_id":"r1","status":503,)"
+                R"("reason":"not_ready","verdict":"not_run",)"
+                R"("retry_after_ms":500)") +
+           "a " + Line("55.700", R"("event":"store_back")")),
+      "r1");
+  REQUIRE(explanation.own.size() == 1);
+  REQUIRE(explanation.around.size() == 1);
+  CHECK(explanation.around.front().event == "store_lost");
+  REQUIRE(explanation.causes.size() == 1);
+  CHECK(explanation.causes.front().find(
+            "Refused with status 503, not_ready (not_run), to come back after "
+            "500 ms. No route matched") == 0);
+}
+
+TEST_CASE("lines of several daemons come in order of time") {
+  const auto explanation = ExplainRequest(
+      Read(
+          "near " +
+          Line(
+              "10.110",
+              R"("event":"request_end","request_id":"r1","status":200,)"
+              R"("taken_ms":110,"time_for_answer_ms":109,)"
+              R"("wait_end":"answer_due","missing_shards":1,"odd":"s7 open")") +
+          "far " +
+          Line("10.060",
+               R"("event":"peer_query_end","request_id":"r1","taken_ms":52,)"
+               R"("time_for_answer_ms":51,"wait_end":"answer_due",)"
+               R"("missing_shards":1,"odd":"s7 open after leaf-3")") +
+          "far " +
+          Line("10.040", R"("event":"send_failed","request_id":"r1",)"
+                         R"("leaf":"leaf-2","service":"s6","kind":"lost",)"
+                         R"("taken_ms":41)")),
+      "r1");
+  REQUIRE(explanation.own.size() == 3);
+  CHECK(explanation.own.front().event == "send_failed");
+  CHECK(explanation.own.back().event == "request_end");
+  REQUIRE(explanation.causes.size() == 6);
+  CHECK(explanation.causes[0] ==
+        "Leaf leaf-2 of s6 ended the connection after 41 ms.");
+  CHECK(explanation.causes[1].find("At far") == 0);
+  CHECK(explanation.causes[4] ==
+        "1 shards had not answered when the answer was due, 109 ms after the "
+        "request.");
+}
+
+TEST_CASE("an id that no line bears explains nothing") {
+  const auto explanation =
+      ExplainRequest(Read(Line("10.000", R"("event":"started")")), "r1");
+  CHECK(explanation.own.empty());
+  CHECK(explanation.around.empty());
+  CHECK(explanation.causes.empty());
+}
+
+}  // namespace bramleyspoke
