A daemon that starts without the store asks its peers; daemons outlast the store, too

And when leases had lapsed in an outage, all daemons vanished from each other's sight at its return (log: store_read, daemons 0) until they had registered again: no peers to hand shards to, no address answers but one's own. LeafRegistry became EntryRegistry, which keeps lapsed daemons like lapsed leafs. Tests: seed_reader_test, peer_contract_test, entry_registry_test (the former leaf_registry_test, its checks unchanged).

--- a/src/connection/capnp_peers.cc
+++ b/src/connection/capnp_peers.cc
@@ -84,6 +84,15 @@
     });
   }
 
+  void FetchKnowledge(
+      const Endpoint& peer,
+      Duration timeout,
+      std::function<void(std::optional<StoreKnowledge>)> done) override {
+    m_queue->Post([this, peer, timeout, done = std::move(done)] {
+      m_client->FetchKnowledge(peer, timeout, done);
+    });
+  }
+
   std::unique_ptr<PeerCall> QueryShards(
       const Endpoint& peer,
       const ShardQuery& query,
--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -95,6 +95,37 @@
   uncovered @5 :List(Uncovered);
 }
 
+# A leaf as it registered itself.
+struct Leaf {
+  id @0 :Text;
+  startedAtMs @1 :Int64;
+  service @2 :Text;
+  address @3 :Text;
+  failureDomain @4 :Text;
+  slots @5 :UInt32;
+  isDraining @6 :Bool;
+  coldRemainingMs @7 :UInt32;
+}
+
+# A daemon as it registered itself.
+struct Daemon {
+  key @0 :Text;
+  address @1 :Text;
+  peer @2 :Text;
+  failureDomain @3 :Text;
+  region @4 :Text;
+  # Of a core, in thousandths.
+  processor @5 :UInt32;
+}
+
+# What a daemon knows from the store.
+struct Knowledge {
+  # As the store has them; empty if it knows none.
+  routes @0 :Data;
+  leafs @1 :List(Leaf);
+  daemons @2 :List(Daemon);
+}
+
 interface Peer {
   gossip @0 (message :Gossip) -> (reply :Gossip);
   # Pings another daemon for one that could not reach it.
@@ -106,4 +137,6 @@
   fetchParts @3 (hashes :List(Text)) -> (parts :List(Data));
   # Asks leafs near the peer; a query that is cancelled is dropped there.
   queryShards @4 (query :ShardQuery) -> (answer :ShardAnswer);
+  # For a daemon that starts while the store is away.
+  fetchKnowledge @5 () -> (knowledge :Knowledge);
 }
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -12,6 +12,7 @@
 #include "connection/backend_server.h"
 #include "connection/http_message.h"
 #include "version/routing_table.h"
+#include "version/store_knowledge.h"
 
 namespace bramleyspoke {
 
@@ -175,6 +176,13 @@
       const std::vector<std::string>& hashes,
       Duration timeout,
       std::function<void(std::optional<std::vector<std::string>>)> done) = 0;
+  /// `done` gets nothing when the call failed or the peer knows nothing.
+  virtual void FetchKnowledge(
+      const Endpoint& /*peer*/,
+      Duration /*timeout*/,
+      std::function<void(std::optional<StoreKnowledge>)> done) {
+    done(std::nullopt);
+  }
   virtual std::unique_ptr<PeerCall> QueryShards(
       const Endpoint& /*peer*/,
       const ShardQuery& /*query*/,
@@ -197,6 +205,9 @@
   virtual void OnFetchParts(
       std::vector<std::string> hashes,
       std::function<void(std::vector<std::string>)> reply) = 0;
+  virtual void OnFetchKnowledge(std::function<void(StoreKnowledge)> reply) {
+    reply({});
+  }
   /// Returns what is to be called, from any thread, if the asking peer gives
   /// up. A handler that serves no shards never replies.
   virtual std::function<void()> OnQueryShards(
--- a/src/connection/peer_client.cc
+++ b/src/connection/peer_client.cc
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include "connection/knowledge_messages.h"
 #include "connection/peer_messages.h"
 #include "connection/socket_address.h"
 
@@ -302,6 +303,23 @@
       });
 }
 
+void PeerClient::FetchKnowledge(
+    const Endpoint& peer,
+    Duration timeout,
+    std::function<void(std::optional<StoreKnowledge>)> done) {
+  Call<StoreKnowledge>(
+      peer, timeout,
+      [](wire::Peer::Client server) {
+        return server.fetchKnowledgeRequest().send().then([](auto&& response) {
+          return std::optional<StoreKnowledge>(
+              ReadKnowledge(response.getKnowledge()));
+        });
+      },
+      [done = std::move(done)](std::optional<StoreKnowledge> reply, bool) {
+        done(std::move(reply));
+      });
+}
+
 // A call that is cancelled is dropped whole: the peer hears of it, and the
 // connection counts it as ended.
 void PeerClient::QueryShards(const Endpoint& peer,
--- a/src/connection/peer_client.h
+++ b/src/connection/peer_client.h
@@ -41,6 +41,9 @@
       std::vector<std::string> hashes,
       Duration timeout,
       std::function<void(std::optional<std::vector<std::string>>)> done);
+  void FetchKnowledge(const Endpoint& peer,
+                      Duration timeout,
+                      std::function<void(std::optional<StoreKnowledge>)> done);
   /// `cancelled` ends the call without a callback once it is fulfilled.
   void QueryShards(const Endpoint& peer,
                    const ShardQuery& query,
--- a/src/connection/peer_service.cc
+++ b/src/connection/peer_service.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "connection/knowledge_messages.h"
+
 namespace bramleyspoke {
 namespace {
 
@@ -97,6 +99,15 @@
       });
 }
 
+kj::Promise<void> PeerService::fetchKnowledge(FetchKnowledgeContext context) {
+  return Ask<StoreKnowledge>([&](std::function<void(StoreKnowledge)> reply) {
+           m_handler.OnFetchKnowledge(std::move(reply));
+         })
+      .then([context](const StoreKnowledge& knowledge) mutable {
+        WriteKnowledge(knowledge, context.getResults().initKnowledge());
+      });
+}
+
 // A dropped call destroys its promise, which tells the handler; after a reply
 // that changes nothing.
 kj::Promise<void> PeerService::queryShards(QueryShardsContext context) {
--- a/src/connection/peer_service.h
+++ b/src/connection/peer_service.h
@@ -31,6 +31,7 @@
   kj::Promise<void> pingVia(PingViaContext context) override;
   kj::Promise<void> forward(ForwardContext context) override;
   kj::Promise<void> fetchParts(FetchPartsContext context) override;
+  kj::Promise<void> fetchKnowledge(FetchKnowledgeContext context) override;
   kj::Promise<void> queryShards(QueryShardsContext context) override;
 
  private:
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -1,7 +1,7 @@
 #include "process/relay_control.h"
 
 #include <algorithm>
-#include <map>
+#include <set>
 #include <utility>
 
 #include "base/problems.h"
@@ -9,7 +9,7 @@
 #include "process/daemon_registration.h"
 #include "process/log.h"
 #include "process/store_follower.h"
-#include "version/leaf_registry.h"
+#include "version/entry_registry.h"
 
 namespace bramleyspoke {
 namespace {
@@ -19,24 +19,26 @@
   StoreRelayControl(EventLoop& loop,
                     KeyValueStore& store,
                     const StoreSchema& schema,
-                    std::string name,
-                    DaemonEntry self,
+                    const RelayIdentity& self,
+                    std::unique_ptr<SeedReader> seeds,
                     RelayControlListener& listener)
       : m_loop(loop),
         m_schema(schema),
-        m_name(std::move(name)),
-        m_self(std::move(self)),
+        m_own_key(schema.DaemonKey(self.name)),
+        m_seeds(std::move(seeds)),
         m_listener(listener),
         m_follower(loop, store, "", *this),
         m_registration(loop,
                        store,
-                       schema.DaemonKey(m_name),
-                       schema.WriteDaemon(m_self),
+                       m_own_key,
+                       schema.WriteDaemon(self.entry),
                        [this] { m_follower.Doubt(); }) {}
 
   void Start() override {
     m_follower.Start();
     m_registration.Start();
+    m_seeds->Start(
+        [this](const StoreKnowledge& knowledge) { TakeKnowledge(knowledge); });
   }
 
   void SetServing(bool is_serving) override {
@@ -45,13 +47,24 @@
     m_registration.SetPace(pace);
   }
 
+  StoreKnowledge Knowledge() const override {
+    StoreKnowledge knowledge;
+    knowledge.routes = m_routes;
+    knowledge.leafs = m_leafs.Values();
+    for (const auto& [key, daemon] : m_daemons.Rows()) {
+      knowledge.daemons.push_back({key, daemon});
+    }
+    return knowledge;
+  }
+
   void BeginLeaving() override { m_registration.End(); }
 
   // StoreListener.
 
   void OnKeys(const std::vector<KeyValueItem>& items) override {
-    std::vector<std::string> leafs;
-    std::map<std::string, DaemonEntry> daemons;
+    m_seeds->Stop();
+    std::set<std::string> leafs;
+    std::set<std::string> daemons;
     for (const KeyValueItem& item : items) {
       switch (m_schema.KindOf(item.key)) {
         case StoreKeyKind::kRoutes:
@@ -59,23 +72,25 @@
           break;
         case StoreKeyKind::kLeaf:
           if (TakeLeaf(m_schema.NameOf(item.key), item.value)) {
-            leafs.push_back(m_schema.NameOf(item.key));
+            leafs.insert(m_schema.NameOf(item.key));
           }
           break;
         case StoreKeyKind::kDaemon:
-          TakeDaemon(item.key, item.value, daemons);
+          if (TakeDaemon(item.key, item.value)) {
+            daemons.insert(item.key);
+          }
           break;
         case StoreKeyKind::kOther:
           break;
       }
     }
-    m_registry.RetainOnly(leafs, Now());
-    m_daemons = std::move(daemons);
-    if (!m_daemons.contains(m_schema.DaemonKey(m_name))) {
+    m_leafs.RetainOnly(leafs, Now());
+    m_daemons.RetainOnly(daemons, Now());
+    if (!daemons.contains(m_own_key)) {
       m_registration.Restore();
     }
     WriteLog(LogLevel::kInfo, "store_read",
-             {Field("keys", items.size()), Field("leafs", m_registry.size()),
+             {Field("keys", items.size()), Field("leafs", m_leafs.size()),
               Field("daemons", m_daemons.size())});
     TellLeafs();
     TellDaemons();
@@ -114,13 +129,15 @@
   void OnStoreLost(KeyValueStatus status) override {
     WriteLog(LogLevel::kWarning, "store_lost",
              {Field("status", ToString(status))});
-    m_registry.OnStoreLost();
+    m_leafs.OnStoreLost();
+    m_daemons.OnStoreLost();
     m_listener.OnStore(false);
   }
 
   void OnStoreBack() override {
     WriteLog(LogLevel::kInfo, "store_back", {});
-    m_registry.OnStoreBack(Now());
+    m_leafs.OnStoreBack(Now());
+    m_daemons.OnStoreBack(Now());
     m_listener.OnStore(true);
     ArmSettle();
   }
@@ -141,6 +158,7 @@
       return;
     }
     m_version = table->Version();
+    m_routes = value;
     WriteLog(
         LogLevel::kInfo, "routes_in_force",
         {Field("version", m_version), Field("routes", table->Routes().size())});
@@ -155,14 +173,14 @@
           {Field("leaf", name), Field("problems", ToString(read.problems))});
       return false;
     }
-    m_registry.Put(*read.value, Now());
+    m_leafs.Put(name, *read.value);
     return true;
   }
 
   void TakeLeafEvent(const KeyValueEvent& event) {
     const std::string name = m_schema.NameOf(event.key);
     if (!event.value || !TakeLeaf(name, *event.value)) {
-      m_registry.Remove(name, Now());
+      m_leafs.Remove(name, Now());
     }
     if (IsLogged(LogLevel::kDebug)) {
       WriteLog(LogLevel::kDebug, "leaf_changed",
@@ -170,37 +188,50 @@
     }
   }
 
-  bool TakeDaemon(const std::string& key,
-                  const std::string& value,
-                  std::map<std::string, DaemonEntry>& daemons) {
+  bool TakeDaemon(const std::string& key, const std::string& value) {
     const auto read = Check([&] { return m_schema.ReadDaemon(value); });
     if (!read.value) {
       WriteLog(LogLevel::kWarning, "daemon_refused",
                {Field("key", key), Field("problems", ToString(read.problems))});
       return false;
     }
-    daemons[key] = *read.value;
+    m_daemons.Put(key, *read.value);
     return true;
   }
 
   void TakeDaemonEvent(const KeyValueEvent& event) {
-    if (!event.value || !TakeDaemon(event.key, *event.value, m_daemons)) {
-      m_daemons.erase(event.key);
-      if (event.key == m_schema.DaemonKey(m_name)) {
+    if (!event.value || !TakeDaemon(event.key, *event.value)) {
+      m_daemons.Remove(event.key, Now());
+      if (event.key == m_own_key) {
         m_registration.Restore();
       }
     }
   }
 
+  // The store's word, once it comes, takes the place of all this.
+  void TakeKnowledge(const StoreKnowledge& knowledge) {
+    WriteLog(LogLevel::kInfo, "peer_knowledge_taken",
+             {Field("leafs", knowledge.leafs.size()),
+              Field("daemons", knowledge.daemons.size())});
+    TakeRoutes(knowledge.routes);
+    for (const LeafRegistration& leaf : knowledge.leafs) {
+      m_leafs.Put(leaf.id, leaf);
+    }
+    for (const KeyedDaemon& keyed : knowledge.daemons) {
+      m_daemons.Put(keyed.key, keyed.daemon);
+    }
+    TellLeafs();
+    TellDaemons();
+  }
+
   void TellLeafs() {
-    m_listener.OnLeafs(m_registry.Leafs());
+    m_listener.OnLeafs(m_leafs.Values());
     ArmSettle();
   }
 
   void TellDaemons() {
     std::vector<DaemonEntry> daemons;
-    for (const auto& row : m_daemons) {
-      const DaemonEntry& daemon = row.second;
+    for (const DaemonEntry& daemon : m_daemons.Values()) {
       const bool is_known = std::any_of(
           daemons.begin(), daemons.end(),
           [&](const auto& other) { return other.address == daemon.address; });
@@ -209,33 +240,46 @@
       }
     }
     m_listener.OnDaemons(std::move(daemons));
+    ArmSettle();
   }
 
   void ArmSettle() {
-    const auto next = m_registry.NextSettle();
-    if (!next) {
+    const auto leafs = m_leafs.NextSettle();
+    const auto daemons = m_daemons.NextSettle();
+    if (!leafs && !daemons) {
       m_settle_timer.reset();
       return;
     }
-    m_settle_timer = m_loop.At(*next, [this] {
-      if (m_registry.Settle(Now())) {
-        WriteLog(LogLevel::kInfo, "leafs_settled",
-                 {Field("leafs", m_registry.size())});
-        m_listener.OnLeafs(m_registry.Leafs());
-      }
-      ArmSettle();
-    });
+    const TimePoint next = std::min(leafs.value_or(TimePoint::max()),
+                                    daemons.value_or(TimePoint::max()));
+    m_settle_timer = m_loop.At(next, [this] { Settle(); });
+  }
+
+  void Settle() {
+    if (m_leafs.Settle(Now())) {
+      WriteLog(LogLevel::kInfo, "leafs_settled",
+               {Field("leafs", m_leafs.size())});
+      m_listener.OnLeafs(m_leafs.Values());
+    }
+    if (m_daemons.Settle(Now())) {
+      WriteLog(LogLevel::kInfo, "daemons_settled",
+               {Field("daemons", m_daemons.size())});
+      TellDaemons();
+    }
+    ArmSettle();
   }
 
   EventLoop& m_loop;
   const StoreSchema& m_schema;
-  std::string m_name;
-  DaemonEntry m_self;
+  std::string m_own_key;
+  std::unique_ptr<SeedReader> m_seeds;
   RelayControlListener& m_listener;
   StoreFollower m_follower;
   DaemonRegistration m_registration;
-  LeafRegistry m_registry;
-  std::map<std::string, DaemonEntry> m_daemons;
+  EntryRegistry<LeafRegistration> m_leafs;
+  EntryRegistry<DaemonEntry> m_daemons;
+  /// The routes in force, as the store has them.
+  std::string m_routes;
   std::uint64_t m_version = 0;
   std::unique_ptr<Timer> m_settle_timer;
 };
@@ -246,11 +290,11 @@
     EventLoop& loop,
     KeyValueStore& store,
     const StoreSchema& schema,
-    std::string name,
-    DaemonEntry self,
+    const RelayIdentity& identity,
+    std::unique_ptr<SeedReader> seeds,
     RelayControlListener& listener) {
-  return std::make_unique<StoreRelayControl>(
-      loop, store, schema, std::move(name), std::move(self), listener);
+  return std::make_unique<StoreRelayControl>(loop, store, schema, identity,
+                                             std::move(seeds), listener);
 }
 
 }  // namespace bramleyspoke
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -87,10 +87,13 @@
     }
     m_store = m_adapters.open_store(*m_control_loop, m_settings.store);
     m_control = RelayControl::Create(
-        *m_control_loop, *m_store, m_adapters.schema, m_settings.name,
-        DaemonEntry{m_settings.caller_listen, m_settings.peer_listen,
-                    m_settings.failure_domain, m_settings.region,
-                    m_settings.processor},
+        *m_control_loop, *m_store, m_adapters.schema,
+        RelayIdentity{
+            m_settings.name,
+            DaemonEntry{m_settings.caller_listen, m_settings.peer_listen,
+                        m_settings.failure_domain, m_settings.region,
+                        m_settings.processor}},
+        SeedReader::Create(*m_control_loop, m_peers->Network(), OtherSeeds()),
         *this);
     return {};
   }
@@ -206,6 +209,11 @@
       std::vector<std::string> /*hashes*/,
       std::function<void(std::vector<std::string>)> /*reply*/) override {}
 
+  void OnFetchKnowledge(std::function<void(StoreKnowledge)> reply) override {
+    m_control_loop->Post(
+        [this, reply = std::move(reply)] { reply(m_control->Knowledge()); });
+  }
+
   std::function<void()> OnQueryShards(
       ShardQuery query,
       std::function<void(ShardAnswer)> reply) override {
@@ -261,6 +269,12 @@
         });
   }
 
+  std::vector<Endpoint> OtherSeeds() const {
+    std::vector<Endpoint> seeds = m_settings.seeds;
+    std::erase(seeds, m_settings.peer_listen);
+    return seeds;
+  }
+
   std::vector<DaemonEntry> Holders() const {
     return ChooseHolders(m_daemons, m_front->Engine().Book().HolderCount());
   }
--- a/src/process/relay_settings.cc
+++ b/src/process/relay_settings.cc
@@ -38,6 +38,7 @@
     settings.regions[domain] = row.Name("region");
   });
   settings.store = object.Address("store");
+  settings.seeds = object.Addresses("seeds", 0);
   object.Object("processor", true, [&](JsonReader& part) {
     const double share = part.Real("share", kProcessorShare);
     const double speed = part.Real("speed", kProcessorSpeed);
--- a/src/process/relay_settings.h
+++ b/src/process/relay_settings.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/endpoint.h"
 #include "base/result.h"
@@ -27,6 +28,9 @@
   /// Region of each failure domain.
   std::map<std::string, std::string, std::less<>> regions;
   Endpoint store;
+  /// Peer addresses of some daemons, to ask while the store is away at a start;
+  /// may be out of date.
+  std::vector<Endpoint> seeds;
   /// What this daemon may use of a core, in thousandths.
   std::uint32_t processor = 1000;
   RepeatAllowance repeats;
--- a/src/process/store_schema.h
+++ b/src/process/store_schema.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,25 +10,12 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "connection/http_message.h"
-#include "version/leaf_registry.h"
+#include "version/daemon_entry.h"
+#include "version/leaf_registration.h"
 #include "version/route_table.h"
 
 namespace bramleyspoke {
 
-/// A daemon as others find it in the store.
-struct DaemonEntry {
-  /// Where it serves callers.
-  Endpoint address;
-  /// Where it serves other daemons.
-  Endpoint peer;
-  std::string failure_domain;
-  std::string region;
-  /// Of a core, in thousandths.
-  std::uint32_t processor = 1000;
-
-  bool operator==(const DaemonEntry&) const = default;
-};
-
 enum class StoreKeyKind {
   kRoutes,
   kLeaf,
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -12,7 +12,7 @@
 #include "base/time.h"
 #include "request/leaf_load.h"
 #include "request/repeat_budget.h"
-#include "version/leaf_registry.h"
+#include "version/leaf_registration.h"
 #include "version/route_table.h"
 
 namespace bramleyspoke {
--- a/tests/leaf_registry_test.cc
+++ b/tests/entry_registry_test.cc
@@ -1,7 +1,8 @@
-#include "version/leaf_registry.h"
+#include "version/entry_registry.h"
 
 #include <doctest/doctest.h>
 
+#include "version/leaf_registration.h"
 #include "version/route_table.h"
 
 namespace bramleyspoke {
@@ -20,18 +21,18 @@
 }  // namespace
 
 TEST_CASE("a registration that is removed is gone at once") {
-  LeafRegistry registry;
+  EntryRegistry<LeafRegistration> registry;
   const TimePoint now{std::chrono::hours(1)};
-  registry.Put(Leaf("a", 1), now);
+  registry.Put("a", Leaf("a", 1));
   CHECK(registry.Remove("a", now));
   CHECK(registry.size() == 0);
 }
 
 TEST_CASE("what lapses while the store is away is kept for its return") {
-  LeafRegistry registry;
+  EntryRegistry<LeafRegistration> registry;
   TimePoint now{std::chrono::hours(1)};
-  registry.Put(Leaf("a", 1), now);
-  registry.Put(Leaf("b", 2), now);
+  registry.Put("a", Leaf("a", 1));
+  registry.Put("b", Leaf("b", 2));
   registry.OnStoreLost();
   now += std::chrono::seconds(20);
   registry.OnStoreBack(now);
@@ -39,19 +40,19 @@
   CHECK(registry.size() == 2);
 
   SUBCASE("a leaf that registers again in time stays") {
-    registry.Put(Leaf("a", 1), now + std::chrono::seconds(1));
-    CHECK(registry.Settle(now + LeafRegistry::kReturnTime));
+    registry.Put("a", Leaf("a", 1));
+    CHECK(registry.Settle(now + kReturnTime));
     REQUIRE(registry.size() == 1);
-    CHECK(registry.Leafs().front().id == "a");
+    CHECK(registry.Values().front().id == "a");
   }
   SUBCASE("one that does not is gone then") {
     CHECK_FALSE(registry.Settle(now + milliseconds(1500)));
-    CHECK(registry.NextSettle() == now + LeafRegistry::kReturnTime);
-    CHECK(registry.Settle(now + LeafRegistry::kReturnTime));
+    CHECK(registry.NextSettle() == now + kReturnTime);
+    CHECK(registry.Settle(now + kReturnTime));
     CHECK(registry.size() == 0);
   }
   SUBCASE("one whose address another leaf takes is gone at once") {
-    registry.Put(Leaf("c", 1), now);
+    registry.Put("c", Leaf("c", 1));
     CHECK(registry.size() == 2);
   }
 }
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -42,6 +42,25 @@
   return message;
 }
 
+StoreKnowledge MakeKnowledge() {
+  StoreKnowledge knowledge;
+  knowledge.routes = std::string("routes\0", 7);
+  LeafRegistration leaf;
+  leaf.id = "leaf";
+  leaf.started_at_ms = 1234567890123;
+  leaf.service = "service";
+  leaf.address = {"127.0.2.1", 7000};
+  leaf.failure_domain = "domain";
+  leaf.slots = 4;
+  leaf.is_draining = true;
+  leaf.cold_remaining = std::chrono::milliseconds(1500);
+  knowledge.leafs = {leaf};
+  knowledge.daemons = {
+      {"key",
+       {{"127.0.1.1", 8104}, {"127.0.1.1", 8106}, "domain", "region", 250}}};
+  return knowledge;
+}
+
 /// Echoes gossip; "hold" forwards wait for `Release`, "silent" ones for ever.
 class TestHandler final : public PeerHandler {
  public:
@@ -76,6 +95,10 @@
     reply(std::vector<std::string>(hashes.size(), std::string("\0x", 2)));
   }
 
+  void OnFetchKnowledge(std::function<void(StoreKnowledge)> reply) override {
+    reply(MakeKnowledge());
+  }
+
   /// Answers what is held, last first, from the calling thread.
   void Release() {
     while (!m_held.empty()) {
@@ -161,6 +184,19 @@
 
 }  // namespace
 
+TEST_CASE("a peer tells what it knows from the store") {
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  std::promise<std::optional<StoreKnowledge>> answer;
+  client->Network().FetchKnowledge(
+      server->Address(), std::chrono::seconds(5),
+      [&](std::optional<StoreKnowledge> knowledge) {
+        answer.set_value(std::move(knowledge));
+      });
+  CHECK(answer.get_future().get() == MakeKnowledge());
+}
+
 TEST_CASE("every field of a peer call comes through") {
   TestHandler handler;
   const auto server = MakePeers(handler);
--- a/tests/router_fakes.h
+++ b/tests/router_fakes.h
@@ -12,7 +12,7 @@
 namespace bramleyspoke {
 
 /// Peers that record forwards and answer them when the test says.
-class FakePeers final : public PeerNetwork {
+class FakePeers : public PeerNetwork {
  public:
   struct Call {
     Endpoint peer;
--- /dev/null
+++ b/tests/seed_reader_test.cc
@@ -0,0 +1,90 @@
+#include "process/seed_reader.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "manual_loop.h"
+#include "router_fakes.h"
+
+namespace bramleyspoke {
+namespace {
+
+const Endpoint kFirst{"127.0.0.1", 1};
+const Endpoint kSecond{"127.0.0.1", 2};
+
+// Holds each call until the test answers it.
+class HeldPeers final : public FakePeers {
+ public:
+  void FetchKnowledge(
+      const Endpoint& peer,
+      Duration /*timeout*/,
+      std::function<void(std::optional<StoreKnowledge>)> done) override {
+    asked.push_back(peer);
+    m_done = std::move(done);
+  }
+  void Answer(std::optional<StoreKnowledge> knowledge) {
+    std::exchange(m_done, nullptr)(std::move(knowledge));
+  }
+
+  std::vector<Endpoint> asked;
+
+ private:
+  std::function<void(std::optional<StoreKnowledge>)> m_done;
+};
+
+class SeedFixture {
+ public:
+  SeedFixture() : reader(SeedReader::Create(loop, peers, {kFirst, kSecond})) {
+    reader->Start([this](const StoreKnowledge& knowledge) {
+      taken.push_back(knowledge.routes);
+    });
+  }
+
+  void Answer(std::optional<StoreKnowledge> knowledge) {
+    peers.Answer(std::move(knowledge));
+    loop.RunAll();
+  }
+
+  ManualLoop loop;
+  HeldPeers peers;
+  std::vector<std::string> taken;
+  std::unique_ptr<SeedReader> reader;
+};
+
+}  // namespace
+
+TEST_CASE("seeds are asked in turn until one knows something") {
+  SeedFixture fixture;
+  CHECK(fixture.peers.asked.empty());
+  fixture.loop.RunNextTimer();
+  fixture.Answer(std::nullopt);
+  fixture.loop.RunNextTimer();
+  fixture.Answer(StoreKnowledge());
+  fixture.loop.RunNextTimer();
+  CHECK(fixture.peers.asked == std::vector{kFirst, kSecond, kFirst});
+  CHECK(fixture.taken.empty());
+
+  fixture.Answer(StoreKnowledge{"routes", {}, {}});
+  CHECK(fixture.taken == std::vector<std::string>{"routes"});
+  CHECK_FALSE(fixture.loop.RunNextTimer());
+}
+
+TEST_CASE("a store that answers makes the seeds needless") {
+  SeedFixture fixture;
+  SUBCASE("before one was asked") {
+    fixture.reader->Stop();
+    CHECK_FALSE(fixture.loop.RunNextTimer());
+    CHECK(fixture.peers.asked.empty());
+  }
+  SUBCASE("while one is asked") {
+    fixture.loop.RunNextTimer();
+    fixture.reader->Stop();
+    fixture.Answer(StoreKnowledge{"routes", {}, {}});
+    CHECK(fixture.taken.empty());
+  }
+}
+
+}  // namespace bramleyspoke
