Many shards of another failure domain nearby are asked through a daemon there

Change: sixteen parts or more whose best leafs stand in another failure domain of the region go there as one query, like those of other regions; a peer's place is a region or a failure domain (PeerPlace). Fewer go directly, as the way is short. Ways to peers of the own region are assumed to be 3 ms at first. Test: relay_delegation_test, many shards of another failure domain.

--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -290,7 +290,7 @@
       if (daemon.peer == m_settings.peer_listen) {
         is_counted = true;
       } else {
-        peers.push_back({daemon.peer, daemon.region});
+        peers.push_back({daemon.peer, daemon.region, daemon.failure_domain});
       }
     }
     by_region[m_settings.region] += is_counted ? 0 : 1;
--- a/src/request/peer_book.cc
+++ b/src/request/peer_book.cc
@@ -10,6 +10,11 @@
 
 }  // namespace
 
+bool PeerPlace::Has(const RelayPeer& peer) const {
+  return peer.region == region &&
+         (failure_domain.empty() || peer.failure_domain == failure_domain);
+}
+
 void PeerBook::SetPeers(const std::vector<RelayPeer>& peers) {
   std::map<Endpoint, std::shared_ptr<PeerState>> kept;
   for (const RelayPeer& peer : peers) {
@@ -17,20 +22,22 @@
     if (known != m_peers.end() && known->second->peer == peer) {
       kept.insert(*known);
     } else {
+      const Duration prior =
+          peer.region == m_region ? kNearRoundTrip : kFarRoundTrip;
       kept.emplace(peer.address,
-                   std::make_shared<PeerState>(PeerState{
-                       peer, LeafLoad(kPeerSlots, kPriorRoundTrip, m_fleet)}));
+                   std::make_shared<PeerState>(
+                       PeerState{peer, LeafLoad(kPeerSlots, prior, m_fleet)}));
     }
   }
   m_peers = std::move(kept);
 }
 
 // The one with the fewest queries under way; among equals each in turn.
-std::shared_ptr<PeerState> PeerBook::Choose(const std::string& region,
+std::shared_ptr<PeerState> PeerBook::Choose(const PeerPlace& place,
                                             TimePoint now) {
   std::vector<std::shared_ptr<PeerState>> usable;
   for (const auto& [address, state] : m_peers) {
-    if (state->peer.region != region || !state->load.IsUsable(now) ||
+    if (!place.Has(state->peer) || !state->load.IsUsable(now) ||
         state->load.IsSilent(now)) {
       continue;
     }
--- a/src/request/peer_book.h
+++ b/src/request/peer_book.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -15,27 +16,43 @@
 struct RelayPeer {
   Endpoint address;
   std::string region;
+  std::string failure_domain;
 
   bool operator==(const RelayPeer&) const = default;
 };
 
+/// Where a peer is sought that is nearer to some leafs.
+struct PeerPlace {
+  std::string region;
+  /// Empty: anywhere in the region.
+  std::string failure_domain;
+
+  bool Has(const RelayPeer& peer) const;
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads <=>.
+  auto operator<=>(const PeerPlace&) const = default;
+};
+
 /// What is known of one peer from the queries it was sent.
 struct PeerState {
   RelayPeer peer;
   LeafLoad load;
 };
 
-/// Peers by region, and which one to ask.
+/// Peers, and which one to ask.
 class PeerBook {
  public:
-  /// Way there and back that is assumed before the first answer.
-  static constexpr Duration kPriorRoundTrip = std::chrono::milliseconds(40);
+  /// Ways there and back that are assumed before the first answer.
+  static constexpr Duration kFarRoundTrip = std::chrono::milliseconds(40);
+  static constexpr Duration kNearRoundTrip = std::chrono::milliseconds(3);
+
+  explicit PeerBook(std::string region) : m_region(std::move(region)) {}
 
   void SetPeers(const std::vector<RelayPeer>& peers);
-  /// A peer of `region` that can be asked; null if there is none.
-  std::shared_ptr<PeerState> Choose(const std::string& region, TimePoint now);
+  /// A peer that can be asked; null if there is none.
+  std::shared_ptr<PeerState> Choose(const PeerPlace& place, TimePoint now);
 
  private:
+  std::string m_region;
   std::map<Endpoint, std::shared_ptr<PeerState>> m_peers;
   std::shared_ptr<FleetPatterns> m_fleet = std::make_shared<FleetPatterns>();
   std::size_t m_turn = 0;
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -8,8 +8,10 @@
 namespace bramleyspoke {
 namespace {
 
-// Fewer parts than this are asked directly.
-constexpr std::size_t kFewestParts = 2;
+// Fewer parts than this are asked directly: of another region, and of another
+// failure domain of this one, where a query to a peer saves bytes and no time.
+constexpr std::size_t kFewestFarParts = 2;
+constexpr std::size_t kFewestNearParts = 16;
 // By how much a leaf may seem slower than the best one and still serve a part,
 // if that keeps the part together with others.
 constexpr std::chrono::milliseconds kNearlyAsGood{15};
@@ -28,27 +30,28 @@
 
 }  // namespace
 
-// Load: each query asks shards whose leafs all stand in other regions. One
-// query to a daemon there crosses once, and its leafs' answers come back
-// merged. Few regions with many parts each cross least; among equals they take
-// turns, so that the leafs of each get their part of the work.
+// Load: each query asks shards whose leafs all stand in other regions, or many
+// whose near leafs stand in other failure domains. One query to a daemon there
+// crosses once, and its leafs' answers come back merged. Few places with many
+// parts each cross least; among equals they take turns, so that the leafs of
+// each get their part of the work.
 void RelayEngine::DelegateParts(Request& request) {
   if (!request.TheRoute().IsFanOut() || request.request.is_for_peer) {
     return;
   }
-  std::map<std::string, std::vector<std::size_t>> by_region;
+  std::map<PeerPlace, std::vector<std::size_t>> by_place;
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     if (IsSuspect(request.parts[index])) {
       continue;
     }
-    for (const std::string& region : FarRegions(request, index)) {
-      by_region[region].push_back(index);
+    for (const PeerPlace& place : NearerPlaces(request, index)) {
+      by_place[place].push_back(index);
     }
   }
-  while (!by_region.empty()) {
-    auto most = by_region.begin();
+  while (!by_place.empty()) {
+    auto most = by_place.begin();
     const bool is_even_turn = m_last_send % 2 == 0;
-    for (auto row = by_region.begin(); row != by_region.end(); ++row) {
+    for (auto row = by_place.begin(); row != by_place.end(); ++row) {
       const std::size_t size = row->second.size();
       if (size > most->second.size() ||
           (size == most->second.size() && is_even_turn)) {
@@ -56,17 +59,19 @@
       }
     }
     const std::vector<std::size_t> parts = std::move(most->second);
-    const std::string region = most->first;
-    by_region.erase(most);
-    if (parts.size() < kFewestParts) {
-      return;
+    const PeerPlace place = most->first;
+    by_place.erase(most);
+    const std::size_t fewest =
+        place.failure_domain.empty() ? kFewestFarParts : kFewestNearParts;
+    if (parts.size() < fewest) {
+      continue;
     }
-    const auto peer = m_peers.Choose(region, m_now);
+    const auto peer = m_peers.Choose(place, m_now);
     if (!peer) {
       continue;
     }
     Delegate(request, parts, peer);
-    for (auto& [other, left] : by_region) {
+    for (auto& [other, left] : by_place) {
       std::erase_if(left, [&](std::size_t index) {
         return request.parts[index].delegation.has_value();
       });
@@ -74,31 +79,37 @@
   }
 }
 
-// Regions whose leafs serve a part best or nearly so; none if a leaf of this
-// region does.
-std::vector<std::string> RelayEngine::FarRegions(const Request& request,
+// Places whose leafs serve a part best or nearly so; none if a leaf of this
+// failure domain does.
+std::vector<PeerPlace> RelayEngine::NearerPlaces(const Request& request,
                                                  std::size_t index) const {
   const RelayService& service = *request.parts[index].service;
   const std::string& kind = request.TheRoute().name;
   const LeafChoice best = ChooseLeaf(service, kind, {}, m_now);
-  if (!best.leaf || m_book.RegionOf(*best.leaf) == m_book.Place().region) {
+  if (!best.leaf) {
     return {};
   }
+  const Locality& here = m_book.Place();
+  const std::string& domain = best.leaf->registration.failure_domain;
+  if (m_book.RegionOf(*best.leaf) == here.region) {
+    return domain == here.failure_domain
+               ? std::vector<PeerPlace>()
+               : std::vector<PeerPlace>{{here.region, domain}};
+  }
   const Duration bound =
       best.leaf->load.Cost(kind, m_now) + Duration(kNearlyAsGood);
-  std::vector<std::string> regions;
+  std::vector<PeerPlace> places;
   for (const auto& leaf : service.leafs) {
-    const std::string region = m_book.RegionOf(*leaf);
+    const PeerPlace place{m_book.RegionOf(*leaf), ""};
     if (leaf->draining_since || !leaf->load.IsUsable(m_now) ||
-        region == m_book.Place().region ||
-        leaf->load.Cost(kind, m_now) > bound) {
+        place.region == here.region || leaf->load.Cost(kind, m_now) > bound) {
       continue;
     }
-    if (std::find(regions.begin(), regions.end(), region) == regions.end()) {
-      regions.push_back(region);
+    if (std::find(places.begin(), places.end(), place) == places.end()) {
+      places.push_back(place);
     }
   }
-  return regions;
+  return places;
 }
 
 void RelayEngine::Delegate(Request& request,
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -19,8 +19,9 @@
 
 }  // namespace
 
-RelayEngine::RelayEngine(Locality locality, const RepeatAllowance& allowance)
-    : m_book(std::move(locality), allowance) {}
+RelayEngine::RelayEngine(const Locality& locality,
+                         const RepeatAllowance& allowance)
+    : m_book(locality, allowance), m_peers(locality.region) {}
 
 RelayEngine::~RelayEngine() = default;
 
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -46,7 +46,7 @@
   static constexpr Duration kRetrySoon = std::chrono::milliseconds(150);
   static constexpr Duration kRetryLater = std::chrono::milliseconds(500);
 
-  RelayEngine(Locality locality, const RepeatAllowance& allowance);
+  RelayEngine(const Locality& locality, const RepeatAllowance& allowance);
   ~RelayEngine();
 
   /// Every request submitted gets exactly one `RelayFinish`, unless its caller
@@ -126,7 +126,7 @@
 
   // Handing parts to peers.
   void DelegateParts(Request& request);
-  std::vector<std::string> FarRegions(const Request& request,
+  std::vector<PeerPlace> NearerPlaces(const Request& request,
                                       std::size_t index) const;
   void Delegate(Request& request,
                 const std::vector<std::size_t>& parts,
--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -14,7 +14,8 @@
       AddLeaf(name, name + "-2", "d2");
       AddLeaf(name, name + "-3", "d3");
     }
-    engine.SetPeers({{{"127.0.0.2", 1}, "r2"}, {{"127.0.0.3", 1}, "r3"}});
+    engine.SetPeers(
+        {{{"127.0.0.2", 1}, "r2", "d2"}, {{"127.0.0.3", 1}, "r3", "d3"}});
   }
 
   void Answer(std::vector<std::size_t> covered,
@@ -78,6 +79,38 @@
   }
 }
 
+TEST_CASE("many shards of another failure domain nearby go there as one") {
+  constexpr std::size_t kShards = 40;
+  RelayFixture fixture;
+  for (std::size_t shard = 0; shard < kShards; ++shard) {
+    const std::string name = "s" + std::to_string(shard);
+    fixture.AddLeaf(name, name + "-leaf", shard % 2 == 0 ? "d1" : "d1b");
+  }
+  const RelayPeer here{{"127.0.0.2", 1}, "r1", "d1"};
+  const RelayPeer there{{"127.0.0.3", 1}, "r1", "d1b"};
+
+  SUBCASE("to a daemon that stands there") {
+    fixture.engine.SetPeers({here, there});
+    fixture.Submit(kShards);
+    REQUIRE(fixture.delegations.size() == 1);
+    CHECK(fixture.delegations.front().peer == there.address);
+    CHECK(fixture.delegations.front().shards.size() == kShards / 2);
+    CHECK(fixture.sends.size() == kShards / 2);
+  }
+  SUBCASE("directly, if no daemon does") {
+    fixture.engine.SetPeers({here});
+    fixture.Submit(kShards);
+    CHECK(fixture.delegations.empty());
+    CHECK(fixture.sends.size() == kShards);
+  }
+  SUBCASE("directly, if they are few") {
+    fixture.engine.SetPeers({here, there});
+    fixture.Submit(4);
+    CHECK(fixture.delegations.empty());
+    CHECK(fixture.sends.size() == 4);
+  }
+}
+
 TEST_CASE("a lost peer's shards are not asked again at a third leaf") {
   FarShards fixture;
   fixture.AddLeaf("s0", "s0-new", "d2");
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -21,8 +21,11 @@
 class RelayFixture {
  public:
   explicit RelayFixture(RepeatAllowance allowance = {1, 100})
-      : engine(Locality{"d1", "r1", {{"d1", "r1"}, {"d2", "r2"}, {"d3", "r3"}}},
-               allowance) {
+      : engine(
+            Locality{"d1",
+                     "r1",
+                     {{"d1", "r1"}, {"d1b", "r1"}, {"d2", "r2"}, {"d3", "r3"}}},
+            allowance) {
     engine.SetDaemons({{"r1", 1}});
   }
 
