A foretold stall that ends in time is waited for at the near leaf

Change: a part's first send goes to the near leaf if only a foretold stall makes it the worse one, and if after that stall the far leaf could still answer in time; its hedge is due once the stall should be over. Test: relay_engine_test, a near leaf's foretold stall.

--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -23,14 +23,14 @@
 
 RelayFront::RelayFront(EventLoop& loop,
                        const RelayProtocol& protocol,
-                       Locality locality,
+                       const Locality& locality,
                        const RepeatAllowance& repeats,
                        PeerNetwork& peers,
                        RelayObserver& observer)
     : m_loop(loop),
       m_protocol(protocol),
       m_observer(observer),
-      m_engine(std::move(locality), repeats),
+      m_engine(locality, repeats),
       m_exchanges(loop,
                   [this](const Endpoint& leaf, bool is_reachable) {
                     Apply(m_engine.OnReachable(leaf, is_reachable, Now()));
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -63,7 +63,7 @@
 
   RelayFront(EventLoop& loop,
              const RelayProtocol& protocol,
-             Locality locality,
+             const Locality& locality,
              const RepeatAllowance& repeats,
              PeerNetwork& peers,
              RelayObserver& observer);
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -75,9 +75,9 @@
     } else {
       leaf = std::make_shared<RelayLeaf>(RelayLeaf{
           registration,
-          LeafLoad(registration.slots, PriorWay(registration), m_fleet), false,
-          std::nullopt});
+          LeafLoad(registration.slots, PriorWay(registration), m_fleet)});
     }
+    leaf->is_near = m_locality.IsSameRegion(registration.failure_domain);
     if (!registration.is_draining) {
       leaf->draining_since.reset();
     } else if (!leaf->draining_since) {
@@ -253,13 +253,15 @@
 LeafChoice ChooseLeaf(const RelayService& service,
                       const std::string& kind,
                       const std::vector<const RelayLeaf*>& tried,
-                      TimePoint now) {
+                      TimePoint now,
+                      LeafScope scope) {
   LeafChoice choice;
   LeafTier best_tier = LeafTier::kNone;
   Duration best_cost{0};
   for (const auto& leaf : service.leafs) {
     const LeafTier tier = TierOf(*leaf, now);
     if (tier == LeafTier::kNone ||
+        (scope == LeafScope::kNear && !leaf->is_near) ||
         std::find(tried.begin(), tried.end(), leaf.get()) != tried.end()) {
       continue;
     }
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -31,9 +31,11 @@
 struct RelayLeaf {
   LeafRegistration registration;
   LeafLoad load;
+  /// In this daemon's region.
+  bool is_near = false;
   /// No longer registered.
   bool is_gone = false;
-  std::optional<TimePoint> draining_since;
+  std::optional<TimePoint> draining_since = {};
   /// Attempts that this daemon may have there at once.
   std::uint32_t share = 1;
   /// Fewer for a while, after the leaf closed a new connection.
@@ -123,17 +125,24 @@
   std::map<std::string, std::shared_ptr<RelayLeaf>> m_leafs;
 };
 
-/// The best leaf of `service` for a request of this kind; null if none will
-/// do. `tried` leafs are passed over.
+/// Which leafs are considered.
+enum class LeafScope {
+  kAny,
+  kNear,
+};
+
 struct LeafChoice {
   std::shared_ptr<RelayLeaf> leaf;
   /// Leafs are there, but this daemon's share of each is in use.
   bool is_full = false;
 };
 
+/// The best leaf of `service` for a request of this kind; null if none will
+/// do. `tried` leafs are passed over.
 LeafChoice ChooseLeaf(const RelayService& service,
                       const std::string& kind,
                       const std::vector<const RelayLeaf*>& tried,
-                      TimePoint now);
+                      TimePoint now,
+                      LeafScope scope = LeafScope::kAny);
 
 }  // namespace bramleyspoke
--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -170,6 +170,13 @@
   return cost + (IsSilent(now) ? std::max(kSilentCost, held_up) : held_up);
 }
 
+Duration LeafLoad::ForetoldHoldUp(const std::string& kind,
+                                  TimePoint now) const {
+  const LatencyEstimate* latency = Find(kind);
+  const Duration expected = latency ? latency->Expected(now) : UsualWork(kind);
+  return IsSilent(now) ? Duration::zero() : HoldUp(expected, now);
+}
+
 // Work that the leaf still has at hand when a stall begins stands still too.
 Duration LeafLoad::HoldUp(Duration work, TimePoint now) const {
   const TimePoint arrives = now + m_way / 2;
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -107,6 +107,9 @@
   bool IsUnreachable(TimePoint now) const { return now < m_unreachable_until; }
   /// Expected time to an answer, with the queue there.
   Duration Cost(const std::string& kind, TimePoint now) const;
+  /// The part of it that is a foretold stall; zero while the leaf is silent,
+  /// as it may not come back.
+  Duration ForetoldHoldUp(const std::string& kind, TimePoint now) const;
   /// After how long an attempt there is overdue.
   Duration Overdue(const std::string& kind) const;
   Duration Usual(const std::string& kind) const;
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -85,7 +85,7 @@
                                                  std::size_t index) const {
   const RelayService& service = *request.parts[index].service;
   const std::string& kind = request.TheRoute().name;
-  const LeafChoice best = ChooseLeaf(service, kind, {}, m_now);
+  const LeafChoice best = ChooseFirst(request, request.parts[index]);
   if (!best.leaf) {
     return {};
   }
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -110,6 +110,7 @@
   void AddPart(Request& request, const std::string& service);
   bool Refuse(Request& request);
   bool IsSuspect(const Part& part) const;
+  LeafChoice ChooseFirst(const Request& request, const Part& part) const;
   void Place(Request& request, std::size_t index);
   void Send(Request& request,
             std::size_t index,
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -76,15 +76,38 @@
   return false;
 }
 
+// Load: each near leaf stalls now and then, and answers of far ones cost bytes
+// between regions. A stall that ends early enough is waited for: should it
+// last, the far leaf can still answer in time.
+LeafChoice RelayEngine::ChooseFirst(const Request& request,
+                                    const Part& part) const {
+  const std::string& kind = request.TheRoute().name;
+  const auto tried = Pointers(part.tried);
+  const LeafChoice best = ChooseLeaf(*part.service, kind, tried, m_now);
+  if (!best.leaf || best.leaf->is_near || !part.tried.empty()) {
+    return best;
+  }
+  const LeafChoice near =
+      ChooseLeaf(*part.service, kind, tried, m_now, LeafScope::kNear);
+  if (!near.leaf) {
+    return best;
+  }
+  const Duration far_cost = best.leaf->load.Cost(kind, m_now);
+  const Duration near_cost = near.leaf->load.Cost(kind, m_now);
+  const Duration stall = near.leaf->load.ForetoldHoldUp(kind, m_now);
+  const bool is_best_but_for_stall = near_cost - stall <= far_cost;
+  const bool has_time =
+      m_now + near_cost + far_cost <= request.request.answer_by;
+  return is_best_but_for_stall && has_time ? near : best;
+}
+
 void RelayEngine::Place(Request& request, std::size_t index) {
   Part& part = request.parts[index];
   if (IsSuspect(part)) {
     GiveUp(part);
     return;
   }
-  const std::string& kind = request.TheRoute().name;
-  const LeafChoice choice =
-      ChooseLeaf(*part.service, kind, Pointers(part.tried), m_now);
+  const LeafChoice choice = ChooseFirst(request, part);
   if (!choice.leaf) {
     if (choice.is_full) {
       Enqueue(request, index);
@@ -174,7 +197,9 @@
       part.tried.size() >= request.TheRoute().max_attempts) {
     return std::nullopt;
   }
-  return m_now + sending.leaf->load.Overdue(sending.kind);
+  const LeafLoad& load = sending.leaf->load;
+  return m_now + load.Overdue(sending.kind) +
+         load.ForetoldHoldUp(sending.kind, m_now);
 }
 
 // Load: a leaf that pauses holds up everything sent to it shortly before.
--- a/tests/relay_engine_test.cc
+++ b/tests/relay_engine_test.cc
@@ -188,4 +188,55 @@
   CHECK(taken == std::vector{30, 10});
 }
 
+namespace {
+
+// Shard s0 has a near and a far leaf; the near one stalls every six seconds, as
+// do leafs of other shards, and `left` of its stall is ahead.
+struct StallingLeaf : RelayFixture {
+  explicit StallingLeaf(Duration left) {
+    AddLeaf("s0", "s0-near");
+    AddLeaf("s0", "s0-far", "d2");
+    for (int i = 0; i < 5; ++i) {
+      AddLeaf("other", "other-" + std::to_string(i));
+    }
+    const TimePoint end = now + left;
+    for (int round = 2; round > 0; --round) {
+      const TimePoint then = end - std::chrono::seconds(6) * round;
+      Stall("other", then);
+      Stall("s0", then);
+    }
+  }
+
+  void Stall(const std::string& service, TimePoint end) {
+    for (const auto& leaf : engine.Book().Services().at(service)->leafs) {
+      if (leaf->is_near) {
+        leaf->load.NoteStall(end - milliseconds(250), end);
+      }
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a near leaf's foretold stall is waited for if that is in time") {
+  SUBCASE("it ends soon") {
+    StallingLeaf relay(milliseconds(60));
+    relay.Submit(0);
+    CHECK(relay.IsSentTo("s0-near"));
+    SUBCASE("and no repeat is made meanwhile") {
+      relay.Advance(milliseconds(60));
+      CHECK_FALSE(relay.IsSentTo("s0-far"));
+    }
+    SUBCASE("but one is if it lasts") {
+      relay.Advance(milliseconds(150));
+      CHECK(relay.IsSentTo("s0-far"));
+    }
+  }
+  SUBCASE("it ends too late for a repeat at the far one") {
+    StallingLeaf relay(milliseconds(180));
+    relay.Submit(0);
+    CHECK(relay.IsSentTo("s0-far"));
+  }
+}
+
 }  // namespace bramleyspoke
