A relay's metrics by route, leaf state and store call; states in log and dump

Change: requests by route (32 labels, then 'other'), status and outcome; leafs by state, the least budget, store calls by kind and outcome (CountedStore); a refused part names the service's leafs and their states; leaf_registered and leaf_removed at info, five a second; the count of left-out lines once a second. Test: relay_metrics_test.

--- /dev/null
+++ b/src/process/counted_store.cc
@@ -0,0 +1,93 @@
+#include "process/counted_store.h"
+
+#include <utility>
+
+#include "base/enum_names.h"
+
+namespace bramleyspoke {
+namespace {
+
+constexpr EnumNames<StoreCallKind, 6> kStoreCallNames{{{
+    {StoreCallKind::kRange, "range"},
+    {StoreCallKind::kWatch, "watch"},
+    {StoreCallKind::kGrant, "grant"},
+    {StoreCallKind::kRenew, "renew"},
+    {StoreCallKind::kRevoke, "revoke"},
+    {StoreCallKind::kPut, "put"},
+}}};
+
+KeyValueStatus StatusOf(KeyValueStatus status) {
+  return status;
+}
+
+template <typename Answer>
+KeyValueStatus StatusOf(const Answer& answer) {
+  return answer.status;
+}
+
+class CountedStore final : public KeyValueStore {
+ public:
+  CountedStore(std::unique_ptr<KeyValueStore> store, OnStoreCall on_call)
+      : m_store(std::move(store)), m_on_call(std::move(on_call)) {}
+
+  void Range(const std::string& prefix,
+             const std::string& after,
+             std::function<void(KeyValuePage)> done) override {
+    m_store->Range(prefix, after,
+                   Counted(StoreCallKind::kRange, std::move(done)));
+  }
+  void Watch(const std::string& prefix,
+             std::int64_t revision,
+             Duration wait,
+             std::function<void(KeyValueChanges)> done) override {
+    m_store->Watch(prefix, revision, wait,
+                   Counted(StoreCallKind::kWatch, std::move(done)));
+  }
+  void DropWatches() override { m_store->DropWatches(); }
+  void Grant(Duration time_to_live,
+             std::function<void(LeaseGrant)> done) override {
+    m_store->Grant(time_to_live,
+                   Counted(StoreCallKind::kGrant, std::move(done)));
+  }
+  void Renew(LeaseId lease, std::function<void(KeyValueStatus)> done) override {
+    m_store->Renew(lease, Counted(StoreCallKind::kRenew, std::move(done)));
+  }
+  void Revoke(LeaseId lease,
+              std::function<void(KeyValueStatus)> done) override {
+    m_store->Revoke(lease, Counted(StoreCallKind::kRevoke, std::move(done)));
+  }
+  void Put(const std::string& key,
+           const std::string& value,
+           LeaseId lease,
+           std::function<void(KeyValueStatus)> done) override {
+    m_store->Put(key, value, lease,
+                 Counted(StoreCallKind::kPut, std::move(done)));
+  }
+
+ private:
+  template <typename Answer>
+  std::function<void(Answer)> Counted(StoreCallKind kind,
+                                      std::function<void(Answer)> done) {
+    return [on_call = m_on_call, kind, done = std::move(done)](Answer answer) {
+      on_call(kind, StatusOf(answer));
+      done(std::move(answer));
+    };
+  }
+
+  std::unique_ptr<KeyValueStore> m_store;
+  OnStoreCall m_on_call;
+};
+
+}  // namespace
+
+std::string_view ToString(StoreCallKind kind) {
+  return kStoreCallNames.NameOf(kind);
+}
+
+std::unique_ptr<KeyValueStore> CountStoreCalls(
+    std::unique_ptr<KeyValueStore> store,
+    OnStoreCall on_call) {
+  return std::make_unique<CountedStore>(std::move(store), std::move(on_call));
+}
+
+}  // namespace bramleyspoke
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -1,6 +1,7 @@
 #include "process/relay_control.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -8,12 +9,16 @@
 #include "connection/event_loop.h"
 #include "process/daemon_registration.h"
 #include "process/log.h"
+#include "process/log_sampler.h"
 #include "process/store_follower.h"
 #include "version/entry_registry.h"
 
 namespace bramleyspoke {
 namespace {
 
+// Of all lines on leafs that changed.
+constexpr std::uint32_t kLeafLinesPerSecond = 5;
+
 class StoreRelayControl final : public RelayControl, public StoreListener {
  public:
   StoreRelayControl(EventLoop& loop,
@@ -165,27 +170,43 @@
     m_listener.OnTable(table);
   }
 
-  bool TakeLeaf(const std::string& name, const std::string& value) {
+  std::optional<LeafRegistration> TakeLeaf(const std::string& name,
+                                           const std::string& value) {
     const auto read = Check([&] { return m_schema.ReadLeaf(name, value); });
     if (!read.value) {
       WriteLog(
           LogLevel::kWarning, "leaf_refused",
           {Field("leaf", name), Field("problems", ToString(read.problems))});
-      return false;
+      return std::nullopt;
     }
     m_leafs.Put(name, *read.value);
-    return true;
+    return read.value;
   }
 
   void TakeLeafEvent(const KeyValueEvent& event) {
     const std::string name = m_schema.NameOf(event.key);
-    if (!event.value || !TakeLeaf(name, *event.value)) {
+    const std::optional<LeafRegistration> leaf =
+        event.value ? TakeLeaf(name, *event.value) : std::nullopt;
+    if (!leaf) {
       m_leafs.Remove(name, Now());
     }
-    if (IsLogged(LogLevel::kDebug)) {
-      WriteLog(LogLevel::kDebug, "leaf_changed",
-               {Field("leaf", name), Field("entry", event.value.value_or(""))});
+    WriteLeafLine(name, leaf);
+  }
+
+  void WriteLeafLine(const std::string& name,
+                     const std::optional<LeafRegistration>& leaf) {
+    if (!m_leaf_lines.Take(name, LogValue::kOther, Now())) {
+      return;
+    }
+    if (!leaf) {
+      WriteLog(LogLevel::kInfo, "leaf_removed", {Field("leaf", name)});
+      return;
     }
+    WriteLog(LogLevel::kInfo, "leaf_registered",
+             {Field("leaf", name), Field("service", leaf->service),
+              Field("address", ToString(leaf->address)),
+              Field("draining", leaf->is_draining),
+              Field("started_at_ms", leaf->started_at_ms)});
   }
 
   bool TakeDaemon(const std::string& key, const std::string& value) {
@@ -282,6 +303,7 @@
   std::string m_routes;
   std::uint64_t m_version = 0;
   std::unique_ptr<Timer> m_settle_timer;
+  LogSampler m_leaf_lines{kLeafLinesPerSecond};
 };
 
 }  // namespace
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -1,19 +1,18 @@
 #include "process/relay_daemon.h"
 
 #include <algorithm>
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <utility>
 
 #include "base/problems.h"
 #include "connection/capnp_peers.h"
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
+#include "process/counted_store.h"
 #include "process/entry_choice.h"
 #include "process/log.h"
 #include "process/planned_stop.h"
 #include "process/relay_control.h"
+#include "process/relay_dump.h"
 #include "process/relay_front.h"
 #include "process/relay_log.h"
 #include "process/relay_metrics.h"
@@ -22,8 +21,6 @@
 namespace bramleyspoke {
 namespace {
 
-namespace json = boost::json;
-
 // How often a planned stop looks at what is left.
 constexpr std::chrono::milliseconds kStopCheckInterval{50};
 // Of the time for a planned stop: served on, while callers still come.
@@ -85,7 +82,12 @@
     if (m_settings.operator_listen) {
       BOOST_LEAF_CHECK(Listen(*m_settings.operator_listen));
     }
-    m_store = m_adapters.open_store(*m_control_loop, m_settings.store);
+    m_store = CountStoreCalls(
+        m_adapters.open_store(*m_control_loop, m_settings.store),
+        [this](StoreCallKind kind, KeyValueStatus status) {
+          m_loop->Post(
+              [this, kind, status] { m_metrics->Observe(kind, status); });
+        });
     m_control = RelayControl::Create(
         *m_control_loop, *m_store, m_adapters.schema,
         RelayIdentity{
@@ -331,7 +333,9 @@
       response.content_type = "text/plain; version=0.0.4";
       response.body = m_metrics->Text(Observation());
     } else if (target == "/dump") {
-      response.body = MakeDump();
+      response.body = MakeRelayDump(m_settings.name, Observation(), m_daemons,
+                                    m_front->Engine().Book(),
+                                    std::chrono::steady_clock::now());
     } else {
       response.status = 404;
       response.body = "{}";
@@ -342,7 +346,6 @@
   RelayObservation Observation() const {
     RelayObservation now;
     now.version = m_front->Table() ? m_front->Table()->Version() : 0;
-    now.leafs = m_front->Engine().Book().KeptConnections().size();
     now.daemons = m_daemons.size();
     now.in_flight = m_front->InFlight();
     now.caller_connections = m_callers->ConnectionCount();
@@ -350,45 +353,15 @@
     now.leaf_connections_opened = m_front->Exchanges().Opened();
     now.is_store_reachable = m_is_store_reachable;
     now.is_ready = IsReady();
+    now.is_stopping = m_stop.IsStopping();
+    now.is_holder = m_front->IsHolder();
+    now.by_state =
+        m_front->Engine().Book().CountByState(std::chrono::steady_clock::now());
+    now.least_budget = m_front->Engine().Book().LeastBudget();
     now.engine = m_front->Engine().Counters();
     return now;
   }
 
-  std::string MakeDump() const {
-    const TimePoint now = std::chrono::steady_clock::now();
-    const RelayObservation state = Observation();
-    json::array leafs;
-    for (const auto& [name, service] : m_front->Engine().Book().Services()) {
-      for (const auto& leaf : service->leafs) {
-        leafs.push_back(
-            json::object{{"id", leaf->registration.id},
-                         {"service", name},
-                         {"address", ToString(leaf->registration.address)},
-                         {"draining", leaf->registration.is_draining},
-                         {"in_flight", leaf->load.InFlight()},
-                         {"share", leaf->share},
-                         {"silent", leaf->load.IsSilent(now)},
-                         {"usable", leaf->load.IsUsable(now)}});
-      }
-    }
-    json::array daemons;
-    for (const DaemonEntry& daemon : m_daemons) {
-      daemons.push_back(json::object{{"address", ToString(daemon.address)},
-                                     {"region", daemon.region}});
-    }
-    return json::serialize(
-        json::object{{"name", m_settings.name},
-                     {"version", state.version},
-                     {"ready", state.is_ready},
-                     {"stopping", m_stop.IsStopping()},
-                     {"store_reachable", state.is_store_reachable},
-                     {"in_flight", state.in_flight},
-                     {"caller_connections", state.caller_connections},
-                     {"leaf_connections", state.leaf_connections},
-                     {"daemons", std::move(daemons)},
-                     {"leafs", std::move(leafs)}});
-  }
-
   void Reload() {
     const auto read = Check(m_read_settings);
     if (!read.value) {
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -88,6 +88,7 @@
   /// Whether routes may be out of date, so that a missing one proves nothing.
   void SetStale(bool is_stale) { m_is_stale = is_stale; }
 
+  bool IsHolder() const { return m_is_holder; }
   const RouteTable* Table() const { return m_table.get(); }
   const RelayEngine& Engine() const { return m_engine; }
   const LeafExchanges& Exchanges() const { return m_exchanges; }
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -5,6 +5,9 @@
 namespace bramleyspoke {
 namespace {
 
+// Between two counts of the lines left out.
+constexpr Duration kCountTime = std::chrono::seconds(1);
+
 // In time, whole, and each leaf asked once.
 bool IsPlain(const RelayEnd& end) {
   const bool is_answered = end.is_for_peer || end.status == 200;
@@ -56,7 +59,7 @@
        Field("version", end.version), Field("status", end.status),
        Field("taken_ms", ToMilliseconds(end.taken)),
        Field("time_for_answer_ms", ToMilliseconds(end.time_for_answer)),
-       Field("wait_end", ToString(outcome.wait_end)),
+       Field("wait_end", end.refusal ? "" : ToString(outcome.wait_end)),
        Field("sends", outcome.sends), Field("repeats", outcome.repeats),
        Field("missing_shards", end.missing_shards),
        Field("odd_parts", outcome.odd_part_count),
@@ -82,14 +85,17 @@
 bool RelayLog::MayWrite(LogLevel level,
                         std::string_view request_id,
                         LogValue value) {
-  if (!IsLogged(level) ||
-      !m_sampler.Take(request_id, value, std::chrono::steady_clock::now())) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (!IsLogged(level) || !m_sampler.Take(request_id, value, now)) {
     return false;
   }
-  const std::uint64_t suppressed = m_sampler.TakeSuppressed();
-  if (suppressed > 0) {
-    WriteLog(LogLevel::kWarning, "log_lines_suppressed",
-             {Field("lines", suppressed)});
+  if (now - m_counted_at >= kCountTime) {
+    m_counted_at = now;
+    const std::uint64_t suppressed = m_sampler.TakeSuppressed();
+    if (suppressed > 0) {
+      WriteLog(LogLevel::kWarning, "log_lines_suppressed",
+               {Field("lines", suppressed)});
+    }
   }
   return true;
 }
--- a/src/process/relay_log.h
+++ b/src/process/relay_log.h
@@ -26,6 +26,7 @@
   bool MayWrite(LogLevel level, std::string_view request_id, LogValue value);
 
   LogSampler m_sampler;
+  TimePoint m_counted_at;
 };
 
 /// One phrase a part: its leafs, how it ended, and what the budget had left.
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -6,6 +6,9 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <array>
+#include <set>
+
 namespace bramleyspoke {
 namespace {
 
@@ -17,12 +20,28 @@
     0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12,
     0.16,  0.2,  0.3,  0.4,  0.6,  1,    2,   4};
 
+constexpr std::size_t kMostRouteLabels = 32;
+
+constexpr std::array<LeafState, 6> kLeafStates{
+    LeafState::kReady,    LeafState::kFull,        LeafState::kEjected,
+    LeafState::kDraining, LeafState::kUnreachable, LeafState::kGone};
+
+std::string_view OutcomeOf(const RelayEnd& end) {
+  if (end.refusal) {
+    return ToString(end.refusal->reason);
+  }
+  if (end.status != 200) {
+    return "failed";
+  }
+  return end.missing_shards > 0 ? "partial" : "answered";
+}
+
 class PrometheusRelayMetrics final : public RelayMetrics {
  public:
   PrometheusRelayMetrics()
       : m_requests(BuildCounter()
                        .Name("bramleyspoke_relay_requests_total")
-                       .Help("Relayed requests by status")
+                       .Help("Relayed requests by route, status and outcome")
                        .Register(m_registry)),
         m_latency(BuildHistogram()
                       .Name("bramleyspoke_relay_latency_seconds")
@@ -38,13 +57,30 @@
                            .Name("bramleyspoke_relay_failed_sends_total")
                            .Help("Sendings to leafs that failed, by how")
                            .Register(m_registry)),
+        m_store_calls(BuildCounter()
+                          .Name("bramleyspoke_relay_store_calls_total")
+                          .Help("Calls to the platform's store by outcome")
+                          .Register(m_registry)),
+        m_leafs(BuildGauge()
+                    .Name("bramleyspoke_relay_leafs")
+                    .Help("Leafs by state")
+                    .Register(m_registry)),
+        m_least_budget(BuildGauge()
+                           .Name("bramleyspoke_relay_least_repeats_left")
+                           .Help("Of the service with the fewest")
+                           .Register(m_registry)
+                           .Add({})),
         m_gauges(BuildGauge()
                      .Name("bramleyspoke_relay_state")
                      .Help("What the daemon holds or has counted so far")
                      .Register(m_registry)) {}
 
   void Observe(const RelayEnd& end) override {
-    m_requests.Add({{"status", std::to_string(end.status)}}).Increment();
+    m_requests
+        .Add({{"route", RouteLabel(end)},
+              {"status", std::to_string(end.status)},
+              {"outcome", std::string(OutcomeOf(end))}})
+        .Increment();
     m_latency.Observe(std::chrono::duration<double>(end.taken).count());
     m_missing.Increment(static_cast<double>(end.missing_shards));
   }
@@ -54,9 +90,23 @@
         .Increment();
   }
 
+  void Observe(StoreCallKind kind, KeyValueStatus status) override {
+    m_store_calls
+        .Add({{"kind", std::string(ToString(kind))},
+              {"outcome", std::string(ToString(status))}})
+        .Increment();
+  }
+
   std::string Text(const RelayObservation& now) override {
     Set("version", now.version);
-    Set("leafs", now.leafs);
+    for (const LeafState state : kLeafStates) {
+      const auto found = now.by_state.find(state);
+      m_leafs.Add({{"state", std::string(ToString(state))}})
+          .Set(static_cast<double>(
+              found == now.by_state.end() ? 0 : found->second));
+    }
+    m_least_budget.Set(now.least_budget);
+    Set("holder", now.is_holder ? 1 : 0);
     Set("daemons", now.daemons);
     Set("in_flight", now.in_flight);
     Set("caller_connections", now.caller_connections);
@@ -74,6 +124,17 @@
   }
 
  private:
+  // Routes come and go: beyond a number they share a label.
+  std::string RouteLabel(const RelayEnd& end) {
+    if (end.route == nullptr) {
+      return "none";
+    }
+    if (m_routes.size() < kMostRouteLabels) {
+      m_routes.insert(end.route->name);
+    }
+    return m_routes.contains(end.route->name) ? end.route->name : "other";
+  }
+
   void Set(const char* name, std::uint64_t value) {
     m_gauges.Add({{"what", name}}).Set(static_cast<double>(value));
   }
@@ -83,7 +144,12 @@
   prometheus::Histogram& m_latency;
   prometheus::Counter& m_missing;
   prometheus::Family<prometheus::Counter>& m_failed_sends;
+  prometheus::Family<prometheus::Counter>& m_store_calls;
+  prometheus::Family<prometheus::Gauge>& m_leafs;
+  prometheus::Gauge& m_least_budget;
   prometheus::Family<prometheus::Gauge>& m_gauges;
+  /// Routes that have a label of their own.
+  std::set<std::string> m_routes;
 };
 
 }  // namespace
--- a/src/process/relay_metrics.h
+++ b/src/process/relay_metrics.h
@@ -2,9 +2,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
+#include "process/counted_store.h"
 #include "process/relay_front.h"
 
 namespace bramleyspoke {
@@ -12,7 +14,9 @@
 /// What a relaying daemon holds at the moment.
 struct RelayObservation {
   std::uint64_t version = 0;
-  std::size_t leafs = 0;
+  std::map<LeafState, std::size_t> by_state;
+  /// Repeats left of the service that has the fewest.
+  double least_budget = 0;
   std::size_t daemons = 0;
   std::size_t in_flight = 0;
   std::size_t caller_connections = 0;
@@ -20,6 +24,8 @@
   std::uint64_t leaf_connections_opened = 0;
   bool is_store_reachable = false;
   bool is_ready = false;
+  bool is_stopping = false;
+  bool is_holder = false;
   RelayCounters engine;
 };
 
@@ -31,6 +37,7 @@
 
   virtual void Observe(const RelayEnd& end) = 0;
   virtual void Observe(const RelaySendEnd& send) = 0;
+  virtual void Observe(StoreCallKind kind, KeyValueStatus status) = 0;
   /// All metrics in the Prometheus text format.
   virtual std::string Text(const RelayObservation& now) = 0;
 };
--- a/src/request/leaf_book.cc
+++ b/src/request/leaf_book.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <utility>
 
+#include "base/enum_names.h"
+
 namespace bramleyspoke {
 namespace {
 
@@ -38,8 +40,38 @@
   return leaf.load.IsUsable(now) ? LeafTier::kReady : LeafTier::kEjected;
 }
 
+constexpr EnumNames<LeafState, 6> kLeafStateNames{{{
+    {LeafState::kReady, "ready"},
+    {LeafState::kFull, "full"},
+    {LeafState::kEjected, "ejected"},
+    {LeafState::kDraining, "draining"},
+    {LeafState::kUnreachable, "unreachable"},
+    {LeafState::kGone, "gone"},
+}}};
+
 }  // namespace
 
+std::string_view ToString(LeafState state) {
+  return kLeafStateNames.NameOf(state);
+}
+
+LeafState StateOf(const RelayLeaf& leaf, TimePoint now) {
+  if (leaf.is_gone) {
+    return LeafState::kGone;
+  }
+  if (leaf.load.IsUnreachable(now)) {
+    return LeafState::kUnreachable;
+  }
+  if (leaf.draining_since) {
+    return LeafState::kDraining;
+  }
+  if (!leaf.load.IsUsable(now)) {
+    return LeafState::kEjected;
+  }
+  return leaf.load.InFlight() >= leaf.Allowed(now) ? LeafState::kFull
+                                                   : LeafState::kReady;
+}
+
 bool Locality::IsSameRegion(const std::string& domain) const {
   const auto found = regions.find(domain);
   return found != regions.end() && found->second == region;
@@ -139,6 +171,23 @@
   return *service;
 }
 
+std::map<LeafState, std::size_t> LeafBook::CountByState(TimePoint now) const {
+  std::map<LeafState, std::size_t> counts;
+  for (const auto& [id, leaf] : m_leafs) {
+    ++counts[StateOf(*leaf, now)];
+  }
+  return counts;
+}
+
+double LeafBook::LeastBudget() const {
+  std::optional<double> least;
+  for (const auto& [name, service] : m_services) {
+    const double tokens = service->budget.Tokens();
+    least = std::min(least.value_or(tokens), tokens);
+  }
+  return least.value_or(0);
+}
+
 std::map<Endpoint, std::size_t> LeafBook::KeptConnections() const {
   std::map<Endpoint, std::size_t> kept;
   for (const auto& [id, leaf] : m_leafs) {
--- a/src/request/leaf_book.h
+++ b/src/request/leaf_book.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -48,6 +49,21 @@
   void OnConnectionRefused(TimePoint now);
 };
 
+/// Whether a leaf can be asked, and why not.
+enum class LeafState {
+  kReady,
+  /// This daemon's share of it is in use.
+  kFull,
+  /// Passed over for a while after failures.
+  kEjected,
+  kDraining,
+  kUnreachable,
+  kGone,
+};
+
+std::string_view ToString(LeafState state);
+LeafState StateOf(const RelayLeaf& leaf, TimePoint now);
+
 /// An attempt that waits for room at one of a service's leafs.
 struct WaitingPart {
   std::uint32_t priority = 0;
@@ -96,6 +112,9 @@
   const std::map<std::string, std::unique_ptr<RelayService>>& Services() const {
     return m_services;
   }
+  std::map<LeafState, std::size_t> CountByState(TimePoint now) const;
+  /// Repeats left of the service that has the fewest; 0 without services.
+  double LeastBudget() const;
   /// How many connections are worth keeping to which leafs.
   std::map<Endpoint, std::size_t> KeptConnections() const;
   /// Daemons that can each hold a connection for every slot of a leaf, and one
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -108,7 +108,8 @@
 struct OddPart {
   std::string service;
   PartEnd end = PartEnd::kOpen;
-  /// Leafs that had it, in order.
+  /// Leafs that had it, in order; if none had, the service's leafs and why they
+  /// could not be asked.
   std::vector<std::string> leafs;
   std::string answered_by;
   /// Sendings to a second leaf while the first one was silent.
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -402,13 +402,19 @@
   return is_failed ? PartEnd::kFailed : PartEnd::kOpen;
 }
 
-OddPart RelayEngine::Part::Describe() const {
+OddPart RelayEngine::Part::Describe(TimePoint now) const {
   OddPart odd;
   odd.service = service->name;
   odd.end = End();
   for (const auto& leaf : tried) {
     odd.leafs.push_back(leaf->registration.id);
   }
+  if (tried.empty()) {
+    for (const auto& leaf : service->leafs) {
+      odd.leafs.push_back(leaf->registration.id + ":" +
+                          std::string(ToString(StateOf(*leaf, now))));
+    }
+  }
   if (answered_by) {
     odd.answered_by = answered_by->registration.id;
   }
@@ -426,7 +432,7 @@
     if (part.IsOdd()) {
       ++outcome.odd_part_count;
       if (outcome.odd_parts.size() < kMostOddParts) {
-        outcome.odd_parts.push_back(part.Describe());
+        outcome.odd_parts.push_back(part.Describe(m_now));
       }
     }
   }
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -47,7 +47,7 @@
   PartEnd End() const;
   /// Took more than one sending and its answer.
   bool IsOdd() const { return !IsAnswered() || sends > 1; }
-  OddPart Describe() const;
+  OddPart Describe(TimePoint now) const;
 };
 
 /// A request under way.
--- a/src/tool/explanation.cc
+++ b/src/tool/explanation.cc
@@ -17,9 +17,7 @@
     {"not_ready",
      "No route matched, and the daemon's routes may have been out of date: see "
      "store_lost, or started, before it."},
-    {"no_replica",
-     "Too few of its leafs could be asked: gone, draining or unreachable. See "
-     "the state dump for the service's leafs."},
+    {"no_replica", "Too few of its leafs could be asked."},
     {"overloaded",
      "Too many requests were under way or waited at one service."},
     {"crash_suspect",
@@ -71,9 +69,10 @@
 
 std::string DescribeRefusal(const LogRecord& record) {
   const std::string reason(record.Text("reason"));
-  std::string text = "Refused with status " +
-                     std::to_string(record.Integer("status")) + ", " + reason +
-                     " (" + std::string(record.Text("verdict")) + ")";
+  const std::string verdict(record.Text("verdict"));
+  std::string text = verdict == "not_run" ? "Refused" : "Ended";
+  text += " with status " + std::to_string(record.Integer("status")) + ", " +
+          reason + " (" + verdict + ")";
   const std::int64_t retry_after = record.Integer("retry_after_ms");
   if (retry_after > 0) {
     text += ", to come back after " + Milliseconds(retry_after);
@@ -151,8 +150,9 @@
   }
   const std::int64_t end = explanation.own.back().time_ms;
   for (LogRecord& record : records) {
-    if (!IsAboutRequests(record) && sources.contains(record.source) &&
-        record.time_ms <= end && end - record.time_ms <= kContextMs) {
+    if (!IsAboutRequests(record) && record.event != "log_lines_suppressed" &&
+        sources.contains(record.source) && record.time_ms <= end &&
+        end - record.time_ms <= kContextMs) {
       explanation.around.push_back(std::move(record));
     }
   }
--- /dev/null
+++ b/tests/relay_metrics_test.cc
@@ -0,0 +1,104 @@
+#include "process/relay_metrics.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "held_store.h"
+#include "process/relay_dump.h"
+#include "relay_fixture.h"
+
+namespace bramleyspoke {
+namespace {
+
+std::size_t Count(const std::string& text, const std::string& part) {
+  std::size_t count = 0;
+  for (auto at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+TEST_CASE("a relay's metrics tell how requests of each route ended") {
+  const auto metrics = RelayMetrics::Create();
+  Route route;
+  route.name = "lookup";
+  RelayEnd end;
+  end.route = &route;
+  end.status = 200;
+  metrics->Observe(end);
+  end.missing_shards = 2;
+  metrics->Observe(end);
+  end.status = 503;
+  end.refusal = RelayRefusal{RefusalReason::kNoReplica, Verdict::kNotRun, {}};
+  metrics->Observe(end);
+  const std::string text = metrics->Text(RelayObservation());
+  for (const char* outcome : {"answered", "partial", "no_replica"}) {
+    CHECK(text.find(R"(outcome=")" + std::string(outcome) +
+                    R"(",route="lookup")") != std::string::npos);
+  }
+}
+
+TEST_CASE("however many routes there are, their labels are few") {
+  const auto metrics = RelayMetrics::Create();
+  for (int i = 0; i < 1000; ++i) {
+    Route route;
+    route.name = "route-" + std::to_string(i);
+    RelayEnd end;
+    end.route = &route;
+    end.status = 200;
+    metrics->Observe(end);
+  }
+  const std::string text = metrics->Text(RelayObservation());
+  CHECK(Count(text, "bramleyspoke_relay_requests_total{") == 33);
+  CHECK(text.find(R"(route="other",status="200"} 968)") != std::string::npos);
+}
+
+TEST_CASE("calls to the store are told by kind and outcome") {
+  auto held = std::make_unique<HeldStore>();
+  HeldStore& store = *held;
+  const auto metrics = RelayMetrics::Create();
+  const auto counted = CountStoreCalls(
+      std::move(held), [&](StoreCallKind kind, KeyValueStatus status) {
+        metrics->Observe(kind, status);
+      });
+  int answers = 0;
+  counted->Watch("", 1, milliseconds(1),
+                 [&](const KeyValueChanges&) { ++answers; });
+  counted->DropWatches();
+  counted->Renew(1, [&](KeyValueStatus) { ++answers; });
+  store.AnswerRenew(KeyValueStatus::kOk);
+  CHECK(answers == 2);
+  const std::string text = metrics->Text(RelayObservation());
+  CHECK(text.find(R"(calls_total{kind="watch",outcome="unknown"} 1)") !=
+        std::string::npos);
+  CHECK(text.find(R"(calls_total{kind="renew",outcome="ok"} 1)") !=
+        std::string::npos);
+}
+
+TEST_CASE("metrics and dump tell leafs by their state") {
+  RelayFixture relay;
+  relay.AddLeaf("s0", "a");
+  relay.AddLeaf("s0", "b", "d1", true);
+  relay.AddLeaf("s0", "c");
+  relay.Take(
+      relay.engine.OnReachable(relay.leafs[2].address, false, relay.now));
+  RelayObservation now;
+  now.by_state = relay.engine.Book().CountByState(relay.now);
+  now.least_budget = relay.engine.Book().LeastBudget();
+  CHECK(now.least_budget > 0);
+  const std::string text = RelayMetrics::Create()->Text(now);
+  for (const char* state : {"ready", "draining", "unreachable"}) {
+    CHECK(text.find(R"(relay_leafs{state=")" + std::string(state) +
+                    R"("} 1)") != std::string::npos);
+  }
+  const std::string dump =
+      MakeRelayDump("name", now, {}, relay.engine.Book(), relay.now);
+  CHECK(dump.find(R"("state":"unreachable")") != std::string::npos);
+  CHECK(dump.find(R"("repeats_left")") != std::string::npos);
+}
+
+}  // namespace bramleyspoke
