check-deploy: the deploy file and what its template gives; clearer leaf lines

Logs: leaf lines only where more changed than how long a leaf is slow yet (they filled explain's context); a part at a peer says so; fingerprints are unsigned.

--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -185,12 +185,27 @@
 
   void TakeLeafEvent(const KeyValueEvent& event) {
     const std::string name = m_schema.NameOf(event.key);
+    const LeafRegistration* known = m_leafs.Find(name);
+    const std::optional<LeafRegistration> before =
+        known == nullptr ? std::nullopt : std::optional(*known);
     const std::optional<LeafRegistration> leaf =
         event.value ? TakeLeaf(name, *event.value) : std::nullopt;
     if (!leaf) {
       m_leafs.Remove(name, Now());
     }
-    WriteLeafLine(name, leaf);
+    if (!IsSameLeaf(before, leaf)) {
+      WriteLeafLine(name, leaf);
+    }
+  }
+
+  // Whether it may be asked for the same: how long it is slow yet changes
+  // often.
+  static bool IsSameLeaf(std::optional<LeafRegistration> before,
+                         std::optional<LeafRegistration> after) {
+    if (before && after) {
+      before->cold_remaining = after->cold_remaining;
+    }
+    return before == after;
   }
 
   void WriteLeafLine(const std::string& name,
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -177,7 +177,7 @@
   // What ended a leaf here may come to any daemon next.
   void OnLeafCrash(std::uint64_t fingerprint) override {
     WriteLog(LogLevel::kWarning, "leaf_crashed",
-             {Field("fingerprint", fingerprint)});
+             {Field("fingerprint", std::to_string(fingerprint))});
     GossipMessage message;
     message.sender = Self();
     message.evidence.push_back({"", fingerprint, 1});
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -35,6 +35,7 @@
     if (!part.answered_by.empty()) {
       text += " by " + part.answered_by;
     }
+    text += part.is_at_peer ? " at a peer" : "";
     text += part.leafs.empty() ? "" : " after";
     for (const std::string& leaf : part.leafs) {
       text += " " + leaf;
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -112,6 +112,8 @@
   /// could not be asked.
   std::vector<std::string> leafs;
   std::string answered_by;
+  /// A peer was asked for it.
+  bool is_at_peer = false;
   /// Sendings to a second leaf while the first one was silent.
   std::uint32_t hedges = 0;
   /// Repeats that the service's budget had left.
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -409,7 +409,8 @@
   for (const auto& leaf : tried) {
     odd.leafs.push_back(leaf->registration.id);
   }
-  if (tried.empty()) {
+  odd.is_at_peer = delegation || pending;
+  if (tried.empty() && !odd.is_at_peer) {
     for (const auto& leaf : service->leafs) {
       odd.leafs.push_back(leaf->registration.id + ":" +
                           std::string(ToString(StateOf(*leaf, now))));
--- /dev/null
+++ b/src/tool/check_deploy_command.cc
@@ -0,0 +1,82 @@
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <ostream>
+
+#include "platform/deploy_file.h"
+#include "tool/command.h"
+#include "tool/command_options.h"
+
+namespace bramleyspoke {
+namespace {
+
+namespace json = boost::json;
+
+constexpr const char* kDeployFile = "deploy/system.toml";
+constexpr const char* kFieldsFile = "examples/platform-fields.json";
+
+class CheckDeployCommand final : public Command {
+ public:
+  std::string_view Name() const override { return "check-deploy"; }
+  std::string_view Summary() const override {
+    return "checks the deploy file and the settings that its templates give";
+  }
+
+  void Declare(CommandOptions& options) override {
+    options.AddWord("DIRECTORY", m_directory, "the repository's root");
+    options.AddText("fields", m_fields,
+                    "JSON with what the platform fills in; by default "
+                    "examples/platform-fields.json");
+  }
+
+  ExitCode Run(CommandOutput& output) override {
+    const std::filesystem::path root(m_directory);
+    const auto deploy = Read(root / kDeployFile);
+    const auto fields =
+        Read(m_fields.empty() ? root / kFieldsFile
+                              : std::filesystem::path(m_fields));
+    json::error_code error;
+    const json::value filled =
+        fields ? json::parse(*fields, error) : json::value();
+    if (!deploy || !fields || error) {
+      output.error << (deploy ? "fields: JSON in a readable file\n"
+                              : "deploy file: a readable file\n");
+      return ExitCode::kInvalidInput;
+    }
+    const Problems problems = Platform::CheckDeployFile(*deploy, root, filled);
+    if (output.is_json) {
+      output.out << json::serialize(
+                        json::object{{"valid", problems.list.empty()},
+                                     {"faults", ToString(problems)}})
+                 << '\n';
+    } else if (problems.list.empty()) {
+      output.out << "valid\n";
+    } else {
+      output.error << ToString(problems);
+    }
+    return problems.list.empty() ? ExitCode::kDone : ExitCode::kInvalidInput;
+  }
+
+ private:
+  static std::optional<std::string> Read(const std::filesystem::path& file) {
+    std::ifstream stream(file);
+    if (!stream) {
+      return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(stream), {});
+  }
+
+  std::string m_directory;
+  std::string m_fields;
+};
+
+}  // namespace
+
+std::unique_ptr<Command> MakeCheckDeployCommand() {
+  return std::make_unique<CheckDeployCommand>();
+}
+
+}  // namespace bramleyspoke
--- a/src/tool/command.h
+++ b/src/tool/command.h
@@ -40,6 +40,7 @@
 std::unique_ptr<Command> MakeSearchCommand();
 std::unique_ptr<Command> MakeDrainCommand();
 std::unique_ptr<Command> MakeExplainCommand();
+std::unique_ptr<Command> MakeCheckDeployCommand();
 
 /// All commands, in the order in which the help lists them.
 std::vector<std::unique_ptr<Command>> MakeAllCommands();
--- a/src/tool/tool.cc
+++ b/src/tool/tool.cc
@@ -11,7 +11,7 @@
 namespace bramleyspoke {
 namespace {
 
-constexpr int kNameWidth = 12;
+constexpr int kNameWidth = 14;
 
 bool IsHelp(const std::string& word) {
   return word == "--help" || word == "-h" || word == "help";
@@ -81,6 +81,7 @@
   commands.push_back(MakeSearchCommand());
   commands.push_back(MakeDrainCommand());
   commands.push_back(MakeExplainCommand());
+  commands.push_back(MakeCheckDeployCommand());
   return commands;
 }
 
--- a/src/version/entry_registry.h
+++ b/src/version/entry_registry.h
@@ -36,6 +36,8 @@
 
   /// When `Settle` is due next.
   std::optional<TimePoint> NextSettle() const;
+  /// Null if there is none.
+  const Value* Find(const std::string& key) const;
   std::vector<Value> Values() const;
   std::vector<std::pair<std::string, Value>> Rows() const;
   std::size_t size() const { return m_entries.size(); }
@@ -136,6 +138,12 @@
   return m_is_store_lost ? std::nullopt : next;
 }
 
+template <typename Value>
+const Value* EntryRegistry<Value>::Find(const std::string& key) const {
+  const auto found = m_entries.find(key);
+  return found == m_entries.end() ? nullptr : &found->second.value;
+}
+
 template <typename Value>
 std::vector<Value> EntryRegistry<Value>::Values() const {
   std::vector<Value> values;
