A relay's process meets a silent store; store_reachable is told from the first read on

Cause: the metric store_reachable stayed 0 until the store had been lost and found again; process_relay_test, written for a start without the store, failed on it first. Change: each whole reading tells that the store answers. process_relay_test starts real daemons against a stand-in of the platform's store and leafs: one that starts while the store is silent serves what its seed knows. Tried and not kept: the same for a request that crashes leafs; the stand-in leaf's server, once ended within its own loop, answered nothing more, and why was not found. The crash bound is proved at the engine and at the peer call, apart.

--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -68,6 +68,7 @@
 
   void OnKeys(const std::vector<KeyValueItem>& items) override {
     m_seeds->Stop();
+    m_listener.OnStore(true);
     std::set<std::string> leafs;
     std::set<std::string> daemons;
     for (const KeyValueItem& item : items) {
--- /dev/null
+++ b/tests/relay_platform.cc
@@ -0,0 +1,165 @@
+#include "relay_platform.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <future>
+#include <utility>
+
+#include "connection/base64.h"
+#include "connection/http_client.h"
+#include "platform/wire_names.h"
+
+namespace bramleyspoke {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::seconds kCallTime{5};
+constexpr std::chrono::milliseconds kWatchTime{200};
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+// The revision that a watch has seen.
+std::int64_t AfterOf(const std::string& target) {
+  const std::string name = "&after=";
+  return std::stoll(target.substr(target.find(name) + name.size()));
+}
+
+// Runs `call` on the loop's thread and waits for it.
+void RunOn(EventLoop& loop, const std::function<void()>& call) {
+  std::promise<void> done;
+  loop.Post([&] {
+    call();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+}  // namespace
+
+PlatformStore::PlatformStore() : m_loop(EventLoop::Create()) {
+  m_server =
+      HttpServer::Create(*m_loop, {"127.0.0.1", 0}, HttpServerLimits(), *this)
+          .value();
+  m_loop->Start();
+}
+
+PlatformStore::~PlatformStore() {
+  m_loop->Stop();
+}
+
+void PlatformStore::Put(const std::string& key, const std::string& value) {
+  RunOn(*m_loop, [&] { Change(key, value); });
+}
+
+void PlatformStore::Change(const std::string& key, const std::string& value) {
+  ++m_revision;
+  m_values[key] = value;
+  AnswerWatches();
+}
+
+// A watch's answer holds all keys: what a reader has already changes nothing.
+std::string PlatformStore::ItemsJson(const char* list) const {
+  json::array items;
+  for (const auto& [key, value] : m_values) {
+    items.push_back(json::object{{"key", key}, {"value", EncodeBase64(value)}});
+  }
+  return json::serialize(json::object{{"at_revision", m_revision},
+                                      {"has_more", false},
+                                      {list, std::move(items)}});
+}
+
+void PlatformStore::Answer(HttpExchange& exchange, const std::string& body) {
+  HttpResponse response;
+  response.body = body;
+  exchange.Respond(std::move(response));
+}
+
+void PlatformStore::AnswerWatches() {
+  for (auto& [number, watch] : std::exchange(m_watches, {})) {
+    Answer(*watch.exchange, ItemsJson("events"));
+  }
+}
+
+void PlatformStore::Handle(std::shared_ptr<HttpExchange> exchange) {
+  if (m_is_silent) {
+    m_unanswered.push_back(std::move(exchange));
+    return;
+  }
+  const HttpRequest& request = exchange->Request();
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  if (path == Platform::kRangePath) {
+    Answer(*exchange, ItemsJson("items"));
+  } else if (path == Platform::kWatchPath &&
+             AfterOf(request.target) < m_revision) {
+    Answer(*exchange, ItemsJson("events"));
+  } else if (path == Platform::kWatchPath) {
+    const std::uint64_t number = ++m_last_watch;
+    auto timer = m_loop->At(Now() + Duration(kWatchTime), [this, number] {
+      const auto watch = m_watches.extract(number);
+      Answer(*watch.mapped().exchange,
+             json::serialize(json::object{{"at_revision", m_revision},
+                                          {"events", json::array()}}));
+    });
+    m_watches.emplace(number, Watch{std::move(exchange), std::move(timer)});
+  } else if (path == Platform::kTransactionPath) {
+    const json::value body = json::parse(request.body);
+    const json::object& row = body.at("puts").at(0).as_object();
+    const std::string key(row.at("key").as_string());
+    const auto value =
+        DecodeBase64(std::string_view(row.at("value").as_string()));
+    Answer(*exchange, "{}");
+    Change(key, value.value());
+  } else {
+    Answer(*exchange, R"({"lease_id":7,"ttl_ms":20000})");
+  }
+}
+
+PlatformLeaf::PlatformLeaf(std::string id)
+    : m_id(std::move(id)), m_loop(EventLoop::Create()) {
+  m_server =
+      HttpServer::Create(*m_loop, {"127.0.0.1", 0}, HttpServerLimits(), *this)
+          .value();
+  m_loop->Start();
+}
+
+PlatformLeaf::~PlatformLeaf() {
+  m_loop->Stop();
+}
+
+std::string PlatformLeaf::Entry(const std::string& service) const {
+  return json::serialize(
+      json::object{{"service", service},
+                   {"address", ToString(m_server->Address())},
+                   {"zone", "z"},
+                   {"version", "v1"},
+                   {"slots", 4},
+                   {"state", "ready"},
+                   {"cold_remaining_ms", 0},
+                   {"seq", 1},
+                   {"born", 1}});
+}
+
+void PlatformLeaf::Handle(std::shared_ptr<HttpExchange> exchange) {
+  const HttpRequest& request = exchange->Request();
+  HttpResponse response;
+  const std::string id(HeaderValue(request.headers, Platform::kRequestId));
+  response.headers = {{std::string(Platform::kRequestId), id},
+                      {std::string(Platform::kStamp), m_id + "/" + id}};
+  response.body = "answer";
+  exchange->Respond(std::move(response));
+}
+
+HttpResponse Ask(const Endpoint& server, const HttpRequest& request) {
+  HttpResponse none;
+  none.status = 0;
+  return HttpCallAndWait(server, request, kCallTime).response.value_or(none);
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/relay_platform.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "connection/event_loop.h"
+#include "connection/http_server.h"
+
+namespace bramleyspoke {
+
+/// The platform's store, as a relay sees it; keeps no history.
+class PlatformStore final : public HttpHandler {
+ public:
+  PlatformStore();
+  ~PlatformStore() override;
+
+  Endpoint Address() const { return m_server->Address(); }
+  void Put(const std::string& key, const std::string& value);
+  /// Takes calls and answers none of them, for good.
+  void FallSilent() { m_is_silent = true; }
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override;
+
+ private:
+  struct Watch {
+    std::shared_ptr<HttpExchange> exchange;
+    std::unique_ptr<Timer> timer;
+  };
+
+  void Change(const std::string& key, const std::string& value);
+  void Answer(HttpExchange& exchange, const std::string& body);
+  std::string ItemsJson(const char* list) const;
+  void AnswerWatches();
+
+  std::unique_ptr<EventLoop> m_loop;
+  std::unique_ptr<HttpServer> m_server;
+  std::atomic<bool> m_is_silent = false;
+  std::map<std::string, std::string> m_values;
+  std::int64_t m_revision = 1;
+  std::map<std::uint64_t, Watch> m_watches;
+  std::uint64_t m_last_watch = 0;
+  std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
+};
+
+/// A leaf that answers each request.
+class PlatformLeaf final : public HttpHandler {
+ public:
+  explicit PlatformLeaf(std::string id);
+  ~PlatformLeaf() override;
+
+  /// Its entry in the store.
+  std::string Entry(const std::string& service) const;
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override;
+
+ private:
+  std::string m_id;
+  std::unique_ptr<EventLoop> m_loop;
+  std::unique_ptr<HttpServer> m_server;
+};
+
+/// Sends one request and waits for its answer; status 0: none came.
+HttpResponse Ask(const Endpoint& server, const HttpRequest& request);
+
+}  // namespace bramleyspoke
