A part waits once, so that its queue can be emptied

A continuation's answer names a shard left out once more, and RetryIfInTime put the part, which waited already, into the queue again; Dequeue takes out the last entry only, so Pump met the first one for ever. Ruled out: the log's writer, the store's follower (both went on until then). Change: Enqueue takes out a former entry; Pump drops one its part does not know.

--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -155,7 +155,10 @@
                              request.request.deadline});
 }
 
+// A part waits once: an entry that its part no longer knows would never leave
+// the queue.
 void RelayEngine::Enqueue(Request& request, std::size_t index) {
+  Dequeue(request, index);
   Part& part = request.parts[index];
   part.waiting = WaitingPart{request.TheRoute().priority, ++m_last_sequence,
                              request.number, index};
@@ -179,6 +182,10 @@
       continue;
     }
     Part& part = request->parts[next.part];
+    if (part.waiting != next) {
+      service.waiting.erase(service.waiting.begin());
+      continue;
+    }
     const LeafChoice choice = ChooseLeaf(service, request->TheRoute().name,
                                          Pointers(part.tried), m_now);
     if (!choice.leaf && choice.is_full) {
--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -79,6 +79,27 @@
   }
 }
 
+TEST_CASE("a part that a peer leaves out twice waits once") {
+  FarShards fixture;
+  fixture.Submit(4);
+  REQUIRE(fixture.delegations.size() == 1);
+  const auto& waiting = fixture.engine.Book().Services().at("s0")->waiting;
+  while (waiting.empty()) {
+    fixture.Submit(0);
+  }
+  fixture.Answer({1, 2}, {{0, 1, false}, {3, 1, true}});
+  fixture.Advance(milliseconds(200));
+  REQUIRE(waiting.size() == 2);
+  REQUIRE(fixture.delegations.size() == 2);
+  fixture.Answer({}, {{0, 1, false}, {3, 1, true}});
+  CHECK(waiting.size() == 2);
+
+  while (!fixture.sends.empty()) {
+    fixture.Reply(fixture.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  }
+  CHECK(waiting.empty());
+}
+
 TEST_CASE("many shards of another failure domain nearby go there as one") {
   constexpr std::size_t kShards = 40;
   RelayFixture fixture;
