Log and count each step of the evidence against a crashing request

Only leaf_crashed had the request's fingerprint, and nothing told when evidence was taken, reported by a peer, expired or cleared.

Change: the ledger reports each step (lost, crashed, crashed_together, reported, reported_again, expired, leaf_answered, survived) with the part, the leaf, the time since the attempt ended and the crashes that count; they are logged, sampled like other lines about requests, and counted in crash_evidence_total by step. request_end and send_failed carry the content's fingerprint in hexadecimal, as JSON numbers cannot hold it. A peer's report now names content and service, from which the receiver makes the same key as before. No decision changes.

--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -178,12 +178,10 @@
   }
 
   // The caller may resend the request that crashed a leaf to any other holder.
-  void OnLeafCrash(std::uint64_t fingerprint) override {
-    WriteLog(LogLevel::kWarning, "leaf_crashed",
-             {Field("fingerprint", std::to_string(fingerprint))});
+  void OnLeafCrash(const RequestPart& part) override {
     GossipMessage message;
     message.sender = Self();
-    message.evidence.push_back({"", fingerprint, 1});
+    message.evidence.push_back({part.service, part.content, 1});
     for (const DaemonEntry& daemon : Holders()) {
       if (daemon.peer != m_settings.peer_listen) {
         NotifyPeer(daemon.peer, message);
@@ -191,6 +189,11 @@
     }
   }
 
+  void OnCrashEvidence(const CrashEvidenceEvent& event) override {
+    m_metrics->Observe(event);
+    m_log.WriteCrashEvidence(event);
+  }
+
   // PeerHandler, on the peers' thread. A relaying daemon serves shard queries
   // and fetches of store contents, and receives crash evidence. Indirect pings,
   // forwards and part fetches get no response.
@@ -199,7 +202,7 @@
                 std::function<void(GossipMessage)> reply) override {
     m_loop->Post([this, evidence = std::move(message.evidence)] {
       for (const EvidenceNotice& notice : evidence) {
-        m_front->OnPeerCrash(notice.fingerprint);
+        m_front->OnPeerCrash({notice.fingerprint, notice.service});
       }
     });
     GossipMessage answer;
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -105,7 +105,8 @@
                                               m_table,
                                               &route,
                                               now,
-                                              request.answer_by});
+                                              request.answer_by,
+                                              request.fingerprint});
   exchange->OnClientDisconnected([this, number] {
     m_in_flight.erase(number);
     Apply(m_engine.OnCallerDisconnected(number, Now()));
@@ -142,8 +143,9 @@
   m_engine.SetPeers(peers);
 }
 
-void RelayFront::OnPeerCrash(std::uint64_t fingerprint) {
-  m_engine.OnPeerCrash(fingerprint, Now());
+void RelayFront::OnPeerCrash(const RequestPart& part) {
+  m_engine.OnPeerCrash(part, Now());
+  ReportCrashes();
 }
 
 // The route's values are taken from the query, because this daemon may have
@@ -176,9 +178,10 @@
   request.answer_by = now + query.answer_time_left;
   request.is_for_peer = true;
   m_in_flight.emplace(
-      number, RequestInFlight{nullptr, std::move(query.request),
-                              std::move(reply), std::move(query.request_id),
-                              table, request.route, now, request.answer_by});
+      number,
+      RequestInFlight{nullptr, std::move(query.request), std::move(reply),
+                      std::move(query.request_id), table, request.route, now,
+                      request.answer_by, request.fingerprint});
   Apply(m_engine.Submit(number, std::move(request), now));
   return MakeCancellation(number);
 }
@@ -362,6 +365,7 @@
   end.outcome = &outcome;
   end.refusal = outcome.refusal;
   end.is_for_peer = true;
+  end.fingerprint = request.fingerprint;
   m_observer.OnRequestEnd(end);
   return answer;
 }
@@ -397,6 +401,7 @@
   end.missing_shards = outcome.missing_shards;
   end.outcome = &outcome;
   end.refusal = outcome.refusal;
+  end.fingerprint = request.fingerprint;
   m_observer.OnRequestEnd(end);
   request.exchange->Respond(std::move(response));
 }
@@ -412,8 +417,11 @@
 }
 
 void RelayFront::ReportCrashes() {
-  for (const std::uint64_t fingerprint : m_engine.TakeCrashes()) {
-    m_observer.OnLeafCrash(fingerprint);
+  for (const CrashEvidenceEvent& event : m_engine.TakeCrashEvents()) {
+    m_observer.OnCrashEvidence(event);
+  }
+  for (const RequestPart& part : m_engine.TakeCrashes()) {
+    m_observer.OnLeafCrash(part);
   }
 }
 
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -35,6 +35,8 @@
   std::optional<RelayRefusal> refusal;
   /// Whether another daemon delegated the request.
   bool is_for_peer = false;
+  /// Fingerprint of the request's content; 0 without a route.
+  std::uint64_t fingerprint = 0;
 };
 
 /// Receives the events of a `RelayFront`; called on its loop.
@@ -44,8 +46,9 @@
   virtual void OnRequestEnd(const RelayEnd& end) = 0;
   virtual void OnAttemptFailed(std::string_view request_id,
                                const FailedAttempt& send) = 0;
-  /// A leaf crashed while it ran a request with this fingerprint.
-  virtual void OnLeafCrash(std::uint64_t fingerprint) = 0;
+  /// A leaf crashed while it ran this part of a request.
+  virtual void OnLeafCrash(const RequestPart& part) = 0;
+  virtual void OnCrashEvidence(const CrashEvidenceEvent& event) = 0;
 };
 
 /// Connects the sockets of callers, leafs and peers to a `RelayEngine`, which
@@ -85,9 +88,8 @@
   /// holders keep connections to leafs.
   void SetHolders(std::map<std::string, std::size_t> by_region, bool is_holder);
   void SetPeers(const std::vector<RelayPeer>& peers);
-  /// A peer reported that a leaf crashed while it ran a request with this
-  /// fingerprint.
-  void OnPeerCrash(std::uint64_t fingerprint);
+  /// A peer reported that a leaf crashed while it ran this part of a request.
+  void OnPeerCrash(const RequestPart& part);
   /// Sets whether the routes may be out of date. If so, a request without a
   /// matching route is refused as not ready, since its route may exist.
   void SetStale(bool is_stale) { m_is_stale = is_stale; }
@@ -109,6 +111,7 @@
     const Route* route = nullptr;
     TimePoint arrived;
     TimePoint answer_by;
+    std::uint64_t fingerprint = 0;
 
     const HttpRequest& Request() const {
       return exchange ? exchange->Request() : peer_request;
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -1,5 +1,7 @@
 #include "process/relay_log.h"
 
+#include <array>
+#include <charconv>
 #include <chrono>
 
 namespace bramleyspoke {
@@ -22,6 +24,15 @@
   return is_failed ? LogPriority::kFailure : LogPriority::kOther;
 }
 
+// JSON numbers cannot hold 64 bits.
+std::string FormatFingerprint(std::uint64_t fingerprint) {
+  constexpr int kHexBase = 16;
+  std::array<char, 17> text{};
+  const auto written = std::to_chars(text.data(), text.data() + text.size(),
+                                     fingerprint, kHexBase);
+  return {text.data(), written.ptr};
+}
+
 std::string_view NameOf(const Route* route) {
   return route == nullptr ? std::string_view() : route->name;
 }
@@ -64,6 +75,7 @@
        Field("wait_end", end.refusal ? "" : ToString(outcome.wait_end)),
        Field("sends", outcome.sends), Field("repeats", outcome.repeats),
        Field("missing_shards", end.missing_shards),
+       Field("fingerprint", FormatFingerprint(end.fingerprint)),
        Field("odd_parts", outcome.reportable_parts),
        Field("odd", DescribePartReports(outcome.part_reports)),
        Field("reason", end.refusal ? ToString(end.refusal->reason) : ""),
@@ -81,7 +93,26 @@
   WriteLog(LogLevel::kInfo, "send_failed",
            {Field("request_id", request_id), Field("leaf", send.leaf_id),
             Field("service", send.service), Field("kind", ToString(send.kind)),
-            Field("taken_ms", ToMilliseconds(send.taken))});
+            Field("taken_ms", ToMilliseconds(send.taken)),
+            Field("fingerprint", FormatFingerprint(send.fingerprint))});
+}
+
+// Crashes are rare and explain refusals at other daemons, so they have the
+// priority of failures.
+void RelayLog::WriteCrashEvidence(const CrashEvidenceEvent& event) {
+  const bool is_crash = event.step == CrashEvidenceStep::kCrashed;
+  const LogLevel level = is_crash ? LogLevel::kWarning : LogLevel::kInfo;
+  const std::string fingerprint = FormatFingerprint(event.part.content);
+  if (!ShouldWrite(level, fingerprint,
+                   is_crash ? LogPriority::kFailure : LogPriority::kOther)) {
+    return;
+  }
+  WriteLog(
+      level, is_crash ? "leaf_crashed" : "crash_evidence",
+      {Field("step", ToString(event.step)), Field("fingerprint", fingerprint),
+       Field("service", event.part.service), Field("leaf", event.leaf_id),
+       Field("age_ms", ToMilliseconds(event.age)),
+       Field("crashes", event.crashes)});
 }
 
 bool RelayLog::ShouldWrite(LogLevel level,
--- a/src/process/relay_log.h
+++ b/src/process/relay_log.h
@@ -11,8 +11,8 @@
 
 namespace bramleyspoke {
 
-/// Logs relayed requests, failed attempts and failed delegations at a bounded
-/// rate.
+/// Logs relayed requests, failed attempts, failed delegations and crash
+/// evidence at a bounded rate.
 ///
 /// Requests answered completely and within the target latency are logged at
 /// debug level, everything else at info level.
@@ -25,6 +25,7 @@
   void WriteRequestEnd(const RelayEnd& end);
   void WriteFailedAttempt(std::string_view request_id,
                           const FailedAttempt& send);
+  void WriteCrashEvidence(const CrashEvidenceEvent& event);
 
  private:
   bool ShouldWrite(LogLevel level,
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -57,6 +57,12 @@
                               .Name("bramleyspoke_relay_failed_sends_total")
                               .Help("Sendings to leafs that failed, by how")
                               .Register(m_registry)),
+        m_crash_evidence(
+            BuildCounter()
+                .Name("bramleyspoke_relay_crash_evidence_total")
+                .Help("Evidence of requests that crash leafs, by what became "
+                      "of it")
+                .Register(m_registry)),
         m_store_calls(BuildCounter()
                           .Name("bramleyspoke_relay_store_calls_total")
                           .Help("Calls to the platform's store by outcome")
@@ -90,6 +96,11 @@
         .Increment();
   }
 
+  void Observe(const CrashEvidenceEvent& event) override {
+    m_crash_evidence.Add({{"step", std::string(ToString(event.step))}})
+        .Increment();
+  }
+
   void Observe(StoreCallKind kind, KeyValueStatus status) override {
     m_store_calls
         .Add({{"kind", std::string(ToString(kind))},
@@ -147,6 +158,7 @@
   prometheus::Histogram& m_latency;
   prometheus::Counter& m_missing;
   prometheus::Family<prometheus::Counter>& m_failed_attempts;
+  prometheus::Family<prometheus::Counter>& m_crash_evidence;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Gauge>& m_leafs;
   prometheus::Gauge& m_least_budget;
--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -5,12 +5,30 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/enum_names.h"
+
 namespace bramleyspoke {
 namespace {
 
 constexpr std::size_t kMaxLostConnections = 1024;
 constexpr std::size_t kMaxRequests = 4096;
 
+constexpr EnumNames<CrashEvidenceStep, 8> kStepNames{{{
+    {CrashEvidenceStep::kLost, "lost"},
+    {CrashEvidenceStep::kCrashed, "crashed"},
+    {CrashEvidenceStep::kCrashedTogether, "crashed_together"},
+    {CrashEvidenceStep::kReported, "reported"},
+    {CrashEvidenceStep::kReportedAgain, "reported_again"},
+    {CrashEvidenceStep::kExpired, "expired"},
+    {CrashEvidenceStep::kLeafAnswered, "leaf_answered"},
+    {CrashEvidenceStep::kSurvived, "survived"},
+}}};
+
+std::uint64_t FingerprintOf(const RequestPart& part) {
+  return XXH3_64bits_withSeed(part.service.data(), part.service.size(),
+                              part.content);
+}
+
 }  // namespace
 
 std::uint64_t FingerprintOfContent(std::string_view method,
@@ -21,37 +39,37 @@
   return XXH3_64bits_withSeed(body.data(), body.size(), hash);
 }
 
-std::uint64_t FingerprintOfPart(std::uint64_t content,
-                                std::string_view service) {
-  return XXH3_64bits_withSeed(service.data(), service.size(), content);
+std::string_view ToString(CrashEvidenceStep step) {
+  return kStepNames.NameOf(step);
 }
 
-bool CrashLedger::IsSuspect(std::uint64_t fingerprint, TimePoint now) const {
+bool CrashLedger::IsSuspect(const RequestPart& part, TimePoint now) const {
   if (m_crashes.empty()) {
     return false;
   }
-  const auto found = m_crashes.find(fingerprint);
+  const auto found = m_crashes.find(FingerprintOf(part));
   return found != m_crashes.end() && found->second.size() >= kCrashLimit &&
          now - found->second.back() < kCrashRetention;
 }
 
-void CrashLedger::OnSurvived(std::uint64_t fingerprint) {
-  m_crashes.erase(fingerprint);
-  std::erase_if(m_lost_connections, [&](const LostConnection& lost) {
-    return lost.fingerprint == fingerprint;
-  });
+void CrashLedger::OnSurvived(const RequestPart& part) {
+  if (m_crashes.erase(FingerprintOf(part)) > 0) {
+    Report(CrashEvidenceStep::kSurvived, part, "", Duration::zero());
+  }
+  std::erase_if(m_lost_connections,
+                [&](const LostConnection& lost) { return lost.part == part; });
 }
 
-void CrashLedger::OnLost(std::uint64_t fingerprint,
+void CrashLedger::OnLost(const RequestPart& part,
                          const std::shared_ptr<const RelayLeaf>& leaf,
                          TimePoint now) {
-  std::erase_if(m_lost_connections, [&](const LostConnection& lost) {
-    return now - lost.at >= kConfirmationTimeout;
-  });
+  DropExpired(now);
   if (m_lost_connections.size() >= kMaxLostConnections) {
     m_lost_connections.erase(m_lost_connections.begin());
   }
-  m_lost_connections.push_back({fingerprint, leaf, now});
+  m_lost_connections.push_back({part, leaf, now});
+  Report(CrashEvidenceStep::kLost, part, leaf->registration.id,
+         Duration::zero());
 }
 
 void CrashLedger::OnUnreachable(const Endpoint& address, TimePoint now) {
@@ -66,39 +84,77 @@
   ConfirmCrashes([](const RelayLeaf& leaf) { return leaf.is_gone; }, now);
 }
 
-void CrashLedger::OnAnswered(const RelayLeaf& leaf, TimePoint sent) {
+void CrashLedger::OnAnswered(const RelayLeaf& leaf,
+                             TimePoint sent,
+                             TimePoint now) {
   std::erase_if(m_lost_connections, [&](const LostConnection& lost) {
-    return lost.leaf.get() == &leaf && lost.at < sent;
+    if (lost.leaf.get() != &leaf || lost.at >= sent) {
+      return false;
+    }
+    Report(CrashEvidenceStep::kLeafAnswered, lost.part, leaf.registration.id,
+           now - lost.at);
+    return true;
   });
 }
 
-void CrashLedger::OnPeerCrash(std::uint64_t fingerprint, TimePoint now) {
-  AddCrash(fingerprint, now);
+void CrashLedger::OnPeerCrash(const RequestPart& part, TimePoint now) {
+  const bool is_new = AddCrash(part, now);
+  Report(
+      is_new ? CrashEvidenceStep::kReported : CrashEvidenceStep::kReportedAgain,
+      part, "", Duration::zero());
 }
 
-std::vector<std::uint64_t> CrashLedger::TakeCrashes() {
+std::vector<RequestPart> CrashLedger::TakeCrashes() {
   return std::exchange(m_unreported_crashes, {});
 }
 
+std::vector<CrashEvidenceEvent> CrashLedger::TakeEvents() {
+  return std::exchange(m_events, {});
+}
+
+void CrashLedger::DropExpired(TimePoint now) {
+  std::erase_if(m_lost_connections, [&](const LostConnection& lost) {
+    if (now - lost.at < kConfirmationTimeout) {
+      return false;
+    }
+    Report(CrashEvidenceStep::kExpired, lost.part, lost.leaf->registration.id,
+           now - lost.at);
+    return true;
+  });
+}
+
 template <typename Predicate>
 void CrashLedger::ConfirmCrashes(Predicate is_gone, TimePoint now) {
+  DropExpired(now);
   std::erase_if(m_lost_connections, [&](const LostConnection& lost) {
-    if (now - lost.at >= kConfirmationTimeout) {
-      return true;
-    }
     if (!is_gone(*lost.leaf)) {
       return false;
     }
-    if (AddCrash(lost.fingerprint, lost.at)) {
-      m_unreported_crashes.push_back(lost.fingerprint);
+    const bool is_new = AddCrash(lost.part, lost.at);
+    if (is_new) {
+      m_unreported_crashes.push_back(lost.part);
     }
+    Report(is_new ? CrashEvidenceStep::kCrashed
+                  : CrashEvidenceStep::kCrashedTogether,
+           lost.part, lost.leaf->registration.id, now - lost.at);
     return true;
   });
 }
 
+void CrashLedger::Report(CrashEvidenceStep step,
+                         const RequestPart& part,
+                         std::string leaf_id,
+                         Duration age) {
+  const auto found = m_crashes.find(FingerprintOf(part));
+  const std::size_t crashes =
+      found == m_crashes.end() ? 0 : found->second.size();
+  m_events.push_back({step, part, std::move(leaf_id), age, crashes});
+}
+
 // Peers report crashes with a delay, so the times of several daemons may be out
 // of order.
-bool CrashLedger::AddCrash(std::uint64_t fingerprint, TimePoint at) {
+bool CrashLedger::AddCrash(const RequestPart& part, TimePoint at) {
+  const std::uint64_t fingerprint = FingerprintOf(part);
   if (m_crashes.size() >= kMaxRequests && !m_crashes.contains(fingerprint)) {
     const auto oldest = std::min_element(
         m_crashes.begin(), m_crashes.end(), [](const auto& a, const auto& b) {
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -17,9 +18,48 @@
 std::uint64_t FingerprintOfContent(std::string_view method,
                                    std::string_view target,
                                    std::string_view body);
-/// Identifies the content of a request to one service.
-std::uint64_t FingerprintOfPart(std::uint64_t content,
-                                std::string_view service);
+
+/// The part of a request that goes to one service.
+struct RequestPart {
+  /// Fingerprint of the request's content.
+  std::uint64_t content = 0;
+  std::string service;
+
+  bool operator==(const RequestPart&) const = default;
+};
+
+/// What became of the evidence that a request crashes leafs.
+enum class CrashEvidenceStep {
+  /// A connection was lost; the leaf has not been found gone yet.
+  kLost,
+  /// The leaf was found gone: a crash.
+  kCrashed,
+  /// As `kCrashed`, but counted together with another crash at the same time.
+  kCrashedTogether,
+  /// A peer reported a crash.
+  kReported,
+  /// As `kReported`, but already known or counted together with another crash.
+  kReportedAgain,
+  /// The leaf was not found gone in time.
+  kExpired,
+  /// The leaf responded to a later attempt, so it had not crashed.
+  kLeafAnswered,
+  /// A leaf responded to the same request, which cleared the request.
+  kSurvived,
+};
+
+std::string_view ToString(CrashEvidenceStep step);
+
+struct CrashEvidenceEvent {
+  CrashEvidenceStep step = CrashEvidenceStep::kLost;
+  RequestPart part;
+  /// Empty for `kReported`, `kReportedAgain` and `kSurvived`.
+  std::string leaf_id;
+  /// Time since the connection was lost; zero if not known.
+  Duration age{0};
+  /// Crashes that count against the part after this step.
+  std::size_t crashes = 0;
+};
 
 /// Counts the leafs that crashed while they ran the same request.
 ///
@@ -39,13 +79,13 @@
   /// How long a crash counts.
   static constexpr Duration kCrashRetention = std::chrono::minutes(10);
 
-  bool IsSuspect(std::uint64_t fingerprint, TimePoint now) const;
+  bool IsSuspect(const RequestPart& part, TimePoint now) const;
 
   /// Records that a leaf ran the request and responded.
-  void OnSurvived(std::uint64_t fingerprint);
+  void OnSurvived(const RequestPart& part);
   /// Records that the connection was lost while the leaf may have been running
   /// the request.
-  void OnLost(std::uint64_t fingerprint,
+  void OnLost(const RequestPart& part,
               const std::shared_ptr<const RelayLeaf>& leaf,
               TimePoint now);
   /// Records that nothing listens at the leaf's address.
@@ -54,32 +94,40 @@
   void OnLeafsChanged(TimePoint now);
   /// Records that the leaf responded to an attempt sent at `sent`: connections
   /// lost before that were no crashes.
-  void OnAnswered(const RelayLeaf& leaf, TimePoint sent);
+  void OnAnswered(const RelayLeaf& leaf, TimePoint sent, TimePoint now);
 
   /// Records a crash that a peer reported.
-  void OnPeerCrash(std::uint64_t fingerprint, TimePoint now);
-  /// Fingerprints of the crashes observed by this daemon since the last call.
-  std::vector<std::uint64_t> TakeCrashes();
+  void OnPeerCrash(const RequestPart& part, TimePoint now);
+  /// The crashes observed by this daemon since the last call.
+  std::vector<RequestPart> TakeCrashes();
+  /// The changes of the evidence since the last call, for log and metrics.
+  std::vector<CrashEvidenceEvent> TakeEvents();
 
-  /// Number of requests with at least one crash.
+  /// Number of parts of requests with at least one crash.
   std::size_t size() const { return m_crashes.size(); }
 
  private:
   struct LostConnection {
-    std::uint64_t fingerprint = 0;
+    RequestPart part;
     std::shared_ptr<const RelayLeaf> leaf;
     TimePoint at;
   };
 
   template <typename Predicate>
   void ConfirmCrashes(Predicate is_gone, TimePoint now);
-  bool AddCrash(std::uint64_t fingerprint, TimePoint at);
+  bool AddCrash(const RequestPart& part, TimePoint at);
+  void DropExpired(TimePoint now);
+  void Report(CrashEvidenceStep step,
+              const RequestPart& part,
+              std::string leaf_id,
+              Duration age);
 
   /// Lost connections not confirmed as crashes yet, the oldest first.
   std::vector<LostConnection> m_lost_connections;
-  /// Times of the crashes that count, in order, by fingerprint.
+  /// Times of the crashes that count, in order, by the part's fingerprint.
   std::unordered_map<std::uint64_t, std::vector<TimePoint>> m_crashes;
-  std::vector<std::uint64_t> m_unreported_crashes;
+  std::vector<RequestPart> m_unreported_crashes;
+  std::vector<CrashEvidenceEvent> m_events;
 };
 
 }  // namespace bramleyspoke
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -193,6 +193,8 @@
   std::string service;
   LeafReplyKind kind = LeafReplyKind::kNotSent;
   Duration taken{0};
+  /// Fingerprint of the request's content; 0 for a delegation.
+  std::uint64_t fingerprint = 0;
 };
 
 /// Actions that the engine's owner carries out after an event, in this order.
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -48,7 +48,7 @@
   }
   std::map<PeerLocation, std::vector<std::size_t>> by_location;
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
-    if (IsSuspect(request.parts[index])) {
+    if (IsSuspect(request, request.parts[index])) {
       continue;
     }
     for (const PeerLocation& location : DelegationLocations(request, index)) {
@@ -234,7 +234,7 @@
   peer.load.OnUnreachable(m_now);
   m_failed_attempts.push_back({delegation_state.request,
                                ToString(peer.peer.address), "peer", reply.kind,
-                               taken});
+                               taken, 0});
 }
 
 void RelayEngine::RecordStalls(const DelegationState& delegation_state,
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -86,13 +86,16 @@
     m_peers.SetPeers(peers);
   }
 
-  /// Records that a peer saw a leaf crash while it ran a request.
-  void OnPeerCrash(std::uint64_t fingerprint, TimePoint now) {
-    m_crashes.OnPeerCrash(fingerprint, now);
+  /// Records that a peer saw a leaf crash while it ran a part of a request.
+  void OnPeerCrash(const RequestPart& part, TimePoint now) {
+    m_crashes.OnPeerCrash(part, now);
+  }
+  /// Returns the crashes seen by this daemon since the last call.
+  std::vector<RequestPart> TakeCrashes() { return m_crashes.TakeCrashes(); }
+  /// Returns the changes of the crash evidence since the last call.
+  std::vector<CrashEvidenceEvent> TakeCrashEvents() {
+    return m_crashes.TakeEvents();
   }
-  /// Returns the crashes seen by this daemon since the last call, each as the
-  /// fingerprint of the suspect request.
-  std::vector<std::uint64_t> TakeCrashes() { return m_crashes.TakeCrashes(); }
 
   std::optional<TimePoint> NextTimer() const;
   const LeafTable& Leafs() const { return m_leaf_table; }
@@ -121,7 +124,7 @@
   // Attempts.
   void AddPart(Request& request, const std::string& service);
   bool RefuseIfUnservable(Request& request);
-  bool IsSuspect(const Part& part) const;
+  bool IsSuspect(const Request& request, const Part& part) const;
   LeafChoice SelectLeaf(const Request& request, const Part& part) const;
   /// Starts an attempt for a part, queues the part if all leafs are full,
   /// delays it if the retry budget is exhausted, or fails it if no leaf is
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -14,8 +14,6 @@
 /// One service's part of a request: the whole request, or one shard of it.
 struct RelayEngine::Part {
   RelayService* service = nullptr;
-  /// Fingerprint of the request at this service.
-  std::uint64_t fingerprint = 0;
   /// Outstanding attempts.
   std::vector<RelayAttemptNumber> outstanding;
   /// Leafs that were attempted.
@@ -77,6 +75,7 @@
   std::size_t part = 0;
   std::shared_ptr<RelayLeaf> leaf;
   RelayService* service = nullptr;
+  /// Fingerprint of the request's content.
   std::uint64_t fingerprint = 0;
   std::string route_name;
   TimePoint sent_at;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -35,12 +35,11 @@
 void RelayEngine::AddPart(Request& request, const std::string& service) {
   Part& part = request.parts.emplace_back();
   part.service = &m_leaf_table.Service(service);
-  part.fingerprint =
-      FingerprintOfPart(request.request.fingerprint, part.service->name);
 }
 
-bool RelayEngine::IsSuspect(const Part& part) const {
-  return m_crashes.IsSuspect(part.fingerprint, m_now);
+bool RelayEngine::IsSuspect(const Request& request, const Part& part) const {
+  return m_crashes.IsSuspect({request.request.fingerprint, part.service->name},
+                             m_now);
 }
 
 // In bursts of requests, or if the leafs of shards are all unavailable, a
@@ -52,7 +51,7 @@
   std::size_t suspect = 0;
   std::size_t most_waiting = 0;
   for (const Part& part : request.parts) {
-    if (IsSuspect(part)) {
+    if (IsSuspect(request, part)) {
       ++suspect;
       continue;
     }
@@ -108,7 +107,7 @@
 
 void RelayEngine::DispatchPart(Request& request, std::size_t index) {
   Part& part = request.parts[index];
-  if (IsSuspect(part)) {
+  if (IsSuspect(request, part)) {
     FailUnlessOutstanding(part);
     return;
   }
@@ -143,7 +142,7 @@
   attempt.part = index;
   attempt.leaf = leaf;
   attempt.service = part.service;
-  attempt.fingerprint = part.fingerprint;
+  attempt.fingerprint = request.request.fingerprint;
   attempt.route_name = request.MatchedRoute().name;
   attempt.sent_at = m_now;
   leaf->load.OnSent(m_now);
@@ -222,7 +221,7 @@
   if (out != 1 ||
       part.runs + part.outstanding.size() >=
           request.MatchedRoute().max_attempts ||
-      IsSuspect(part)) {
+      IsSuspect(request, part)) {
     return;
   }
   const LeafChoice choice = ChooseLeaf(
@@ -285,22 +284,24 @@
       break;
   }
   m_failed_attempts.push_back({attempt.request, attempt.leaf->registration.id,
-                               attempt.service->name, reply.kind, taken});
+                               attempt.service->name, reply.kind, taken,
+                               attempt.fingerprint});
 }
 
 void RelayEngine::RecordCrashEvidence(const Attempt& attempt,
                                       LeafReplyKind kind) {
+  const RequestPart part{attempt.fingerprint, attempt.service->name};
   switch (kind) {
     case LeafReplyKind::kSucceeded:
     case LeafReplyKind::kFailed:
-      m_crashes.OnSurvived(attempt.fingerprint);
-      m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at);
+      m_crashes.OnSurvived(part);
+      m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
       return;
     case LeafReplyKind::kRefused:
-      m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at);
+      m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
       return;
     case LeafReplyKind::kLost:
-      m_crashes.OnLost(attempt.fingerprint, attempt.leaf, m_now);
+      m_crashes.OnLost(part, attempt.leaf, m_now);
       return;
     case LeafReplyKind::kOtherLeaf:
     case LeafReplyKind::kNotSent:
--- a/tests/relay_crash_test.cc
+++ b/tests/relay_crash_test.cc
@@ -74,6 +74,50 @@
         RefusalReason::kCrashSuspect);
 }
 
+TEST_CASE("each step of crash evidence is reported") {
+  CrashFixture relay;
+  const auto steps = [&relay] {
+    std::vector<CrashEvidenceStep> list;
+    for (const CrashEvidenceEvent& event : relay.engine.TakeCrashEvents()) {
+      CHECK(event.part.content == kCrashingFingerprint);
+      CHECK(event.part.service == "s0");
+      list.push_back(event.step);
+    }
+    return list;
+  };
+  using Step = CrashEvidenceStep;
+  relay.Submit(0, RequestKind::kIdempotent, 1);
+  SUBCASE("a crash") {
+    relay.CrashAttemptedLeaf();
+    CHECK(steps() == std::vector{Step::kLost, Step::kCrashed});
+    relay.Submit(0);
+    relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+    CHECK(steps() == std::vector{Step::kSurvived});
+  }
+  SUBCASE("a peer's report") {
+    relay.engine.OnPeerCrash({kCrashingFingerprint, "s0"}, relay.now);
+    relay.engine.OnPeerCrash({kCrashingFingerprint, "s0"}, relay.now);
+    CHECK(steps() == std::vector{Step::kReported, Step::kReportedAgain});
+  }
+  SUBCASE("a leaf that is not found gone in time") {
+    relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kLost);
+    relay.Advance(CrashLedger::kConfirmationTimeout);
+    relay.CollectActions(relay.engine.SetLeafs(relay.leafs, relay.now));
+    CHECK(steps() == std::vector{Step::kLost, Step::kExpired});
+  }
+  SUBCASE("a leaf that answers again") {
+    const std::string leaf = relay.sends.front().leaf_id;
+    relay.Reply(leaf, LeafReplyKind::kLost);
+    relay.Advance(milliseconds(200));
+    relay.fingerprint = kHarmlessFingerprint;
+    while (!relay.IsSentTo(leaf)) {
+      relay.Submit(0);
+    }
+    relay.Reply(leaf, LeafReplyKind::kSucceeded);
+    CHECK(steps() == std::vector{Step::kLost, Step::kLeafAnswered});
+  }
+}
+
 TEST_CASE("connections lost for other reasons do not count as crashes") {
   CrashFixture relay;
   SUBCASE("the leaf stays reachable") {
--- a/tests/relay_metrics_test.cc
+++ b/tests/relay_metrics_test.cc
@@ -57,6 +57,16 @@
   CHECK(text.find(R"(route="other",status="200"} 968)") != std::string::npos);
 }
 
+TEST_CASE("crash evidence is counted by step") {
+  const auto metrics = RelayMetrics::Create();
+  CrashEvidenceEvent event;
+  event.step = CrashEvidenceStep::kExpired;
+  metrics->Observe(event);
+  const std::string text = metrics->Text(RelayObservation());
+  CHECK(text.find(R"(crash_evidence_total{step="expired"} 1)") !=
+        std::string::npos);
+}
+
 TEST_CASE("store calls are counted by kind and outcome") {
   auto held = std::make_unique<HeldStore>();
   HeldStore& store = *held;
