--- a/bench/child_process.cc
+++ b/bench/child_process.cc
@@ -24,6 +24,8 @@
   }
   dup2(output, STDOUT_FILENO);
   dup2(output, STDERR_FILENO);
+  // An inherited listening socket would keep its port in use.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(arguments[0], arguments);
   _exit(kSignalBase - 1);
 }
--- a/tests/process_relay_test.cc
+++ b/tests/process_relay_test.cc
@@ -1,21 +1,16 @@
 #include <doctest/doctest.h>
-#include <unistd.h>
 
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
+#include <memory>
 #include <string>
 #include <vector>
 
-#include "child_process.h"
 #include "fleet.h"
 #include "relay_platform.h"
+#include "relay_process.h"
 
 namespace bramleyspoke {
 namespace {
 
-using Harness::ChildProcess;
 using Harness::WaitUntil;
 
 constexpr std::chrono::seconds kEventTimeout{30};
@@ -29,58 +24,6 @@
     R"("limits":{"header_bytes":16384,"body_bytes":262144,)"
     R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
-// A relay process that listens on several ports of one IP address.
-class RelayProcess {
- public:
-  RelayProcess(std::string ip, const Endpoint& store, const std::string& seed)
-      : m_ip(std::move(ip)),
-        m_settings(std::filesystem::temp_directory_path() /
-                   ("relay-" + std::to_string(getpid()) + "-" + m_ip)) {
-    std::ofstream(m_settings)
-        << R"({"relay":{"name":"front-)" << m_ip << R"(","caller_listen":")"
-        << ToString(Callers()) << R"(","readiness_listen":")" << m_ip
-        << R"(:8108","address_listen":")" << m_ip << R"(:8100","peer_listen":")"
-        << m_ip << R"(:8106","operator_listen":")" << m_ip
-        << R"(:7380","failure_domain":"z","region":"r","failure_domains":)"
-        << R"([{"name":"z","region":"r"}],"store":")" << ToString(store)
-        << R"(","seeds":[)" << seed
-        << R"(],"processor":{"share":1,"speed":1},"repeats":{"ratio":0.2,"slack":50},"stop_bound_ms":1000}})";
-    const char* programs = std::getenv("BRAMLEYSPOKE_BIN");
-    REQUIRE(programs != nullptr);
-    m_process = ChildProcess::Start({std::string(programs) + "/bramleyspoked",
-                                     "--settings", m_settings.string()},
-                                    m_settings.string() + ".log")
-                    .value();
-  }
-  ~RelayProcess() {
-    m_process.reset();
-    std::filesystem::remove(m_settings);
-    std::filesystem::remove(m_settings.string() + ".log");
-  }
-
-  Endpoint Callers() const { return {m_ip, 8104}; }
-  Endpoint Peers() const { return {m_ip, 8106}; }
-
-  HttpResponse Send(const std::string& body) const {
-    return SendRequest(
-        Callers(),
-        {"POST", "/lookup", {{"Host", "h"}, {"Request-Id", "id"}}, body});
-  }
-  bool Serves() const { return Send("plain").status == 200; }
-  std::string Log() const {
-    std::ifstream stream(m_settings.string() + ".log");
-    return std::string(std::istreambuf_iterator<char>(stream), {});
-  }
-  std::string Metrics() const {
-    return SendRequest({m_ip, 7380}, {"GET", "/metrics", {}, ""}).body;
-  }
-
- private:
-  std::string m_ip;
-  std::filesystem::path m_settings;
-  std::unique_ptr<ChildProcess> m_process;
-};
-
 struct FakePlatform {
   FakePlatform() {
     store.Put("op/config", kRoutes);
--- a/tests/relay_platform.cc
+++ b/tests/relay_platform.cc
@@ -123,11 +123,11 @@
   }
 }
 
-FakePlatformLeaf::FakePlatformLeaf(std::string id)
-    : m_id(std::move(id)), m_loop(EventLoop::Create()) {
-  m_server =
-      HttpServer::Create(*m_loop, {"127.0.0.1", 0}, HttpServerLimits(), *this)
-          .value();
+FakePlatformLeaf::FakePlatformLeaf(std::string id, Endpoint listen)
+    : m_id(std::move(id)),
+      m_loop(EventLoop::Create()),
+      m_address(std::move(listen)) {
+  Start();
   m_loop->Start();
 }
 
@@ -135,21 +135,60 @@
   m_loop->Stop();
 }
 
+void FakePlatformLeaf::Start() {
+  m_server =
+      HttpServer::Create(*m_loop, m_address, HttpServerLimits(), *this).value();
+  m_address = m_server->Address();
+}
+
+void FakePlatformLeaf::RestartAfter(Duration delay,
+                                    std::function<void()> on_start) {
+  RunOn(*m_loop, [&] {
+    m_restart_delay = delay;
+    m_on_start = std::move(on_start);
+  });
+}
+
+// The server is closed in a posted call, since this function runs in one of its
+// callbacks.
+void FakePlatformLeaf::Crash() {
+  if (std::exchange(m_is_crashing, true)) {
+    return;
+  }
+  ++m_crashes;
+  m_loop->Post([this] {
+    m_server.reset();
+    if (!m_on_start) {
+      return;
+    }
+    m_restart_timer = m_loop->At(Now() + m_restart_delay, [this] {
+      ++m_started_at_ms;
+      m_is_crashing = false;
+      Start();
+      m_on_start();
+    });
+  });
+}
+
 std::string FakePlatformLeaf::Entry(const std::string& service) const {
-  return json::serialize(
-      json::object{{"service", service},
-                   {"address", ToString(m_server->Address())},
-                   {"zone", "z"},
-                   {"version", "v1"},
-                   {"slots", 4},
-                   {"state", "ready"},
-                   {"cold_remaining_ms", 0},
-                   {"seq", 1},
-                   {"born", 1}});
+  return json::serialize(json::object{{"service", service},
+                                      {"address", ToString(m_address)},
+                                      {"zone", "z"},
+                                      {"version", "v1"},
+                                      {"slots", 4},
+                                      {"state", "ready"},
+                                      {"cold_remaining_ms", 0},
+                                      {"seq", 1},
+                                      {"born", m_started_at_ms.load()}});
 }
 
 void FakePlatformLeaf::Handle(std::shared_ptr<HttpExchange> exchange) {
   const HttpRequest& request = exchange->Request();
+  if (request.body == kCrashingBody) {
+    exchange->Abort();
+    Crash();
+    return;
+  }
   HttpResponse response;
   const std::string id(HeaderValue(request.headers, Platform::kRequestId));
   response.headers = {{std::string(Platform::kRequestId), id},
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -2,9 +2,11 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -48,21 +50,41 @@
   std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
 };
 
-/// Leaf that answers each request with the body `answer`.
+/// Leaf that answers each request with the body `answer`, and crashes when it
+/// begins to run one whose body is `kCrashingBody`.
 class FakePlatformLeaf final : public HttpHandler {
  public:
-  explicit FakePlatformLeaf(std::string id);
+  static constexpr std::string_view kCrashingBody = "crash";
+
+  /// A leaf that crashes needs a fixed port: another connection could take a
+  /// dynamic one before the leaf starts again.
+  explicit FakePlatformLeaf(std::string id, Endpoint listen = {"127.0.0.1", 0});
   ~FakePlatformLeaf() override;
 
   /// The leaf's entry in the store.
   std::string Entry(const std::string& service) const;
+  /// After a crash, the leaf starts again at its address after `delay`; then
+  /// `on_start` is called on the leaf's thread. Without this call, the leaf
+  /// never starts again.
+  void RestartAfter(Duration delay, std::function<void()> on_start);
+  int Crashes() const { return m_crashes; }
 
   void Handle(std::shared_ptr<HttpExchange> exchange) override;
 
  private:
+  void Crash();
+  void Start();
+
   std::string m_id;
   std::unique_ptr<EventLoop> m_loop;
+  Endpoint m_address;
   std::unique_ptr<HttpServer> m_server;
+  bool m_is_crashing = false;
+  std::atomic<int> m_crashes = 0;
+  std::atomic<std::int64_t> m_started_at_ms = 1;
+  Duration m_restart_delay{0};
+  std::function<void()> m_on_start;
+  std::unique_ptr<Timer> m_restart_timer;
 };
 
 /// Sends a request and waits for the answer; the status is 0 if none arrives.
--- /dev/null
+++ b/tests/relay_process.cc
@@ -0,0 +1,69 @@
+#include "relay_process.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include "relay_platform.h"
+
+namespace bramleyspoke {
+
+RelayProcess::RelayProcess(std::string ip,
+                           const Endpoint& store,
+                           const std::string& seeds)
+    : m_ip(std::move(ip)),
+      m_settings(std::filesystem::temp_directory_path() /
+                 ("relay-" + std::to_string(getpid()) + "-" + m_ip)) {
+  std::ofstream(m_settings)
+      << R"({"relay":{"name":"front-)" << m_ip << R"(","caller_listen":")"
+      << ToString(Callers()) << R"(","readiness_listen":")" << m_ip
+      << R"(:8108","address_listen":")" << m_ip << R"(:8100","peer_listen":")"
+      << m_ip << R"(:8106","operator_listen":")" << m_ip
+      << R"(:7380","failure_domain":"z","region":"r","failure_domains":)"
+      << R"([{"name":"z","region":"r"}],"store":")" << ToString(store)
+      << R"(","seeds":[)" << seeds << R"(],"processor":{"share":1,"speed":1},)"
+      << R"("repeats":{"ratio":0.2,"slack":50},"stop_bound_ms":1000}})";
+  Start();
+}
+
+RelayProcess::~RelayProcess() {
+  m_process.reset();
+  std::filesystem::remove(m_settings);
+  std::filesystem::remove(m_settings.string() + ".log");
+}
+
+void RelayProcess::Start() {
+  const char* programs = std::getenv("BRAMLEYSPOKE_BIN");
+  REQUIRE(programs != nullptr);
+  m_process =
+      Harness::ChildProcess::Start({std::string(programs) + "/bramleyspoked",
+                                    "--settings", m_settings.string()},
+                                   m_settings.string() + ".log")
+          .value();
+}
+
+void RelayProcess::Restart() {
+  m_process.reset();
+  Start();
+}
+
+HttpResponse RelayProcess::Send(const std::string& body) const {
+  return SendRequest(
+      Callers(),
+      {"POST", "/lookup", {{"Host", "h"}, {"Request-Id", "id"}}, body});
+}
+
+std::string RelayProcess::Log() const {
+  std::ifstream stream(m_settings.string() + ".log");
+  return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
+std::string RelayProcess::Metrics() const {
+  return SendRequest({m_ip, 7380}, {"GET", "/metrics", {}, ""}).body;
+}
+
+}  // namespace bramleyspoke
--- /dev/null
+++ b/tests/relay_process.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/endpoint.h"
+#include "child_process.h"
+#include "connection/http_message.h"
+
+namespace bramleyspoke {
+
+/// A relaying daemon, run as a process that listens on several ports of one
+/// loopback address.
+class RelayProcess {
+ public:
+  /// `seeds` is the list of peers in the settings' JSON, without brackets.
+  RelayProcess(std::string ip, const Endpoint& store, const std::string& seeds);
+  ~RelayProcess();
+
+  Endpoint Callers() const { return {m_ip, 8104}; }
+  Endpoint Peers() const { return {m_ip, 8106}; }
+
+  /// Sends a request with this body and waits for the answer.
+  HttpResponse Send(const std::string& body) const;
+  bool Serves() const { return Send("plain").status == 200; }
+  std::string Log() const;
+  std::string Metrics() const;
+  /// Kills the process and starts it again.
+  void Restart();
+  void Signal(int signal) { m_process->Signal(signal); }
+
+ private:
+  void Start();
+
+  std::string m_ip;
+  std::filesystem::path m_settings;
+  std::unique_ptr<Harness::ChildProcess> m_process;
+};
+
+}  // namespace bramleyspoke
