Look at a leaf at once when an accepted connection to it breaks

Callers saw a request that had crashed three leafs reach more of them. One cause: the daemon that sent it noticed the crash too late for it to count.

Cause: a leaf that closes unused connections is taken for one at its connection limit, and the delay before the next one is opened doubles with each time, up to 8 s, until it answers. A crash closes all connections, so each crash of a leaf that answers little else doubled the delay.

Change: if a connection that the leaf had accepted (it has answered on it, or the connection is older than 500 ms) breaks during an exchange, another one is opened at once, whatever the delay. A leaf at its limit closes a new connection right away and so is still left alone. The pool would open this connection later anyhow.

Why it works: nothing listens while the leaf is away, and that is seen within one round trip.

--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -13,6 +13,9 @@
 // a new pooled connection may be used.
 constexpr std::chrono::seconds kDefaultIdleTime{30};
 
+// Age from which a connection is taken as accepted by the leaf.
+constexpr std::chrono::milliseconds kAcceptTime{500};
+
 TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
@@ -58,7 +61,7 @@
   exchange.done = std::move(done);
   Leaf& state = m_leafs[leaf];
   ++state.busy;
-  exchange.connection = PopIdle(state, exchange.is_connection_new);
+  TakeIdle(state, exchange);
   if (exchange.connection) {
     Write(number, exchange);
   } else {
@@ -99,18 +102,24 @@
   return count;
 }
 
-std::unique_ptr<HttpConnection> LeafExchanges::PopIdle(Leaf& leaf,
-                                                       bool& is_new) {
+// Leaves `exchange.connection` null if no idle connection is usable.
+void LeafExchanges::TakeIdle(Leaf& leaf, Exchange& exchange) {
   while (!leaf.idle.empty()) {
     Idle idle = std::move(leaf.idle.back());
     leaf.idle.pop_back();
     if (Now() < idle.usable_until && idle.connection->IsOpen()) {
-      is_new = !idle.is_used;
-      return std::move(idle.connection);
+      exchange.is_connection_new = !idle.is_used;
+      exchange.connection_opened_at = idle.opened_at;
+      exchange.connection = std::move(idle.connection);
+      return;
     }
   }
-  is_new = true;
-  return nullptr;
+  exchange.is_connection_new = true;
+}
+
+// A leaf at its connection limit closes a new connection right away.
+bool LeafExchanges::Exchange::IsConnectionAccepted(TimePoint now) const {
+  return !is_connection_new || now - connection_opened_at >= kAcceptTime;
 }
 
 void LeafExchanges::OpenConnection(ExchangeNumber number) {
@@ -134,6 +143,7 @@
           return;
         }
         found->second.connection = std::move(connection);
+        found->second.connection_opened_at = Now();
         Write(number, found->second);
       });
 }
@@ -158,30 +168,34 @@
   --m_leafs[exchange.leaf].busy;
   if (exchange.connection) {
     if (outcome.response) {
-      ReturnToPool(exchange.leaf, std::move(exchange.connection),
-                   *outcome.response);
+      ReturnToPool(exchange, *outcome.response);
     } else {
       m_loop.Post(
           [dropped = std::shared_ptr(std::move(exchange.connection))] {});
     }
   }
-  outcome.is_connection_refused = exchange.is_connection_new &&
-                                  !outcome.response &&
-                                  outcome.failure == HttpFailure::kClosed;
+  const bool is_broken =
+      !outcome.response && outcome.failure == HttpFailure::kClosed;
+  outcome.is_connection_refused = exchange.is_connection_new && is_broken;
+  Leaf& leaf = m_leafs[exchange.leaf];
+  if (is_broken && exchange.IsConnectionAccepted(Now()) && leaf.opening == 0) {
+    ++leaf.opening;
+    OpenPooled(exchange.leaf);
+  }
   exchange.done(std::move(outcome));
 }
 
-void LeafExchanges::ReturnToPool(const Endpoint& endpoint,
-                                 std::unique_ptr<HttpConnection> connection,
+void LeafExchanges::ReturnToPool(Exchange& exchange,
                                  const HttpResponse& response) {
-  Leaf& leaf = m_leafs[endpoint];
-  if (!connection->IsOpen() || !m_pool_sizes.contains(endpoint)) {
-    m_loop.Post([dropped = std::shared_ptr(std::move(connection))] {});
+  Leaf& leaf = m_leafs[exchange.leaf];
+  if (!exchange.connection->IsOpen() || !m_pool_sizes.contains(exchange.leaf)) {
+    m_loop.Post([dropped = std::shared_ptr(std::move(exchange.connection))] {});
     return;
   }
   const auto usable = std::chrono::duration_cast<Duration>(
       KeepAliveTimeout(response) * kUsableIdleFraction);
-  leaf.idle.push_back(Idle{std::move(connection), Now() + usable, true});
+  leaf.idle.push_back(Idle{std::move(exchange.connection), Now() + usable,
+                           exchange.connection_opened_at, true});
   leaf.retry_delay = Duration::zero();
 }
 
@@ -224,22 +238,22 @@
 
 void LeafExchanges::OpenPooled(const Endpoint& endpoint) {
   ++m_opened;
-  HttpConnection::Open(
-      m_loop, endpoint, Now() + Duration(kConnectTimeout),
-      [this, weak = std::weak_ptr(m_self),
-       endpoint](std::unique_ptr<HttpConnection> connection) {
-        if (!weak.lock()) {
-          return;
-        }
-        Leaf& opened = m_leafs[endpoint];
-        --opened.opening;
-        const bool is_reachable = connection != nullptr;
-        if (is_reachable && m_pool_sizes.contains(endpoint)) {
-          opened.idle.push_back(
-              Idle{std::move(connection), Now() + Duration(kDefaultIdleTime)});
-        }
-        m_on_reachable(endpoint, is_reachable);
-      });
+  HttpConnection::Open(m_loop, endpoint, Now() + Duration(kConnectTimeout),
+                       [this, weak = std::weak_ptr(m_self),
+                        endpoint](std::unique_ptr<HttpConnection> connection) {
+                         if (!weak.lock()) {
+                           return;
+                         }
+                         Leaf& opened = m_leafs[endpoint];
+                         --opened.opening;
+                         const bool is_reachable = connection != nullptr;
+                         if (is_reachable && m_pool_sizes.contains(endpoint)) {
+                           opened.idle.push_back(
+                               Idle{std::move(connection),
+                                    Now() + Duration(kDefaultIdleTime), Now()});
+                         }
+                         m_on_reachable(endpoint, is_reachable);
+                       });
 }
 
 }  // namespace bramleyspoke
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -42,7 +42,8 @@
   using ReachabilityCallback = std::function<void(const Endpoint&, bool)>;
 
   /// `on_reachable` is called when opening a pooled connection has ended, with
-  /// whether it succeeded.
+  /// whether it succeeded. If a connection that the leaf had accepted breaks,
+  /// another one is opened at once, as the leaf may have crashed.
   LeafExchanges(EventLoop& loop, ReachabilityCallback on_reachable);
   ~LeafExchanges();
 
@@ -67,6 +68,7 @@
   struct Idle {
     std::unique_ptr<HttpConnection> connection;
     TimePoint usable_until;
+    TimePoint opened_at;
     bool is_used = false;
   };
   struct Leaf {
@@ -84,15 +86,16 @@
     HttpCallback done;
     std::unique_ptr<HttpConnection> connection;
     bool is_connection_new = false;
+    TimePoint connection_opened_at;
+
+    bool IsConnectionAccepted(TimePoint now) const;
   };
 
-  std::unique_ptr<HttpConnection> PopIdle(Leaf& leaf, bool& is_new);
+  static void TakeIdle(Leaf& leaf, Exchange& exchange);
   void OpenConnection(ExchangeNumber number);
   void Write(ExchangeNumber number, Exchange& exchange);
   void OnOutcome(ExchangeNumber number, HttpOutcome outcome);
-  void ReturnToPool(const Endpoint& endpoint,
-                    std::unique_ptr<HttpConnection> connection,
-                    const HttpResponse& response);
+  void ReturnToPool(Exchange& exchange, const HttpResponse& response);
   void Maintain();
   static void DelayNextOpen(Leaf& leaf, TimePoint now);
   void FillPool(const Endpoint& endpoint, Leaf& leaf, std::size_t count);
