Take every unanswered attempt as possible evidence of a crash

Callers saw a request that had crashed three leafs reach more of them, without end.

Cause: only an attempt that ended as a lost connection could become a crash, and only if its leaf was found gone within 5 s. An attempt that ended with no answer in time, with a cut-off answer or by a cancellation left no trace, nor did a leaf whose entry outlasted it, and a leaf that restarted under its id cleared its own crash by answering before its new registration had arrived.

Evidence: relay_crash_budget_test, one engine: of 12 requests sent each 8 s, 10 (one service) and 11 (30 shards) reached leafs after the third crash in each of these cases.

Change: an attempt is evidence however it ended without an answer, for 30 s. An answer of the leaf to a later attempt still clears it, but for 3 s a registration of a later run under the same id shows that this run had answered. The step is named "unanswered".

Why it works: what tells a crash from a slow leaf is what became of the leaf, not how the attempt ended. False evidence still needs a leaf that goes without having answered anything since, and three such failures of one request.

--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -10,11 +10,11 @@
 namespace bramleyspoke {
 namespace {
 
-constexpr std::size_t kMaxLostConnections = 1024;
+constexpr std::size_t kMaxUnanswered = 1024;
 constexpr std::size_t kMaxRequests = 4096;
 
 constexpr EnumNames<CrashEvidenceStep, 8> kStepNames{{{
-    {CrashEvidenceStep::kLost, "lost"},
+    {CrashEvidenceStep::kUnanswered, "unanswered"},
     {CrashEvidenceStep::kCrashed, "crashed"},
     {CrashEvidenceStep::kCrashedTogether, "crashed_together"},
     {CrashEvidenceStep::kReported, "reported"},
@@ -56,45 +56,55 @@
   if (m_crashes.erase(FingerprintOf(part)) > 0) {
     Report(CrashEvidenceStep::kSurvived, part, "", Duration::zero());
   }
-  std::erase_if(m_lost_connections,
-                [&](const LostConnection& lost) { return lost.part == part; });
+  std::erase_if(m_unanswered, [&](const UnansweredAttempt& attempt) {
+    return attempt.part == part;
+  });
 }
 
-void CrashLedger::OnLost(const RequestPart& part,
-                         const std::shared_ptr<const RelayLeaf>& leaf,
-                         TimePoint now) {
+void CrashLedger::OnUnanswered(const RequestPart& part,
+                               const std::shared_ptr<const RelayLeaf>& leaf,
+                               TimePoint now) {
   DropExpired(now);
-  if (m_lost_connections.size() >= kMaxLostConnections) {
-    m_lost_connections.erase(m_lost_connections.begin());
+  if (m_unanswered.size() >= kMaxUnanswered) {
+    m_unanswered.erase(m_unanswered.begin());
   }
-  m_lost_connections.push_back({part, leaf, now});
-  Report(CrashEvidenceStep::kLost, part, leaf->registration.id,
+  m_unanswered.push_back({part, leaf, now, std::nullopt});
+  Report(CrashEvidenceStep::kUnanswered, part, leaf->registration.id,
          Duration::zero());
 }
 
 void CrashLedger::OnUnreachable(const Endpoint& address, TimePoint now) {
   ConfirmCrashes(
-      [&](const RelayLeaf& leaf) {
-        return leaf.registration.address == address;
+      [&](const UnansweredAttempt& attempt) {
+        return attempt.leaf->registration.address == address &&
+               !attempt.leaf_answered_at;
       },
       now);
 }
 
+// A leaf that restarts under its id may respond before its new registration
+// arrives; its responses are then taken for those of the earlier run.
 void CrashLedger::OnLeafsChanged(TimePoint now) {
-  ConfirmCrashes([](const RelayLeaf& leaf) { return leaf.is_gone; }, now);
+  ConfirmCrashes(
+      [](const UnansweredAttempt& attempt) {
+        return attempt.leaf_answered_at ? attempt.leaf->is_restarted
+                                        : attempt.leaf->is_gone;
+      },
+      now);
 }
 
 void CrashLedger::OnAnswered(const RelayLeaf& leaf,
                              TimePoint sent,
                              TimePoint now) {
-  std::erase_if(m_lost_connections, [&](const LostConnection& lost) {
-    if (lost.leaf.get() != &leaf || lost.at >= sent) {
-      return false;
+  for (UnansweredAttempt& attempt : m_unanswered) {
+    if (attempt.leaf.get() != &leaf || attempt.at >= sent ||
+        attempt.leaf_answered_at) {
+      continue;
     }
-    Report(CrashEvidenceStep::kLeafAnswered, lost.part, leaf.registration.id,
-           now - lost.at);
-    return true;
-  });
+    attempt.leaf_answered_at = now;
+    Report(CrashEvidenceStep::kLeafAnswered, attempt.part, leaf.registration.id,
+           now - attempt.at);
+  }
 }
 
 void CrashLedger::OnPeerCrash(const RequestPart& part, TimePoint now) {
@@ -112,31 +122,39 @@
   return std::exchange(m_events, {});
 }
 
+bool CrashLedger::IsExpired(const UnansweredAttempt& attempt, TimePoint now) {
+  return attempt.leaf_answered_at
+             ? now - *attempt.leaf_answered_at >= kRestartNoticeTimeout
+             : now - attempt.at >= kConfirmationTimeout;
+}
+
 void CrashLedger::DropExpired(TimePoint now) {
-  std::erase_if(m_lost_connections, [&](const LostConnection& lost) {
-    if (now - lost.at < kConfirmationTimeout) {
+  std::erase_if(m_unanswered, [&](const UnansweredAttempt& attempt) {
+    if (!IsExpired(attempt, now)) {
       return false;
     }
-    Report(CrashEvidenceStep::kExpired, lost.part, lost.leaf->registration.id,
-           now - lost.at);
+    if (!attempt.leaf_answered_at) {
+      Report(CrashEvidenceStep::kExpired, attempt.part,
+             attempt.leaf->registration.id, now - attempt.at);
+    }
     return true;
   });
 }
 
 template <typename Predicate>
-void CrashLedger::ConfirmCrashes(Predicate is_gone, TimePoint now) {
+void CrashLedger::ConfirmCrashes(Predicate is_crash, TimePoint now) {
   DropExpired(now);
-  std::erase_if(m_lost_connections, [&](const LostConnection& lost) {
-    if (!is_gone(*lost.leaf)) {
+  std::erase_if(m_unanswered, [&](const UnansweredAttempt& attempt) {
+    if (!is_crash(attempt)) {
       return false;
     }
-    const bool is_new = AddCrash(lost.part, lost.at);
+    const bool is_new = AddCrash(attempt.part, attempt.at);
     if (is_new) {
-      m_unreported_crashes.push_back(lost.part);
+      m_unreported_crashes.push_back(attempt.part);
     }
     Report(is_new ? CrashEvidenceStep::kCrashed
                   : CrashEvidenceStep::kCrashedTogether,
-           lost.part, lost.leaf->registration.id, now - lost.at);
+           attempt.part, attempt.leaf->registration.id, now - attempt.at);
     return true;
   });
 }
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,8 +31,8 @@
 
 /// What became of the evidence that a request crashes leafs.
 enum class CrashEvidenceStep {
-  /// A connection was lost; the leaf has not been found gone yet.
-  kLost,
+  /// An attempt ended without an answer; the leaf has not been found gone yet.
+  kUnanswered,
   /// The leaf was found gone: a crash.
   kCrashed,
   /// As `kCrashed`, but counted together with another crash at the same time.
@@ -51,11 +52,11 @@
 std::string_view ToString(CrashEvidenceStep step);
 
 struct CrashEvidenceEvent {
-  CrashEvidenceStep step = CrashEvidenceStep::kLost;
+  CrashEvidenceStep step = CrashEvidenceStep::kUnanswered;
   RequestPart part;
   /// Empty for `kReported`, `kReportedAgain` and `kSurvived`.
   std::string leaf_id;
-  /// Time since the connection was lost; zero if not known.
+  /// Time since the attempt ended; zero if not known.
   Duration age{0};
   /// Crashes that count against the part after this step.
   std::size_t crashes = 0;
@@ -64,18 +65,22 @@
 /// Counts the leafs that crashed while they ran the same request.
 ///
 /// A request may crash every leaf that runs it and be sent again repeatedly, to
-/// any daemon; many leafs may also fail at once, which no request has caused. A
-/// lost connection counts as a crash only if the leaf is found unreachable, no
-/// longer registered or replaced within `kConfirmationTimeout`.
+/// any daemon; many leafs may also fail at once, which no request has caused.
+/// An attempt that ended without an answer, in whatever way, counts as a crash
+/// if the leaf is found unreachable, no longer registered or restarted within
+/// `kConfirmationTimeout`.
 class CrashLedger {
  public:
   /// Number of crashes after which a request is refused.
   static constexpr std::size_t kCrashLimit = 3;
   /// Crashes closer together than this count as one failure of several leafs.
   static constexpr Duration kMinCrashSpacing = std::chrono::milliseconds(100);
-  /// Time within which the leaf of a lost connection must be found unreachable,
-  /// no longer registered or replaced.
-  static constexpr Duration kConfirmationTimeout = std::chrono::seconds(5);
+  /// Time within which the leaf of an unanswered attempt must be found gone. A
+  /// leaf's entry may outlast it by this long if the store was unavailable.
+  static constexpr Duration kConfirmationTimeout = std::chrono::seconds(30);
+  /// Time after a leaf's first answer within which a registration of a later
+  /// run shows that this run had answered.
+  static constexpr Duration kRestartNoticeTimeout = std::chrono::seconds(3);
   /// How long a crash counts.
   static constexpr Duration kCrashRetention = std::chrono::minutes(10);
 
@@ -83,17 +88,17 @@
 
   /// Records that a leaf ran the request and responded.
   void OnSurvived(const RequestPart& part);
-  /// Records that the connection was lost while the leaf may have been running
-  /// the request.
-  void OnLost(const RequestPart& part,
-              const std::shared_ptr<const RelayLeaf>& leaf,
-              TimePoint now);
+  /// Records that an attempt ended without an answer while the leaf may have
+  /// been running the request.
+  void OnUnanswered(const RequestPart& part,
+                    const std::shared_ptr<const RelayLeaf>& leaf,
+                    TimePoint now);
   /// Records that nothing listens at the leaf's address.
   void OnUnreachable(const Endpoint& address, TimePoint now);
   /// To be called after leafs were added or removed.
   void OnLeafsChanged(TimePoint now);
-  /// Records that the leaf responded to an attempt sent at `sent`: connections
-  /// lost before that were no crashes.
+  /// Records that the leaf responded to an attempt sent at `sent`: attempts
+  /// that ended before that were no crashes, unless a later run has responded.
   void OnAnswered(const RelayLeaf& leaf, TimePoint sent, TimePoint now);
 
   /// Records a crash that a peer reported.
@@ -107,23 +112,26 @@
   std::size_t size() const { return m_crashes.size(); }
 
  private:
-  struct LostConnection {
+  struct UnansweredAttempt {
     RequestPart part;
     std::shared_ptr<const RelayLeaf> leaf;
     TimePoint at;
+    /// Time of the leaf's next answer.
+    std::optional<TimePoint> leaf_answered_at;
   };
 
   template <typename Predicate>
-  void ConfirmCrashes(Predicate is_gone, TimePoint now);
+  void ConfirmCrashes(Predicate is_crash, TimePoint now);
   bool AddCrash(const RequestPart& part, TimePoint at);
   void DropExpired(TimePoint now);
+  static bool IsExpired(const UnansweredAttempt& attempt, TimePoint now);
   void Report(CrashEvidenceStep step,
               const RequestPart& part,
               std::string leaf_id,
               Duration age);
 
-  /// Lost connections not confirmed as crashes yet, the oldest first.
-  std::vector<LostConnection> m_lost_connections;
+  /// Attempts not confirmed as crashes yet, the oldest first.
+  std::vector<UnansweredAttempt> m_unanswered;
   /// Times of the crashes that count, in order, by the part's fingerprint.
   std::unordered_map<std::uint64_t, std::vector<TimePoint>> m_crashes;
   std::vector<RequestPart> m_unreported_crashes;
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -120,7 +120,8 @@
   }
   for (auto& [id, leaf] : m_leafs) {
     const auto found = leafs_by_id.find(id);
-    leaf->is_gone = found == leafs_by_id.end() || found->second != leaf;
+    leaf->is_restarted = found != leafs_by_id.end() && found->second != leaf;
+    leaf->is_gone = found == leafs_by_id.end() || leaf->is_restarted;
   }
   m_leafs = std::move(leafs_by_id);
   for (auto& [name, service] : m_services) {
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -36,6 +36,8 @@
   bool is_near = false;
   /// Whether the leaf is no longer registered, or a later run has replaced it.
   bool is_gone = false;
+  /// Whether a later run is registered under the leaf's id.
+  bool is_restarted = false;
   std::optional<TimePoint> draining_since = {};
   /// Maximum number of attempts that this daemon has in flight at the leaf.
   std::uint32_t share = 1;
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -122,9 +122,12 @@
     if (found == m_attempts.end()) {
       continue;
     }
-    found->second.leaf->load.OnEnded(now);
-    RelayService& service = *found->second.service;
+    const Attempt attempt = std::move(found->second);
     m_attempts.erase(found);
+    RelayService& service = *attempt.service;
+    attempt.leaf->load.OnEnded(now);
+    m_crashes.OnUnanswered({attempt.fingerprint, service.name}, attempt.leaf,
+                           now);
     m_actions.cancellations.push_back(number);
     DispatchWaiting(service);
   }
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -301,12 +301,12 @@
       m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
       return;
     case LeafReplyKind::kLost:
-      m_crashes.OnLost(part, attempt.leaf, m_now);
+    case LeafReplyKind::kTimedOut:
+    case LeafReplyKind::kMalformed:
+      m_crashes.OnUnanswered(part, attempt.leaf, m_now);
       return;
     case LeafReplyKind::kOtherLeaf:
     case LeafReplyKind::kNotSent:
-    case LeafReplyKind::kTimedOut:
-    case LeafReplyKind::kMalformed:
       return;
   }
 }
--- a/tests/relay_crash_test.cc
+++ b/tests/relay_crash_test.cc
@@ -89,7 +89,7 @@
   relay.Submit(0, RequestKind::kIdempotent, 1);
   SUBCASE("a crash") {
     relay.CrashAttemptedLeaf();
-    CHECK(steps() == std::vector{Step::kLost, Step::kCrashed});
+    CHECK(steps() == std::vector{Step::kUnanswered, Step::kCrashed});
     relay.Submit(0);
     relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
     CHECK(steps() == std::vector{Step::kSurvived});
@@ -103,7 +103,7 @@
     relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kLost);
     relay.Advance(CrashLedger::kConfirmationTimeout);
     relay.CollectActions(relay.engine.SetLeafs(relay.leafs, relay.now));
-    CHECK(steps() == std::vector{Step::kLost, Step::kExpired});
+    CHECK(steps() == std::vector{Step::kUnanswered, Step::kExpired});
   }
   SUBCASE("a leaf that answers again") {
     const std::string leaf = relay.sends.front().leaf_id;
@@ -114,7 +114,7 @@
       relay.Submit(0);
     }
     relay.Reply(leaf, LeafReplyKind::kSucceeded);
-    CHECK(steps() == std::vector{Step::kLost, Step::kLeafAnswered});
+    CHECK(steps() == std::vector{Step::kUnanswered, Step::kLeafAnswered});
   }
 }
 
@@ -190,6 +190,51 @@
         RefusalReason::kCrashSuspect);
 }
 
+TEST_CASE(
+    "a leaf that answers again before its restart is registered crashed") {
+  CrashFixture relay;
+  for (int crash = 0; crash < 3; ++crash) {
+    relay.fingerprint = kCrashingFingerprint;
+    relay.Submit(0, RequestKind::kIdempotent, 1);
+    const std::string leaf = relay.sends.front().leaf_id;
+    relay.Reply(leaf, LeafReplyKind::kLost);
+    relay.Advance(milliseconds(200));
+    relay.fingerprint = kHarmlessFingerprint;
+    while (!relay.IsSentTo(leaf)) {
+      relay.Submit(0);
+    }
+    while (!relay.sends.empty()) {
+      relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+    }
+    relay.Advance(milliseconds(1500));
+    for (LeafRegistration& registration : relay.leafs) {
+      registration.started_at_ms += registration.id == leaf ? 1 : 0;
+    }
+    relay.CollectActions(relay.engine.SetLeafs(relay.leafs, relay.now));
+  }
+  relay.fingerprint = kCrashingFingerprint;
+  CHECK(relay.Outcome(relay.Submit(0)).refusal->reason ==
+        RefusalReason::kCrashSuspect);
+}
+
+TEST_CASE("a cancelled attempt counts if its leaf is then found gone") {
+  CrashFixture relay;
+  for (int crash = 0; crash < 3; ++crash) {
+    const RelayNumber number = relay.Submit(0, RequestKind::kIdempotent, 1);
+    const RelayAttempt sent_attempt = relay.sends.front();
+    relay.CollectActions(relay.engine.OnCallerDisconnected(number, relay.now));
+    relay.Advance(milliseconds(400));
+    relay.sends.clear();
+    relay.CollectActions(
+        relay.engine.OnReachable(sent_attempt.address, false, relay.now));
+    relay.Advance(milliseconds(200));
+    relay.CollectActions(
+        relay.engine.OnReachable(sent_attempt.address, true, relay.now));
+  }
+  CHECK(relay.Outcome(relay.Submit(0)).refusal->reason ==
+        RefusalReason::kCrashSuspect);
+}
+
 TEST_CASE("a fan-out is not sent to shards whose leafs it has crashed") {
   RelayFixture relay;
   for (const char* shard : {"s0", "s1", "s2", "s3"}) {
