An answer takes back one crash of a request, a failure none

Callers saw a request that had crashed three leafs reach more of them, without end.

Cause: any response of a leaf, also a failure, cleared all crashes of the request and all its unanswered attempts. A leaf may answer a failure without running the request, and a request that crashes leafs only sometimes cleared itself each time it did not.

Change: a success takes back the oldest crash of its part; a failure only shows that its leaf lives. Unanswered attempts keep waiting for what became of their leafs.

Why it works: a request that crashes each leaf that runs it is never answered with success, so nothing takes its crashes back. A request that many callers send is answered far more often than leafs crash under it, and stays clear.

--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -53,12 +53,15 @@
 }
 
 void CrashLedger::OnSurvived(const RequestPart& part) {
-  if (m_crashes.erase(FingerprintOf(part)) > 0) {
-    Report(CrashEvidenceStep::kSurvived, part, "", Duration::zero());
+  const auto found = m_crashes.find(FingerprintOf(part));
+  if (found == m_crashes.end()) {
+    return;
   }
-  std::erase_if(m_unanswered, [&](const UnansweredAttempt& attempt) {
-    return attempt.part == part;
-  });
+  found->second.erase(found->second.begin());
+  if (found->second.empty()) {
+    m_crashes.erase(found);
+  }
+  Report(CrashEvidenceStep::kSurvived, part, "", Duration::zero());
 }
 
 void CrashLedger::OnUnanswered(const RequestPart& part,
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -45,7 +45,7 @@
   kExpired,
   /// The leaf responded to a later attempt, so it had not crashed.
   kLeafAnswered,
-  /// A leaf responded to the same request, which cleared the request.
+  /// A leaf answered the same request, which takes back one crash.
   kSurvived,
 };
 
@@ -86,7 +86,9 @@
 
   bool IsSuspect(const RequestPart& part, TimePoint now) const;
 
-  /// Records that a leaf ran the request and responded.
+  /// Records that a leaf answered the request with success, which takes back
+  /// one crash. A failure says nothing: a leaf may fail before it runs the
+  /// request.
   void OnSurvived(const RequestPart& part);
   /// Records that an attempt ended without an answer while the leaf may have
   /// been running the request.
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -293,10 +293,10 @@
   const RequestPart part{attempt.fingerprint, attempt.service->name};
   switch (kind) {
     case LeafReplyKind::kSucceeded:
-    case LeafReplyKind::kFailed:
       m_crashes.OnSurvived(part);
       m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
       return;
+    case LeafReplyKind::kFailed:
     case LeafReplyKind::kRefused:
       m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
       return;
--- a/tests/relay_crash_test.cc
+++ b/tests/relay_crash_test.cc
@@ -217,6 +217,23 @@
         RefusalReason::kCrashSuspect);
 }
 
+TEST_CASE("an answer takes back one crash of the request") {
+  CrashFixture relay;
+  for (int crash = 0; crash < 2; ++crash) {
+    relay.Submit(0, RequestKind::kIdempotent, 1);
+    relay.CrashAttemptedLeaf();
+  }
+  relay.Submit(0);
+  relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  for (int crash = 0; crash < 2; ++crash) {
+    const RelayNumber number = relay.Submit(0, RequestKind::kIdempotent, 1);
+    CHECK_FALSE(relay.outcomes.contains(number));
+    relay.CrashAttemptedLeaf();
+  }
+  CHECK(relay.Outcome(relay.Submit(0)).refusal->reason ==
+        RefusalReason::kCrashSuspect);
+}
+
 TEST_CASE("a cancelled attempt counts if its leaf is then found gone") {
   CrashFixture relay;
   for (int crash = 0; crash < 3; ++crash) {
