Try a request that may crash leafs at one leaf before it goes to more

Callers saw a request that had crashed three leafs reach many more: a fan-out reached a leaf of every shard, and its retries the siblings, in each of three attempts.

Cause: crashes were counted by request and shard, while the bound is on the request. Nothing was known of the request as a whole, so a doubtful fan-out went to all shards at the same moment, until each shard had three crashes of its own.

Change: crashes are also counted by content, since any leaf last answered it; with three the whole request is refused. A request with one is doubtful: it goes to one leaf, of the shard with the fewest crashes, and to the others once that one has answered. If that attempt is not answered, the request ends at once. A request also becomes doubtful while it runs, if two of its connections are lost and nothing has answered; its retries then wait for each other. Crashes by shard are still counted: a request that crashes the leafs of one shard is answered by the others and loses only that one.

Why it works: a request that crashes each leaf is never answered, so after its first attempt it reaches one leaf an attempt, twice, and is refused. One that was in flight when leafs failed for another reason is answered at its first try and goes on.

"leafs that fail at once without a cause refuse no request", "a fan-out that crashed leafs goes to all shards once one answers" and two of delegations are new. "a request that crashed three leafs is refused as not run" is stricter: the second attempt may crash one leaf, not two.

--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::size_t kMaxUnanswered = 1024;
-constexpr std::size_t kMaxRequests = 4096;
 
 constexpr EnumNames<CrashEvidenceStep, 8> kStepNames{{{
     {CrashEvidenceStep::kUnanswered, "unanswered"},
@@ -43,25 +42,33 @@
   return kStepNames.NameOf(step);
 }
 
+// A request that crashes the leafs of some shards only is answered by others,
+// so its crashes count by shard. One that no leaf answers is refused as a
+// whole.
 bool CrashLedger::IsSuspect(const RequestPart& part, TimePoint now) const {
-  if (m_crashes.empty()) {
-    return false;
-  }
-  const auto found = m_crashes.find(FingerprintOf(part));
-  return found != m_crashes.end() && found->second.size() >= kCrashLimit &&
-         now - found->second.back() < kCrashRetention;
+  return CrashCount(part, now) >= kCrashLimit ||
+         m_content_crashes.Count(part.content, now) >= kCrashLimit;
+}
+
+bool CrashLedger::IsDoubtful(std::uint64_t content, TimePoint now) const {
+  return m_content_crashes.Count(content, now) > 0;
+}
+
+std::size_t CrashLedger::CrashCount(const RequestPart& part,
+                                    TimePoint now) const {
+  return m_part_crashes.Count(FingerprintOf(part), now);
 }
 
-void CrashLedger::OnSurvived(const RequestPart& part) {
-  const auto found = m_crashes.find(FingerprintOf(part));
-  if (found == m_crashes.end()) {
-    return;
+void CrashLedger::OnSurvived(const RequestPart& part, TimePoint now) {
+  for (UnansweredAttempt& attempt : m_unanswered) {
+    attempt.is_survived =
+        attempt.is_survived || attempt.part.content == part.content;
   }
-  found->second.erase(found->second.begin());
-  if (found->second.empty()) {
-    m_crashes.erase(found);
+  const bool had_content_crash = m_content_crashes.Remove(part.content);
+  const bool had_part_crash = m_part_crashes.RemoveOldest(FingerprintOf(part));
+  if (had_content_crash || had_part_crash) {
+    Report(CrashEvidenceStep::kSurvived, part, "", Duration::zero(), now);
   }
-  Report(CrashEvidenceStep::kSurvived, part, "", Duration::zero());
 }
 
 void CrashLedger::OnUnanswered(const RequestPart& part,
@@ -71,9 +78,9 @@
   if (m_unanswered.size() >= kMaxUnanswered) {
     m_unanswered.erase(m_unanswered.begin());
   }
-  m_unanswered.push_back({part, leaf, now, std::nullopt});
+  m_unanswered.push_back({part, leaf, now, std::nullopt, false});
   Report(CrashEvidenceStep::kUnanswered, part, leaf->registration.id,
-         Duration::zero());
+         Duration::zero(), now);
 }
 
 void CrashLedger::OnUnreachable(const Endpoint& address, TimePoint now) {
@@ -106,15 +113,15 @@
     }
     attempt.leaf_answered_at = now;
     Report(CrashEvidenceStep::kLeafAnswered, attempt.part, leaf.registration.id,
-           now - attempt.at);
+           now - attempt.at, now);
   }
 }
 
 void CrashLedger::OnPeerCrash(const RequestPart& part, TimePoint now) {
-  const bool is_new = AddCrash(part, now);
+  const bool is_new = AddCrash(part, false, now);
   Report(
       is_new ? CrashEvidenceStep::kReported : CrashEvidenceStep::kReportedAgain,
-      part, "", Duration::zero());
+      part, "", Duration::zero(), now);
 }
 
 std::vector<RequestPart> CrashLedger::TakeCrashes() {
@@ -138,7 +145,7 @@
     }
     if (!attempt.leaf_answered_at) {
       Report(CrashEvidenceStep::kExpired, attempt.part,
-             attempt.leaf->registration.id, now - attempt.at);
+             attempt.leaf->registration.id, now - attempt.at, now);
     }
     return true;
   });
@@ -151,50 +158,33 @@
     if (!is_crash(attempt)) {
       return false;
     }
-    const bool is_new = AddCrash(attempt.part, attempt.at);
+    const bool is_new = AddCrash(attempt.part, attempt.is_survived, attempt.at);
     if (is_new) {
       m_unreported_crashes.push_back(attempt.part);
     }
     Report(is_new ? CrashEvidenceStep::kCrashed
                   : CrashEvidenceStep::kCrashedTogether,
-           attempt.part, attempt.leaf->registration.id, now - attempt.at);
+           attempt.part, attempt.leaf->registration.id, now - attempt.at, now);
     return true;
   });
 }
 
+bool CrashLedger::AddCrash(const RequestPart& part,
+                           bool is_survived,
+                           TimePoint at) {
+  const bool is_new_for_part = m_part_crashes.Add(FingerprintOf(part), at);
+  const bool is_new_for_content =
+      !is_survived && m_content_crashes.Add(part.content, at);
+  return is_new_for_part || is_new_for_content;
+}
+
 void CrashLedger::Report(CrashEvidenceStep step,
                          const RequestPart& part,
                          std::string leaf_id,
-                         Duration age) {
-  const auto found = m_crashes.find(FingerprintOf(part));
-  const std::size_t crashes =
-      found == m_crashes.end() ? 0 : found->second.size();
-  m_events.push_back({step, part, std::move(leaf_id), age, crashes});
-}
-
-// Peers report crashes with a delay, so the times of several daemons may be out
-// of order.
-bool CrashLedger::AddCrash(const RequestPart& part, TimePoint at) {
-  const std::uint64_t fingerprint = FingerprintOf(part);
-  if (m_crashes.size() >= kMaxRequests && !m_crashes.contains(fingerprint)) {
-    const auto oldest = std::min_element(
-        m_crashes.begin(), m_crashes.end(), [](const auto& a, const auto& b) {
-          return a.second.back() < b.second.back();
-        });
-    m_crashes.erase(oldest);
-  }
-  std::vector<TimePoint>& times = m_crashes[fingerprint];
-  std::erase_if(times,
-                [&](TimePoint time) { return at - time >= kCrashRetention; });
-  const bool is_known =
-      std::any_of(times.begin(), times.end(), [&](TimePoint time) {
-        return time - at < kMinCrashSpacing && at - time < kMinCrashSpacing;
-      });
-  if (is_known) {
-    return false;
-  }
-  times.insert(std::upper_bound(times.begin(), times.end(), at), at);
-  return true;
+                         Duration age,
+                         TimePoint now) {
+  m_events.push_back(
+      {step, part, std::move(leaf_id), age, CrashCount(part, now)});
 }
 
 }  // namespace bramleyspoke
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -5,11 +5,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "request/crash_table.h"
 #include "request/leaf_table.h"
 
 namespace bramleyspoke {
@@ -73,23 +73,25 @@
  public:
   /// Number of crashes after which a request is refused.
   static constexpr std::size_t kCrashLimit = 3;
-  /// Crashes closer together than this count as one failure of several leafs.
-  static constexpr Duration kMinCrashSpacing = std::chrono::milliseconds(100);
   /// Time within which the leaf of an unanswered attempt must be found gone. A
   /// leaf's entry may outlast it by this long if the store was unavailable.
   static constexpr Duration kConfirmationTimeout = std::chrono::seconds(30);
   /// Time after a leaf's first answer within which a registration of a later
   /// run shows that this run had answered.
   static constexpr Duration kRestartNoticeTimeout = std::chrono::seconds(3);
-  /// How long a crash counts.
-  static constexpr Duration kCrashRetention = std::chrono::minutes(10);
 
+  /// Whether the part must not be sent to leafs: the request has crashed leafs
+  /// `kCrashLimit` times, here or at any service since a leaf answered it.
   bool IsSuspect(const RequestPart& part, TimePoint now) const;
+  /// Whether the request has crashed leafs and no leaf has answered it since.
+  bool IsDoubtful(std::uint64_t content, TimePoint now) const;
+  /// Number of crashes that count against the part.
+  std::size_t CrashCount(const RequestPart& part, TimePoint now) const;
 
   /// Records that a leaf answered the request with success, which takes back
   /// one crash. A failure says nothing: a leaf may fail before it runs the
   /// request.
-  void OnSurvived(const RequestPart& part);
+  void OnSurvived(const RequestPart& part, TimePoint now);
   /// Records that an attempt ended without an answer while the leaf may have
   /// been running the request.
   void OnUnanswered(const RequestPart& part,
@@ -110,9 +112,6 @@
   /// The changes of the evidence since the last call, for log and metrics.
   std::vector<CrashEvidenceEvent> TakeEvents();
 
-  /// Number of parts of requests with at least one crash.
-  std::size_t size() const { return m_crashes.size(); }
-
  private:
   struct UnansweredAttempt {
     RequestPart part;
@@ -120,22 +119,29 @@
     TimePoint at;
     /// Time of the leaf's next answer.
     std::optional<TimePoint> leaf_answered_at;
+    /// Whether a leaf has answered the request since.
+    bool is_survived = false;
   };
 
   template <typename Predicate>
   void ConfirmCrashes(Predicate is_crash, TimePoint now);
-  bool AddCrash(const RequestPart& part, TimePoint at);
+  /// Returns false if the crash counts together with another one.
+  bool AddCrash(const RequestPart& part, bool is_survived, TimePoint at);
   void DropExpired(TimePoint now);
   static bool IsExpired(const UnansweredAttempt& attempt, TimePoint now);
   void Report(CrashEvidenceStep step,
               const RequestPart& part,
               std::string leaf_id,
-              Duration age);
+              Duration age,
+              TimePoint now);
 
   /// Attempts not confirmed as crashes yet, the oldest first.
   std::vector<UnansweredAttempt> m_unanswered;
-  /// Times of the crashes that count, in order, by the part's fingerprint.
-  std::unordered_map<std::uint64_t, std::vector<TimePoint>> m_crashes;
+  /// By the part's fingerprint.
+  CrashTable m_part_crashes;
+  /// Crashes since the last answer to the request, by the content's
+  /// fingerprint.
+  CrashTable m_content_crashes;
   std::vector<RequestPart> m_unreported_crashes;
   std::vector<CrashEvidenceEvent> m_events;
 };
--- /dev/null
+++ b/src/request/crash_table.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+
+namespace bramleyspoke {
+
+/// Times of crashes by fingerprint, bounded in number and age.
+class CrashTable {
+ public:
+  /// Crashes closer together than this count as one failure of several leafs.
+  static constexpr Duration kMinCrashSpacing = std::chrono::milliseconds(100);
+  /// How long a crash counts.
+  static constexpr Duration kCrashRetention = std::chrono::minutes(10);
+  static constexpr std::size_t kMaxFingerprints = 4096;
+
+  /// Returns false if the crash counts together with another one.
+  bool Add(std::uint64_t fingerprint, TimePoint at);
+  /// Removes the oldest crash; false if there was none.
+  bool RemoveOldest(std::uint64_t fingerprint);
+  /// Removes all crashes; false if there was none.
+  bool Remove(std::uint64_t fingerprint) {
+    return m_times.erase(fingerprint) > 0;
+  }
+  std::size_t Count(std::uint64_t fingerprint, TimePoint now) const;
+
+ private:
+  void EvictOldest();
+
+  /// In order for each fingerprint; never empty.
+  std::unordered_map<std::uint64_t, std::vector<TimePoint>> m_times;
+};
+
+}  // namespace bramleyspoke
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -48,7 +48,8 @@
   }
   std::map<PeerLocation, std::vector<std::size_t>> by_location;
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
-    if (IsSuspect(request, request.parts[index])) {
+    if (IsSuspect(request, request.parts[index]) ||
+        !request.parts[index].IsUnsent()) {
       continue;
     }
     for (const PeerLocation& location : DelegationLocations(request, index)) {
@@ -362,6 +363,7 @@
     return;
   }
   if (!shard.is_pending) {
+    RecordLostAttempts(request, shard.possible_runs);
     RetryIfInTime(request, index);
     return;
   }
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -47,19 +47,31 @@
   }
   m_requests.emplace(number, std::move(owned));
   if (!RefuseIfUnservable(request)) {
-    DelegateParts(request);
-    for (std::size_t index = 0; index < request.parts.size(); ++index) {
-      if (!request.parts[index].delegation) {
-        request.parts[index].service->budget.OnRequest(
-            request.request.is_for_peer ? 1 - kDelegatorBudgetShare : 1);
-        DispatchPart(request, index);
-      }
+    BeginTrialIfDoubtful(request);
+    if (!request.is_doubtful) {
+      SendParts(request);
     }
     MarkForUpdate(number);
   }
   return FinishEvent();
 }
 
+void RelayEngine::SendParts(Request& request) {
+  DelegateParts(request);
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    Part& part = request.parts[index];
+    if (part.IsUnsent()) {
+      CreditRetryBudget(request, part);
+      DispatchPart(request, index);
+    }
+  }
+}
+
+void RelayEngine::CreditRetryBudget(const Request& request, Part& part) {
+  part.service->budget.OnRequest(
+      request.request.is_for_peer ? 1 - kDelegatorBudgetShare : 1);
+}
+
 RelayActions RelayEngine::OnReply(RelayAttemptNumber number,
                                   LeafReply reply,
                                   TimePoint now) {
@@ -74,7 +86,7 @@
   if (Request* request = FindRequest(attempt.request)) {
     Part& part = request->parts[attempt.part];
     std::erase(part.outstanding, number);
-    ApplyReply(*request, attempt.part, attempt.leaf, std::move(reply));
+    ApplyReply(*request, attempt, std::move(reply));
     MarkForUpdate(attempt.request);
   }
   DispatchWaiting(*attempt.service);
@@ -209,6 +221,7 @@
     return;
   }
   ContinuePendingDelegations(request);
+  ResumeHeldParts(request);
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     Part& part = request.parts[index];
     if (part.IsOpen() && part.retry_at && *part.retry_at <= m_now) {
@@ -300,19 +313,27 @@
   FinishRefused(request,
                 m_now >= request.request.deadline
                     ? RefusalReason::kDeadlinePassed
-                    : RefusalReason::kNoReplica,
+                    : ReasonOfFailure(request, RefusalReason::kNoReplica),
                 kUnavailableRetryAfter);
   return true;
 }
 
+RefusalReason RelayEngine::ReasonOfFailure(const Request& request,
+                                           RefusalReason other) {
+  return request.is_trial_lost && request.IsOnTrial()
+             ? RefusalReason::kCrashSuspect
+             : other;
+}
+
 void RelayEngine::FinishSingle(Request& request) {
   Part& part = request.parts.front();
   std::optional<HttpResponse>& response =
       part.answer ? part.answer : part.failure;
   if (!response) {
     FinishRefused(request,
-                  part.verdict == Verdict::kNotRun ? RefusalReason::kNoReplica
-                                                   : RefusalReason::kLost,
+                  part.verdict == Verdict::kNotRun
+                      ? RefusalReason::kNoReplica
+                      : ReasonOfFailure(request, RefusalReason::kLost),
                   kUnavailableRetryAfter);
     return;
   }
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -123,6 +123,10 @@
 
   // Attempts.
   void AddPart(Request& request, const std::string& service);
+  /// Delegates or dispatches all open parts that have not been sent yet.
+  void SendParts(Request& request);
+  /// Credits a part that this daemon sends to the service's retry budget.
+  static void CreditRetryBudget(const Request& request, Part& part);
   bool RefuseIfUnservable(Request& request);
   bool IsSuspect(const Request& request, const Part& part) const;
   LeafChoice SelectLeaf(const Request& request, const Part& part) const;
@@ -143,7 +147,22 @@
                                      const Attempt& attempt) const;
   void Retry(Request& request, std::size_t index);
 
+  // Trials of requests that may crash leafs.
+  void BeginTrialIfDoubtful(Request& request);
+  static void RecordUnanswered(Request& request,
+                               const Attempt& attempt,
+                               LeafReplyKind kind);
+  static void RecordLostAttempts(Request& request, std::uint32_t count);
+  /// Returns false if another attempt of a request on trial is in progress; the
+  /// part is then held.
+  bool AdmitAttempt(Request& request, Part& part);
+  /// Dispatches held parts, or fails them if the trial was lost.
+  void ResumeHeldParts(Request& request);
+  std::optional<std::size_t> ChooseTrialPart(const Request& request) const;
+  void ReleaseHeldParts(Request& request);
+
   // Delegations to peers.
+  /// Delegates parts that have not been sent to leafs here.
   void DelegateParts(Request& request);
   std::vector<PeerLocation> DelegationLocations(const Request& request,
                                                 std::size_t index) const;
@@ -177,10 +196,7 @@
   // Replies.
   void RecordReply(const Attempt& attempt, const LeafReply& reply);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
-  void ApplyReply(Request& request,
-                  std::size_t index,
-                  const std::shared_ptr<RelayLeaf>& leaf,
-                  LeafReply reply);
+  void ApplyReply(Request& request, const Attempt& attempt, LeafReply reply);
   void CancelQueuedAttempts(const Request& request, const Part& part);
   /// Marks the part as failed unless an attempt of it is outstanding.
   void FailUnlessOutstanding(Part& part);
@@ -188,6 +204,9 @@
   // Completion.
   /// Returns true if the request has ended and was erased.
   bool FinishIfDone(Request& request);
+  /// `kCrashSuspect` if a trial was lost, else `other`.
+  static RefusalReason ReasonOfFailure(const Request& request,
+                                       RefusalReason other);
   void FinishSingle(Request& request);
   void FinishFanOut(Request& request);
   void AnswerPeer(Request& request);
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -40,10 +40,21 @@
   std::optional<WaitingPart> waiting;
   std::optional<TimePoint> hedge_at;
   std::optional<TimePoint> retry_at;
+  /// Waits for the outcome of a trial of the request.
+  bool is_held = false;
   Verdict verdict = Verdict::kNotRun;
 
   bool IsAnswered() const { return answer || is_covered; }
   bool IsOpen() const { return !IsAnswered() && !is_failed; }
+  /// Whether the part is open, was not sent to any leaf, here or by a peer, and
+  /// is not about to be.
+  bool IsUnsent() const {
+    return IsOpen() && attempts == 0 && is_next_attempt_free && !IsInProgress();
+  }
+  /// Whether an attempt or a delegation is outstanding or will be started.
+  bool IsInProgress() const {
+    return !outstanding.empty() || delegation || pending || waiting || retry_at;
+  }
   PartState State() const;
   /// Whether the part was not answered, or needed more than one attempt.
   bool IsReportable() const { return !IsAnswered() || attempts > 1; }
@@ -59,11 +70,22 @@
   /// Attempts and delegations.
   std::uint32_t attempts = 0;
   std::uint32_t retries_and_hedges = 0;
+  /// Attempts whose connection was lost.
+  std::uint32_t lost_attempts = 0;
+  /// Whether the request may crash the leafs that run it: until a leaf answers
+  /// it, it is sent to one leaf at a time.
+  bool is_doubtful = false;
+  /// Whether a trial has ended without an answer.
+  bool is_trial_lost = false;
   std::optional<TimePoint> timer;
   /// Set while a peer that got an incomplete answer may send a continuation.
   std::optional<TimePoint> continuation_deadline;
 
   const Route& MatchedRoute() const { return *request.route; }
+  bool IsAnsweredByAnyLeaf() const;
+  bool IsInProgress() const;
+  /// Whether it must be sent to one leaf at a time.
+  bool IsOnTrial() const { return is_doubtful && !IsAnsweredByAnyLeaf(); }
   bool IsIdempotent() const {
     return MatchedRoute().kind == RequestKind::kIdempotent;
   }
@@ -79,6 +101,9 @@
   std::uint64_t fingerprint = 0;
   std::string route_name;
   TimePoint sent_at;
+  /// The request was doubtful, or the part had been sent before, here or by a
+  /// peer.
+  bool is_trial = false;
 };
 
 /// Parts of a request that were delegated to a peer.
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -111,6 +111,9 @@
     FailUnlessOutstanding(part);
     return;
   }
+  if (!AdmitAttempt(request, part)) {
+    return;
+  }
   const LeafChoice choice = SelectLeaf(request, part);
   if (!choice.leaf) {
     if (choice.is_full) {
@@ -145,6 +148,7 @@
   attempt.fingerprint = request.request.fingerprint;
   attempt.route_name = request.MatchedRoute().name;
   attempt.sent_at = m_now;
+  attempt.is_trial = request.is_doubtful || !part.is_next_attempt_free;
   leaf->load.OnSent(m_now);
   part.outstanding.push_back(number);
   part.tried.push_back(leaf);
@@ -221,7 +225,7 @@
   if (out != 1 ||
       part.runs + part.outstanding.size() >=
           request.MatchedRoute().max_attempts ||
-      IsSuspect(request, part)) {
+      IsSuspect(request, part) || request.IsOnTrial()) {
     return;
   }
   const LeafChoice choice = ChooseLeaf(
@@ -293,7 +297,7 @@
   const RequestPart part{attempt.fingerprint, attempt.service->name};
   switch (kind) {
     case LeafReplyKind::kSucceeded:
-      m_crashes.OnSurvived(part);
+      m_crashes.OnSurvived(part, m_now);
       m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
       return;
     case LeafReplyKind::kFailed:
@@ -312,19 +316,22 @@
 }
 
 void RelayEngine::ApplyReply(Request& request,
-                             std::size_t index,
-                             const std::shared_ptr<RelayLeaf>& leaf,
+                             const Attempt& attempt,
                              LeafReply reply) {
+  const std::size_t index = attempt.part;
   Part& part = request.parts[index];
   if (!part.IsOpen()) {
     return;
   }
   const Verdict verdict = VerdictOf(reply.kind);
+  if (verdict == Verdict::kMayHaveRun) {
+    RecordUnanswered(request, attempt, reply.kind);
+  }
   part.verdict = Combine(part.verdict, verdict);
   part.runs += verdict == Verdict::kNotRun ? 0 : 1;
   if (reply.kind == LeafReplyKind::kSucceeded) {
     part.answer = std::move(reply.response);
-    part.answered_by = leaf;
+    part.answered_by = attempt.leaf;
     CancelQueuedAttempts(request, part);
     return;
   }
--- a/src/tool/explanation.cc
+++ b/src/tool/explanation.cc
@@ -22,8 +22,8 @@
     {"overloaded",
      "Too many requests were in flight or queued at one service."},
     {"crash_suspect",
-     "Three leafs crashed while they executed this request: see the "
-     "leaf_crashed events of all daemons."},
+     "Leafs crashed while they executed this request: see the leaf_crashed "
+     "events of all daemons with its fingerprint."},
     {"deadline_passed",
      "The deadline passed before enough responses had arrived."},
     {"lost",
--- a/tests/relay_crash_test.cc
+++ b/tests/relay_crash_test.cc
@@ -30,6 +30,17 @@
   }
 };
 
+constexpr std::size_t kShards = 20;
+
+// Adds `kShards` shards with two leafs each, named "s0-a", "s0-b", "s1-a", ...
+void AddShards(RelayFixture& relay) {
+  for (std::size_t shard = 0; shard < kShards; ++shard) {
+    const std::string service = "s" + std::to_string(shard);
+    relay.AddLeaf(service, service + "-a");
+    relay.AddLeaf(service, service + "-b");
+  }
+}
+
 }  // namespace
 
 TEST_CASE("a request that crashed three leafs is refused as not run") {
@@ -38,9 +49,11 @@
   relay.CrashAttemptedLeaf();
   relay.CrashAttemptedLeaf();
   CHECK(relay.Outcome(first).refusal->verdict == Verdict::kMayHaveRun);
-  relay.Submit(0);
-  relay.CrashAttemptedLeaf();
+  const RelayNumber second = relay.Submit(0);
   relay.CrashAttemptedLeaf();
+  CHECK(relay.Outcome(second).refusal->reason == RefusalReason::kCrashSuspect);
+  CHECK(relay.Outcome(second).refusal->verdict == Verdict::kMayHaveRun);
+  CHECK(relay.sends.empty());
 
   const RelayNumber again = relay.Submit(0);
   REQUIRE(relay.outcomes.contains(again));
@@ -252,6 +265,66 @@
         RefusalReason::kCrashSuspect);
 }
 
+TEST_CASE("a fan-out that crashed leafs goes to all shards once one answers") {
+  RelayFixture relay;
+  AddShards(relay);
+  relay.fingerprint = kCrashingFingerprint;
+  relay.engine.OnPeerCrash({kCrashingFingerprint, "s7"}, relay.now);
+  relay.Advance(milliseconds(500));
+  const RelayNumber number = relay.Submit(kShards);
+  REQUIRE(relay.sends.size() == 1);
+  CHECK_FALSE(relay.IsSentTo("s7-a"));
+  CHECK_FALSE(relay.IsSentTo("s7-b"));
+  relay.Advance(milliseconds(20));
+  CHECK(relay.sends.size() == 1);
+  relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  CHECK(relay.sends.size() == kShards - 1);
+  while (!relay.sends.empty()) {
+    relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  }
+  CHECK(relay.Outcome(number).missing_shards == 0);
+  relay.Submit(kShards);
+  CHECK(relay.sends.size() == kShards);
+}
+
+TEST_CASE("leafs that fail at once without a cause refuse no request") {
+  constexpr std::uint64_t kRequests = 4;
+  RelayFixture relay;
+  AddShards(relay);
+  std::vector<RelayNumber> numbers;
+  for (std::uint64_t content = 1; content <= kRequests; ++content) {
+    relay.fingerprint = content;
+    numbers.push_back(relay.Submit(kShards));
+  }
+  for (const RelayAttempt& send : std::vector(relay.sends)) {
+    if (send.leaf_id.ends_with("-a")) {
+      relay.Reply(send.leaf_id, LeafReplyKind::kLost);
+    }
+  }
+  for (const LeafRegistration& leaf : relay.leafs) {
+    if (leaf.id.ends_with("-a")) {
+      relay.CollectActions(
+          relay.engine.OnReachable(leaf.address, false, relay.now));
+    }
+  }
+  for (int turn = 0; turn < 40; ++turn) {
+    for (const RelayAttempt& send : std::vector(relay.sends)) {
+      relay.Reply(send.leaf_id, LeafReplyKind::kSucceeded);
+    }
+    relay.Advance(milliseconds(1));
+  }
+  for (const RelayNumber number : numbers) {
+    CHECK_FALSE(relay.Outcome(number).refusal.has_value());
+    CHECK(relay.Outcome(number).missing_shards == 0);
+  }
+  for (std::uint64_t content = 1; content <= kRequests; ++content) {
+    relay.fingerprint = content;
+    relay.sends.clear();
+    relay.Submit(kShards);
+    CHECK(relay.sends.size() == kShards);
+  }
+}
+
 TEST_CASE("a fan-out is not sent to shards whose leafs it has crashed") {
   RelayFixture relay;
   for (const char* shard : {"s0", "s1", "s2", "s3"}) {
--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -81,6 +81,32 @@
   }
 }
 
+TEST_CASE(
+    "a request that crashed leafs is not delegated until a leaf answers") {
+  FarShards fixture;
+  fixture.engine.OnPeerCrash({fixture.fingerprint, "s0"}, fixture.now);
+  fixture.Submit(4);
+  CHECK(fixture.delegations.empty());
+  REQUIRE(fixture.sends.size() == 1);
+  fixture.Reply(fixture.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  REQUIRE(fixture.delegations.size() == 1);
+  CHECK(fixture.delegations.front().shards.size() == 3);
+}
+
+TEST_CASE(
+    "shards that a peer's leafs left unanswered are tried one at a time") {
+  FarShards fixture;
+  fixture.Submit(4);
+  REQUIRE(fixture.delegations.size() == 1);
+  fixture.ReplyFromPeer(
+      {}, {{0, 1, false}, {1, 1, false}, {2, 1, false}, {3, 1, false}});
+  fixture.Advance(milliseconds(200));
+  CHECK(fixture.sends.size() == 1);
+  fixture.Reply(fixture.sends.front().leaf_id, LeafReplyKind::kLost);
+  CHECK(fixture.sends.empty());
+  CHECK(fixture.Outcome(fixture.last_number).refusal.has_value());
+}
+
 TEST_CASE("a shard that a peer leaves out twice is queued once") {
   FarShards fixture;
   fixture.Submit(4);
