Count evidence of two holders about one request as two crashes

Cause: a notice was known by service, fingerprint and number of crashes. If two holders each saw one crash under the same request, their notices were the same to both and to all others: each holder went on with one crash and allowed another canary, so that the bound held for each holder instead of for all of them together.

Evidence: control_test, two holders that each publish one crash: none receives the other's (0 notices instead of 2) with the old key.

Change: each notice has an id, unique to its daemon and its count; peers' notices carry it, the time since the crash and whether the request was answered since, which relays need. Old daemons send id 0, which merges their notices as before.

Test: "evidence of two holders about the same request counts twice", 0 before, 2 now; "notices reach only the service's other holders, and once" still passes.

--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -22,6 +22,12 @@
   service @0 :Text;
   fingerprint @1 :UInt64;
   crashes @2 :UInt32;
+  # Identifies the evidence.
+  id @3 :UInt64;
+  # Time since the crashes.
+  ageMs @4 :UInt32;
+  # Whether a leaf has answered the request since.
+  isSurvived @5 :Bool;
 }
 
 # Drain notice of a leaf.
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -43,6 +43,12 @@
   std::string service;
   std::uint64_t fingerprint = 0;
   std::uint32_t crashes = 0;
+  /// Identifies the evidence: notices with another id are about other crashes.
+  std::uint64_t id = 0;
+  /// Time since the crashes.
+  Duration age{0};
+  /// Whether a leaf has answered the request since.
+  bool is_survived = false;
 
   bool operator==(const EvidenceNotice&) const = default;
 };
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -52,6 +52,9 @@
     evidence[i].setService(message.evidence[i].service);
     evidence[i].setFingerprint(message.evidence[i].fingerprint);
     evidence[i].setCrashes(message.evidence[i].crashes);
+    evidence[i].setId(message.evidence[i].id);
+    evidence[i].setAgeMs(ToWireMilliseconds(message.evidence[i].age));
+    evidence[i].setIsSurvived(message.evidence[i].is_survived);
   }
   auto drains = builder.initDrains(message.drains.size());
   for (unsigned i = 0; i < drains.size(); ++i) {
@@ -64,7 +67,9 @@
   for (const auto evidence : reader.getEvidence()) {
     message.evidence.push_back({ToStd(evidence.getService()),
                                 evidence.getFingerprint(),
-                                evidence.getCrashes()});
+                                evidence.getCrashes(), evidence.getId(),
+                                std::chrono::milliseconds(evidence.getAgeMs()),
+                                evidence.getIsSurvived()});
   }
   for (const auto drain : reader.getDrains()) {
     if (const auto leaf = ParseEndpoint(ToStd(drain.getLeaf()))) {
--- a/src/process/control_core.cc
+++ b/src/process/control_core.cc
@@ -1,5 +1,7 @@
 #include "process/control_core.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -103,12 +105,21 @@
   PublishTable();
 }
 
-void ControlCore::PublishEvidence(const EvidenceNotice& evidence) {
-  if (m_notices.Add(evidence, m_context.now())) {
+void ControlCore::PublishEvidence(EvidenceNotice evidence) {
+  evidence.id = NextEvidenceId();
+  if (m_notices.Add(evidence, {evidence.service}, m_context.now())) {
     SendNotices();
   }
 }
 
+// Several daemons may each see a crash of the same request.
+std::uint64_t ControlCore::NextEvidenceId() {
+  const std::string name = ToString(m_options.self.peer) + "~" +
+                           std::to_string(m_options.self.incarnation) + "~" +
+                           std::to_string(++m_last_evidence);
+  return XXH3_64bits(name.data(), name.size());
+}
+
 void ControlCore::PublishDrain(const DrainNotice& drain) {
   if (m_notices.Add(drain, HeldServicesOf(drain.leaf), m_context.now())) {
     SendNotices();
@@ -289,7 +300,7 @@
 void ControlCore::HandleNotices(const GossipMessage& message) {
   const TimePoint now = m_context.now();
   for (const EvidenceNotice& evidence : message.evidence) {
-    if (m_notices.Add(evidence, now)) {
+    if (m_notices.Add(evidence, {evidence.service}, now)) {
       m_context.listener.OnEvidence(evidence);
     }
   }
--- a/src/process/control_core.h
+++ b/src/process/control_core.h
@@ -36,7 +36,8 @@
 
   void OnTick();
   void BeginLeaving();
-  void PublishEvidence(const EvidenceNotice& evidence);
+  /// Sends evidence of this daemon to the other holders of its service.
+  void PublishEvidence(EvidenceNotice evidence);
   void PublishDrain(const DrainNotice& drain);
   std::string DumpJson() const;
 
@@ -61,6 +62,7 @@
   void HandleStatus(const GossipMessage& message,
                     std::optional<TimePoint> requested_at);
   void HandleNotices(const GossipMessage& message);
+  std::uint64_t NextEvidenceId();
   void SendNotices();
   std::set<std::string> HeldServicesOf(const Endpoint& leaf) const;
   void ApplyMemberChanges();
@@ -75,6 +77,7 @@
   ManifestFollower m_follower;
   HolderSets m_holders;
   NoticeTracker m_notices;
+  std::uint64_t m_last_evidence = 0;
   RoutingTableBuilder m_builder;
   std::shared_ptr<const RoutingTable> m_table;
   std::unique_ptr<StoreWatch> m_watch;
--- a/src/process/notice_tracker.cc
+++ b/src/process/notice_tracker.cc
@@ -1,5 +1,6 @@
 #include "process/notice_tracker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bramleyspoke {
@@ -11,7 +12,7 @@
 
 std::string KeyOf(const EvidenceNotice& evidence) {
   return evidence.service + "#" + std::to_string(evidence.fingerprint) + "#" +
-         std::to_string(evidence.crashes);
+         std::to_string(evidence.id);
 }
 
 std::string KeyOf(const DrainNotice& drain) {
@@ -20,13 +21,15 @@
 
 }  // namespace
 
-bool NoticeTracker::Add(const EvidenceNotice& evidence, TimePoint now) {
+bool NoticeTracker::Add(const EvidenceNotice& evidence,
+                        const std::set<std::string>& services,
+                        TimePoint now) {
   const std::string key = KeyOf(evidence);
   if (m_notices.contains(key)) {
     return false;
   }
   Notice notice;
-  notice.services = {evidence.service};
+  notice.services = services;
   notice.evidence = {evidence};
   notice.added_at = now;
   Insert(key, std::move(notice));
@@ -69,6 +72,22 @@
   return sent == notice.sent_at.end() || now - sent->second >= kResendInterval;
 }
 
+bool NoticeTracker::HasUndelivered() const {
+  const auto is_delivered = [this](const Notice& notice) {
+    return std::all_of(
+        notice.services.begin(), notice.services.end(),
+        [&](const std::string& service) {
+          const auto holders = m_holders.find(service);
+          return holders == m_holders.end() ||
+                 std::includes(notice.received.begin(), notice.received.end(),
+                               holders->second.begin(), holders->second.end());
+        });
+  };
+  return !std::all_of(
+      m_notices.begin(), m_notices.end(),
+      [&](const auto& entry) { return is_delivered(entry.second); });
+}
+
 std::vector<NoticeDelivery> NoticeTracker::TakeDue(TimePoint now) {
   std::erase_if(m_notices, [&](const auto& entry) {
     return now - entry.second.added_at >= kNoticeLifetime;
@@ -83,9 +102,10 @@
         }
         notice.sent_at[peer] = now;
         NoticeDelivery& delivery = due[peer];
-        delivery.evidence.insert(delivery.evidence.end(),
-                                 notice.evidence.begin(),
-                                 notice.evidence.end());
+        for (EvidenceNotice evidence : notice.evidence) {
+          evidence.age += now - notice.added_at;
+          delivery.evidence.push_back(std::move(evidence));
+        }
         delivery.drains.insert(delivery.drains.end(), notice.drains.begin(),
                                notice.drains.end());
         keys[peer].push_back(key);
--- a/src/process/notice_tracker.h
+++ b/src/process/notice_tracker.h
@@ -31,7 +31,9 @@
 class NoticeTracker {
  public:
   /// Returns false if the notice is already known.
-  bool Add(const EvidenceNotice& evidence, TimePoint now);
+  bool Add(const EvidenceNotice& evidence,
+           const std::set<std::string>& services,
+           TimePoint now);
   bool Add(const DrainNotice& drain,
            const std::set<std::string>& services,
            TimePoint now);
@@ -39,11 +41,14 @@
   /// Sets the service's holders, without this daemon.
   void SetHolders(const std::string& service, std::set<Endpoint> holders);
 
-  /// Returns the deliveries that are due and marks them as sent.
+  /// Returns the deliveries that are due and marks them as sent. The ages of
+  /// evidence are those at `now`.
   std::vector<NoticeDelivery> TakeDue(TimePoint now);
   void OnReply(std::uint64_t number, bool is_received);
 
   std::size_t Size() const { return m_notices.size(); }
+  /// Whether a notice has not reached all of its holders.
+  bool HasUndelivered() const;
 
  private:
   struct Notice {
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -241,6 +241,19 @@
     }
     CHECK(received == 1);
   }
+  SUBCASE("evidence of two holders about the same request counts twice") {
+    for (const auto& node : fleet.nodes) {
+      if (node->listener.table->services.at("s1")->is_held_here) {
+        node->control->PublishEvidence({"s1", 42, 1});
+      }
+    }
+    fleet.Run(seconds(5));
+    std::size_t received = 0;
+    for (const auto& node : fleet.nodes) {
+      received += node->listener.evidence.size();
+    }
+    CHECK(received == 2);
+  }
   SUBCASE("after a pause there is no heartbeat before a refresh") {
     fleet.network.is_up = false;
     fleet.is_store_up = false;
