Report crashes to the other holders until each has received them

Callers saw a request that had crashed three leafs reach more of them: daemons that were paused or cut off while the others learnt of it sent it on.

Cause: a crash was reported once, with a second to be answered, to the holders of that moment. A report said nothing about when the crash was or which one it was: reports that a daemon got together, after a pause, were taken for one crash.

Evidence: process_relay_crash_test, one of three daemons paused while the request was sent to the others: at its return the log has "reported" and "reported_again" in the same millisecond, with one crash counted, and the daemon crashed two more leafs.

Change: CrashReports sends each crash with its id and age, collected for 20 ms, again each second until each holder has answered, for ten minutes also to daemons that become holders later; NoticeTracker, which the own interface uses, keeps the account. A crash counts at the time when it was, once for its id.

Ruled out: passing reports on from daemon to daemon, which costs calls by the square of the holders. What a daemon forgets in a restart is another fault.

Tests: crash_reports_test (new); "crashes reported by peers count like local ones" now uses three crashes, where it reported one crash three times, which the new "a crash that is reported again counts once" rules out; it adds reports that arrive together.

--- /dev/null
+++ b/src/process/crash_reports.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "connection/peer.h"
+#include "process/notice_tracker.h"
+#include "request/crash_ledger.h"
+
+namespace bramleyspoke {
+
+class EventLoop;
+class Timer;
+
+/// Reports crashes of leafs to the other holders, again until each has
+/// received them.
+///
+/// Used on the loop's thread only.
+class CrashReports {
+ public:
+  /// Delay in which reports are collected before they are sent.
+  static constexpr Duration kBatchDelay = std::chrono::milliseconds(20);
+  /// Interval at which undelivered reports are considered again.
+  static constexpr Duration kResendInterval = std::chrono::seconds(1);
+  static constexpr Duration kCallTimeout = std::chrono::seconds(1);
+
+  CrashReports(EventLoop& loop,
+               const Clock& clock,
+               PeerNetwork& peers,
+               MemberUpdate self);
+  ~CrashReports();
+
+  /// Sets the daemons that get reports, without this one.
+  void SetPeers(std::set<Endpoint> peers);
+  void Add(const LeafCrash& crash);
+
+ private:
+  void ScheduleSend(Duration delay);
+  void Send();
+  void OnReply(const NoticeDelivery& delivery, bool is_received);
+
+  EventLoop& m_loop;
+  const Clock& m_clock;
+  PeerNetwork& m_peers;
+  MemberUpdate m_self;
+  NoticeTracker m_notices;
+  std::unique_ptr<Timer> m_timer;
+  std::shared_ptr<CrashReports*> m_alive;
+};
+
+/// The notice that reports `crash` to peers.
+EvidenceNotice MakeEvidenceNotice(const LeafCrash& crash, TimePoint now);
+/// The crash that a peer's notice reports.
+LeafCrash ReadEvidenceNotice(const EvidenceNotice& notice, TimePoint now);
+
+}  // namespace bramleyspoke
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -1,6 +1,7 @@
 #include "process/relay_daemon.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/problems.h"
@@ -8,6 +9,7 @@
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
 #include "process/counting_key_value_store.h"
+#include "process/crash_reports.h"
 #include "process/holder_choice.h"
 #include "process/log.h"
 #include "process/planned_stop.h"
@@ -31,8 +33,6 @@
 constexpr double kStopBoundShare = 0.93;
 // Lower bound of the time limit for a client to send a whole request.
 constexpr std::chrono::seconds kMinRequestTimeout{10};
-// Timeout of a call that reports a leaf crash to a peer.
-constexpr std::chrono::milliseconds kCrashReportTimeout{1000};
 // Routes may be out of date once the store was unreachable for this long.
 constexpr std::chrono::milliseconds kStaleAfter{1500};
 
@@ -77,6 +77,8 @@
         Locality{m_settings.failure_domain, m_settings.region,
                  m_settings.regions},
         m_settings.repeats, m_peers->Network(), *this);
+    m_reports = std::make_unique<CrashReports>(*m_loop, m_clock,
+                                               m_peers->Network(), Self());
     BOOST_LEAF_ASSIGN(m_callers,
                       HttpServer::Create(*m_loop, m_settings.caller_listen,
                                          HttpServerLimits{}, *m_front));
@@ -178,16 +180,7 @@
   }
 
   // The caller may resend the request that crashed a leaf to any other holder.
-  void OnLeafCrash(const RequestPart& part) override {
-    GossipMessage message;
-    message.sender = Self();
-    message.evidence.push_back({part.service, part.content, 1});
-    for (const DaemonEntry& daemon : Holders()) {
-      if (daemon.peer != m_settings.peer_listen) {
-        NotifyPeer(daemon.peer, message);
-      }
-    }
-  }
+  void OnLeafCrash(const LeafCrash& crash) override { m_reports->Add(crash); }
 
   void OnCrashEvidence(const CrashEvidenceEvent& event) override {
     m_metrics->Observe(event);
@@ -202,7 +195,7 @@
                 std::function<void(GossipMessage)> reply) override {
     m_loop->Post([this, evidence = std::move(message.evidence)] {
       for (const EvidenceNotice& notice : evidence) {
-        m_front->OnPeerCrash({notice.fingerprint, notice.service});
+        m_front->OnPeerCrash(ReadEvidenceNotice(notice, m_clock.Now()));
       }
     });
     GossipMessage answer;
@@ -267,17 +260,6 @@
     return self;
   }
 
-  void NotifyPeer(const Endpoint& peer, const GossipMessage& message) {
-    m_peers->Network().Gossip(
-        peer, message, kCrashReportTimeout,
-        [peer](const std::optional<GossipMessage>& reply) {
-          if (!reply) {
-            WriteLog(LogLevel::kWarning, "crash_word_lost",
-                     {Field("peer", ToString(peer))});
-          }
-        });
-  }
-
   std::vector<Endpoint> OtherSeeds() const {
     std::vector<Endpoint> seeds = m_settings.seeds;
     std::erase(seeds, m_settings.peer_listen);
@@ -311,6 +293,11 @@
     m_control_loop->Post(
         [this, is_holder] { m_control->SetIsHolder(is_holder); });
     m_front->SetPeers(peers);
+    std::set<Endpoint> endpoints;
+    for (const RelayPeer& peer : peers) {
+      endpoints.insert(peer.address);
+    }
+    m_reports->SetPeers(std::move(endpoints));
   }
 
   bool IsRegistered() const {
@@ -413,11 +400,13 @@
   const RelaySettings m_settings;
   const RelayAdapters m_adapters;
   const ReadSettings m_read_settings;
+  const SteadyClock m_clock;
   const std::unique_ptr<EventLoop> m_loop;
   const std::unique_ptr<EventLoop> m_control_loop;
   const std::unique_ptr<RelayMetrics> m_metrics;
   std::unique_ptr<CapnpPeers> m_peers;
   std::unique_ptr<RelayFront> m_front;
+  std::unique_ptr<CrashReports> m_reports;
   RelayLog m_log;
   PlannedStop m_stop;
   std::unique_ptr<HttpServer> m_callers;
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -143,8 +143,8 @@
   m_engine.SetPeers(peers);
 }
 
-void RelayFront::OnPeerCrash(const RequestPart& part) {
-  m_engine.OnPeerCrash(part, Now());
+void RelayFront::OnPeerCrash(const LeafCrash& crash) {
+  m_engine.OnPeerCrash(crash, Now());
   ReportCrashes();
 }
 
@@ -420,8 +420,8 @@
   for (const CrashEvidenceEvent& event : m_engine.TakeCrashEvents()) {
     m_observer.OnCrashEvidence(event);
   }
-  for (const RequestPart& part : m_engine.TakeCrashes()) {
-    m_observer.OnLeafCrash(part);
+  for (const LeafCrash& crash : m_engine.TakeCrashes()) {
+    m_observer.OnLeafCrash(crash);
   }
 }
 
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -47,7 +47,7 @@
   virtual void OnAttemptFailed(std::string_view request_id,
                                const FailedAttempt& send) = 0;
   /// A leaf crashed while it ran this part of a request.
-  virtual void OnLeafCrash(const RequestPart& part) = 0;
+  virtual void OnLeafCrash(const LeafCrash& crash) = 0;
   virtual void OnCrashEvidence(const CrashEvidenceEvent& event) = 0;
 };
 
@@ -89,7 +89,7 @@
   void SetHolders(std::map<std::string, std::size_t> by_region, bool is_holder);
   void SetPeers(const std::vector<RelayPeer>& peers);
   /// A peer reported that a leaf crashed while it ran this part of a request.
-  void OnPeerCrash(const RequestPart& part);
+  void OnPeerCrash(const LeafCrash& crash);
   /// Sets whether the routes may be out of date. If so, a request without a
   /// matching route is refused as not ready, since its route may exist.
   void SetStale(bool is_stale) { m_is_stale = is_stale; }
--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -28,6 +28,15 @@
                               part.content);
 }
 
+// Different for each crash that a daemon sees, also after its restart.
+std::uint64_t MakeCrashId(const RequestPart& part,
+                          const LeafRegistration& leaf,
+                          TimePoint at) {
+  const std::string attempt =
+      leaf.id + "~" + std::to_string(at.time_since_epoch().count());
+  return XXH3_64bits_withSeed(attempt.data(), attempt.size(), part.content);
+}
+
 }  // namespace
 
 std::uint64_t FingerprintOfContent(std::string_view method,
@@ -117,14 +126,14 @@
   }
 }
 
-void CrashLedger::OnPeerCrash(const RequestPart& part, TimePoint now) {
-  const bool is_new = AddCrash(part, false, now);
-  Report(
-      is_new ? CrashEvidenceStep::kReported : CrashEvidenceStep::kReportedAgain,
-      part, "", Duration::zero(), now);
+void CrashLedger::OnPeerCrash(const LeafCrash& crash, TimePoint now) {
+  const CrashEvidenceStep step = AddCrash(crash)
+                                     ? CrashEvidenceStep::kReported
+                                     : CrashEvidenceStep::kReportedAgain;
+  Report(step, crash.part, "", now - crash.at, now);
 }
 
-std::vector<RequestPart> CrashLedger::TakeCrashes() {
+std::vector<LeafCrash> CrashLedger::TakeCrashes() {
   return std::exchange(m_unreported_crashes, {});
 }
 
@@ -158,9 +167,13 @@
     if (!is_crash(attempt)) {
       return false;
     }
-    const bool is_new = AddCrash(attempt.part, attempt.is_survived, attempt.at);
+    const LeafCrash crash{
+        attempt.part,
+        MakeCrashId(attempt.part, attempt.leaf->registration, attempt.at),
+        attempt.at, attempt.is_survived};
+    const bool is_new = AddCrash(crash);
     if (is_new) {
-      m_unreported_crashes.push_back(attempt.part);
+      m_unreported_crashes.push_back(crash);
     }
     Report(is_new ? CrashEvidenceStep::kCrashed
                   : CrashEvidenceStep::kCrashedTogether,
@@ -169,12 +182,12 @@
   });
 }
 
-bool CrashLedger::AddCrash(const RequestPart& part,
-                           bool is_survived,
-                           TimePoint at) {
-  const bool is_new_for_part = m_part_crashes.Add(FingerprintOf(part), at);
+bool CrashLedger::AddCrash(const LeafCrash& crash) {
+  const bool is_new_for_part =
+      m_part_crashes.Add(FingerprintOf(crash.part), crash.id, crash.at);
   const bool is_new_for_content =
-      !is_survived && m_content_crashes.Add(part.content, at);
+      !crash.is_survived &&
+      m_content_crashes.Add(crash.part.content, crash.id, crash.at);
   return is_new_for_part || is_new_for_content;
 }
 
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -62,6 +62,16 @@
   std::size_t crashes = 0;
 };
 
+/// A leaf's crash while it ran a part of a request.
+struct LeafCrash {
+  RequestPart part;
+  /// Identifies the crash as seen by one daemon.
+  std::uint64_t id = 0;
+  TimePoint at;
+  /// Whether a leaf has answered the request since.
+  bool is_survived = false;
+};
+
 /// Counts the leafs that crashed while they ran the same request.
 ///
 /// A request may crash every leaf that runs it and be sent again repeatedly, to
@@ -106,9 +116,9 @@
   void OnAnswered(const RelayLeaf& leaf, TimePoint sent, TimePoint now);
 
   /// Records a crash that a peer reported.
-  void OnPeerCrash(const RequestPart& part, TimePoint now);
+  void OnPeerCrash(const LeafCrash& crash, TimePoint now);
   /// The crashes observed by this daemon since the last call.
-  std::vector<RequestPart> TakeCrashes();
+  std::vector<LeafCrash> TakeCrashes();
   /// The changes of the evidence since the last call, for log and metrics.
   std::vector<CrashEvidenceEvent> TakeEvents();
 
@@ -125,8 +135,8 @@
 
   template <typename Predicate>
   void ConfirmCrashes(Predicate is_crash, TimePoint now);
-  /// Returns false if the crash counts together with another one.
-  bool AddCrash(const RequestPart& part, bool is_survived, TimePoint at);
+  /// Returns false if the crash is known or counts together with another one.
+  bool AddCrash(const LeafCrash& crash);
   void DropExpired(TimePoint now);
   static bool IsExpired(const UnansweredAttempt& attempt, TimePoint now);
   void Report(CrashEvidenceStep step,
@@ -142,7 +152,7 @@
   /// Crashes since the last answer to the request, by the content's
   /// fingerprint.
   CrashTable m_content_crashes;
-  std::vector<RequestPart> m_unreported_crashes;
+  std::vector<LeafCrash> m_unreported_crashes;
   std::vector<CrashEvidenceEvent> m_events;
 };
 
--- a/src/request/crash_table.cc
+++ b/src/request/crash_table.cc
@@ -6,42 +6,51 @@
 
 // Peers report crashes with a delay, so the times of several daemons may be out
 // of order.
-bool CrashTable::Add(std::uint64_t fingerprint, TimePoint at) {
-  if (m_times.size() >= kMaxFingerprints && !m_times.contains(fingerprint)) {
+bool CrashTable::Add(std::uint64_t fingerprint,
+                     std::uint64_t id,
+                     TimePoint at) {
+  if (m_crashes.size() >= kMaxFingerprints &&
+      !m_crashes.contains(fingerprint)) {
     EvictOldest();
   }
-  std::vector<TimePoint>& times = m_times[fingerprint];
-  std::erase_if(times,
-                [&](TimePoint time) { return at - time >= kCrashRetention; });
+  std::vector<Crash>& crashes = m_crashes[fingerprint];
+  std::erase_if(crashes, [&](const Crash& crash) {
+    return at - crash.at >= kCrashRetention;
+  });
   const bool is_known =
-      std::any_of(times.begin(), times.end(), [&](TimePoint time) {
-        return time - at < kMinCrashSpacing && at - time < kMinCrashSpacing;
+      std::any_of(crashes.begin(), crashes.end(), [&](const Crash& crash) {
+        return crash.id == id || (crash.at - at < kMinCrashSpacing &&
+                                  at - crash.at < kMinCrashSpacing);
       });
   if (is_known) {
     return false;
   }
-  times.insert(std::upper_bound(times.begin(), times.end(), at), at);
+  const auto place = std::upper_bound(
+      crashes.begin(), crashes.end(), at,
+      [](TimePoint time, const Crash& crash) { return time < crash.at; });
+  crashes.insert(place, Crash{id, at});
   return true;
 }
 
 bool CrashTable::RemoveOldest(std::uint64_t fingerprint) {
-  const auto found = m_times.find(fingerprint);
-  if (found == m_times.end()) {
+  const auto found = m_crashes.find(fingerprint);
+  if (found == m_crashes.end()) {
     return false;
   }
   found->second.erase(found->second.begin());
   if (found->second.empty()) {
-    m_times.erase(found);
+    m_crashes.erase(found);
   }
   return true;
 }
 
 std::size_t CrashTable::Count(std::uint64_t fingerprint, TimePoint now) const {
-  if (m_times.empty()) {
+  if (m_crashes.empty()) {
     return 0;
   }
-  const auto found = m_times.find(fingerprint);
-  if (found == m_times.end() || now - found->second.back() >= kCrashRetention) {
+  const auto found = m_crashes.find(fingerprint);
+  if (found == m_crashes.end() ||
+      now - found->second.back().at >= kCrashRetention) {
     return 0;
   }
   return found->second.size();
@@ -49,10 +58,10 @@
 
 void CrashTable::EvictOldest() {
   const auto oldest = std::min_element(
-      m_times.begin(), m_times.end(), [](const auto& a, const auto& b) {
-        return a.second.back() < b.second.back();
+      m_crashes.begin(), m_crashes.end(), [](const auto& a, const auto& b) {
+        return a.second.back().at < b.second.back().at;
       });
-  m_times.erase(oldest);
+  m_crashes.erase(oldest);
 }
 
 }  // namespace bramleyspoke
--- a/src/request/crash_table.h
+++ b/src/request/crash_table.h
@@ -9,7 +9,7 @@
 
 namespace bramleyspoke {
 
-/// Times of crashes by fingerprint, bounded in number and age.
+/// Crashes by fingerprint, bounded in number and age.
 class CrashTable {
  public:
   /// Crashes closer together than this count as one failure of several leafs.
@@ -18,21 +18,27 @@
   static constexpr Duration kCrashRetention = std::chrono::minutes(10);
   static constexpr std::size_t kMaxFingerprints = 4096;
 
-  /// Returns false if the crash counts together with another one.
-  bool Add(std::uint64_t fingerprint, TimePoint at);
+  /// Adds the crash `id`; returns false if it is known or counts together with
+  /// another one.
+  bool Add(std::uint64_t fingerprint, std::uint64_t id, TimePoint at);
   /// Removes the oldest crash; false if there was none.
   bool RemoveOldest(std::uint64_t fingerprint);
   /// Removes all crashes; false if there was none.
   bool Remove(std::uint64_t fingerprint) {
-    return m_times.erase(fingerprint) > 0;
+    return m_crashes.erase(fingerprint) > 0;
   }
   std::size_t Count(std::uint64_t fingerprint, TimePoint now) const;
 
  private:
+  struct Crash {
+    std::uint64_t id = 0;
+    TimePoint at;
+  };
+
   void EvictOldest();
 
-  /// In order for each fingerprint; never empty.
-  std::unordered_map<std::uint64_t, std::vector<TimePoint>> m_times;
+  /// In order of time for each fingerprint; never empty.
+  std::unordered_map<std::uint64_t, std::vector<Crash>> m_crashes;
 };
 
 }  // namespace bramleyspoke
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -87,11 +87,11 @@
   }
 
   /// Records that a peer saw a leaf crash while it ran a part of a request.
-  void OnPeerCrash(const RequestPart& part, TimePoint now) {
-    m_crashes.OnPeerCrash(part, now);
+  void OnPeerCrash(const LeafCrash& crash, TimePoint now) {
+    m_crashes.OnPeerCrash(crash, now);
   }
   /// Returns the crashes seen by this daemon since the last call.
-  std::vector<RequestPart> TakeCrashes() { return m_crashes.TakeCrashes(); }
+  std::vector<LeafCrash> TakeCrashes() { return m_crashes.TakeCrashes(); }
   /// Returns the changes of the crash evidence since the last call.
   std::vector<CrashEvidenceEvent> TakeCrashEvents() {
     return m_crashes.TakeEvents();
--- a/tests/relay_crash_test.cc
+++ b/tests/relay_crash_test.cc
@@ -77,16 +77,45 @@
   RelayFixture other;
   other.AddLeaf("s0", "a");
   other.fingerprint = kCrashingFingerprint;
-  for (int crash = 0; crash < 3; ++crash) {
+  const auto submit_harmless = [&other] {
     const RelayNumber number = other.Submit(0);
     CHECK_FALSE(other.outcomes.contains(number));
-    other.engine.OnPeerCrash(seen.front(), other.now);
-    other.Advance(milliseconds(500));
+  };
+  LeafCrash report = seen.front();
+  SUBCASE("reported one after the other") {
+    for (int crash = 0; crash < 3; ++crash) {
+      submit_harmless();
+      ++report.id;
+      report.at = other.now;
+      other.engine.OnPeerCrash(report, other.now);
+      other.Advance(milliseconds(500));
+    }
+  }
+  SUBCASE("reported together, after a pause of this daemon") {
+    other.Advance(std::chrono::seconds(10));
+    submit_harmless();
+    for (int crash = 0; crash < 3; ++crash) {
+      ++report.id;
+      report.at = other.now - std::chrono::seconds(9 - crash);
+      other.engine.OnPeerCrash(report, other.now);
+    }
   }
   CHECK(other.Outcome(other.Submit(0)).refusal->reason ==
         RefusalReason::kCrashSuspect);
 }
 
+TEST_CASE("a crash that is reported again counts once") {
+  RelayFixture relay;
+  relay.AddLeaf("s0", "a");
+  relay.fingerprint = kCrashingFingerprint;
+  for (int report = 0; report < 5; ++report) {
+    relay.engine.OnPeerCrash({{kCrashingFingerprint, "s0"}, 5, relay.now},
+                             relay.now);
+    relay.Advance(milliseconds(500));
+  }
+  CHECK_FALSE(relay.outcomes.contains(relay.Submit(0)));
+}
+
 TEST_CASE("each step of crash evidence is reported") {
   CrashFixture relay;
   const auto steps = [&relay] {
@@ -108,8 +137,10 @@
     CHECK(steps() == std::vector{Step::kSurvived});
   }
   SUBCASE("a peer's report") {
-    relay.engine.OnPeerCrash({kCrashingFingerprint, "s0"}, relay.now);
-    relay.engine.OnPeerCrash({kCrashingFingerprint, "s0"}, relay.now);
+    relay.engine.OnPeerCrash({{kCrashingFingerprint, "s0"}, 5, relay.now},
+                             relay.now);
+    relay.engine.OnPeerCrash({{kCrashingFingerprint, "s0"}, 5, relay.now},
+                             relay.now);
     CHECK(steps() == std::vector{Step::kReported, Step::kReportedAgain});
   }
   SUBCASE("a leaf that is not found gone in time") {
@@ -269,7 +300,8 @@
   RelayFixture relay;
   AddShards(relay);
   relay.fingerprint = kCrashingFingerprint;
-  relay.engine.OnPeerCrash({kCrashingFingerprint, "s7"}, relay.now);
+  relay.engine.OnPeerCrash({{kCrashingFingerprint, "s7"}, 5, relay.now},
+                           relay.now);
   relay.Advance(milliseconds(500));
   const RelayNumber number = relay.Submit(kShards);
   REQUIRE(relay.sends.size() == 1);
--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -84,7 +84,8 @@
 TEST_CASE(
     "a request that crashed leafs is not delegated until a leaf answers") {
   FarShards fixture;
-  fixture.engine.OnPeerCrash({fixture.fingerprint, "s0"}, fixture.now);
+  fixture.engine.OnPeerCrash({{fixture.fingerprint, "s0"}, 5, fixture.now},
+                             fixture.now);
   fixture.Submit(4);
   CHECK(fixture.delegations.empty());
   REQUIRE(fixture.sends.size() == 1);
