Keep requests that crash leafs in the store, for daemons that restart

Callers saw a request that had crashed three leafs reach more of them: each daemon that had restarted sent it on.

Cause: what daemons know of crashes is in their memory. A planned restart of all in turn, or all killed at once, loses it, and a daemon that starts gets routes, leafs and daemons from the store or from a peer, but no crashes.

Change: a daemon that finds a request to crash leafs, or refuses it by its own count, writes it to the store, under a lease of ten minutes that nobody renews; the watch that all daemons have anyway brings it to them. A peer's knowledge for a daemon that starts while the store is away has these requests, too. Only requests that are refused are written: after a failure of many leafs, hundreds of requests are in doubt and none is refused.

Ruled out: all crashes in the store (a write for each, in just the seconds when many leafs fail); a peer's knowledge alone, which is gone if all daemons are lost at once.

--- a/src/connection/knowledge_messages.cc
+++ b/src/connection/knowledge_messages.cc
@@ -80,6 +80,11 @@
   for (unsigned i = 0; i < daemons.size(); ++i) {
     WriteDaemon(knowledge.daemons[i], daemons[i]);
   }
+  auto suspects = builder.initSuspects(knowledge.suspects.size());
+  for (unsigned i = 0; i < suspects.size(); ++i) {
+    suspects[i].setContent(knowledge.suspects[i].content);
+    suspects[i].setService(knowledge.suspects[i].service);
+  }
 }
 
 StoreKnowledge ReadKnowledge(wire::Knowledge::Reader reader) {
@@ -95,6 +100,9 @@
       knowledge.daemons.push_back(std::move(*daemon));
     }
   }
+  for (const auto row : reader.getSuspects()) {
+    knowledge.suspects.push_back({row.getContent(), ToStd(row.getService())});
+  }
   return knowledge;
 }
 
--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -132,12 +132,20 @@
   processor @5 :UInt32;
 }
 
+# A request that is refused because it crashes leafs.
+struct Suspect {
+  content @0 :UInt64;
+  # Empty if the request is refused at all services.
+  service @1 :Text;
+}
+
 # What a daemon knows of the store's contents.
 struct Knowledge {
   # In the store's format; empty if the daemon has none.
   routes @0 :Data;
   leafs @1 :List(Leaf);
   daemons @2 :List(Daemon);
+  suspects @3 :List(Suspect);
 }
 
 interface Peer {
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -1,12 +1,14 @@
 #include "process/relay_control.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
 
 #include "base/problems.h"
 #include "connection/event_loop.h"
+#include "process/crash_suspect_writer.h"
 #include "process/daemon_registration.h"
 #include "process/log.h"
 #include "process/log_sampler.h"
@@ -37,7 +39,8 @@
                        store,
                        m_own_key,
                        schema.WriteDaemon(self.entry),
-                       [this] { m_follower.Probe(); }) {}
+                       [this] { m_follower.Probe(); }),
+        m_suspect_writer(loop, store) {}
 
   void Start() override {
     m_follower.Start();
@@ -53,6 +56,12 @@
     m_registration.SetTimings(timings);
   }
 
+  void AddCrashSuspect(const CrashSuspect& suspect) override {
+    const std::string key = m_schema.CrashSuspectKey(suspect);
+    m_suspects[key] = suspect;
+    m_suspect_writer.Write(key, m_schema.WriteCrashSuspect(suspect));
+  }
+
   StoreKnowledge Knowledge() const override {
     StoreKnowledge knowledge;
     knowledge.routes = m_routes;
@@ -60,6 +69,9 @@
     for (const auto& [key, daemon] : m_daemons.Rows()) {
       knowledge.daemons.push_back({key, daemon});
     }
+    for (const auto& [key, suspect] : m_suspects) {
+      knowledge.suspects.push_back(suspect);
+    }
     return knowledge;
   }
 
@@ -87,6 +99,9 @@
             daemons.insert(item.key);
           }
           break;
+        case StoreKeyKind::kCrashSuspect:
+          ApplyCrashSuspect(item.key, item.value);
+          break;
         case StoreKeyKind::kOther:
           break;
       }
@@ -121,6 +136,9 @@
           is_daemon_changed = true;
           ApplyDaemonEvent(event);
           break;
+        case StoreKeyKind::kCrashSuspect:
+          ApplyCrashSuspectEvent(event);
+          break;
         case StoreKeyKind::kOther:
           break;
       }
@@ -246,6 +264,29 @@
     }
   }
 
+  void ApplyCrashSuspect(const std::string& key, const std::string& value) {
+    const auto read = Check([&] { return m_schema.ReadCrashSuspect(value); });
+    if (!read.value) {
+      WriteLog(LogLevel::kWarning, "crash_suspect_refused",
+               {Field("key", key), Field("problems", ToString(read.problems))});
+      return;
+    }
+    m_suspect_writer.OnStored(key);
+    if (m_suspects.emplace(key, *read.value).second) {
+      WriteLog(LogLevel::kInfo, "crash_suspect_read", {Field("key", key)});
+    }
+    m_listener.OnCrashSuspect(*read.value);
+  }
+
+  void ApplyCrashSuspectEvent(const KeyValueEvent& event) {
+    if (event.value) {
+      ApplyCrashSuspect(event.key, *event.value);
+      return;
+    }
+    m_suspects.erase(event.key);
+    m_suspect_writer.OnRemoved(event.key);
+  }
+
   // Applies routes, leafs and daemons received from a peer. The first read of
   // the store removes the leafs and daemons that it lacks and replaces the
   // routes if its version is newer.
@@ -260,6 +301,10 @@
     for (const KeyedDaemon& keyed : knowledge.daemons) {
       m_daemons.Put(keyed.key, keyed.daemon);
     }
+    for (const CrashSuspect& suspect : knowledge.suspects) {
+      m_suspects.emplace(m_schema.CrashSuspectKey(suspect), suspect);
+      m_listener.OnCrashSuspect(suspect);
+    }
     NotifyLeafs();
     NotifyDaemons();
   }
@@ -316,8 +361,11 @@
   RelayControlListener& m_listener;
   StoreFollower m_follower;
   DaemonRegistration m_registration;
+  CrashSuspectWriter m_suspect_writer;
   EntryRegistry<LeafRegistration> m_leafs;
   EntryRegistry<DaemonEntry> m_daemons;
+  /// By key.
+  std::map<std::string, CrashSuspect> m_suspects;
   /// The routes in force, as stored.
   std::string m_routes;
   std::uint64_t m_version = 0;
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -21,6 +21,8 @@
   virtual void OnTable(std::shared_ptr<const RouteTable> table) = 0;
   virtual void OnLeafs(std::vector<LeafRegistration> leafs) = 0;
   virtual void OnDaemons(std::vector<DaemonEntry> daemons) = 0;
+  /// Reports a request that any daemon found to crash leafs.
+  virtual void OnCrashSuspect(const CrashSuspect& suspect) = 0;
   /// Reports whether the calls that follow the store succeed.
   virtual void OnStoreReachability(bool is_reachable) = 0;
 };
@@ -31,7 +33,8 @@
   DaemonEntry entry;
 };
 
-/// Follows routes, leafs and daemons in the store, and registers this daemon.
+/// Follows routes, leafs, daemons and suspect requests in the store, and
+/// registers this daemon.
 ///
 /// Runs on its own loop; the listener must pass events on to other threads.
 class RelayControl {
@@ -48,8 +51,11 @@
   /// Sets the timings of store calls for a holder or a standby; called on the
   /// control loop.
   virtual void SetIsHolder(bool is_holder) = 0;
-  /// Routes, leafs and daemons known here, for a peer that starts while the
-  /// store is unreachable; called on the control loop.
+  /// Writes a request that this daemon found to crash leafs to the store;
+  /// called on the control loop.
+  virtual void AddCrashSuspect(const CrashSuspect& suspect) = 0;
+  /// Routes, leafs, daemons and suspect requests known here, for a peer that
+  /// starts while the store is unreachable; called on the control loop.
   virtual StoreKnowledge Knowledge() const = 0;
   /// Removes this daemon's entry from the store.
   virtual void BeginLeaving() = 0;
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -151,6 +151,10 @@
     });
   }
 
+  void OnCrashSuspect(const CrashSuspect& suspect) override {
+    m_loop->Post([this, suspect] { m_front->OnPeerSuspect(suspect); });
+  }
+
   void OnStoreReachability(bool is_reachable) override {
     m_loop->Post([this, is_reachable] {
       m_is_store_reachable = is_reachable;
@@ -187,6 +191,12 @@
     m_log.WriteCrashEvidence(event);
   }
 
+  // What a daemon knows ends with its process; the store outlasts it.
+  void OnSuspectFound(const CrashSuspect& suspect) override {
+    m_control_loop->Post(
+        [this, suspect] { m_control->AddCrashSuspect(suspect); });
+  }
+
   // PeerHandler, on the peers' thread. A relaying daemon serves shard queries
   // and fetches of store contents, and receives crash evidence. Indirect pings,
   // forwards and part fetches get no response.
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -148,6 +148,10 @@
   ReportCrashes();
 }
 
+void RelayFront::OnPeerSuspect(const CrashSuspect& suspect) {
+  m_engine.OnPeerSuspect(suspect, Now());
+}
+
 // The route's values are taken from the query, because this daemon may have
 // another version of the route table than the peer.
 std::function<void()> RelayFront::ServePeer(
@@ -423,6 +427,9 @@
   for (const LeafCrash& crash : m_engine.TakeCrashes()) {
     m_observer.OnLeafCrash(crash);
   }
+  for (const CrashSuspect& suspect : m_engine.TakeSuspects()) {
+    m_observer.OnSuspectFound(suspect);
+  }
 }
 
 void RelayFront::ArmTimer() {
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -49,6 +49,8 @@
   /// A leaf crashed while it ran this part of a request.
   virtual void OnLeafCrash(const LeafCrash& crash) = 0;
   virtual void OnCrashEvidence(const CrashEvidenceEvent& event) = 0;
+  /// This daemon found a request to crash leafs.
+  virtual void OnSuspectFound(const CrashSuspect& suspect) = 0;
 };
 
 /// Connects the sockets of callers, leafs and peers to a `RelayEngine`, which
@@ -90,6 +92,8 @@
   void SetPeers(const std::vector<RelayPeer>& peers);
   /// A peer reported that a leaf crashed while it ran this part of a request.
   void OnPeerCrash(const LeafCrash& crash);
+  /// A daemon found a request to crash leafs.
+  void OnPeerSuspect(const CrashSuspect& suspect);
   /// Sets whether the routes may be out of date. If so, a request without a
   /// matching route is refused as not ready, since its route may exist.
   void SetStale(bool is_stale) { m_is_stale = is_stale; }
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -1,9 +1,9 @@
 #include "process/relay_log.h"
 
-#include <array>
-#include <charconv>
 #include <chrono>
 
+#include "base/fingerprint.h"
+
 namespace bramleyspoke {
 namespace {
 
@@ -24,15 +24,6 @@
   return is_failed ? LogPriority::kFailure : LogPriority::kOther;
 }
 
-// JSON numbers cannot hold 64 bits.
-std::string FormatFingerprint(std::uint64_t fingerprint) {
-  constexpr int kHexBase = 16;
-  std::array<char, 17> text{};
-  const auto written = std::to_chars(text.data(), text.data() + text.size(),
-                                     fingerprint, kHexBase);
-  return {text.data(), written.ptr};
-}
-
 std::string_view NameOf(const Route* route) {
   return route == nullptr ? std::string_view() : route->name;
 }
--- a/src/process/store_schema.h
+++ b/src/process/store_schema.h
@@ -10,6 +10,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "connection/http_message.h"
+#include "version/crash_suspect.h"
 #include "version/daemon_entry.h"
 #include "version/leaf_registration.h"
 #include "version/route_table.h"
@@ -20,6 +21,7 @@
   kRoutes,
   kLeaf,
   kDaemon,
+  kCrashSuspect,
   kOther,
 };
 
@@ -38,6 +40,10 @@
   virtual Result<DaemonEntry> ReadDaemon(std::string_view value) const = 0;
   virtual std::string DaemonKey(std::string_view name) const = 0;
   virtual std::string WriteDaemon(const DaemonEntry& daemon) const = 0;
+  virtual Result<CrashSuspect> ReadCrashSuspect(
+      std::string_view value) const = 0;
+  virtual std::string CrashSuspectKey(const CrashSuspect& suspect) const = 0;
+  virtual std::string WriteCrashSuspect(const CrashSuspect& suspect) const = 0;
 };
 
 /// Formats of the HTTP queries for daemon addresses, from callers, and for
--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -56,7 +56,48 @@
 // whole.
 bool CrashLedger::IsSuspect(const RequestPart& part, TimePoint now) const {
   return CrashCount(part, now) >= kCrashLimit ||
-         m_content_crashes.Count(part.content, now) >= kCrashLimit;
+         m_content_crashes.Count(part.content, now) >= kCrashLimit ||
+         IsKnownSuspect({part.content, part.service}, now) ||
+         IsKnownSuspect({part.content, ""}, now);
+}
+
+bool CrashLedger::IsKnownSuspect(const CrashSuspect& suspect,
+                                 TimePoint now) const {
+  if (m_suspects.empty()) {
+    return false;
+  }
+  const auto found =
+      m_suspects.find(FingerprintOf({suspect.content, suspect.service}));
+  return found != m_suspects.end() &&
+         now - found->second < CrashTable::kCrashRetention;
+}
+
+void CrashLedger::OnPeerSuspect(const CrashSuspect& suspect, TimePoint now) {
+  std::erase_if(m_suspects, [&](const auto& entry) {
+    return now - entry.second >= CrashTable::kCrashRetention;
+  });
+  if (m_suspects.size() < CrashTable::kMaxFingerprints) {
+    m_suspects[FingerprintOf({suspect.content, suspect.service})] = now;
+  }
+}
+
+void CrashLedger::AddSuspect(const CrashSuspect& suspect, TimePoint now) {
+  if (!IsKnownSuspect(suspect, now)) {
+    OnPeerSuspect(suspect, now);
+    m_unreported_suspects.push_back(suspect);
+  }
+}
+
+void CrashLedger::ReportIfSuspect(const RequestPart& part, TimePoint now) {
+  if (m_content_crashes.Count(part.content, now) >= kCrashLimit) {
+    AddSuspect({part.content, ""}, now);
+  } else if (CrashCount(part, now) >= kCrashLimit) {
+    AddSuspect({part.content, part.service}, now);
+  }
+}
+
+std::vector<CrashSuspect> CrashLedger::TakeSuspects() {
+  return std::exchange(m_unreported_suspects, {});
 }
 
 bool CrashLedger::IsDoubtful(std::uint64_t content, TimePoint now) const {
@@ -174,6 +215,7 @@
     const bool is_new = AddCrash(crash);
     if (is_new) {
       m_unreported_crashes.push_back(crash);
+      ReportIfSuspect(crash.part, now);
     }
     Report(is_new ? CrashEvidenceStep::kCrashed
                   : CrashEvidenceStep::kCrashedTogether,
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -5,12 +5,14 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "request/crash_table.h"
 #include "request/leaf_table.h"
+#include "version/crash_suspect.h"
 
 namespace bramleyspoke {
 
@@ -93,6 +95,12 @@
   /// Whether the part must not be sent to leafs: the request has crashed leafs
   /// `kCrashLimit` times, here or at any service since a leaf answered it.
   bool IsSuspect(const RequestPart& part, TimePoint now) const;
+  /// Records that a peer found a request to crash leafs.
+  void OnPeerSuspect(const CrashSuspect& suspect, TimePoint now);
+  /// Reports the part to peers if it is suspect by this daemon's count.
+  void ReportIfSuspect(const RequestPart& part, TimePoint now);
+  /// Suspects found by this daemon since the last call, for its peers.
+  std::vector<CrashSuspect> TakeSuspects();
   /// Whether the request has crashed leafs and no leaf has answered it since.
   bool IsDoubtful(std::uint64_t content, TimePoint now) const;
   /// Number of crashes that count against the part.
@@ -137,6 +145,8 @@
   void ConfirmCrashes(Predicate is_crash, TimePoint now);
   /// Returns false if the crash is known or counts together with another one.
   bool AddCrash(const LeafCrash& crash);
+  bool IsKnownSuspect(const CrashSuspect& suspect, TimePoint now) const;
+  void AddSuspect(const CrashSuspect& suspect, TimePoint now);
   void DropExpired(TimePoint now);
   static bool IsExpired(const UnansweredAttempt& attempt, TimePoint now);
   void Report(CrashEvidenceStep step,
@@ -152,6 +162,10 @@
   /// Crashes since the last answer to the request, by the content's
   /// fingerprint.
   CrashTable m_content_crashes;
+  /// Suspects known to all daemons, by fingerprint, with the time when they
+  /// became known.
+  std::unordered_map<std::uint64_t, TimePoint> m_suspects;
+  std::vector<CrashSuspect> m_unreported_suspects;
   std::vector<LeafCrash> m_unreported_crashes;
   std::vector<CrashEvidenceEvent> m_events;
 };
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -90,6 +90,12 @@
   void OnPeerCrash(const LeafCrash& crash, TimePoint now) {
     m_crashes.OnPeerCrash(crash, now);
   }
+  /// Records that a peer found a request to crash leafs.
+  void OnPeerSuspect(const CrashSuspect& suspect, TimePoint now) {
+    m_crashes.OnPeerSuspect(suspect, now);
+  }
+  /// Returns the suspect requests found by this daemon since the last call.
+  std::vector<CrashSuspect> TakeSuspects() { return m_crashes.TakeSuspects(); }
   /// Returns the crashes seen by this daemon since the last call.
   std::vector<LeafCrash> TakeCrashes() { return m_crashes.TakeCrashes(); }
   /// Returns the changes of the crash evidence since the last call.
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -53,6 +53,8 @@
   for (const Part& part : request.parts) {
     if (IsSuspect(request, part)) {
       ++suspect;
+      m_crashes.ReportIfSuspect(
+          {request.request.fingerprint, part.service->name}, m_now);
       continue;
     }
     const LeafChoice choice = ChooseLeaf(*part.service, route.name, {}, m_now);
--- a/src/version/store_knowledge.h
+++ b/src/version/store_knowledge.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "version/crash_suspect.h"
 #include "version/daemon_entry.h"
 #include "version/leaf_registration.h"
 
@@ -23,6 +24,7 @@
   std::string routes;
   std::vector<LeafRegistration> leafs;
   std::vector<KeyedDaemon> daemons;
+  std::vector<CrashSuspect> suspects;
 
   bool operator==(const StoreKnowledge&) const = default;
 };
--- a/tests/held_store.h
+++ b/tests/held_store.h
@@ -50,10 +50,11 @@
   void Revoke(LeaseId lease, StatusCallback /*done*/) override {
     revoked.push_back(lease);
   }
-  void Put(const std::string& /*key*/,
+  void Put(const std::string& key,
            const std::string& /*value*/,
            LeaseId /*lease*/,
            StatusCallback done) override {
+    put_keys.push_back(key);
     puts.push_back(std::move(done));
   }
 
@@ -83,6 +84,8 @@
   std::vector<HeldGrant> grants;
   std::vector<StatusCallback> renews;
   std::vector<StatusCallback> puts;
+  /// Keys of all puts so far.
+  std::vector<std::string> put_keys;
   std::vector<LeaseId> revoked;
 };
 
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -59,6 +59,7 @@
   knowledge.daemons = {
       {"key",
        {{"127.0.1.1", 8104}, {"127.0.1.1", 8106}, "domain", "region", 250}}};
+  knowledge.suspects = {{42, ""}, {43, "service"}};
   return knowledge;
 }
 
--- a/tests/process_relay_crash_test.cc
+++ b/tests/process_relay_crash_test.cc
@@ -21,6 +21,7 @@
 constexpr std::chrono::milliseconds kSettleTime{500};
 constexpr int kLeafs = 6;
 constexpr std::uint16_t kLeafPort = 9000;
+const std::string kSeed = R"("127.0.6.1:8106")";
 
 const std::string kRoutes =
     R"({"version":3,"routes":[{"name":"lookup","host":"h","prefix":"/",)"
@@ -42,7 +43,7 @@
     }
     for (const char* ip : {"127.0.6.1", "127.0.6.2", "127.0.6.3"}) {
       m_relays.push_back(
-          std::make_unique<RelayProcess>(ip, m_store.Address(), ""));
+          std::make_unique<RelayProcess>(ip, m_store.Address(), kSeed));
     }
     WaitForDaemons();
   }
@@ -77,6 +78,8 @@
     std::this_thread::sleep_for(kSettleTime);
   }
 
+  void LoseStore() { m_store.StopAnswering(); }
+
   const HttpResponse& LastAnswer() const { return m_last_answer; }
 
  private:
@@ -124,6 +127,18 @@
   }
 }
 
+TEST_CASE(
+    "a request that crashes leafs is refused by a daemon that restarted while "
+    "the store does not answer") {
+  CrashingFleet fleet;
+  fleet.SendUntilRefused();
+  fleet.LoseStore();
+  fleet.Relay(2).Restart();
+  fleet.WaitForDaemons();
+  CHECK_MESSAGE(fleet.Send(2) == 0, fleet.Relay(2).Log());
+  CHECK(fleet.LastAnswer().status == 503);
+}
+
 TEST_CASE(
     "a request that crashes leafs is refused by a daemon that was paused "
     "meanwhile") {
--- a/tests/relay_crash_test.cc
+++ b/tests/relay_crash_test.cc
@@ -104,6 +104,45 @@
         RefusalReason::kCrashSuspect);
 }
 
+TEST_CASE(
+    "a suspect that peers know is refused at all services or at its own") {
+  RelayFixture relay;
+  AddShards(relay);
+  relay.fingerprint = kCrashingFingerprint;
+  SUBCASE("as a whole") {
+    relay.engine.OnPeerSuspect({kCrashingFingerprint, ""}, relay.now);
+    const RelayOutcome& outcome = relay.Outcome(relay.Submit(kShards));
+    REQUIRE(outcome.refusal.has_value());
+    CHECK(outcome.refusal->reason == RefusalReason::kCrashSuspect);
+    CHECK(outcome.refusal->verdict == Verdict::kNotRun);
+  }
+  SUBCASE("at one service") {
+    relay.engine.OnPeerSuspect({kCrashingFingerprint, "s3"}, relay.now);
+    relay.Submit(kShards);
+    CHECK(relay.sends.size() == kShards - 1);
+  }
+  CHECK(relay.engine.TakeSuspects().empty());
+  relay.Advance(CrashTable::kCrashRetention);
+  relay.sends.clear();
+  relay.Submit(kShards);
+  CHECK(relay.sends.size() == kShards);
+}
+
+TEST_CASE("a suspect is reported once by the daemon that finds it") {
+  CrashFixture relay;
+  relay.Submit(0);
+  relay.CrashAttemptedLeaf();
+  relay.CrashAttemptedLeaf();
+  CHECK(relay.engine.TakeSuspects().empty());
+  relay.Submit(0);
+  relay.CrashAttemptedLeaf();
+  const std::vector<CrashSuspect> found = relay.engine.TakeSuspects();
+  REQUIRE(found.size() == 1);
+  CHECK(found.front() == CrashSuspect{kCrashingFingerprint, ""});
+  relay.Submit(0);
+  CHECK(relay.engine.TakeSuspects().empty());
+}
+
 TEST_CASE("a crash that is reported again counts once") {
   RelayFixture relay;
   relay.AddLeaf("s0", "a");
--- a/tests/seed_reader_test.cc
+++ b/tests/seed_reader_test.cc
@@ -67,7 +67,7 @@
   CHECK(fixture.peers.queried == std::vector{kFirst, kSecond, kFirst});
   CHECK(fixture.received.empty());
 
-  fixture.Answer(StoreKnowledge{"routes", {}, {}});
+  fixture.Answer(StoreKnowledge{"routes", {}, {}, {}});
   CHECK(fixture.received == std::vector<std::string>{"routes"});
   CHECK_FALSE(fixture.loop.RunNextTimer());
 }
@@ -82,7 +82,7 @@
   SUBCASE("while a query is outstanding") {
     fixture.loop.RunNextTimer();
     fixture.reader->Stop();
-    fixture.Answer(StoreKnowledge{"routes", {}, {}});
+    fixture.Answer(StoreKnowledge{"routes", {}, {}, {}});
     CHECK(fixture.received.empty());
   }
 }
--- a/tests/store_entries_test.cc
+++ b/tests/store_entries_test.cc
@@ -117,4 +117,20 @@
   CHECK(entries.KindOf("else") == StoreKeyKind::kOther);
 }
 
+TEST_CASE("a suspect request is read back as it was written") {
+  const StoreEntries entries;
+  const CrashSuspect whole{0xfedcba9876543210, ""};
+  const CrashSuspect part{whole.content, "s1"};
+  for (const CrashSuspect& suspect : {whole, part}) {
+    const std::string value = entries.WriteCrashSuspect(suspect);
+    CHECK(entries.ReadCrashSuspect(value).value() == suspect);
+    CHECK(entries.KindOf(entries.CrashSuspectKey(suspect)) ==
+          StoreKeyKind::kCrashSuspect);
+  }
+  CHECK(entries.CrashSuspectKey(whole) != entries.CrashSuspectKey(part));
+  const auto invalid =
+      Check([&] { return entries.ReadCrashSuspect(R"({"content":"x"})"); });
+  CHECK(ToString(invalid.problems).find("content") != std::string::npos);
+}
+
 }  // namespace bramleyspoke::Platform
