Soak of daemons that restart and pause while a request crashes leafs

What the two tests of the incident show one by one, a seeded run now mixes: three daemons, a request that crashes all leafs sent each 250 ms to a random daemon, which may restart or be paused for up to 3 s at any step, harmless requests beside it. It checks the users' bound as they count it (retries sent later than 5 s after the third crash by daemons undisturbed for 5 s: at most three) and that no harmless request is refused as suspect.

--- /dev/null
+++ b/tests/process_relay_soak_test.cc
@@ -0,0 +1,180 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "crashing_fleet.h"
+
+namespace bramleyspoke {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kDefaultSeed = 17;
+constexpr seconds kLength{30};
+constexpr milliseconds kStep{250};
+// The rule counts daemons that have run undisturbed for this long, and retries
+// sent this long after the third crash.
+constexpr seconds kStableWindow{5};
+constexpr int kMaxRetriesAfterThirdCrash = 3;
+constexpr seconds kMinPause{1};
+constexpr seconds kMaxPause{4};
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+std::uint64_t Seed() {
+  const char* text = std::getenv("BRAMLEYSPOKE_SOAK_SEED");
+  return text == nullptr ? kDefaultSeed : std::strtoull(text, nullptr, 10);
+}
+
+/// Sends requests to random daemons while others are restarted and paused.
+class CrashSoak {
+ public:
+  CrashSoak(std::uint64_t seed, std::string target)
+      : m_random(seed), m_target(std::move(target)) {}
+  ~CrashSoak() {
+    for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
+      m_fleet.Relay(daemon).Signal(SIGCONT);
+    }
+  }
+
+  void Run() {
+    const TimePoint end = Now() + Duration(kLength);
+    while (Now() < end) {
+      ResumePaused();
+      DisturbOne();
+      SendCrashingRequest();
+      SendHarmlessRequest();
+      std::this_thread::sleep_for(kStep);
+    }
+  }
+
+  int Crashes() const { return m_fleet.Crashes(); }
+  int RetriesAfterThirdCrash() const { return m_retries; }
+  int HarmlessRefusedAsSuspect() const { return m_harmless_suspects; }
+  int HarmlessAnswered() const { return m_harmless_answered; }
+
+ private:
+  struct Daemon {
+    TimePoint disturbed_until;
+    bool is_paused = false;
+  };
+
+  std::size_t Random(std::size_t bound) {
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+  }
+
+  bool IsInTouch(std::size_t daemon) const {
+    return Now() - m_daemons[daemon].disturbed_until >= Duration(kStableWindow);
+  }
+
+  void ResumePaused() {
+    for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
+      if (m_daemons[daemon].is_paused &&
+          Now() >= m_daemons[daemon].disturbed_until) {
+        m_daemons[daemon].is_paused = false;
+        m_daemons[daemon].disturbed_until = Now();
+        m_fleet.Relay(daemon).Signal(SIGCONT);
+      }
+    }
+  }
+
+  // Disturbs a daemon in one of sixteen steps; a restart and a pause are
+  // equally likely.
+  void DisturbOne() {
+    constexpr std::size_t kOdds = 16;
+    const std::size_t daemon = Random(m_daemons.size());
+    if (Random(kOdds) > 0 || m_daemons[daemon].is_paused) {
+      return;
+    }
+    if (Random(2) == 0) {
+      m_fleet.Relay(daemon).Restart();
+      m_daemons[daemon].disturbed_until = Now();
+      return;
+    }
+    m_daemons[daemon].is_paused = true;
+    const auto extra =
+        static_cast<int>(Random((kMaxPause - kMinPause).count()));
+    m_daemons[daemon].disturbed_until =
+        Now() + Duration(kMinPause + seconds(extra));
+    m_fleet.Relay(daemon).Signal(SIGSTOP);
+  }
+
+  void SendCrashingRequest() {
+    const std::size_t daemon = Random(m_daemons.size());
+    if (m_daemons[daemon].is_paused) {
+      return;
+    }
+    const bool is_counted =
+        IsInTouch(daemon) && m_third_crash_at &&
+        Now() - *m_third_crash_at >= Duration(kStableWindow);
+    const int before = m_fleet.Crashes();
+    m_fleet.Relay(daemon).Send(std::string(FakePlatformLeaf::kCrashingBody),
+                               m_target);
+    const bool has_crashed = m_fleet.Crashes() > before;
+    m_retries += is_counted && has_crashed ? 1 : 0;
+    if (!m_third_crash_at && m_fleet.Crashes() >= 3) {
+      m_third_crash_at = Now();
+    }
+  }
+
+  void SendHarmlessRequest() {
+    const std::size_t daemon = Random(m_daemons.size());
+    if (m_daemons[daemon].is_paused) {
+      return;
+    }
+    const HttpResponse answer = m_fleet.Relay(daemon).Send(
+        "harmless-" + std::to_string(Random(3)), m_target);
+    m_harmless_answered += answer.status == 200 ? 1 : 0;
+    m_harmless_suspects +=
+        answer.body.find("crash_suspect") != std::string::npos ? 1 : 0;
+  }
+
+  std::mt19937_64 m_random;
+  std::string m_target;
+  CrashingFleet m_fleet;
+  std::array<Daemon, CrashingFleet::kDaemons> m_daemons;
+  std::optional<TimePoint> m_third_crash_at;
+  int m_retries = 0;
+  int m_harmless_suspects = 0;
+  int m_harmless_answered = 0;
+};
+
+}  // namespace
+
+TEST_CASE(
+    "a request that crashes leafs stays within its retries while daemons "
+    "restart and pause") {
+  const std::uint64_t seed = Seed();
+  CAPTURE(seed);
+  std::string target;
+  SUBCASE("one service") {
+    target = "/lookup";
+  }
+  SUBCASE("several shards") {
+    target = "/sweep/all";
+  }
+  CAPTURE(target);
+  CrashSoak soak(seed, target);
+  soak.Run();
+  MESSAGE("seed " << seed << " " << target << ": " << soak.Crashes()
+                  << " crashes, " << soak.RetriesAfterThirdCrash()
+                  << " retries after the third, " << soak.HarmlessAnswered()
+                  << " harmless requests answered");
+  CHECK(soak.Crashes() >= 3);
+  CHECK(soak.RetriesAfterThirdCrash() <= kMaxRetriesAfterThirdCrash);
+  CHECK(soak.HarmlessRefusedAsSuspect() == 0);
+  CHECK(soak.HarmlessAnswered() > 0);
+}
+
+}  // namespace bramleyspoke
--- a/tests/relay_process.cc
+++ b/tests/relay_process.cc
@@ -51,10 +51,10 @@
   Start();
 }
 
-HttpResponse RelayProcess::Send(const std::string& body) const {
+HttpResponse RelayProcess::Send(const std::string& body,
+                                const std::string& target) const {
   return SendRequest(
-      Callers(),
-      {"POST", "/lookup", {{"Host", "h"}, {"Request-Id", "id"}}, body});
+      Callers(), {"POST", target, {{"Host", "h"}, {"Request-Id", "id"}}, body});
 }
 
 std::string RelayProcess::Log() const {
--- a/tests/relay_process.h
+++ b/tests/relay_process.h
@@ -23,7 +23,8 @@
   Endpoint Peers() const { return {m_ip, 8106}; }
 
   /// Sends a request with this body and waits for the answer.
-  HttpResponse Send(const std::string& body) const;
+  HttpResponse Send(const std::string& body,
+                    const std::string& target = "/lookup") const;
   bool Serves() const { return Send("plain").status == 200; }
   std::string Log() const;
   std::string Metrics() const;
