No third leaf for a delegated shard while entries of leafs are missing

Cause: a daemon sends a delegated shard to leafs itself if its peer is late or lost and the service has no more leafs than the route's attempts. It counted the leafs that were registered at that moment. After an outage of the store in which leases lapse, entries of leafs that run are missing for up to two seconds; a standby, whose watch waits 20 s, does not notice the outage at all and takes them for gone.

Ruled out: load (nothing but known leafs enters that choice); the new routes, which came into force 0.4 s later at this daemon.

Change: that is done only for shards whose leafs have not changed for 10 s at the daemon. The delegation says which these are, and a peer that knows more of their leafs than the route's attempts declines them: they come back as not run.

Tests: two in relay_delegation_test, which fail with the mechanisms disabled (run); the older test of a lost delegation now lets the leafs settle first, so that it still needs the number of leafs. A contract test of shard queries is new: none existed.

--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -77,6 +77,8 @@
   # Whether the query is for shards that an earlier response left pending. The
   # query then does not carry the caller's request or its route.
   isContinuation @12 :Bool;
+  # By shard, whether the querying daemon may also send it to leafs.
+  bypassable @13 :List(Bool);
 }
 
 # The last stall of a leaf near the peer.
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -107,6 +107,8 @@
   HttpRequest request;
   std::string route;
   std::vector<std::string> shards;
+  /// By shard, whether the querying daemon may also send it to leafs.
+  std::vector<bool> bypassable;
   std::uint32_t max_attempts = 1;
   std::uint32_t result_limit = 0;
   std::uint32_t priority = 0;
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -221,6 +221,10 @@
   builder.setDeadlineMs(ToWireMilliseconds(query.time_left));
   builder.setAnswerByMs(ToWireMilliseconds(query.answer_time_left));
   builder.setIsContinuation(query.is_continuation);
+  auto bypassable = builder.initBypassable(query.bypassable.size());
+  for (unsigned i = 0; i < bypassable.size(); ++i) {
+    bypassable.set(i, query.bypassable[i]);
+  }
 }
 
 ShardQuery ReadShardQuery(wire::ShardQuery::Reader reader) {
@@ -238,6 +242,9 @@
   query.time_left = std::chrono::milliseconds(reader.getDeadlineMs());
   query.answer_time_left = std::chrono::milliseconds(reader.getAnswerByMs());
   query.is_continuation = reader.getIsContinuation();
+  for (const bool is_bypassable : reader.getBypassable()) {
+    query.bypassable.push_back(is_bypassable);
+  }
   return query;
 }
 
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -181,6 +181,7 @@
   request.deadline = now + query.time_left;
   request.answer_by = now + query.answer_time_left;
   request.is_for_peer = true;
+  request.bypassable = std::move(query.bypassable);
   m_in_flight.emplace(
       number,
       RequestInFlight{nullptr, std::move(query.request), std::move(reply),
@@ -282,6 +283,7 @@
     query.route = request.route->name;
   }
   query.shards = delegation.shards;
+  query.bypassable = delegation.bypassable;
   query.max_attempts = request.route->max_attempts;
   query.result_limit = request.route->result_limit;
   query.priority = request.route->priority;
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -124,12 +124,18 @@
     leaf->is_gone = found == leafs_by_id.end() || leaf->is_restarted;
   }
   m_leafs = std::move(leafs_by_id);
+  std::map<RelayService*, std::vector<std::shared_ptr<RelayLeaf>>> before;
   for (auto& [name, service] : m_services) {
-    service->leafs.clear();
+    before[service.get()] = std::exchange(service->leafs, {});
   }
   for (const auto& [id, leaf] : m_leafs) {
     Service(leaf->registration.service).leafs.push_back(leaf);
   }
+  for (auto& [name, service] : m_services) {
+    if (before[service.get()] != service->leafs) {
+      service->leafs_changed_at = now;
+    }
+  }
   UpdateShares();
 }
 
@@ -167,8 +173,8 @@
 RelayService& LeafTable::Service(const std::string& name) {
   auto& service = m_services[name];
   if (!service) {
-    service = std::make_unique<RelayService>(
-        RelayService{name, {}, RetryBudget(m_allowance, DaemonCount()), {}});
+    service = std::make_unique<RelayService>(RelayService{
+        name, {}, RetryBudget(m_allowance, DaemonCount()), {}, {}});
   }
   return *service;
 }
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -85,6 +85,8 @@
   std::vector<std::shared_ptr<RelayLeaf>> leafs;
   RetryBudget budget;
   std::set<WaitingPart> waiting;
+  /// When a leaf was last added or removed.
+  TimePoint leafs_changed_at = {};
 };
 
 /// All services and leafs that are named by a route or registered.
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -39,6 +39,9 @@
   /// Delegated by a peer to this daemon: at `answer_by` the answer goes out
   /// with any coverage, and no part is delegated further.
   bool is_for_peer = false;
+  /// By shard, whether the delegating daemon may also send it to leafs; empty
+  /// if it may not.
+  std::vector<bool> bypassable;
 };
 
 /// How an attempt ended.
@@ -161,6 +164,8 @@
   RelayAttemptNumber number = 0;
   Endpoint peer;
   std::vector<std::string> shards;
+  /// By shard, whether this daemon may also send it to leafs.
+  std::vector<bool> bypassable;
   TimePoint deadline;
   /// Time by which the peer should answer.
   TimePoint answer_by;
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -146,7 +146,9 @@
     part.delegation = m_last_attempt + 1;
     part.is_next_attempt_free = false;
     part.service->budget.OnRequest(kDelegatorBudgetShare);
-    if (MayBypassPeer(part, route)) {
+    part.is_peer_bypassable = AreLeafsSettled(part, route);
+    delegation.bypassable.push_back(part.is_peer_bypassable);
+    if (part.is_peer_bypassable) {
       part.hedge_at = m_now + overdue + kPeerOverdueMargin;
     }
     delegation_state.services.push_back(part.service);
@@ -338,11 +340,24 @@
   }
 }
 
+// Entries of leafs that run may be missing for a time, at this daemon or at the
+// peer.
+bool RelayEngine::AreLeafsSettled(const Part& part, const Route& route) const {
+  return part.service->leafs.size() <= route.max_attempts &&
+         m_now - part.service->leafs_changed_at >= kLeafSetSettleTime;
+}
+
 // A lost peer may have made as many attempts as the route allows. Only if the
 // service has no more leafs than that can further attempts by this daemon not
-// exceed that number of leafs.
-bool RelayEngine::MayBypassPeer(const Part& part, const Route& route) {
-  return part.service->leafs.size() <= route.max_attempts;
+// exceed that number of leafs; the peer has been told so.
+bool RelayEngine::MayBypassPeer(const Part& part, const Route& route) const {
+  return part.is_peer_bypassable && AreLeafsSettled(part, route);
+}
+
+bool RelayEngine::CouldExceedAttempts(const Request& request,
+                                      const Part& part) {
+  return part.is_shared_with_peer &&
+         part.service->leafs.size() > request.MatchedRoute().max_attempts;
 }
 
 void RelayEngine::ApplyUncovered(
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -44,6 +44,10 @@
   /// keeps, for retries after the peer is lost. The peer gets the rest, for
   /// retries and hedges at its leafs.
   static constexpr double kDelegatorBudgetShare = 0.15;
+  /// Time without a change of a service's leafs after which daemons are assumed
+  /// to know the same ones: longer than entries are missing after the store was
+  /// unavailable.
+  static constexpr Duration kLeafSetSettleTime = std::chrono::seconds(10);
   /// `retry_after` of refusals: when overloaded, and when leafs are unavailable
   /// or too slow.
   static constexpr Duration kOverloadedRetryAfter =
@@ -135,6 +139,9 @@
   static void CreditRetryBudget(const Request& request, Part& part);
   bool RefuseIfUnservable(Request& request);
   bool IsSuspect(const Request& request, const Part& part) const;
+  /// Whether another attempt by this daemon could bring the leafs that the part
+  /// reaches above the route's maximum.
+  static bool CouldExceedAttempts(const Request& request, const Part& part);
   LeafChoice SelectLeaf(const Request& request, const Part& part) const;
   /// Starts an attempt for a part, queues the part if all leafs are full,
   /// delays it if the retry budget is exhausted, or fails it if no leaf is
@@ -183,7 +190,8 @@
                       RelayDelegation delegation);
   void ContinuePendingDelegations(Request& request);
   void OnDelegationLost(Request& request, std::size_t index);
-  static bool MayBypassPeer(const Part& part, const Route& route);
+  bool AreLeafsSettled(const Part& part, const Route& route) const;
+  bool MayBypassPeer(const Part& part, const Route& route) const;
   void ApplyUncovered(
       Request& request,
       const std::shared_ptr<const DelegationState>& delegation_state,
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -29,6 +29,11 @@
   std::uint32_t hedges = 0;
   /// A peer's answer covers it.
   bool is_covered = false;
+  /// Set when the part is delegated: whether this daemon may also send it to
+  /// leafs.
+  bool is_peer_bypassable = false;
+  /// Delegated to this daemon by one that may also send it to leafs.
+  bool is_shared_with_peer = false;
   /// Set while a delegation of the part is outstanding.
   std::optional<RelayAttemptNumber> delegation;
   std::optional<HttpResponse> failure;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -34,7 +34,10 @@
 
 void RelayEngine::AddPart(Request& request, const std::string& service) {
   Part& part = request.parts.emplace_back();
+  const std::size_t index = request.parts.size() - 1;
   part.service = &m_leaf_table.Service(service);
+  part.is_shared_with_peer = index < request.request.bypassable.size() &&
+                             request.request.bypassable[index];
 }
 
 bool RelayEngine::IsSuspect(const Request& request, const Part& part) const {
@@ -109,7 +112,7 @@
 
 void RelayEngine::DispatchPart(Request& request, std::size_t index) {
   Part& part = request.parts[index];
-  if (IsSuspect(request, part)) {
+  if (IsSuspect(request, part) || CouldExceedAttempts(request, part)) {
     FailUnlessOutstanding(part);
     return;
   }
@@ -227,7 +230,9 @@
   if (out != 1 ||
       part.runs + part.outstanding.size() >=
           request.MatchedRoute().max_attempts ||
-      IsSuspect(request, part) || request.IsOnTrial()) {
+      IsSuspect(request, part) || request.IsOnTrial() ||
+      CouldExceedAttempts(request, part) ||
+      (part.delegation && !MayBypassPeer(part, request.MatchedRoute()))) {
     return;
   }
   const LeafChoice choice = ChooseLeaf(
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -102,6 +102,20 @@
     reply(MakeKnowledge());
   }
 
+  std::function<void()> OnQueryShards(
+      ShardQuery query,
+      std::function<void(ShardAnswer)> reply) override {
+    m_query = std::move(query);
+    ShardAnswer answer;
+    answer.covered = {1};
+    answer.uncovered = {{0, 2, true}};
+    reply(std::move(answer));
+    return [] {};
+  }
+
+  /// The last shard query; to be read after its answer has arrived.
+  const ShardQuery& Query() const { return m_query; }
+
   /// Replies to the held forwards in reverse order, on the calling thread.
   void ReplyToHeld() {
     while (!m_held.empty()) {
@@ -114,6 +128,7 @@
 
  private:
   std::vector<std::pair<std::string, std::function<void(ForwardReply)>>> m_held;
+  ShardQuery m_query;
 };
 
 /// A listening socket that passes each accepted connection to `on_accept`.
@@ -235,6 +250,38 @@
         std::vector<std::string>(2, std::string("\0x", 2)));
 }
 
+TEST_CASE("a shard query and its answer are transmitted") {
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  ShardQuery query;
+  query.request_id = "id";
+  query.request = {"POST", "/sweep?x", {{"Host", "h"}}, std::string("\0b", 2)};
+  query.route = "sweep";
+  query.shards = {"s0", "s1"};
+  query.bypassable = {true, false};
+  query.max_attempts = 2;
+  query.time_left = std::chrono::milliseconds(1900);
+  std::promise<ShardOutcome> done;
+  const auto call = client->Network().QueryShards(
+      server->Address(), query,
+      [&](ShardOutcome outcome) { done.set_value(std::move(outcome)); });
+  const ShardOutcome outcome = done.get_future().get();
+  REQUIRE(outcome.result == ForwardResult::kReplied);
+  CHECK(outcome.answer.covered == std::vector<std::size_t>{1});
+  REQUIRE(outcome.answer.uncovered.size() == 1);
+  CHECK(outcome.answer.uncovered.front().possible_runs == 2);
+  CHECK(outcome.answer.uncovered.front().is_pending);
+  const ShardQuery& received = handler.Query();
+  CHECK(received.request_id == query.request_id);
+  CHECK(received.request.target == query.request.target);
+  CHECK(received.request.body == query.request.body);
+  CHECK(received.shards == query.shards);
+  CHECK(received.bypassable == query.bypassable);
+  CHECK(received.max_attempts == query.max_attempts);
+  CHECK(received.time_left == query.time_left);
+}
+
 TEST_CASE(
     "a call to a failing peer reports whether it was sent; other calls "
     "succeed") {
--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -17,6 +17,7 @@
     }
     engine.SetPeers(
         {{{"127.0.0.2", 1}, "r2", "d2"}, {{"127.0.0.3", 1}, "r3", "d3"}});
+    Advance(RelayEngine::kLeafSetSettleTime);
   }
 
   void ReplyFromPeer(std::vector<std::size_t> covered,
@@ -166,12 +167,62 @@
     "max_attempts") {
   FarShards fixture;
   fixture.AddLeaf("s0", "s0-new", "d2");
+  fixture.Advance(RelayEngine::kLeafSetSettleTime);
   fixture.Submit(4);
   fixture.LosePeer();
   CHECK(fixture.sends.size() == 3);
   CHECK_FALSE(fixture.IsSentTo("s0-new"));
 }
 
+// A day broke BUDGET when leases of leafs had lapsed: for a second, daemons
+// knew two of a shard's three leafs.
+TEST_CASE("a delegated shard reaches no third leaf while entries are missing") {
+  FarShards fixture;
+  for (const char* shard : {"s0", "s1", "s2", "s3"}) {
+    fixture.AddLeaf(shard, shard + std::string("-third"), "d2");
+  }
+  SUBCASE("the leafs' entries go after the delegation") {
+    fixture.Advance(RelayEngine::kLeafSetSettleTime);
+    fixture.Submit(4);
+    for (const char* shard : {"s0", "s1", "s2", "s3"}) {
+      fixture.RemoveLeaf(shard + std::string("-third"));
+    }
+  }
+  SUBCASE("they went shortly before it") {
+    fixture.Advance(RelayEngine::kLeafSetSettleTime);
+    for (const char* shard : {"s0", "s1", "s2", "s3"}) {
+      fixture.RemoveLeaf(shard + std::string("-third"));
+    }
+    fixture.Submit(4);
+  }
+  REQUIRE(fixture.delegations.size() == 1);
+  CHECK(fixture.delegations.front().bypassable ==
+        std::vector<bool>{false, false, false, false});
+  fixture.Advance(milliseconds(300));
+  fixture.LosePeer();
+  fixture.Advance(milliseconds(100));
+  CHECK(fixture.sends.empty());
+}
+
+TEST_CASE(
+    "a peer with more leafs than the delegating daemon declines the shard") {
+  RelayFixture fixture;
+  for (const char* leaf : {"a", "b", "c"}) {
+    fixture.AddLeaf("s0", leaf);
+    fixture.AddLeaf("s1", std::string("other-") + leaf);
+  }
+  fixture.is_for_peer = true;
+  fixture.bypassable = {true, false};
+  const RelayNumber number = fixture.Submit(2);
+  REQUIRE(fixture.sends.size() == 1);
+  fixture.Reply(fixture.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  const RelayOutcome& outcome = fixture.Outcome(number);
+  CHECK(outcome.covered == std::vector<std::size_t>{1});
+  REQUIRE(outcome.uncovered.size() == 1);
+  CHECK(outcome.uncovered.front().possible_runs == 0);
+  CHECK_FALSE(outcome.uncovered.front().is_pending);
+}
+
 TEST_CASE("a shard for which the peer used all attempts is not retried") {
   FarShards fixture;
   fixture.AddLeaf("s3", "s3-new", "d2");
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -82,6 +82,7 @@
     request.deadline = now + milliseconds(2000);
     request.answer_by = now + milliseconds(190);
     request.is_for_peer = is_for_peer;
+    request.bypassable = bypassable;
     CollectActions(engine.Submit(++last_number, std::move(request), now));
     return last_number;
   }
@@ -143,6 +144,7 @@
   std::map<RelayNumber, RelayOutcome> outcomes;
   RelayNumber last_number = 0;
   bool is_for_peer = false;
+  std::vector<bool> bypassable;
   /// Fingerprint of subsequent requests.
   std::uint64_t fingerprint = 0;
 
