Recognize a request that crashes leafs if it comes again with another query

Callers saw a request that had crashed three leafs reach more of them, without end.

Cause: the fingerprint by which daemons recognize a request had its whole target.

Change: crashes since the last answer are also counted by method, path and body without the query. Any answer for the path clears that count, so that a path which is answered at all is not refused for one of its queries; that query itself is counted as before. A suspect path is refused for two minutes, then one request is tried at one leaf: while all are refused none can be answered, and the others may be harmless.

Ruled out: leaving the query out of the only fingerprint, which would refuse a whole search path for one query.

Tests: "a request that crashes leafs is recognized with another query" and "a path that was suspect is tried again at one leaf after a time" fail without the resource (run); "a path whose other queries are answered is not suspect" holds the other side. The soak now varies the query.

--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -28,6 +28,8 @@
   ageMs @4 :UInt32;
   # Whether a leaf has answered the request since.
   isSurvived @5 :Bool;
+  # Fingerprint of the request without its query; 0 if it has none.
+  resource @6 :UInt64;
 }
 
 # Drain notice of a leaf.
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -49,6 +49,8 @@
   Duration age{0};
   /// Whether a leaf has answered the request since.
   bool is_survived = false;
+  /// Fingerprint of the request without its query; 0 if it has none.
+  std::uint64_t resource = 0;
 
   bool operator==(const EvidenceNotice&) const = default;
 };
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -55,6 +55,7 @@
     evidence[i].setId(message.evidence[i].id);
     evidence[i].setAgeMs(ToWireMilliseconds(message.evidence[i].age));
     evidence[i].setIsSurvived(message.evidence[i].is_survived);
+    evidence[i].setResource(message.evidence[i].resource);
   }
   auto drains = builder.initDrains(message.drains.size());
   for (unsigned i = 0; i < drains.size(); ++i) {
@@ -65,11 +66,11 @@
 
 void ReadNotices(wire::Gossip::Reader reader, GossipMessage& message) {
   for (const auto evidence : reader.getEvidence()) {
-    message.evidence.push_back({ToStd(evidence.getService()),
-                                evidence.getFingerprint(),
-                                evidence.getCrashes(), evidence.getId(),
-                                std::chrono::milliseconds(evidence.getAgeMs()),
-                                evidence.getIsSurvived()});
+    message.evidence.push_back(
+        {ToStd(evidence.getService()), evidence.getFingerprint(),
+         evidence.getCrashes(), evidence.getId(),
+         std::chrono::milliseconds(evidence.getAgeMs()),
+         evidence.getIsSurvived(), evidence.getResource()});
   }
   for (const auto drain : reader.getDrains()) {
     if (const auto leaf = ParseEndpoint(ToStd(drain.getLeaf()))) {
--- a/src/process/crash_reports.cc
+++ b/src/process/crash_reports.cc
@@ -81,11 +81,12 @@
   notice.id = crash.id;
   notice.age = now - crash.at;
   notice.is_survived = crash.is_survived;
+  notice.resource = crash.part.resource;
   return notice;
 }
 
 LeafCrash ReadEvidenceNotice(const EvidenceNotice& notice, TimePoint now) {
-  return {{notice.fingerprint, notice.service},
+  return {{notice.fingerprint, notice.service, notice.resource},
           notice.id,
           now - notice.age,
           notice.is_survived};
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -19,6 +19,18 @@
   return FingerprintOfContent(request.method, request.target, request.body);
 }
 
+// A request that crashes leafs may come again with the same path and body but
+// with another query.
+std::uint64_t ResourceOf(const HttpRequest& request) {
+  const std::size_t query = request.target.find('?');
+  return query == std::string::npos
+             ? 0
+             : FingerprintOfContent(
+                   request.method,
+                   std::string_view(request.target).substr(0, query),
+                   request.body);
+}
+
 }  // namespace
 
 RelayFront::RelayFront(EventLoop& loop,
@@ -93,6 +105,7 @@
   RelayRequest request;
   request.request_id = head.request_id;
   request.fingerprint = FingerprintOf(exchange->Request());
+  request.resource = ResourceOf(exchange->Request());
   request.table = m_table;
   request.route = &route;
   request.deadline = now + std::max(allowed - kAnswerMargin, allowed / 2);
@@ -176,6 +189,7 @@
   RelayRequest request;
   request.request_id = query.request_id;
   request.fingerprint = FingerprintOf(query.request);
+  request.resource = ResourceOf(query.request);
   request.table = table;
   request.route = &table->Routes().front();
   request.deadline = now + query.time_left;
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -101,6 +101,9 @@
   WriteLog(
       level, is_crash ? "leaf_crashed" : "crash_evidence",
       {Field("step", ToString(event.step)), Field("fingerprint", fingerprint),
+       Field("resource", event.part.resource == 0
+                             ? fingerprint
+                             : FormatFingerprint(event.part.resource)),
        Field("service", event.part.service), Field("leaf", event.leaf_id),
        Field("age_ms", ToMilliseconds(event.age)),
        Field("crashes", event.crashes)});
--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -55,21 +55,48 @@
 // so its crashes count by shard. One that no leaf answers is refused as a
 // whole.
 bool CrashLedger::IsSuspect(const RequestPart& part, TimePoint now) const {
+  constexpr Duration kLifetime = CrashTable::kCrashRetention;
   return CrashCount(part, now) >= kCrashLimit ||
          m_content_crashes.Count(part.content, now) >= kCrashLimit ||
-         IsKnownSuspect({part.content, part.service}, now) ||
-         IsKnownSuspect({part.content, ""}, now);
+         IsKnownSuspect({part.content, part.service}, kLifetime, now) ||
+         IsKnownSuspect({part.content, ""}, kLifetime, now) ||
+         IsSuspectResource(part, now);
+}
+
+// Other requests for the resource may be harmless, and none is answered while
+// all are refused.
+bool CrashLedger::IsSuspectResource(const RequestPart& part,
+                                    TimePoint now) const {
+  if (part.resource == 0) {
+    return false;
+  }
+  const bool is_counted =
+      m_content_crashes.Count(part.resource, now) >= kCrashLimit &&
+      now - *m_content_crashes.Last(part.resource) < kResourceSuspectTime;
+  return is_counted ||
+         IsKnownSuspect({part.resource, ""}, kResourceSuspectTime, now);
+}
+
+bool CrashLedger::IsDoubtful(const RequestPart& part, TimePoint now) const {
+  return m_content_crashes.Count(part.content, now) > 0 ||
+         (part.resource != 0 &&
+          m_content_crashes.Count(part.resource, now) > 0);
+}
+
+std::size_t CrashLedger::CrashCount(const RequestPart& part,
+                                    TimePoint now) const {
+  return m_part_crashes.Count(FingerprintOf(part), now);
 }
 
 bool CrashLedger::IsKnownSuspect(const CrashSuspect& suspect,
+                                 Duration lifetime,
                                  TimePoint now) const {
   if (m_suspects.empty()) {
     return false;
   }
   const auto found =
       m_suspects.find(FingerprintOf({suspect.content, suspect.service}));
-  return found != m_suspects.end() &&
-         now - found->second < CrashTable::kCrashRetention;
+  return found != m_suspects.end() && now - found->second < lifetime;
 }
 
 void CrashLedger::OnPeerSuspect(const CrashSuspect& suspect, TimePoint now) {
@@ -82,7 +109,7 @@
 }
 
 void CrashLedger::AddSuspect(const CrashSuspect& suspect, TimePoint now) {
-  if (!IsKnownSuspect(suspect, now)) {
+  if (!IsKnownSuspect(suspect, CrashTable::kCrashRetention, now)) {
     OnPeerSuspect(suspect, now);
     m_unreported_suspects.push_back(suspect);
   }
@@ -91,6 +118,9 @@
 void CrashLedger::ReportIfSuspect(const RequestPart& part, TimePoint now) {
   if (m_content_crashes.Count(part.content, now) >= kCrashLimit) {
     AddSuspect({part.content, ""}, now);
+  } else if (part.resource != 0 &&
+             m_content_crashes.Count(part.resource, now) >= kCrashLimit) {
+    AddSuspect({part.resource, ""}, now);
   } else if (CrashCount(part, now) >= kCrashLimit) {
     AddSuspect({part.content, part.service}, now);
   }
@@ -100,23 +130,16 @@
   return std::exchange(m_unreported_suspects, {});
 }
 
-bool CrashLedger::IsDoubtful(std::uint64_t content, TimePoint now) const {
-  return m_content_crashes.Count(content, now) > 0;
-}
-
-std::size_t CrashLedger::CrashCount(const RequestPart& part,
-                                    TimePoint now) const {
-  return m_part_crashes.Count(FingerprintOf(part), now);
-}
-
 void CrashLedger::OnSurvived(const RequestPart& part, TimePoint now) {
   for (UnansweredAttempt& attempt : m_unanswered) {
     attempt.is_survived =
         attempt.is_survived || attempt.part.content == part.content;
   }
   const bool had_content_crash = m_content_crashes.Remove(part.content);
+  const bool had_resource_crash =
+      part.resource != 0 && m_content_crashes.Remove(part.resource);
   const bool had_part_crash = m_part_crashes.RemoveOldest(FingerprintOf(part));
-  if (had_content_crash || had_part_crash) {
+  if (had_content_crash || had_resource_crash || had_part_crash) {
     Report(CrashEvidenceStep::kSurvived, part, "", Duration::zero(), now);
   }
 }
@@ -225,12 +248,16 @@
 }
 
 bool CrashLedger::AddCrash(const LeafCrash& crash) {
-  const bool is_new_for_part =
-      m_part_crashes.Add(FingerprintOf(crash.part), crash.id, crash.at);
-  const bool is_new_for_content =
-      !crash.is_survived &&
-      m_content_crashes.Add(crash.part.content, crash.id, crash.at);
-  return is_new_for_part || is_new_for_content;
+  const RequestPart& part = crash.part;
+  bool is_new = m_part_crashes.Add(FingerprintOf(part), crash.id, crash.at);
+  if (crash.is_survived) {
+    return is_new;
+  }
+  is_new = m_content_crashes.Add(part.content, crash.id, crash.at) || is_new;
+  if (part.resource != 0) {
+    is_new = m_content_crashes.Add(part.resource, crash.id, crash.at) || is_new;
+  }
+  return is_new;
 }
 
 void CrashLedger::Report(CrashEvidenceStep step,
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -27,6 +27,8 @@
   /// Fingerprint of the request's content.
   std::uint64_t content = 0;
   std::string service;
+  /// Fingerprint of the content without the query; 0 if it has none.
+  std::uint64_t resource = 0;
 
   bool operator==(const RequestPart&) const = default;
 };
@@ -83,6 +85,9 @@
 /// `kConfirmationTimeout`.
 class CrashLedger {
  public:
+  /// How long requests that differ from one another in their query only are
+  /// refused; then one of them is tried at a leaf.
+  static constexpr Duration kResourceSuspectTime = std::chrono::minutes(2);
   /// Number of crashes after which a request is refused.
   static constexpr std::size_t kCrashLimit = 3;
   /// Time within which the leaf of an unanswered attempt must be found gone. A
@@ -93,7 +98,8 @@
   static constexpr Duration kRestartNoticeTimeout = std::chrono::seconds(3);
 
   /// Whether the part must not be sent to leafs: the request has crashed leafs
-  /// `kCrashLimit` times, here or at any service since a leaf answered it.
+  /// `kCrashLimit` times, here or at any service since a leaf answered it. It
+  /// may come again with another query.
   bool IsSuspect(const RequestPart& part, TimePoint now) const;
   /// Records that a peer found a request to crash leafs.
   void OnPeerSuspect(const CrashSuspect& suspect, TimePoint now);
@@ -102,7 +108,7 @@
   /// Suspects found by this daemon since the last call, for its peers.
   std::vector<CrashSuspect> TakeSuspects();
   /// Whether the request has crashed leafs and no leaf has answered it since.
-  bool IsDoubtful(std::uint64_t content, TimePoint now) const;
+  bool IsDoubtful(const RequestPart& part, TimePoint now) const;
   /// Number of crashes that count against the part.
   std::size_t CrashCount(const RequestPart& part, TimePoint now) const;
 
@@ -145,7 +151,10 @@
   void ConfirmCrashes(Predicate is_crash, TimePoint now);
   /// Returns false if the crash is known or counts together with another one.
   bool AddCrash(const LeafCrash& crash);
-  bool IsKnownSuspect(const CrashSuspect& suspect, TimePoint now) const;
+  bool IsKnownSuspect(const CrashSuspect& suspect,
+                      Duration lifetime,
+                      TimePoint now) const;
+  bool IsSuspectResource(const RequestPart& part, TimePoint now) const;
   void AddSuspect(const CrashSuspect& suspect, TimePoint now);
   void DropExpired(TimePoint now);
   static bool IsExpired(const UnansweredAttempt& attempt, TimePoint now);
@@ -159,8 +168,8 @@
   std::vector<UnansweredAttempt> m_unanswered;
   /// By the part's fingerprint.
   CrashTable m_part_crashes;
-  /// Crashes since the last answer to the request, by the content's
-  /// fingerprint.
+  /// Crashes since the last answer to the request, by the fingerprints of its
+  /// content and of its resource.
   CrashTable m_content_crashes;
   /// Suspects known to all daemons, by fingerprint, with the time when they
   /// became known.
--- a/src/request/crash_table.cc
+++ b/src/request/crash_table.cc
@@ -56,6 +56,14 @@
   return found->second.size();
 }
 
+std::optional<TimePoint> CrashTable::Last(std::uint64_t fingerprint) const {
+  const auto found = m_crashes.find(fingerprint);
+  if (found == m_crashes.end()) {
+    return std::nullopt;
+  }
+  return found->second.back().at;
+}
+
 void CrashTable::EvictOldest() {
   const auto oldest = std::min_element(
       m_crashes.begin(), m_crashes.end(), [](const auto& a, const auto& b) {
--- a/src/request/crash_table.h
+++ b/src/request/crash_table.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -28,6 +29,8 @@
     return m_crashes.erase(fingerprint) > 0;
   }
   std::size_t Count(std::uint64_t fingerprint, TimePoint now) const;
+  /// Time of the last crash, if any.
+  std::optional<TimePoint> Last(std::uint64_t fingerprint) const;
 
  private:
   struct Crash {
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -31,6 +31,8 @@
   /// Hash of the request's content, by which a request that crashes leafs is
   /// recognized.
   std::uint64_t fingerprint = 0;
+  /// The same without the query; 0 if the request has none.
+  std::uint64_t resource = 0;
   /// Time until which the caller waits.
   TimePoint deadline;
   /// Latest time at which an answer reaches the caller within the route's
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -138,8 +138,7 @@
     m_attempts.erase(found);
     RelayService& service = *attempt.service;
     attempt.leaf->load.OnEnded(now);
-    m_crashes.OnUnanswered({attempt.fingerprint, service.name}, attempt.leaf,
-                           now);
+    m_crashes.OnUnanswered(attempt.request_part, attempt.leaf, now);
     m_actions.cancellations.push_back(number);
     DispatchWaiting(service);
   }
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -87,6 +87,9 @@
   std::optional<TimePoint> continuation_deadline;
 
   const Route& MatchedRoute() const { return *request.route; }
+  RequestPart PartAt(const RelayService& service) const {
+    return {request.fingerprint, service.name, request.resource};
+  }
   bool IsAnsweredByAnyLeaf() const;
   bool IsInProgress() const;
   /// Whether it must be sent to one leaf at a time.
@@ -102,8 +105,7 @@
   std::size_t part = 0;
   std::shared_ptr<RelayLeaf> leaf;
   RelayService* service = nullptr;
-  /// Fingerprint of the request's content.
-  std::uint64_t fingerprint = 0;
+  RequestPart request_part;
   std::string route_name;
   TimePoint sent_at;
   /// The request was doubtful, or the part had been sent before, here or by a
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -41,8 +41,7 @@
 }
 
 bool RelayEngine::IsSuspect(const Request& request, const Part& part) const {
-  return m_crashes.IsSuspect({request.request.fingerprint, part.service->name},
-                             m_now);
+  return m_crashes.IsSuspect(request.PartAt(*part.service), m_now);
 }
 
 // In bursts of requests, or if the leafs of shards are all unavailable, a
@@ -56,8 +55,7 @@
   for (const Part& part : request.parts) {
     if (IsSuspect(request, part)) {
       ++suspect;
-      m_crashes.ReportIfSuspect(
-          {request.request.fingerprint, part.service->name}, m_now);
+      m_crashes.ReportIfSuspect(request.PartAt(*part.service), m_now);
       continue;
     }
     const LeafChoice choice = ChooseLeaf(*part.service, route.name, {}, m_now);
@@ -150,7 +148,7 @@
   attempt.part = index;
   attempt.leaf = leaf;
   attempt.service = part.service;
-  attempt.fingerprint = request.request.fingerprint;
+  attempt.request_part = request.PartAt(*part.service);
   attempt.route_name = request.MatchedRoute().name;
   attempt.sent_at = m_now;
   attempt.is_trial = request.is_doubtful || !part.is_next_attempt_free;
@@ -296,12 +294,12 @@
   }
   m_failed_attempts.push_back({attempt.request, attempt.leaf->registration.id,
                                attempt.service->name, reply.kind, taken,
-                               attempt.fingerprint});
+                               attempt.request_part.content});
 }
 
 void RelayEngine::RecordCrashEvidence(const Attempt& attempt,
                                       LeafReplyKind kind) {
-  const RequestPart part{attempt.fingerprint, attempt.service->name};
+  const RequestPart& part = attempt.request_part;
   switch (kind) {
     case LeafReplyKind::kSucceeded:
       m_crashes.OnSurvived(part, m_now);
--- a/src/request/relay_trials.cc
+++ b/src/request/relay_trials.cc
@@ -27,7 +27,8 @@
 // or proven harmless. If many leafs fail at once, all requests in flight become
 // doubtful; a retry is then answered at once and goes to the remaining shards.
 void RelayEngine::BeginTrialIfDoubtful(Request& request) {
-  if (!m_crashes.IsDoubtful(request.request.fingerprint, m_now)) {
+  if (!m_crashes.IsDoubtful(request.PartAt(*request.parts.front().service),
+                            m_now)) {
     return;
   }
   request.is_doubtful = true;
@@ -91,8 +92,8 @@
     if (!part.IsOpen() || !part.is_held) {
       continue;
     }
-    const std::size_t crashes = m_crashes.CrashCount(
-        {request.request.fingerprint, part.service->name}, m_now);
+    const std::size_t crashes =
+        m_crashes.CrashCount(request.PartAt(*part.service), m_now);
     if (!best || crashes < fewest) {
       best = index;
       fewest = crashes;
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -36,7 +36,7 @@
   message.root = "root";
   message.confirmed_ago = std::chrono::milliseconds(1500);
   message.evidence = {
-      {"catalogue", 42, 2, 77, std::chrono::milliseconds(1200), true}};
+      {"catalogue", 42, 2, 77, std::chrono::milliseconds(1200), true, 43}};
   message.drains = {{{"127.0.2.1", 7000}, "x"}};
   message.want_all = true;
   message.bucket = {8, 3, 99};
--- a/tests/process_relay_soak_test.cc
+++ b/tests/process_relay_soak_test.cc
@@ -78,6 +78,12 @@
     return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
   }
 
+  // The request may come again with another query or without one.
+  std::string RandomQuery() {
+    const std::size_t page = Random(4);
+    return page == 0 ? "" : "?page=" + std::to_string(page);
+  }
+
   bool IsInTouch(std::size_t daemon) const {
     return Now() - m_daemons[daemon].disturbed_until >= Duration(kStableWindow);
   }
@@ -122,7 +128,7 @@
         Now() - *m_third_crash_at >= Duration(kStableWindow);
     const int before = m_fleet.Crashes();
     m_fleet.Relay(daemon).Send(std::string(FakePlatformLeaf::kCrashingBody),
-                               m_target);
+                               m_target + RandomQuery());
     const bool has_crashed = m_fleet.Crashes() > before;
     m_retries += is_counted && has_crashed ? 1 : 0;
     if (!m_third_crash_at && m_fleet.Crashes() >= 3) {
--- a/tests/relay_crash_budget_test.cc
+++ b/tests/relay_crash_budget_test.cc
@@ -155,6 +155,24 @@
   }
 }
 
+TEST_CASE("a request that crashes leafs is recognized with another query") {
+  constexpr std::uint64_t kResource = 1000;
+  for (const std::size_t shards : {std::size_t{0}, kShards}) {
+    CAPTURE(shards);
+    CrashingLeafs relay(shards, CrashSigns());
+    relay.resource = kResource;
+    std::size_t crashes = 0;
+    std::size_t retries = 0;
+    for (int request = 0; request < kRequests; ++request) {
+      ++relay.fingerprint;
+      const std::size_t crashed_now = relay.SendAgain();
+      retries += crashes >= 3 && crashed_now > 0 ? 1 : 0;
+      crashes += crashed_now;
+    }
+    CHECK(retries <= kMaxRetriesAfterThirdCrash);
+  }
+}
+
 TEST_CASE(
     "a failure that a leaf answers does not clear a request that crashes "
     "leafs") {
--- a/tests/relay_crash_test.cc
+++ b/tests/relay_crash_test.cc
@@ -128,6 +128,57 @@
   CHECK(relay.sends.size() == kShards);
 }
 
+TEST_CASE("a path whose other queries are answered is not suspect") {
+  constexpr std::uint64_t kPath = 1000;
+  CrashFixture relay;
+  relay.resource = kPath;
+  for (int crash = 0; crash < 3; ++crash) {
+    relay.fingerprint = kCrashingFingerprint;
+    relay.Submit(0, RequestKind::kIdempotent, 1);
+    relay.CrashAttemptedLeaf();
+    relay.fingerprint = kHarmlessFingerprint;
+    relay.Submit(0);
+    REQUIRE(relay.sends.size() == 1);
+    relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  }
+  relay.fingerprint = kCrashingFingerprint;
+  CHECK(relay.Outcome(relay.Submit(0)).refusal->reason ==
+        RefusalReason::kCrashSuspect);
+  relay.fingerprint = kHarmlessFingerprint;
+  relay.Submit(0);
+  CHECK(relay.sends.size() == 1);
+}
+
+TEST_CASE("a path that was suspect is tried again at one leaf after a time") {
+  constexpr std::uint64_t kPath = 1000;
+  CrashFixture relay;
+  relay.resource = kPath;
+  for (int crash = 0; crash < 3; ++crash) {
+    ++relay.fingerprint;
+    relay.Submit(0, RequestKind::kIdempotent, 1);
+    relay.CrashAttemptedLeaf();
+  }
+  ++relay.fingerprint;
+  CHECK(relay.Outcome(relay.Submit(0)).refusal->reason ==
+        RefusalReason::kCrashSuspect);
+  relay.Advance(CrashLedger::kResourceSuspectTime);
+  ++relay.fingerprint;
+  const RelayNumber again = relay.Submit(0);
+  REQUIRE(relay.sends.size() == 1);
+  SUBCASE("an answer clears it") {
+    relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+    relay.Submit(0);
+    CHECK(relay.sends.size() == 1);
+  }
+  SUBCASE("another crash makes it suspect again") {
+    relay.CrashAttemptedLeaf();
+    CHECK(relay.sends.empty());
+    CHECK(relay.outcomes.contains(again));
+    ++relay.fingerprint;
+    CHECK(relay.Outcome(relay.Submit(0)).refusal->verdict == Verdict::kNotRun);
+  }
+}
+
 TEST_CASE("a suspect is reported once by the daemon that finds it") {
   CrashFixture relay;
   relay.Submit(0);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -77,6 +77,7 @@
     RelayRequest request;
     request.request_id = "id";
     request.fingerprint = fingerprint;
+    request.resource = resource;
     request.table = table;
     request.route = &table->Routes().front();
     request.deadline = now + milliseconds(2000);
@@ -147,6 +148,9 @@
   std::vector<bool> bypassable;
   /// Fingerprint of subsequent requests.
   std::uint64_t fingerprint = 0;
+  /// Fingerprint of subsequent requests without their queries; 0 if they have
+  /// none.
+  std::uint64_t resource = 0;
 
  private:
   std::uint16_t m_next_port = 1;
