Explain a request refused for crashing leafs with the crashes of all daemons

Cause: `bramleyspoke explain` shows the other events of a request's own daemon in its last ten seconds. The crashes for which a request is refused were seen by any daemon, and minutes ago.

Change: for a request that ended with crash_suspect, the lines with its fingerprint or its resource are shown, from all daemons and whatever their age; request_end has the resource (the fingerprint without the query), too.

Test: "a suspect request is explained with the crashes of all daemons" (no such line was shown before).

--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -119,7 +119,8 @@
                                               &route,
                                               now,
                                               request.answer_by,
-                                              request.fingerprint});
+                                              request.fingerprint,
+                                              request.resource});
   exchange->OnClientDisconnected([this, number] {
     m_in_flight.erase(number);
     Apply(m_engine.OnCallerDisconnected(number, Now()));
@@ -197,10 +198,10 @@
   request.is_for_peer = true;
   request.bypassable = std::move(query.bypassable);
   m_in_flight.emplace(
-      number,
-      RequestInFlight{nullptr, std::move(query.request), std::move(reply),
-                      std::move(query.request_id), table, request.route, now,
-                      request.answer_by, request.fingerprint});
+      number, RequestInFlight{nullptr, std::move(query.request),
+                              std::move(reply), std::move(query.request_id),
+                              table, request.route, now, request.answer_by,
+                              request.fingerprint, request.resource});
   Apply(m_engine.Submit(number, std::move(request), now));
   return MakeCancellation(number);
 }
@@ -386,6 +387,7 @@
   end.refusal = outcome.refusal;
   end.is_for_peer = true;
   end.fingerprint = request.fingerprint;
+  end.resource = request.resource;
   m_observer.OnRequestEnd(end);
   return answer;
 }
@@ -422,6 +424,7 @@
   end.outcome = &outcome;
   end.refusal = outcome.refusal;
   end.fingerprint = request.fingerprint;
+  end.resource = request.resource;
   m_observer.OnRequestEnd(end);
   request.exchange->Respond(std::move(response));
 }
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -37,6 +37,8 @@
   bool is_for_peer = false;
   /// Fingerprint of the request's content; 0 without a route.
   std::uint64_t fingerprint = 0;
+  /// The same without the query; 0 if the request has none.
+  std::uint64_t resource = 0;
 };
 
 /// Receives the events of a `RelayFront`; called on its loop.
@@ -116,6 +118,7 @@
     TimePoint arrived;
     TimePoint answer_by;
     std::uint64_t fingerprint = 0;
+    std::uint64_t resource = 0;
 
     const HttpRequest& Request() const {
       return exchange ? exchange->Request() : peer_request;
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -24,6 +24,10 @@
   return is_failed ? LogPriority::kFailure : LogPriority::kOther;
 }
 
+std::string FormatResource(std::uint64_t resource, std::uint64_t content) {
+  return FormatFingerprint(resource == 0 ? content : resource);
+}
+
 std::string_view NameOf(const Route* route) {
   return route == nullptr ? std::string_view() : route->name;
 }
@@ -67,6 +71,7 @@
        Field("sends", outcome.sends), Field("repeats", outcome.repeats),
        Field("missing_shards", end.missing_shards),
        Field("fingerprint", FormatFingerprint(end.fingerprint)),
+       Field("resource", FormatResource(end.resource, end.fingerprint)),
        Field("odd_parts", outcome.reportable_parts),
        Field("odd", DescribePartReports(outcome.part_reports)),
        Field("reason", end.refusal ? ToString(end.refusal->reason) : ""),
@@ -101,9 +106,8 @@
   WriteLog(
       level, is_crash ? "leaf_crashed" : "crash_evidence",
       {Field("step", ToString(event.step)), Field("fingerprint", fingerprint),
-       Field("resource", event.part.resource == 0
-                             ? fingerprint
-                             : FormatFingerprint(event.part.resource)),
+       Field("resource",
+             FormatResource(event.part.resource, event.part.content)),
        Field("service", event.part.service), Field("leaf", event.leaf_id),
        Field("age_ms", ToMilliseconds(event.age)),
        Field("crashes", event.crashes)});
--- a/src/tool/explanation.cc
+++ b/src/tool/explanation.cc
@@ -136,6 +136,27 @@
   return causes;
 }
 
+// Fingerprints by which a request that was refused for crashing leafs is known.
+std::set<std::string, std::less<>> SuspectFingerprints(
+    const std::vector<LogRecord>& request_records) {
+  std::set<std::string, std::less<>> fingerprints;
+  for (const LogRecord& record : request_records) {
+    if (record.Text("reason") == "crash_suspect") {
+      fingerprints.emplace(record.Text("fingerprint"));
+      fingerprints.emplace(record.Text("resource"));
+    }
+  }
+  fingerprints.erase(std::string());
+  return fingerprints;
+}
+
+bool IsCrashEvidence(const LogRecord& record,
+                     const std::set<std::string, std::less<>>& fingerprints) {
+  return !HasRequestId(record) &&
+         (fingerprints.contains(record.Text("fingerprint")) ||
+          fingerprints.contains(record.Text("resource")));
+}
+
 }  // namespace
 
 Explanation ExplainRequest(std::vector<LogRecord> records,
@@ -156,10 +177,14 @@
     return explanation;
   }
   const std::int64_t end = explanation.request_records.back().time_ms;
+  const auto fingerprints = SuspectFingerprints(explanation.request_records);
   for (LogRecord& record : records) {
-    if (!HasRequestId(record) && record.event != "log_lines_suppressed" &&
-        sources.contains(record.source) && record.time_ms <= end &&
-        end - record.time_ms <= kContextWindowMs) {
+    const bool is_nearby = !HasRequestId(record) &&
+                           record.event != "log_lines_suppressed" &&
+                           sources.contains(record.source) &&
+                           end - record.time_ms <= kContextWindowMs;
+    if (record.time_ms <= end &&
+        (is_nearby || IsCrashEvidence(record, fingerprints))) {
       explanation.context.push_back(std::move(record));
     }
   }
--- a/src/tool/explanation.h
+++ b/src/tool/explanation.h
@@ -13,8 +13,9 @@
   /// Records with the id of the request, ordered by time.
   std::vector<LogRecord> request_records;
   /// Records of the same daemons without any request id from shortly before the
-  /// end of the request, such as changes of routes or leafs; the latest
-  /// `kMaxContextRecords`.
+  /// end of the request, such as changes of routes or leafs. If the request was
+  /// refused because it crashes leafs, the records of all daemons about these
+  /// crashes. The latest `kMaxContextRecords`.
   std::vector<LogRecord> context;
   /// How the request ended and why, one sentence each.
   std::vector<std::string> causes;
--- a/tests/explanation_test.cc
+++ b/tests/explanation_test.cc
@@ -55,6 +55,29 @@
             "No route matched") == 0);
 }
 
+TEST_CASE("a suspect request is explained with the crashes of all daemons") {
+  const auto explanation = ExplainRequest(
+      ReadRecords(
+          "b " +
+          LogLine("01.000", R"("event":"leaf_crashed","fingerprint":"aa",)"
+                            R"("resource":"cc","leaf":"leaf-1")") +
+          "b " +
+          LogLine("02.000", R"("event":"leaf_crashed","fingerprint":"ee",)"
+                            R"("resource":"ee","leaf":"leaf-2")") +
+          "c " +
+          LogLine("03.000", R"("event":"leaf_crashed","fingerprint":"bb",)"
+                            R"("resource":"cc","leaf":"leaf-3")") +
+          "a " +
+          LogLine("55.600",
+                  R"("event":"request_end","request_id":"r1","status":503,)"
+                  R"("fingerprint":"dd","resource":"cc",)"
+                  R"("reason":"crash_suspect","verdict":"not_run")")),
+      "r1");
+  REQUIRE(explanation.context.size() == 2);
+  CHECK(explanation.context[0].Text("leaf") == "leaf-1");
+  CHECK(explanation.context[1].Text("leaf") == "leaf-3");
+}
+
 TEST_CASE("a request that may have run is described as ended, not as refused") {
   const auto explanation = ExplainRequest(
       ReadRecords("a " + LogLine("55.600",
