Fleets of tests that run at a time get addresses of their own

CTest with six jobs failed once: process_relay_crash_test could not listen on the addresses that process_relay_soak_test held at the same moment.

--- a/tests/crashing_fleet.cc
+++ b/tests/crashing_fleet.cc
@@ -2,8 +2,8 @@
 
 #include <doctest/doctest.h>
 
-#include <cstdlib>
 #include <thread>
+#include <utility>
 
 #include "fleet.h"
 
@@ -17,13 +17,6 @@
 constexpr std::chrono::milliseconds kSettleTime{500};
 constexpr std::uint16_t kLeafPort = 9000;
 
-// Second number of the fleet's addresses, so that several fleets can run at a
-// time.
-std::string Network() {
-  const char* number = std::getenv("BRAMLEYSPOKE_TEST_NETWORK");
-  return "127." + std::string(number == nullptr ? "0" : number);
-}
-
 std::string ShardName(int shard) {
   return "shard-" + std::to_string(shard);
 }
@@ -55,7 +48,8 @@
 
 }  // namespace
 
-CrashingFleet::CrashingFleet() {
+CrashingFleet::CrashingFleet(std::string network)
+    : m_network(std::move(network)) {
   m_store.Put("op/config", RoutesJson());
   for (int i = 0; i < kLeafsPerService; ++i) {
     AddLeaf("s", i);
@@ -64,8 +58,8 @@
     }
   }
   for (std::size_t i = 0; i < kDaemons; ++i) {
-    const std::string ip = Network() + ".6." + std::to_string(i + 1);
-    const std::string seed = "\"" + Network() + ".6.1:8106\"";
+    const std::string ip = m_network + ".6." + std::to_string(i + 1);
+    const std::string seed = "\"" + m_network + ".6.1:8106\"";
     m_relays.push_back(
         std::make_unique<RelayProcess>(ip, m_store.Address(), seed));
   }
@@ -74,7 +68,7 @@
 
 void CrashingFleet::AddLeaf(const std::string& service, int index) {
   const std::string id = service + "-" + std::to_string(index);
-  const Endpoint address{Network() + ".7." + std::to_string(m_leafs.size() + 1),
+  const Endpoint address{m_network + ".7." + std::to_string(m_leafs.size() + 1),
                          kLeafPort};
   m_leafs.push_back(std::make_unique<FakePlatformLeaf>(id, address));
   FakePlatformLeaf& leaf = *m_leafs.back();
--- a/tests/crashing_fleet.h
+++ b/tests/crashing_fleet.h
@@ -21,7 +21,9 @@
   static constexpr int kLeafsPerService = 6;
   static constexpr Duration kLeafRestartDelay = std::chrono::seconds(2);
 
-  CrashingFleet();
+  /// `network` is the first half of all addresses, such as "127.0"; fleets that
+  /// run at a time need different ones.
+  explicit CrashingFleet(std::string network);
 
   RelayProcess& Relay(std::size_t index) { return *m_relays.at(index); }
   void LoseStore() { m_store.StopAnswering(); }
@@ -41,6 +43,7 @@
  private:
   void AddLeaf(const std::string& service, int index);
 
+  std::string m_network;
   FakePlatformStore m_store;
   std::vector<std::unique_ptr<FakePlatformLeaf>> m_leafs;
   std::vector<std::unique_ptr<RelayProcess>> m_relays;
--- a/tests/process_relay_crash_test.cc
+++ b/tests/process_relay_crash_test.cc
@@ -1,14 +1,20 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <string>
 #include <thread>
 
 #include "crashing_fleet.h"
 
 namespace bramleyspoke {
+namespace {
+
+const std::string kNetwork = "127.0";
+
+}  // namespace
 
 TEST_CASE("a request that crashes leafs is refused by daemons that restarted") {
-  CrashingFleet fleet;
+  CrashingFleet fleet(kNetwork);
   fleet.SendUntilRefused();
   for (std::size_t relay = 0; relay < 3; ++relay) {
     fleet.Relay(relay).Restart();
@@ -23,7 +29,7 @@
 TEST_CASE(
     "a request that crashes leafs is refused by a daemon that restarted while "
     "the store does not answer") {
-  CrashingFleet fleet;
+  CrashingFleet fleet(kNetwork);
   fleet.SendUntilRefused();
   fleet.LoseStore();
   fleet.Relay(2).Restart();
@@ -35,7 +41,7 @@
 TEST_CASE(
     "a request that crashes leafs is refused by a daemon that was paused "
     "meanwhile") {
-  CrashingFleet fleet;
+  CrashingFleet fleet(kNetwork);
   fleet.Relay(2).Signal(SIGSTOP);
   fleet.SendUntilRefused();
   fleet.Relay(2).Signal(SIGCONT);
--- a/tests/process_relay_soak_test.cc
+++ b/tests/process_relay_soak_test.cc
@@ -36,6 +36,13 @@
   return std::chrono::steady_clock::now();
 }
 
+// First half of the fleet's addresses; soaks that run at a time need different
+// ones.
+std::string Network() {
+  const char* number = std::getenv("BRAMLEYSPOKE_TEST_NETWORK");
+  return "127." + std::string(number == nullptr ? "1" : number);
+}
+
 std::uint64_t Seed() {
   const char* text = std::getenv("BRAMLEYSPOKE_SOAK_SEED");
   return text == nullptr ? kDefaultSeed : std::strtoull(text, nullptr, 10);
@@ -150,7 +157,7 @@
 
   std::mt19937_64 m_random;
   std::string m_target;
-  CrashingFleet m_fleet;
+  CrashingFleet m_fleet{Network()};
   std::array<Daemon, CrashingFleet::kDaemons> m_daemons;
   std::optional<TimePoint> m_third_crash_at;
   int m_retries = 0;
