Follow a store that comes back from an older copy

Cause: a daemon went on from its old revision. A watch from a revision that is given out again misses what is written before it, and a renewal could keep another's lease alive.

--- a/src/connection/key_value_store.h
+++ b/src/connection/key_value_store.h
@@ -59,13 +59,28 @@
   Duration time_to_live{0};
 };
 
+/// Change of the store's era: the store was replaced by an older copy of
+/// itself.
+///
+/// What was written since that copy is lost, and revisions and leases may be
+/// given out again: none of them holds beyond its era.
+struct StoreEraChange {
+  std::uint64_t before = 0;
+  std::uint64_t after = 0;
+};
+
 /// A key-value store with revisions, watches and leases.
 ///
-/// Each callback is called exactly once, on the implementation's loop.
+/// Each callback is called exactly once, on the implementation's loop. A
+/// response from an era before the newest one known counts as none.
 class KeyValueStore {
  public:
   virtual ~KeyValueStore() = default;
 
+  /// Sets the function that is called when a response shows a new era, before
+  /// the callback of that response.
+  virtual void OnEraChange(std::function<void(const StoreEraChange&)> done) = 0;
+
   /// Reads one page of the keys under `prefix` that sort after `after`.
   virtual void Range(const std::string& prefix,
                      const std::string& after,
--- a/src/process/counting_key_value_store.cc
+++ b/src/process/counting_key_value_store.cc
@@ -31,6 +31,9 @@
                         OnStoreCall on_call)
       : m_store(std::move(store)), m_on_call(std::move(on_call)) {}
 
+  void OnEraChange(std::function<void(const StoreEraChange&)> done) override {
+    m_store->OnEraChange(std::move(done));
+  }
   void Range(const std::string& prefix,
              const std::string& after,
              std::function<void(KeyValuePage)> done) override {
--- a/src/process/crash_suspect_writer.cc
+++ b/src/process/crash_suspect_writer.cc
@@ -35,6 +35,15 @@
   m_stored.insert(key);
 }
 
+void CrashSuspectWriter::OnNewEra() {
+  ++m_call_number;
+  m_is_writing = false;
+  m_lease = 0;
+  m_stored.clear();
+  m_timer.reset();
+  WriteNext();
+}
+
 void CrashSuspectWriter::WriteNext() {
   if (m_is_writing || m_waiting.empty()) {
     return;
@@ -89,8 +98,10 @@
 template <typename Result>
 std::function<void(Result)> CrashSuspectWriter::MakeCallback(
     void (CrashSuspectWriter::*handler)(Result)) {
-  return [weak = std::weak_ptr(m_self), handler](Result result) {
-    if (const auto self = weak.lock()) {
+  return [weak = std::weak_ptr(m_self), number = ++m_call_number,
+          handler](Result result) {
+    const auto self = weak.lock();
+    if (self && (*self)->m_call_number == number) {
       ((*self)->*handler)(result);
     }
   };
--- a/src/process/crash_suspect_writer.h
+++ b/src/process/crash_suspect_writer.h
@@ -33,6 +33,9 @@
   void Write(const std::string& key, const std::string& value);
   /// The store has this entry.
   void OnStored(const std::string& key);
+  /// Begins the current write again, under a new lease; called when the store
+  /// is in a new era.
+  void OnNewEra();
   /// The store no longer has this entry.
   void OnRemoved(const std::string& key) { m_stored.erase(key); }
 
@@ -58,6 +61,8 @@
   std::set<std::string> m_stored;
   bool m_is_writing = false;
   LeaseId m_lease = 0;
+  /// Number of the outstanding call.
+  std::uint64_t m_call_number = 0;
   std::unique_ptr<Timer> m_timer;
   std::shared_ptr<CrashSuspectWriter*> m_self;
 };
--- a/src/process/daemon_registration.cc
+++ b/src/process/daemon_registration.cc
@@ -46,6 +46,20 @@
   }
 }
 
+void DaemonRegistration::OnNewEra() {
+  if (m_is_unregistered) {
+    return;
+  }
+  ++m_call_number;
+  m_is_registered = false;
+  m_lease = 0;
+  m_old_lease = 0;
+  const auto delay = std::chrono::milliseconds(
+      std::hash<std::string>()(m_key) %
+      static_cast<std::size_t>(kNewEraSpread.count()));
+  ScheduleCall(delay, &DaemonRegistration::Grant);
+}
+
 void DaemonRegistration::Unregister() {
   m_is_unregistered = true;
   m_timer.reset();
--- a/src/process/daemon_registration.h
+++ b/src/process/daemon_registration.h
@@ -18,6 +18,8 @@
 class DaemonRegistration {
  public:
   static constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
+  /// Time over which all daemons' registrations are spread in a new era.
+  static constexpr std::chrono::milliseconds kNewEraSpread{1000};
 
   /// `on_unanswered` is called whenever a grant, put or renewal is unanswered.
   DaemonRegistration(EventLoop& loop,
@@ -33,6 +35,9 @@
   void SetTimings(const StoreTimings& timings);
   /// Writes the key again; called if the store does not have it.
   void Restore();
+  /// Registers anew, without a call for the previous lease: its id may be
+  /// another's in the store's new era.
+  void OnNewEra();
   /// Removes the key for good.
   void Unregister();
 
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -40,7 +40,10 @@
                        m_own_key,
                        schema.WriteDaemon(self.entry),
                        [this] { m_follower.Probe(); }),
-        m_suspect_writer(loop, store) {}
+        m_suspect_writer(loop, store) {
+    store.OnEraChange(
+        [this](const StoreEraChange& change) { BeginEra(change); });
+  }
 
   void Start() override {
     m_follower.Start();
@@ -170,6 +173,31 @@
  private:
   static TimePoint Now() { return std::chrono::steady_clock::now(); }
 
+  // Everything stays in use until the keys are read again. As after an outage,
+  // entries that the copy lacks are kept until their owners have had time to
+  // write them again.
+  void BeginEra(const StoreEraChange& change) {
+    WriteLog(LogLevel::kWarning, "store_era_changed",
+             {Field("before", change.before), Field("after", change.after),
+              Field("version", m_version), Field("leafs", m_leafs.size()),
+              Field("daemons", m_daemons.size())});
+    m_era_began_at = Now();
+    m_leafs.OnStoreUnavailable();
+    m_leafs.OnStoreAvailable(Now());
+    m_daemons.OnStoreUnavailable();
+    m_daemons.OnStoreAvailable(Now());
+    m_registration.OnNewEra();
+    m_suspect_writer.OnNewEra();
+    m_follower.OnNewEra();
+    m_listener.OnStoreEra(change);
+  }
+
+  // Whether an entry may be older than what is known: read from the copy from
+  // which the store came back, before its owner has written it again.
+  bool MayBeOutdated() const {
+    return m_era_began_at && Now() - *m_era_began_at < kReregistrationGrace;
+  }
+
   // Versions only increase; an older one that arrives late is ignored.
   void ApplyRoutes(const std::string& value) {
     const auto read = Check([&] { return m_schema.ReadRoutes(value); });
@@ -199,8 +227,14 @@
           {Field("leaf", name), Field("problems", ToString(read.problems))});
       return std::nullopt;
     }
-    m_leafs.Put(name, *read.value);
-    return read.value;
+    LeafRegistration leaf = *read.value;
+    const LeafRegistration* known = m_leafs.Find(name);
+    if (known != nullptr && MayBeOutdated() &&
+        known->started_at_ms == leaf.started_at_ms) {
+      leaf.is_draining = leaf.is_draining || known->is_draining;
+    }
+    m_leafs.Put(name, leaf);
+    return leaf;
   }
 
   void ApplyLeafEvent(const KeyValueEvent& event) {
@@ -369,6 +403,7 @@
   /// The routes in force, as stored.
   std::string m_routes;
   std::uint64_t m_version = 0;
+  std::optional<TimePoint> m_era_began_at;
   std::unique_ptr<Timer> m_expiry_timer;
   LogSampler m_leaf_log_sampler{kMaxLeafLinesPerSecond};
 };
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -23,6 +23,8 @@
   virtual void OnDaemons(std::vector<DaemonEntry> daemons) = 0;
   /// Reports a request that any daemon found to crash leafs.
   virtual void OnCrashSuspect(const CrashSuspect& suspect) = 0;
+  /// The store was replaced by an older copy of itself.
+  virtual void OnStoreEra(const StoreEraChange& change) = 0;
   /// Reports whether the calls that follow the store succeed.
   virtual void OnStoreReachability(bool is_reachable) = 0;
 };
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -155,6 +155,10 @@
     m_loop->Post([this, suspect] { m_front->OnPeerSuspect(suspect); });
   }
 
+  void OnStoreEra(const StoreEraChange& change) override {
+    m_loop->Post([this, change] { m_store_era = change.after; });
+  }
+
   void OnStoreReachability(bool is_reachable) override {
     m_loop->Post([this, is_reachable] {
       m_is_store_reachable = is_reachable;
@@ -358,6 +362,7 @@
     observation.leaf_connections = m_front->Exchanges().OpenConnections();
     observation.leaf_connections_opened = m_front->Exchanges().Opened();
     observation.is_store_reachable = m_is_store_reachable;
+    observation.store_era = m_store_era;
     observation.is_ready = IsReady();
     observation.is_stopping = m_stop.IsStopping();
     observation.is_holder = m_front->IsHolder();
@@ -426,6 +431,7 @@
   std::vector<DaemonEntry> m_daemons;
   bool m_has_leafs = false;
   bool m_is_store_reachable = false;
+  std::uint64_t m_store_era = 0;
   std::unique_ptr<StopSignal> m_stop_signal;
   std::unique_ptr<ReloadSignal> m_reload_signal;
   std::unique_ptr<Timer> m_stop_timer;
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -125,6 +125,7 @@
     SetStateGauge("leaf_connections_opened",
                   observation.leaf_connections_opened);
     SetStateGauge("store_reachable", observation.is_store_reachable ? 1 : 0);
+    SetStateGauge("store_era", observation.store_era);
     SetStateGauge("ready", observation.is_ready ? 1 : 0);
     SetStateGauge("sends", observation.engine.sends);
     SetStateGauge("hedges", observation.engine.hedges);
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -27,18 +27,23 @@
   if (after.empty()) {
     m_items.clear();
     m_first_page_revision = 0;
+    ++m_read;
   }
-  m_store.Range(m_prefix, after,
-                [weak = std::weak_ptr(m_self)](KeyValuePage page) {
-                  if (const auto self = weak.lock()) {
-                    (*self)->OnPage(std::move(page));
-                  }
-                });
+  m_store.Range(
+      m_prefix, after,
+      [weak = std::weak_ptr(m_self), read = m_read](KeyValuePage page) {
+        if (const auto self = weak.lock()) {
+          (*self)->OnPage(read, std::move(page));
+        }
+      });
 }
 
 // The pages are no consistent snapshot, so changes are watched from the first
 // page's revision: changes between the pages are received again.
-void StoreFollower::OnPage(KeyValuePage page) {
+void StoreFollower::OnPage(std::uint64_t read, KeyValuePage page) {
+  if (read != m_read) {
+    return;
+  }
   if (page.status != KeyValueStatus::kOk) {
     OnFailure(page.status);
     return;
@@ -82,6 +87,17 @@
   Watch();
 }
 
+// A watch from a revision that was given out again would miss what was written
+// before that.
+void StoreFollower::OnNewEra() {
+  m_watch = 0;
+  ++m_read;
+  m_revision = 0;
+  m_items.clear();
+  m_store.CancelWatches();
+  ScheduleNext(Duration::zero());
+}
+
 void StoreFollower::OnChanges(std::uint64_t watch,
                               const KeyValueChanges& changes) {
   if (watch != m_watch) {
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -50,11 +50,14 @@
   /// Replaces the outstanding watch by a short one; called if the store did not
   /// answer another call and may not answer this watch either.
   void Probe();
+  /// Forgets the revision and reads all keys again; called when the store is in
+  /// a new era.
+  void OnNewEra();
   bool IsUnavailable() const { return m_is_unavailable; }
 
  private:
   void ReadPage(const std::string& after);
-  void OnPage(KeyValuePage page);
+  void OnPage(std::uint64_t read, KeyValuePage page);
   void Watch();
   void OnChanges(std::uint64_t watch, const KeyValueChanges& changes);
   void OnFailure(KeyValueStatus status);
@@ -73,6 +76,8 @@
   StoreTimings m_timings = kHolderTimings;
   Duration m_retry_delay = kMinRetryDelay;
   bool m_is_unavailable = false;
+  /// Number of the current read of all keys.
+  std::uint64_t m_read = 0;
   /// Number of the outstanding watch; 0: none.
   std::uint64_t m_watch = 0;
   std::uint64_t m_last_watch = 0;
--- a/tests/crash_suspect_writer_test.cc
+++ b/tests/crash_suspect_writer_test.cc
@@ -72,6 +72,20 @@
   CHECK_FALSE(fixture.loop.RunNextTimer());
 }
 
+TEST_CASE("in a new era of the store a write begins again") {
+  WriterFixture fixture;
+  fixture.writer.OnStored("b");
+  fixture.writer.Write("a", "1");
+  fixture.store.AnswerGrant(5);
+  fixture.writer.OnNewEra();
+  fixture.store.AnswerPut(KeyValueStatus::kOk);
+  fixture.store.AnswerGrant(6);
+  fixture.store.AnswerPut(KeyValueStatus::kOk);
+  CHECK(fixture.store.put_keys == std::vector<std::string>{"a", "a"});
+  fixture.writer.Write("b", "2");
+  CHECK(fixture.store.grants.size() == 1);
+}
+
 TEST_CASE("the number of suspects waiting to be written is bounded") {
   WriterFixture fixture;
   for (std::size_t i = 0; i < 2 * CrashSuspectWriter::kMaxWaiting; ++i) {
--- a/tests/daemon_registration_test.cc
+++ b/tests/daemon_registration_test.cc
@@ -53,6 +53,38 @@
   }
 }
 
+TEST_CASE("in a new era of the store the old lease is not used again") {
+  RegistrationFixture fixture;
+  SUBCASE("when it was idle") {
+    fixture.registration.OnNewEra();
+  }
+  SUBCASE("while a renewal was outstanding") {
+    fixture.loop.RunNextTimer();
+    REQUIRE(fixture.store.renews.size() == 1);
+    fixture.registration.OnNewEra();
+    fixture.store.AnswerRenew(KeyValueStatus::kNotFound);
+  }
+  SUBCASE("while it moved to another lease") {
+    fixture.registration.SetTimings(kStandbyTimings);
+    fixture.registration.OnNewEra();
+    fixture.store.AnswerGrant(1);
+  }
+  CHECK(fixture.store.grants.empty());
+  CHECK(fixture.store.puts.empty());
+  fixture.loop.RunNextTimer();
+  fixture.store.AnswerGrant(5);
+  fixture.store.AnswerPut(KeyValueStatus::kOk);
+  CHECK(fixture.store.revoked.empty());
+  CHECK(fixture.store.renews.empty());
+}
+
+TEST_CASE("a stop in a new era of the store ends no lease of the old one") {
+  RegistrationFixture fixture;
+  fixture.registration.OnNewEra();
+  fixture.registration.Unregister();
+  CHECK(fixture.store.revoked.empty());
+}
+
 TEST_CASE("an answer to a renewal of the previous lease is ignored") {
   RegistrationFixture fixture;
   fixture.loop.RunNextTimer();
--- a/tests/held_store.h
+++ b/tests/held_store.h
@@ -24,6 +24,9 @@
   };
   using StatusCallback = std::function<void(KeyValueStatus)>;
 
+  void OnEraChange(std::function<void(const StoreEraChange&)> done) override {
+    on_era_change = std::move(done);
+  }
   void Range(const std::string& /*prefix*/,
              const std::string& /*after*/,
              std::function<void(KeyValuePage)> done) override {
@@ -58,9 +61,10 @@
     puts.push_back(std::move(done));
   }
 
-  void AnswerRange() {
+  void AnswerRange(std::vector<KeyValueItem> items = {}) {
     REQUIRE(ranges.size() == 1);
-    std::exchange(ranges, {}).front()({KeyValueStatus::kOk, {}, false, 7});
+    std::exchange(ranges, {})
+        .front()({KeyValueStatus::kOk, std::move(items), false, 7});
   }
   void AnswerWatch(KeyValueStatus status) {
     REQUIRE(watches.size() == 1);
@@ -79,6 +83,7 @@
     std::exchange(renews, {}).front()(status);
   }
 
+  std::function<void(const StoreEraChange&)> on_era_change;
   std::vector<std::function<void(KeyValuePage)>> ranges;
   std::vector<HeldWatch> watches;
   std::vector<HeldGrant> grants;
--- a/tests/process_relay_test.cc
+++ b/tests/process_relay_test.cc
@@ -15,18 +15,22 @@
 
 constexpr std::chrono::seconds kEventTimeout{30};
 
-const std::string kRoutes =
-    R"({"version":3,"routes":[{"name":"lookup","host":"h","prefix":"/",)"
-    R"("route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":500,)"
-    R"("service":"s","max_attempts":1}],)"
-    R"("services":[{"name":"s","health_path":"/health",)"
-    R"("connection_limit":100,"protocol":"h1","tls":false}],)"
-    R"("limits":{"header_bytes":16384,"body_bytes":262144,)"
-    R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+// Routes of this version with one route, for the paths under `prefix`.
+std::string Routes(int version, const std::string& prefix) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"lookup","host":"h","prefix":")" + prefix +
+         R"(",)"
+         R"("route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":500,)"
+         R"("service":"s","max_attempts":1}],)"
+         R"("services":[{"name":"s","health_path":"/health",)"
+         R"("connection_limit":100,"protocol":"h1","tls":false}],)"
+         R"("limits":{"header_bytes":16384,"body_bytes":262144,)"
+         R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+}
 
 struct FakePlatform {
   FakePlatform() {
-    store.Put("op/config", kRoutes);
+    store.Put("op/config", Routes(3, "/"));
     for (std::size_t i = 0; i < leafs.size(); ++i) {
       store.Put("servers/leaf-" + std::to_string(i), leafs[i]->Entry("s"));
     }
@@ -72,4 +76,31 @@
   CHECK(WaitUntil([&] { return is_store_unreachable(first); }, kEventTimeout));
 }
 
+TEST_CASE("a relay follows a store that comes back from an older copy") {
+  // The users' bound on the time until new routes are in force.
+  constexpr std::chrono::seconds kRoutesBound{4};
+  FakePlatform platform;
+  const RelayProcess relay("127.0.5.1", platform.store.Address(), "");
+  const auto serves = [&](const std::string& path) {
+    return relay.Send("plain", path).status == 200;
+  };
+  REQUIRE(WaitUntil([&] { return serves("/"); }, kEventTimeout));
+  platform.store.TakeCopy();
+  for (int version = 4; version < 9; ++version) {
+    platform.store.Put("op/config", Routes(version, "/before/"));
+  }
+  REQUIRE(WaitUntil([&] { return serves("/before/"); }, kEventTimeout));
+
+  platform.store.ReturnToCopy();
+  CHECK(serves("/before/"));
+  platform.store.Put("op/config", Routes(9, "/after/"));
+  CHECK_MESSAGE(WaitUntil([&] { return serves("/after/"); }, kRoutesBound),
+                relay.Log());
+  CHECK(WaitUntil(
+      [&] {
+        return relay.Log().find("store_era_changed") != std::string::npos;
+      },
+      kEventTimeout));
+}
+
 }  // namespace bramleyspoke
--- a/tests/relay_platform.cc
+++ b/tests/relay_platform.cc
@@ -19,16 +19,23 @@
 namespace json = boost::json;
 
 constexpr std::chrono::seconds kCallTimeout{5};
-constexpr std::chrono::milliseconds kWatchTimeout{200};
 
 TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
 
+std::int64_t ReadParameter(const std::string& target, std::string name) {
+  name = "&" + name + "=";
+  return std::stoll(target.substr(target.find(name) + name.size()));
+}
+
 // Revision after which a watch request wants changes.
 std::int64_t WatchedRevision(const std::string& target) {
-  const std::string name = "&after=";
-  return std::stoll(target.substr(target.find(name) + name.size()));
+  return ReadParameter(target, "after");
+}
+
+Duration WatchWait(const std::string& target) {
+  return std::chrono::milliseconds(ReadParameter(target, "wait_ms"));
 }
 
 // Runs `call` on the loop's thread and waits for it.
@@ -58,6 +65,22 @@
   RunOn(*m_loop, [&] { Change(key, value); });
 }
 
+void FakePlatformStore::TakeCopy() {
+  RunOn(*m_loop, [&] {
+    m_copied_values = m_values;
+    m_copied_revision = m_revision;
+  });
+}
+
+// A watch that waits goes on waiting, for revisions that are given out again.
+void FakePlatformStore::ReturnToCopy() {
+  RunOn(*m_loop, [&] {
+    m_values = m_copied_values;
+    m_revision = m_copied_revision;
+    ++m_era;
+  });
+}
+
 void FakePlatformStore::Change(const std::string& key,
                                const std::string& value) {
   ++m_revision;
@@ -79,14 +102,21 @@
 void FakePlatformStore::Answer(HttpExchange& exchange,
                                const std::string& body) {
   HttpResponse response;
+  response.headers = {
+      {std::string(Platform::kStoreEra), std::to_string(m_era)}};
   response.body = body;
   exchange.Respond(std::move(response));
 }
 
 void FakePlatformStore::AnswerWatches() {
-  for (auto& [number, watch] : std::exchange(m_watches, {})) {
+  std::erase_if(m_watches, [this](auto& entry) {
+    const Watch& watch = entry.second;
+    if (watch.after >= m_revision) {
+      return false;
+    }
     Answer(*watch.exchange, ItemsJson("events"));
-  }
+    return true;
+  });
 }
 
 void FakePlatformStore::Handle(std::shared_ptr<HttpExchange> exchange) {
@@ -98,18 +128,26 @@
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path == Platform::kRangePath) {
     Answer(*exchange, ItemsJson("items"));
+  } else if (path == Platform::kWatchPath &&
+             WatchedRevision(request.target) > m_revision) {
+    HttpResponse gone;
+    gone.status = 410;
+    gone.headers = {{std::string(Platform::kStoreEra), std::to_string(m_era)}};
+    exchange->Respond(std::move(gone));
   } else if (path == Platform::kWatchPath &&
              WatchedRevision(request.target) < m_revision) {
     Answer(*exchange, ItemsJson("events"));
   } else if (path == Platform::kWatchPath) {
     const std::uint64_t number = ++m_last_watch;
-    auto timer = m_loop->At(Now() + Duration(kWatchTimeout), [this, number] {
+    auto timer = m_loop->At(Now() + WatchWait(request.target), [this, number] {
       const auto watch = m_watches.extract(number);
       Answer(*watch.mapped().exchange,
              json::serialize(json::object{{"at_revision", m_revision},
                                           {"events", json::array()}}));
     });
-    m_watches.emplace(number, Watch{std::move(exchange), std::move(timer)});
+    const std::int64_t after = WatchedRevision(request.target);
+    m_watches.emplace(number,
+                      Watch{after, std::move(exchange), std::move(timer)});
   } else if (path == Platform::kTransactionPath) {
     const json::value body = json::parse(request.body);
     const json::object& row = body.at("puts").at(0).as_object();
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -26,11 +26,16 @@
   void Put(const std::string& key, const std::string& value);
   /// From now on, accepts calls and never answers them.
   void StopAnswering() { m_is_unresponsive = true; }
+  /// Keeps a copy of the contents and their revision.
+  void TakeCopy();
+  /// Goes back to the copy and begins a new era.
+  void ReturnToCopy();
 
   void Handle(std::shared_ptr<HttpExchange> exchange) override;
 
  private:
   struct Watch {
+    std::int64_t after = 0;
     std::shared_ptr<HttpExchange> exchange;
     std::unique_ptr<Timer> timer;
   };
@@ -45,6 +50,9 @@
   std::atomic<bool> m_is_unresponsive = false;
   std::map<std::string, std::string> m_values;
   std::int64_t m_revision = 1;
+  std::map<std::string, std::string> m_copied_values;
+  std::int64_t m_copied_revision = 1;
+  int m_era = 1;
   std::map<std::uint64_t, Watch> m_watches;
   std::uint64_t m_last_watch = 0;
   std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -19,7 +19,7 @@
     REQUIRE(store.watches.size() == 1);
   }
 
-  void OnKeys(const std::vector<KeyValueItem>& /*items*/) override {}
+  void OnKeys(const std::vector<KeyValueItem>& /*items*/) override { ++reads; }
   void OnChanges(const std::vector<KeyValueEvent>& /*events*/) override {}
   void OnStoreUnavailable(KeyValueStatus /*status*/) override { ++outages; }
   void OnStoreAvailable() override { ++recoveries; }
@@ -29,6 +29,7 @@
   ManualLoop loop;
   HeldStore store;
   StoreFollower follower;
+  int reads = 0;
   int outages = 0;
   int recoveries = 0;
 };
@@ -70,4 +71,32 @@
   }
 }
 
+TEST_CASE("in a new era of the store all keys are read again at once") {
+  FollowerFixture fixture;
+  REQUIRE(fixture.reads == 1);
+  SUBCASE("the watch is dropped") {
+    fixture.follower.OnNewEra();
+    CHECK(fixture.store.watches.empty());
+  }
+  SUBCASE("a read that had begun before is ignored") {
+    fixture.store.AnswerWatch(KeyValueStatus::kHistoryGone);
+    fixture.loop.RunNextTimer();
+    REQUIRE(fixture.store.ranges.size() == 1);
+    const auto old_read = std::move(fixture.store.ranges.front());
+    fixture.store.ranges.clear();
+    fixture.follower.OnNewEra();
+    old_read({KeyValueStatus::kOk, {}, false, 99});
+    CHECK(fixture.reads == 1);
+  }
+  SUBCASE("twice in a row") {
+    fixture.follower.OnNewEra();
+    fixture.follower.OnNewEra();
+  }
+  fixture.loop.RunNextTimer();
+  fixture.store.AnswerRange();
+  CHECK(fixture.reads == 2);
+  CHECK(fixture.store.watches.size() == 1);
+  CHECK(fixture.outages == 0);
+}
+
 }  // namespace bramleyspoke
