--- /dev/null
+++ b/src/request/relay_completion.cc
@@ -0,0 +1,254 @@
+// Decides when a request has ended, and with what outcome.
+
+#include <algorithm>
+#include <utility>
+
+#include "request/coverage_wait.h"
+#include "request/relay_engine.h"
+#include "request/relay_request.h"
+
+namespace bramleyspoke {
+namespace {
+
+// Maximum number of parts that a request's outcome reports.
+constexpr std::size_t kMaxPartReports = 8;
+// How long an incomplete answer's request is kept for a peer's continuation.
+constexpr Duration kContinuationTimeout = std::chrono::milliseconds(100);
+
+}  // namespace
+
+bool RelayEngine::FinishIfDone(Request& request) {
+  if (!request.MatchedRoute().IsFanOut()) {
+    Part& part = request.parts.front();
+    if (!part.IsOpen()) {
+      FinishSingle(request);
+      return true;
+    }
+    if (m_now >= request.request.deadline) {
+      FinishRefused(request, RefusalReason::kDeadlinePassed, std::nullopt);
+      return true;
+    }
+    return false;
+  }
+  FanOutProgress progress;
+  for (const Part& part : request.parts) {
+    if (part.is_delivered) {
+      continue;
+    }
+    ++progress.shards;
+    progress.answered += part.IsAnswered() ? 1 : 0;
+    progress.open += part.IsOpen() ? 1 : 0;
+  }
+  const CoverageTimes times{request.request.answer_by,
+                            request.request.deadline};
+  const double min_coverage =
+      request.request.is_for_peer ? 0 : request.MatchedRoute().min_coverage;
+  switch (NextCoverageStep(progress, min_coverage, times, m_now)) {
+    case CoverageStep::kWait:
+      return false;
+    case CoverageStep::kAnswer:
+      if (request.request.is_for_peer) {
+        AnswerPeer(request);
+        return !request.continuation_deadline;
+      }
+      FinishFanOut(request);
+      return true;
+    case CoverageStep::kGiveUp:
+      break;
+  }
+  FinishRefused(request,
+                m_now >= request.request.deadline
+                    ? RefusalReason::kDeadlinePassed
+                    : ReasonOfFailure(request, RefusalReason::kNoReplica),
+                kUnavailableRetryAfter);
+  return true;
+}
+
+RefusalReason RelayEngine::ReasonOfFailure(const Request& request,
+                                           RefusalReason other) {
+  return request.is_trial_lost && request.IsOnTrial()
+             ? RefusalReason::kCrashSuspect
+             : other;
+}
+
+void RelayEngine::FinishSingle(Request& request) {
+  Part& part = request.parts.front();
+  std::optional<HttpResponse>& response =
+      part.answer ? part.answer : part.failure;
+  if (!response) {
+    FinishRefused(request,
+                  part.verdict == Verdict::kNotRun
+                      ? RefusalReason::kNoReplica
+                      : ReasonOfFailure(request, RefusalReason::kLost),
+                  kUnavailableRetryAfter);
+    return;
+  }
+  RelayOutcome outcome;
+  outcome.answers.push_back(std::move(*response));
+  Finish(request, std::move(outcome));
+}
+
+void RelayEngine::FinishFanOut(Request& request) {
+  RelayOutcome outcome;
+  outcome.answers = std::move(request.peer_answers);
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    Part& part = request.parts[index];
+    if (part.answer) {
+      outcome.answers.push_back(std::move(*part.answer));
+    }
+    if (part.IsAnswered()) {
+      outcome.covered.push_back(index);
+    } else {
+      ++outcome.missing_shards;
+    }
+  }
+  Finish(request, std::move(outcome));
+}
+
+// The answer covers the shards that have been answered when it is due. The
+// request is kept for `kContinuationTimeout`, as the delegating daemon may need
+// the pending shards to reach the route's minimum coverage.
+void RelayEngine::AnswerPeer(Request& request) {
+  RelayOutcome outcome;
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    Part& part = request.parts[index];
+    if (part.is_delivered) {
+      continue;
+    }
+    if (part.answer) {
+      outcome.answers.push_back(std::move(*part.answer));
+      outcome.covered.push_back(index);
+      part.is_delivered = true;
+      continue;
+    }
+    const auto out = static_cast<std::uint32_t>(part.outstanding.size());
+    outcome.uncovered.push_back({index, part.runs + out, part.IsOpen()});
+    outcome.is_continued = outcome.is_continued || part.IsOpen();
+  }
+  if (!outcome.is_continued || m_now >= request.request.deadline) {
+    outcome.is_continued = false;
+    CancelAttempts(request);
+    Finish(request, std::move(outcome));
+    return;
+  }
+  FillLogDetails(request, outcome);
+  request.continuation_deadline = m_now + kContinuationTimeout;
+  m_actions.finishes.push_back({request.number, std::move(outcome)});
+}
+
+bool RelayEngine::FinishIfExpired(Request& request) {
+  if (m_now < *request.continuation_deadline) {
+    return false;
+  }
+  CancelAttempts(request);
+  Finish(request, RelayOutcome());
+  return true;
+}
+
+bool RelayEngine::Continue(RelayNumber number,
+                           TimePoint deadline,
+                           TimePoint now) {
+  m_now = now;
+  Request* request = FindRequest(number);
+  if (request == nullptr || !request->continuation_deadline) {
+    return false;
+  }
+  request->continuation_deadline.reset();
+  request->request.deadline = deadline;
+  request->request.answer_by = deadline;
+  MarkForUpdate(number);
+  return true;
+}
+
+void RelayEngine::FinishRefused(Request& request,
+                                RefusalReason reason,
+                                std::optional<Duration> retry_after) {
+  RelayOutcome outcome;
+  outcome.refusal = RelayRefusal{reason, VerdictOfParts(request), retry_after};
+  Finish(request, std::move(outcome));
+}
+
+PartState RelayEngine::Part::State() const {
+  if (is_covered) {
+    return PartState::kCovered;
+  }
+  if (answered_by) {
+    return PartState::kAnswered;
+  }
+  return is_failed ? PartState::kFailed : PartState::kOpen;
+}
+
+PartReport RelayEngine::Part::Describe(TimePoint now) const {
+  PartReport report;
+  report.service = service->name;
+  report.end = State();
+  for (const auto& leaf : tried) {
+    report.leafs.push_back(leaf->registration.id);
+  }
+  report.is_at_peer = delegation || pending;
+  if (tried.empty() && !report.is_at_peer) {
+    for (const auto& leaf : service->leafs) {
+      report.leafs.push_back(leaf->registration.id + ":" +
+                             std::string(ToString(StateOf(*leaf, now))));
+    }
+  }
+  if (answered_by) {
+    report.answered_by = answered_by->registration.id;
+  }
+  report.hedges = hedges;
+  report.budget = service->budget.Tokens();
+  return report;
+}
+
+void RelayEngine::FillLogDetails(const Request& request,
+                                 RelayOutcome& outcome) const {
+  outcome.sends = request.attempts;
+  outcome.repeats = request.retries_and_hedges;
+  bool is_open = false;
+  for (const Part& part : request.parts) {
+    is_open = is_open || part.IsOpen();
+    if (part.IsReportable()) {
+      ++outcome.reportable_parts;
+      if (outcome.part_reports.size() < kMaxPartReports) {
+        outcome.part_reports.push_back(part.Describe(m_now));
+      }
+    }
+  }
+  if (m_now >= request.request.deadline) {
+    outcome.wait_end = WaitEnd::kDeadline;
+  } else if (is_open) {
+    outcome.wait_end = WaitEnd::kAnswerDue;
+  }
+}
+
+// Outstanding attempts continue, so that their connections stay open, except
+// those that `CancelQueuedAttempts` cancels.
+void RelayEngine::Finish(Request& request, RelayOutcome outcome) {
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    Dequeue(request, index);
+    CancelQueuedAttempts(request, request.parts[index]);
+  }
+  FillLogDetails(request, outcome);
+  m_actions.finishes.push_back({request.number, std::move(outcome)});
+  Erase(request);
+}
+
+void RelayEngine::Erase(Request& request) {
+  if (request.timer) {
+    m_timers.erase({*request.timer, request.number});
+  }
+  m_requests.erase(request.number);
+}
+
+Verdict RelayEngine::VerdictOfParts(const Request& request) const {
+  Verdict verdict = Verdict::kNotRun;
+  for (const Part& part : request.parts) {
+    verdict = Combine(verdict, part.verdict);
+    if (!part.outstanding.empty() || part.delegation) {
+      verdict = Verdict::kMayHaveRun;
+    }
+  }
+  return verdict;
+}
+
+}  // namespace bramleyspoke
