Trials: singles use their route's attempts; quieter evidence; a far daemon in the soak

A request to one service that lost two connections for another reason (idle connections that leafs had forgotten) no longer made the third attempt that its route allows: only a fan-out becomes doubtful while it runs.

The soak's third daemon is in another region than the leafs, so that it delegates.

Tests: "a request to one service uses all attempts of its route" failed before this change (two attempts, then refused); "a daemon far from the leafs delegates the shards of a fan-out".

--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -24,6 +24,24 @@
   return is_failed ? LogPriority::kFailure : LogPriority::kOther;
 }
 
+LogLevel LevelOf(CrashEvidenceStep step) {
+  switch (step) {
+    case CrashEvidenceStep::kCrashed:
+      return LogLevel::kWarning;
+    // Attempts at a leaf that stalls; `send_failed` has those that failed.
+    case CrashEvidenceStep::kUnanswered:
+    case CrashEvidenceStep::kLeafAnswered:
+      return LogLevel::kDebug;
+    case CrashEvidenceStep::kCrashedTogether:
+    case CrashEvidenceStep::kReported:
+    case CrashEvidenceStep::kReportedAgain:
+    case CrashEvidenceStep::kExpired:
+    case CrashEvidenceStep::kSurvived:
+      break;
+  }
+  return LogLevel::kInfo;
+}
+
 std::string FormatResource(std::uint64_t resource, std::uint64_t content) {
   return FormatFingerprint(resource == 0 ? content : resource);
 }
@@ -97,7 +115,7 @@
 // priority of failures.
 void RelayLog::WriteCrashEvidence(const CrashEvidenceEvent& event) {
   const bool is_crash = event.step == CrashEvidenceStep::kCrashed;
-  const LogLevel level = is_crash ? LogLevel::kWarning : LogLevel::kInfo;
+  const LogLevel level = LevelOf(event.step);
   const std::string fingerprint = FormatFingerprint(event.part.content);
   if (!ShouldWrite(level, fingerprint,
                    is_crash ? LogPriority::kFailure : LogPriority::kOther)) {
--- a/src/request/relay_trials.cc
+++ b/src/request/relay_trials.cc
@@ -7,8 +7,9 @@
 namespace bramleyspoke {
 namespace {
 
-// Attempts of one request whose connections are lost, without an answer to any
-// other, from which on the request is doubtful.
+// Attempts of one fan-out whose connections are lost, without an answer to any
+// other, from which on it is doubtful. Other requests are bounded by their
+// route's attempts.
 constexpr std::uint32_t kDoubtfulLosses = 2;
 
 }  // namespace
@@ -47,7 +48,8 @@
 void RelayEngine::RecordLostAttempts(Request& request, std::uint32_t count) {
   request.lost_attempts += count;
   request.is_doubtful =
-      request.is_doubtful || request.lost_attempts >= kDoubtfulLosses;
+      request.is_doubtful ||
+      (request.parts.size() > 1 && request.lost_attempts >= kDoubtfulLosses);
 }
 
 bool RelayEngine::AdmitAttempt(Request& request, Part& part) {
--- a/tests/crashing_fleet.cc
+++ b/tests/crashing_fleet.cc
@@ -60,8 +60,10 @@
   for (std::size_t i = 0; i < kDaemons; ++i) {
     const std::string ip = m_network + ".6." + std::to_string(i + 1);
     const std::string seed = "\"" + m_network + ".6.1:8106\"";
-    m_relays.push_back(
-        std::make_unique<RelayProcess>(ip, m_store.Address(), seed));
+    const bool is_far = i + 1 == kDaemons;
+    m_relays.push_back(std::make_unique<RelayProcess>(
+        ip, m_store.Address(), seed,
+        is_far ? DaemonLocation{"y", "far"} : DaemonLocation{}));
   }
   WaitForDaemons();
 }
--- a/tests/crashing_fleet.h
+++ b/tests/crashing_fleet.h
@@ -13,7 +13,8 @@
 namespace bramleyspoke {
 
 /// Three daemons, the store and two kinds of routes to leafs that all crash on
-/// the same request: "/lookup" to one service, "/sweep/" to several shards.
+/// the same request: "/lookup" to one service, "/sweep/" to several shards. The
+/// last daemon is in another region than the leafs, so it delegates shards.
 class CrashingFleet {
  public:
   static constexpr std::size_t kDaemons = 3;
--- a/tests/process_relay_crash_test.cc
+++ b/tests/process_relay_crash_test.cc
@@ -50,4 +50,11 @@
   CHECK(fleet.LastAnswer().status == 503);
 }
 
+TEST_CASE("a daemon far from the leafs delegates the shards of a fan-out") {
+  CrashingFleet fleet(kNetwork);
+  CHECK(fleet.Relay(2).Send("plain", "/sweep/all").status == 200);
+  CHECK(fleet.Relay(2).Metrics().find(R"(what="delegations"} 1)") !=
+        std::string::npos);
+}
+
 }  // namespace bramleyspoke
--- a/tests/relay_crash_test.cc
+++ b/tests/relay_crash_test.cc
@@ -43,6 +43,18 @@
 
 }  // namespace
 
+TEST_CASE("a request to one service uses all attempts of its route") {
+  CrashFixture relay;
+  const RelayNumber number = relay.Submit(0, RequestKind::kIdempotent, 3);
+  for (int reset = 0; reset < 2; ++reset) {
+    REQUIRE(relay.sends.size() == 1);
+    relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kLost);
+  }
+  REQUIRE(relay.sends.size() == 1);
+  relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  CHECK_FALSE(relay.Outcome(number).refusal.has_value());
+}
+
 TEST_CASE("a request that crashed three leafs is refused as not run") {
   CrashFixture relay;
   const RelayNumber first = relay.Submit(0);
--- a/tests/relay_process.cc
+++ b/tests/relay_process.cc
@@ -14,7 +14,8 @@
 
 RelayProcess::RelayProcess(std::string ip,
                            const Endpoint& store,
-                           const std::string& seeds)
+                           const std::string& seeds,
+                           const DaemonLocation& location)
     : m_ip(std::move(ip)),
       m_settings(std::filesystem::temp_directory_path() /
                  ("relay-" + std::to_string(getpid()) + "-" + m_ip)) {
@@ -23,9 +24,11 @@
       << ToString(Callers()) << R"(","readiness_listen":")" << m_ip
       << R"(:8108","address_listen":")" << m_ip << R"(:8100","peer_listen":")"
       << m_ip << R"(:8106","operator_listen":")" << m_ip
-      << R"(:7380","failure_domain":"z","region":"r","failure_domains":)"
-      << R"([{"name":"z","region":"r"}],"store":")" << ToString(store)
-      << R"(","seeds":[)" << seeds << R"(],"processor":{"share":1,"speed":1},)"
+      << R"(:7380","failure_domain":")" << location.failure_domain
+      << R"(","region":")" << location.region << R"(","failure_domains":)"
+      << R"([{"name":"z","region":"r"},{"name":"y","region":"far"}],"store":")"
+      << ToString(store) << R"(","seeds":[)" << seeds
+      << R"(],"processor":{"share":1,"speed":1},)"
       << R"("repeats":{"ratio":0.2,"slack":50},"stop_bound_ms":1000}})";
   Start();
 }
--- a/tests/relay_process.h
+++ b/tests/relay_process.h
@@ -11,12 +11,21 @@
 
 namespace bramleyspoke {
 
+/// Failure domain and region of a daemon; leafs are in the default ones.
+struct DaemonLocation {
+  std::string failure_domain = "z";
+  std::string region = "r";
+};
+
 /// A relaying daemon, run as a process that listens on several ports of one
 /// loopback address.
 class RelayProcess {
  public:
   /// `seeds` is the list of peers in the settings' JSON, without brackets.
-  RelayProcess(std::string ip, const Endpoint& store, const std::string& seeds);
+  RelayProcess(std::string ip,
+               const Endpoint& store,
+               const std::string& seeds,
+               const DaemonLocation& location = {});
   ~RelayProcess();
 
   Endpoint Callers() const { return {m_ip, 8104}; }
