--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -61,7 +61,7 @@
 
   void AddCrashSuspect(const CrashSuspect& suspect) override {
     const std::string key = m_schema.CrashSuspectKey(suspect);
-    m_suspects[key] = suspect;
+    KeepSuspect(key, suspect);
     m_suspect_writer.Write(key, m_schema.WriteCrashSuspect(suspect));
   }
 
@@ -72,8 +72,10 @@
     for (const auto& [key, daemon] : m_daemons.Rows()) {
       knowledge.daemons.push_back({key, daemon});
     }
-    for (const auto& [key, suspect] : m_suspects) {
-      knowledge.suspects.push_back(suspect);
+    for (const auto& [key, kept] : m_suspects) {
+      if (Now() < kept.expires_at) {
+        knowledge.suspects.push_back(kept.suspect);
+      }
     }
     return knowledge;
   }
@@ -171,6 +173,11 @@
   }
 
  private:
+  struct KeptSuspect {
+    CrashSuspect suspect;
+    TimePoint expires_at;
+  };
+
   static TimePoint Now() { return std::chrono::steady_clock::now(); }
 
   // Everything stays in use until the keys are read again. As after an outage,
@@ -306,12 +313,22 @@
       return;
     }
     m_suspect_writer.OnStored(key);
-    if (m_suspects.emplace(key, *read.value).second) {
+    if (KeepSuspect(key, *read.value)) {
       WriteLog(LogLevel::kInfo, "crash_suspect_read", {Field("key", key)});
     }
     m_listener.OnCrashSuspect(*read.value);
   }
 
+  // Returns whether the suspect is new.
+  bool KeepSuspect(const std::string& key, const CrashSuspect& suspect) {
+    std::erase_if(m_suspects, [](const auto& entry) {
+      return Now() >= entry.second.expires_at;
+    });
+    const TimePoint expires_at =
+        Now() + Duration(CrashSuspectWriter::kTimeToLive);
+    return m_suspects.emplace(key, KeptSuspect{suspect, expires_at}).second;
+  }
+
   void ApplyCrashSuspectEvent(const KeyValueEvent& event) {
     if (event.value) {
       ApplyCrashSuspect(event.key, *event.value);
@@ -336,7 +353,7 @@
       m_daemons.Put(keyed.key, keyed.daemon);
     }
     for (const CrashSuspect& suspect : knowledge.suspects) {
-      m_suspects.emplace(m_schema.CrashSuspectKey(suspect), suspect);
+      KeepSuspect(m_schema.CrashSuspectKey(suspect), suspect);
       m_listener.OnCrashSuspect(suspect);
     }
     NotifyLeafs();
@@ -399,7 +416,7 @@
   EntryRegistry<LeafRegistration> m_leafs;
   EntryRegistry<DaemonEntry> m_daemons;
   /// By key.
-  std::map<std::string, CrashSuspect> m_suspects;
+  std::map<std::string, KeptSuspect> m_suspects;
   /// The routes in force, as stored.
   std::string m_routes;
   std::uint64_t m_version = 0;
