Don't read a peer's request after its answer has ended it

Found by AddressSanitizer in "a peer with more leafs than the delegating daemon declines the shard": FinishIfDone read a request that AnswerPeer had just erased, whenever the answer to a peer left no shard pending.

Change: AnswerPeer says whether the request has ended. Evidence: heap-use-after-free at that line before; after, 108 test cases of relays, crashes, store and peers pass under AddressSanitizer and UndefinedBehaviorSanitizer without a report.

--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -48,8 +48,7 @@
       return false;
     case CoverageStep::kAnswer:
       if (request.request.is_for_peer) {
-        AnswerPeer(request);
-        return !request.continuation_deadline;
+        return AnswerPeer(request);
       }
       FinishFanOut(request);
       return true;
@@ -108,7 +107,7 @@
 // The answer covers the shards that have been answered when it is due. The
 // request is kept for `kContinuationTimeout`, as the delegating daemon may need
 // the pending shards to reach the route's minimum coverage.
-void RelayEngine::AnswerPeer(Request& request) {
+bool RelayEngine::AnswerPeer(Request& request) {
   RelayOutcome outcome;
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     Part& part = request.parts[index];
@@ -129,11 +128,12 @@
     outcome.is_continued = false;
     CancelAttempts(request);
     Finish(request, std::move(outcome));
-    return;
+    return true;
   }
   FillLogDetails(request, outcome);
   request.continuation_deadline = m_now + kContinuationTimeout;
   m_actions.finishes.push_back({request.number, std::move(outcome)});
+  return false;
 }
 
 bool RelayEngine::FinishIfExpired(Request& request) {
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -223,7 +223,8 @@
                                        RefusalReason other);
   void FinishSingle(Request& request);
   void FinishFanOut(Request& request);
-  void AnswerPeer(Request& request);
+  /// Returns true if the request has ended and was erased.
+  bool AnswerPeer(Request& request);
   /// Erases the request if no continuation came in time; true if it did so.
   bool FinishIfExpired(Request& request);
   void Erase(Request& request);
