Log how a version came and how old the knowledge of the store is

routes_in_force and store_lost now have these times; request_end has the age of the routes, and the reason no_route for a path without a route; a watch that is replaced because it may never be answered writes watch_replaced; the age is a gauge. No decision changes.

--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "base/enum_names.h"
 #include "base/problems.h"
 #include "connection/event_loop.h"
 #include "process/crash_suspect_writer.h"
@@ -21,6 +22,24 @@
 // Limit on the log lines about changed leafs.
 constexpr std::uint32_t kMaxLeafLinesPerSecond = 5;
 
+/// How routes were received.
+enum class RoutesSource {
+  kRead,
+  kWatch,
+  kPeer,
+};
+
+constexpr EnumNames<RoutesSource, 3> kRoutesSourceNames{{{
+    {RoutesSource::kRead, "read"},
+    {RoutesSource::kWatch, "watch"},
+    {RoutesSource::kPeer, "peer"},
+}}};
+
+// -1 if the store had not responded before.
+std::int64_t UnconfirmedMilliseconds(const StoreCallEnd& end) {
+  return end.unconfirmed ? ToMilliseconds(*end.unconfirmed) : -1;
+}
+
 class StoreRelayControl final : public RelayControl, public StoreListener {
  public:
   StoreRelayControl(EventLoop& loop,
@@ -84,7 +103,8 @@
 
   // StoreListener.
 
-  void OnKeys(const std::vector<KeyValueItem>& items) override {
+  void OnKeys(const std::vector<KeyValueItem>& items,
+              const StoreCallEnd& end) override {
     m_seeds->Stop();
     m_listener.OnStoreReachability(true);
     std::set<std::string> leafs;
@@ -92,7 +112,7 @@
     for (const KeyValueItem& item : items) {
       switch (m_schema.KindOf(item.key)) {
         case StoreKeyKind::kRoutes:
-          ApplyRoutes(item.value);
+          ApplyRoutes(item.value, RoutesSource::kRead, end);
           break;
         case StoreKeyKind::kLeaf:
           if (ApplyLeaf(m_schema.NameOf(item.key), item.value)) {
@@ -123,14 +143,15 @@
     NotifyDaemons();
   }
 
-  void OnChanges(const std::vector<KeyValueEvent>& events) override {
+  void OnChanges(const std::vector<KeyValueEvent>& events,
+                 const StoreCallEnd& end) override {
     bool is_leaf_changed = false;
     bool is_daemon_changed = false;
     for (const KeyValueEvent& event : events) {
       switch (m_schema.KindOf(event.key)) {
         case StoreKeyKind::kRoutes:
           if (event.value) {
-            ApplyRoutes(*event.value);
+            ApplyRoutes(*event.value, RoutesSource::kWatch, end);
           }
           break;
         case StoreKeyKind::kLeaf:
@@ -156,9 +177,15 @@
     }
   }
 
-  void OnStoreUnavailable(KeyValueStatus status) override {
+  void OnStoreConfirmed(TimePoint at) override {
+    m_listener.OnStoreConfirmed(at);
+  }
+
+  void OnStoreUnavailable(const StoreCallEnd& end) override {
     WriteLog(LogLevel::kWarning, "store_lost",
-             {Field("status", ToString(status))});
+             {Field("status", ToString(end.status)),
+              Field("waited_ms", ToMilliseconds(end.waited)),
+              Field("unconfirmed_ms", UnconfirmedMilliseconds(end))});
     m_leafs.OnStoreUnavailable();
     m_daemons.OnStoreUnavailable();
     m_listener.OnStoreReachability(false);
@@ -206,7 +233,9 @@
   }
 
   // Versions only increase; an older one that arrives late is ignored.
-  void ApplyRoutes(const std::string& value) {
+  void ApplyRoutes(const std::string& value,
+                   RoutesSource source,
+                   const StoreCallEnd& end) {
     const auto read = Check([&] { return m_schema.ReadRoutes(value); });
     if (!read.value) {
       WriteLog(LogLevel::kError, "routes_refused",
@@ -221,7 +250,10 @@
     m_routes = value;
     WriteLog(
         LogLevel::kInfo, "routes_in_force",
-        {Field("version", m_version), Field("routes", table->Routes().size())});
+        {Field("version", m_version), Field("routes", table->Routes().size()),
+         Field("source", kRoutesSourceNames.NameOf(source)),
+         Field("waited_ms", ToMilliseconds(end.waited)),
+         Field("unconfirmed_ms", UnconfirmedMilliseconds(end))});
     m_listener.OnTable(table);
   }
 
@@ -345,7 +377,7 @@
     WriteLog(LogLevel::kInfo, "peer_knowledge_taken",
              {Field("leafs", knowledge.leafs.size()),
               Field("daemons", knowledge.daemons.size())});
-    ApplyRoutes(knowledge.routes);
+    ApplyRoutes(knowledge.routes, RoutesSource::kPeer, {});
     for (const LeafRegistration& leaf : knowledge.leafs) {
       m_leafs.Put(leaf.id, leaf);
     }
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -25,6 +25,8 @@
   virtual void OnCrashSuspect(const CrashSuspect& suspect) = 0;
   /// The store was replaced by an older copy of itself.
   virtual void OnStoreEra(const StoreEraChange& change) = 0;
+  /// The store has shown that what was reported of it is current.
+  virtual void OnStoreConfirmed(TimePoint at) = 0;
   /// Reports whether the calls that follow the store succeed.
   virtual void OnStoreReachability(bool is_reachable) = 0;
 };
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -159,6 +159,10 @@
     m_loop->Post([this, change] { m_store_era = change.after; });
   }
 
+  void OnStoreConfirmed(TimePoint at) override {
+    m_loop->Post([this, at] { m_front->SetConfirmed(at); });
+  }
+
   void OnStoreReachability(bool is_reachable) override {
     m_loop->Post([this, is_reachable] {
       m_is_store_reachable = is_reachable;
@@ -363,6 +367,9 @@
     observation.leaf_connections_opened = m_front->Exchanges().Opened();
     observation.is_store_reachable = m_is_store_reachable;
     observation.store_era = m_store_era;
+    observation.routes_unconfirmed =
+        m_front->RoutesUnconfirmed(std::chrono::steady_clock::now())
+            .value_or(Duration::zero());
     observation.is_ready = IsReady();
     observation.is_stopping = m_stop.IsStopping();
     observation.is_holder = m_front->IsHolder();
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -69,10 +69,16 @@
   end.request_id = head.request_id;
   end.version = m_table->Version();
   end.status = response.status;
+  end.routes_unconfirmed = RoutesUnconfirmed(Now());
   m_observer.OnRequestEnd(end);
   exchange->Respond(std::move(response));
 }
 
+std::optional<Duration> RelayFront::RoutesUnconfirmed(TimePoint now) const {
+  return m_confirmed_at ? std::optional<Duration>(now - *m_confirmed_at)
+                        : std::nullopt;
+}
+
 void RelayFront::Refuse(HttpExchange& exchange,
                         const CallerHead& head,
                         const RelayRefusal& refusal) {
@@ -81,6 +87,7 @@
   end.request_id = head.request_id;
   end.status = response.status;
   end.refusal = refusal;
+  end.routes_unconfirmed = RoutesUnconfirmed(Now());
   m_observer.OnRequestEnd(end);
   exchange.Respond(std::move(response));
 }
@@ -420,6 +427,7 @@
   end.status = response.status;
   end.taken = Now() - request.arrived;
   end.time_for_answer = request.answer_by - request.arrived;
+  end.routes_unconfirmed = RoutesUnconfirmed(Now());
   end.missing_shards = outcome.missing_shards;
   end.outcome = &outcome;
   end.refusal = outcome.refusal;
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -33,6 +33,9 @@
   /// Null if the request was not submitted to the engine.
   const RelayOutcome* outcome = nullptr;
   std::optional<RelayRefusal> refusal;
+  /// Time since the store last showed that the routes are current; empty if it
+  /// has not.
+  std::optional<Duration> routes_unconfirmed;
   /// Whether another daemon delegated the request.
   bool is_for_peer = false;
   /// Fingerprint of the request's content; 0 without a route.
@@ -99,6 +102,9 @@
   /// Sets whether the routes may be out of date. If so, a request without a
   /// matching route is refused as not ready, since its route may exist.
   void SetStale(bool is_stale) { m_is_stale = is_stale; }
+  /// Sets when the store last showed that the routes are current.
+  void SetConfirmed(TimePoint at) { m_confirmed_at = at; }
+  std::optional<Duration> RoutesUnconfirmed(TimePoint now) const;
 
   bool IsHolder() const { return m_is_holder; }
   const RouteTable* Table() const { return m_table.get(); }
@@ -162,6 +168,7 @@
       m_peer_calls;
   std::shared_ptr<const RouteTable> m_table;
   bool m_is_stale = false;
+  std::optional<TimePoint> m_confirmed_at;
   bool m_is_holder = true;
   std::unordered_map<RelayNumber, RequestInFlight> m_in_flight;
   /// Peers' requests that were answered with shards still pending, by request
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -7,6 +7,8 @@
 namespace bramleyspoke {
 namespace {
 
+// Reason of a request for whose path there is no route.
+constexpr std::string_view kNoRoute = "no_route";
 // Minimum interval between two reports of the number of suppressed lines.
 constexpr Duration kSuppressedReportInterval = std::chrono::seconds(1);
 
@@ -46,6 +48,18 @@
   return FormatFingerprint(resource == 0 ? content : resource);
 }
 
+// -1 if the store has not confirmed the routes.
+std::int64_t UnconfirmedMilliseconds(const RelayEnd& end) {
+  return end.routes_unconfirmed ? ToMilliseconds(*end.routes_unconfirmed) : -1;
+}
+
+std::string_view ReasonOf(const RelayEnd& end) {
+  if (end.refusal) {
+    return ToString(end.refusal->reason);
+  }
+  return end.route == nullptr && !end.is_for_peer ? kNoRoute : "";
+}
+
 std::string_view NameOf(const Route* route) {
   return route == nullptr ? std::string_view() : route->name;
 }
@@ -82,7 +96,9 @@
   WriteLog(
       level, end.is_for_peer ? "peer_query_end" : "request_end",
       {Field("request_id", end.request_id), Field("route", NameOf(end.route)),
-       Field("version", end.version), Field("status", end.status),
+       Field("version", end.version),
+       Field("routes_unconfirmed_ms", UnconfirmedMilliseconds(end)),
+       Field("status", end.status),
        Field("taken_ms", ToMilliseconds(end.taken)),
        Field("time_for_answer_ms", ToMilliseconds(end.time_for_answer)),
        Field("wait_end", end.refusal ? "" : ToString(outcome.wait_end)),
@@ -92,7 +108,7 @@
        Field("resource", FormatResource(end.resource, end.fingerprint)),
        Field("odd_parts", outcome.reportable_parts),
        Field("odd", DescribePartReports(outcome.part_reports)),
-       Field("reason", end.refusal ? ToString(end.refusal->reason) : ""),
+       Field("reason", ReasonOf(end)),
        Field("verdict", end.refusal ? ToString(end.refusal->verdict) : ""),
        Field("retry_after_ms", end.refusal && end.refusal->retry_after
                                    ? ToMilliseconds(*end.refusal->retry_after)
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -126,6 +126,9 @@
                   observation.leaf_connections_opened);
     SetStateGauge("store_reachable", observation.is_store_reachable ? 1 : 0);
     SetStateGauge("store_era", observation.store_era);
+    SetStateGauge("routes_unconfirmed_ms",
+                  static_cast<std::uint64_t>(
+                      ToMilliseconds(observation.routes_unconfirmed)));
     SetStateGauge("ready", observation.is_ready ? 1 : 0);
     SetStateGauge("sends", observation.engine.sends);
     SetStateGauge("hedges", observation.engine.hedges);
--- a/src/process/relay_metrics.h
+++ b/src/process/relay_metrics.h
@@ -23,6 +23,8 @@
   std::size_t leaf_connections = 0;
   std::uint64_t leaf_connections_opened = 0;
   bool is_store_reachable = false;
+  /// Time since the store last showed that the routes are current.
+  Duration routes_unconfirmed{0};
   /// 0 until it has changed while this daemon ran.
   std::uint64_t store_era = 0;
   bool is_ready = false;
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -4,8 +4,16 @@
 #include <utility>
 
 #include "connection/event_loop.h"
+#include "process/log.h"
 
 namespace bramleyspoke {
+namespace {
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
 
 StoreFollower::StoreFollower(EventLoop& loop,
                              KeyValueStore& store,
@@ -27,6 +35,7 @@
   if (after.empty()) {
     m_items.clear();
     m_first_page_revision = 0;
+    m_called_at = Now();
     ++m_read;
   }
   m_store.Range(
@@ -57,8 +66,9 @@
     return;
   }
   m_revision = m_first_page_revision;
-  OnSuccess();
-  m_listener.OnKeys(m_items);
+  const StoreCallEnd end = EndOfCall(page.status);
+  OnSuccess(m_called_at);
+  m_listener.OnKeys(m_items, end);
   m_items.clear();
   m_items.shrink_to_fit();
   Watch();
@@ -66,6 +76,7 @@
 
 void StoreFollower::Watch() {
   m_watch = ++m_last_watch;
+  m_called_at = Now();
   m_store.Watch(
       m_prefix, m_revision,
       m_is_unavailable || m_is_probing ? kProbeWait : m_timings.watch_wait,
@@ -83,6 +94,9 @@
   }
   m_is_probing = true;
   m_watch = 0;
+  WriteLog(LogLevel::kInfo, "watch_replaced",
+           {Field("revision", m_revision),
+            Field("waited_ms", ToMilliseconds(Now() - m_called_at))});
   m_store.CancelWatches();
   Watch();
 }
@@ -114,9 +128,10 @@
     return;
   }
   m_revision = std::max(m_revision, changes.revision);
-  OnSuccess();
+  const StoreCallEnd end = EndOfCall(changes.status);
+  OnSuccess(Now());
   if (!changes.events.empty()) {
-    m_listener.OnChanges(changes.events);
+    m_listener.OnChanges(changes.events, end);
   }
   ScheduleNext(changes.events.empty() ? Duration::zero()
                                       : m_timings.batch_delay);
@@ -124,14 +139,17 @@
 
 void StoreFollower::OnFailure(KeyValueStatus status) {
   if (!std::exchange(m_is_unavailable, true)) {
-    m_listener.OnStoreUnavailable(status);
+    m_listener.OnStoreUnavailable(EndOfCall(status));
   }
   const Duration delay = m_retry_delay;
   m_retry_delay = std::min(m_retry_delay * 2, kMaxRetryDelay);
   ScheduleNext(delay);
 }
 
-void StoreFollower::OnSuccess() {
+// A read shows the state of the store at some time since it began.
+void StoreFollower::OnSuccess(TimePoint confirmed_at) {
+  m_confirmed_at = confirmed_at;
+  m_listener.OnStoreConfirmed(confirmed_at);
   m_retry_delay = kMinRetryDelay;
   m_is_probing = false;
   if (std::exchange(m_is_unavailable, false)) {
@@ -139,8 +157,17 @@
   }
 }
 
+StoreCallEnd StoreFollower::EndOfCall(KeyValueStatus status) const {
+  const TimePoint now = Now();
+  StoreCallEnd end{status, now - m_called_at, std::nullopt};
+  if (m_confirmed_at) {
+    end.unconfirmed = now - *m_confirmed_at;
+  }
+  return end;
+}
+
 void StoreFollower::ScheduleNext(Duration delay) {
-  m_timer = m_loop.At(std::chrono::steady_clock::now() + delay, [this] {
+  m_timer = m_loop.At(Now() + delay, [this] {
     if (m_revision == 0) {
       ReadPage({});
     } else {
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,16 +15,30 @@
 class EventLoop;
 class Timer;
 
+/// How a call of a `StoreFollower` ended.
+struct StoreCallEnd {
+  KeyValueStatus status = KeyValueStatus::kOk;
+  /// Time that the call was outstanding.
+  Duration waited{0};
+  /// Time since the store's last response before this one; empty if there was
+  /// none.
+  std::optional<Duration> unconfirmed;
+};
+
 /// Receives the keys and changes that a `StoreFollower` reads; called on its
 /// loop.
 class StoreListener {
  public:
   virtual ~StoreListener() = default;
   /// All keys under the prefix, after each complete read.
-  virtual void OnKeys(const std::vector<KeyValueItem>& items) = 0;
-  virtual void OnChanges(const std::vector<KeyValueEvent>& events) = 0;
+  virtual void OnKeys(const std::vector<KeyValueItem>& items,
+                      const StoreCallEnd& end) = 0;
+  virtual void OnChanges(const std::vector<KeyValueEvent>& events,
+                         const StoreCallEnd& end) = 0;
+  /// The store has shown that what is known of it is current.
+  virtual void OnStoreConfirmed(TimePoint at) = 0;
   /// A call failed, for the first time since the last one that succeeded.
-  virtual void OnStoreUnavailable(KeyValueStatus status) = 0;
+  virtual void OnStoreUnavailable(const StoreCallEnd& end) = 0;
   /// A call succeeded after failures.
   virtual void OnStoreAvailable() = 0;
 };
@@ -61,7 +76,8 @@
   void Watch();
   void OnChanges(std::uint64_t watch, const KeyValueChanges& changes);
   void OnFailure(KeyValueStatus status);
-  void OnSuccess();
+  void OnSuccess(TimePoint confirmed_at);
+  StoreCallEnd EndOfCall(KeyValueStatus status) const;
   void ScheduleNext(Duration delay);
 
   EventLoop& m_loop;
@@ -76,6 +92,10 @@
   StoreTimings m_timings = kHolderTimings;
   Duration m_retry_delay = kMinRetryDelay;
   bool m_is_unavailable = false;
+  /// When the last call began.
+  TimePoint m_called_at;
+  /// When the store last showed that what is known of it is current.
+  std::optional<TimePoint> m_confirmed_at;
   /// Number of the current read of all keys.
   std::uint64_t m_read = 0;
   /// Number of the outstanding watch; 0: none.
--- a/src/tool/explanation.cc
+++ b/src/tool/explanation.cc
@@ -30,7 +30,10 @@
      "The connection to a leaf broke after the request was sent, and the "
      "request must not run twice: see the send_failed event, and check at the "
      "leaf whether the request ran."},
-    {"no_route", "No route of the requested version matches the request."},
+    {"no_route",
+     "No route of the version in use matches the request. If "
+     "routes_unconfirmed_ms is large, the version may have been outdated: look "
+     "for a later routes_in_force event and its source."},
 }};
 
 constexpr std::array<Description, 6> kAttemptFailures{{
--- a/tests/relay_control_test.cc
+++ b/tests/relay_control_test.cc
@@ -52,6 +52,7 @@
   void OnStoreEra(const StoreEraChange& change) override {
     eras.push_back(change.after);
   }
+  void OnStoreConfirmed(TimePoint /*at*/) override {}
   void OnStoreReachability(bool /*is_reachable*/) override {}
 
   /// Runs timers until the keys are read, and answers the read.
--- /dev/null
+++ b/tests/silent_proxy.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/endpoint.h"
+
+namespace bramleyspoke {
+
+/// How a silent connection behaves towards the client.
+enum class Silence {
+  /// No segment of the client is acknowledged, as if a device on the path had
+  /// dropped the connection's state.
+  kUnacknowledged,
+  /// The client's data is acknowledged, as if the server's process had hung.
+  kAcknowledged,
+};
+
+/// TCP proxy on loopback whose open connections can go silent for good without
+/// a reset, while new ones work.
+class SilentProxy {
+ public:
+  static std::unique_ptr<SilentProxy> Create(const Endpoint& server);
+  virtual ~SilentProxy() = default;
+
+  virtual Endpoint Address() const = 0;
+  /// Silences each open connection on which the client has sent `text`, ""
+  /// for all; returns how many.
+  virtual std::size_t SilenceOpen(Silence silence,
+                                  std::string_view text = "") = 0;
+};
+
+}  // namespace bramleyspoke
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -19,9 +19,18 @@
     REQUIRE(store.watches.size() == 1);
   }
 
-  void OnKeys(const std::vector<KeyValueItem>& /*items*/) override { ++reads; }
-  void OnChanges(const std::vector<KeyValueEvent>& /*events*/) override {}
-  void OnStoreUnavailable(KeyValueStatus /*status*/) override { ++outages; }
+  void OnKeys(const std::vector<KeyValueItem>& /*items*/,
+              const StoreCallEnd& end) override {
+    ++reads;
+    last_end = end;
+  }
+  void OnChanges(const std::vector<KeyValueEvent>& /*events*/,
+                 const StoreCallEnd& /*end*/) override {}
+  void OnStoreConfirmed(TimePoint /*at*/) override { ++confirmations; }
+  void OnStoreUnavailable(const StoreCallEnd& end) override {
+    ++outages;
+    last_end = end;
+  }
   void OnStoreAvailable() override { ++recoveries; }
 
   Duration Wait() const { return store.watches.front().wait; }
@@ -30,6 +39,8 @@
   HeldStore store;
   StoreFollower follower;
   int reads = 0;
+  StoreCallEnd last_end;
+  int confirmations = 0;
   int outages = 0;
   int recoveries = 0;
 };
@@ -50,6 +61,20 @@
   CHECK(fixture.Wait() == kHolderTimings.watch_wait);
 }
 
+TEST_CASE("the end of a call tells for how long the store has been silent") {
+  FollowerFixture fixture;
+  CHECK(fixture.confirmations == 1);
+  CHECK_FALSE(fixture.last_end.unconfirmed);
+  fixture.store.AnswerWatch(KeyValueStatus::kOk);
+  CHECK(fixture.confirmations == 2);
+  fixture.loop.RunNextTimer();
+  fixture.store.AnswerWatch(KeyValueStatus::kRefused);
+  CHECK(fixture.confirmations == 2);
+  CHECK(fixture.last_end.status == KeyValueStatus::kRefused);
+  REQUIRE(fixture.last_end.unconfirmed);
+  CHECK(*fixture.last_end.unconfirmed >= fixture.last_end.waited);
+}
+
 TEST_CASE("a probe replaces the outstanding watch by a short one") {
   FollowerFixture fixture;
   fixture.follower.Probe();
