--- a/tests/relay_platform.cc
+++ b/tests/relay_platform.cc
@@ -65,6 +65,12 @@
   RunOn(*m_loop, [&] { Change(key, value); });
 }
 
+std::size_t FakePlatformStore::OpenWatches() {
+  std::size_t count = 0;
+  RunOn(*m_loop, [&] { count = m_watches.size(); });
+  return count;
+}
+
 void FakePlatformStore::TakeCopy() {
   RunOn(*m_loop, [&] {
     m_copied_values = m_values;
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -24,6 +24,8 @@
 
   Endpoint Address() const { return m_server->Address(); }
   void Put(const std::string& key, const std::string& value);
+  /// Number of watches that wait for changes.
+  std::size_t OpenWatches();
   /// From now on, accepts calls and never answers them.
   void StopAnswering() { m_is_unresponsive = true; }
   /// Keeps a copy of the contents and their revision.
