Close a connection to the store once nothing is acknowledged on it

Callers saw: a route that was added after a connection to the store went silent got 404 for up to 7.4 s from a holder and 22.2 s from a standby.

Cause: keep-alive probes found an idle silent connection after 4.1 s, which is longer than the users allow for everything, and none are sent while a request waits for its acknowledgement, so a watch that was sent on a silent connection waited for its whole timeout.

Ruled out: fewer probes alone (no probe is sent with data on its way).

Test: http_test, "a call fails soon after its connection has gone silent without a reset"; without the user timeout its case "before the call" failed (no outcome within 3 s).

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -222,6 +222,10 @@
     ReadResponse(m_state);
   }
 
+  void LimitSilence(Duration limit) override {
+    bramleyspoke::LimitSilence(m_state->stream.socket().native_handle(), limit);
+  }
+
   bool IsOpen() const override {
     return m_state->is_open &&
            (m_state->done || IsOpenWithoutInput(m_state->stream));
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -70,6 +70,9 @@
                             TimePoint deadline,
                             HttpResponseMatcher matches,
                             HttpCallback done) = 0;
+  /// Makes the connection fail once the server has acknowledged nothing for
+  /// `limit`, plus up to a second.
+  virtual void LimitSilence(Duration limit) = 0;
   /// False once either side is known to have closed the connection, or if the
   /// server sent unrequested data.
   virtual bool IsOpen() const = 0;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <future>
 #include <string>
 #include <thread>
 #include <vector>
@@ -8,10 +9,17 @@
 #include "connection/event_loop.h"
 #include "connection/http_client.h"
 #include "connection/http_server.h"
+#include "loop_runner.h"
+#include "silent_proxy.h"
 
 namespace bramleyspoke {
 namespace {
 
+constexpr std::chrono::milliseconds kSilenceLimit{1500};
+// The limit, a second for the probes and some for a busy machine.
+constexpr std::chrono::seconds kSilenceBound{3};
+constexpr std::chrono::seconds kCallTimeout{30};
+
 class EchoHandler final : public HttpHandler {
  public:
   void Handle(std::shared_ptr<HttpExchange> exchange) override {
@@ -100,6 +108,51 @@
   }
 }
 
+TEST_CASE(
+    "a call fails soon after its connection has gone silent without a reset") {
+  const HttpFixture fixture;
+  const auto proxy = SilentProxy::Create(fixture.Address());
+  LoopRunner runner;
+  using ConnectionPtr = std::shared_ptr<HttpConnection>;
+  ConnectionPtr connection =
+      runner.Await<ConnectionPtr>([&](std::function<void(ConnectionPtr)> done) {
+        HttpConnection::Open(runner.Loop(), proxy->Address(),
+                             std::chrono::steady_clock::now() + kCallTimeout,
+                             [done](std::unique_ptr<HttpConnection> opened) {
+                               opened->LimitSilence(kSilenceLimit);
+                               done(std::move(opened));
+                             });
+      });
+  const auto call = [&](const std::string& target) {
+    auto promise = std::make_shared<std::promise<HttpOutcome>>();
+    runner.Loop().Post([connection, target, promise] {
+      connection->Send(
+          HttpRequest{"POST", target, {}, "body"},
+          std::chrono::steady_clock::now() + kCallTimeout,
+          [promise](HttpOutcome ended) { promise->set_value(ended); });
+    });
+    return promise->get_future();
+  };
+  REQUIRE(call("/").get().response);
+
+  std::future<HttpOutcome> outcome;
+  SUBCASE("while the call waits for its response") {
+    outcome = call("/silent");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    REQUIRE(proxy->SilenceOpen(Silence::kUnacknowledged) == 1);
+  }
+  SUBCASE("before the call") {
+    REQUIRE(proxy->SilenceOpen(Silence::kUnacknowledged) == 1);
+    outcome = call("/");
+  }
+  REQUIRE(outcome.wait_for(kSilenceBound) == std::future_status::ready);
+  CHECK(outcome.get().failure == HttpFailure::kClosed);
+  runner.Run([&] {
+    connection.reset();
+    return true;
+  });
+}
+
 TEST_CASE("a stream delivers its parts before it ends") {
   HttpFixture fixture;
   std::string received;
