Take a watch without an answer for an outage only if a short one has none

Callers would see: requests sent to a leaf that has been removed, for 2.2 s after a broken connection to the store was replaced. Registrations expire while the store is away, so entries that vanish around an outage are kept for that long; a watch whose connection broke counted as an outage although the store was up.

Change: after a watch that ended without an answer a short one follows at once, on a new connection; only if that has no answer either, the store counts as unavailable. A refusal still shows it at once.

Tests: relay_control_test, "a leaf that is removed while a connection to the store is broken gets no more requests": its first case failed before (the leaf was kept), its second one checks that an outage still keeps entries. store_follower_test, "a watch is short while the store does not answer", expected the outage after the first unanswered watch; it now expects the short watch then and the outage after the second, and a case for the refusal is new.

--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -92,12 +92,16 @@
   if (m_watch == 0 || m_is_unavailable || m_is_probing) {
     return;
   }
-  m_is_probing = true;
   m_watch = 0;
+  m_store.CancelWatches();
+  BeginProbe();
+}
+
+void StoreFollower::BeginProbe() {
+  m_is_probing = true;
   WriteLog(LogLevel::kInfo, "watch_replaced",
            {Field("revision", m_revision),
             Field("waited_ms", ToMilliseconds(Now() - m_called_at))});
-  m_store.CancelWatches();
   Watch();
 }
 
@@ -123,6 +127,12 @@
     ScheduleNext(Duration::zero());
     return;
   }
+  // The connection may have broken although the store is available.
+  if (changes.status == KeyValueStatus::kUnknown && !m_is_unavailable &&
+      !m_is_probing) {
+    BeginProbe();
+    return;
+  }
   if (changes.status != KeyValueStatus::kOk) {
     OnFailure(changes.status);
     return;
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -37,7 +37,8 @@
                          const StoreCallEnd& end) = 0;
   /// The store has shown that what is known of it is current.
   virtual void OnStoreConfirmed(TimePoint at) = 0;
-  /// A call failed, for the first time since the last one that succeeded.
+  /// A call failed, for the first time since the last one that succeeded. A
+  /// watch without a response counts only if a short one has none either.
   virtual void OnStoreUnavailable(const StoreCallEnd& end) = 0;
   /// A call succeeded after failures.
   virtual void OnStoreAvailable() = 0;
@@ -74,6 +75,7 @@
   void ReadPage(const std::string& after);
   void OnPage(std::uint64_t read, KeyValuePage page);
   void Watch();
+  void BeginProbe();
   void OnChanges(std::uint64_t watch, const KeyValueChanges& changes);
   void OnFailure(KeyValueStatus status);
   void OnSuccess(TimePoint confirmed_at);
--- a/tests/relay_control_test.cc
+++ b/tests/relay_control_test.cc
@@ -55,6 +55,13 @@
   void OnStoreConfirmed(TimePoint /*at*/) override {}
   void OnStoreReachability(bool /*is_reachable*/) override {}
 
+  void AnswerWatch(const KeyValueChanges& changes) {
+    while (store.watches.empty()) {
+      REQUIRE(loop.RunNextTimer());
+    }
+    std::exchange(store.watches, {}).front().done(changes);
+  }
+
   /// Runs timers until the keys are read, and answers the read.
   void AnswerRead(std::vector<KeyValueItem> items) {
     while (store.ranges.empty()) {
@@ -100,6 +107,28 @@
   CHECK(fixture.store.revoked.empty());
 }
 
+TEST_CASE(
+    "a leaf that is removed while a connection to the store is broken gets no "
+    "more requests") {
+  ControlFixture fixture;
+  fixture.AnswerRead({{"servers/a", Leaf(1, "ready")}});
+  REQUIRE(fixture.leafs.size() == 1);
+  const KeyValueChanges unanswered;
+  const KeyValueChanges removed{
+      KeyValueStatus::kOk, {{"servers/a", std::nullopt}}, 8};
+  SUBCASE("at once if the store answers the next watch") {
+    fixture.AnswerWatch(unanswered);
+    fixture.AnswerWatch(removed);
+    CHECK(fixture.leafs.empty());
+  }
+  SUBCASE("after a grace period if the store was unavailable") {
+    fixture.AnswerWatch(unanswered);
+    fixture.AnswerWatch(unanswered);
+    fixture.AnswerWatch(removed);
+    CHECK(fixture.leafs.size() == 1);
+  }
+}
+
 TEST_CASE(
     "a leaf that started again in a new era of the store is not draining") {
   ControlFixture fixture;
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -51,6 +51,9 @@
   FollowerFixture fixture;
   CHECK(fixture.Wait() == kHolderTimings.watch_wait);
   fixture.store.AnswerWatch(KeyValueStatus::kUnknown);
+  CHECK(fixture.outages == 0);
+  CHECK(fixture.Wait() == StoreFollower::kProbeWait);
+  fixture.store.AnswerWatch(KeyValueStatus::kUnknown);
   CHECK(fixture.outages == 1);
   fixture.loop.RunNextTimer();
   CHECK(fixture.Wait() == StoreFollower::kProbeWait);
@@ -61,6 +64,12 @@
   CHECK(fixture.Wait() == kHolderTimings.watch_wait);
 }
 
+TEST_CASE("a refused watch shows at once that the store is unavailable") {
+  FollowerFixture fixture;
+  fixture.store.AnswerWatch(KeyValueStatus::kRefused);
+  CHECK(fixture.outages == 1);
+}
+
 TEST_CASE("the end of a call tells for how long the store has been silent") {
   FollowerFixture fixture;
   CHECK(fixture.confirmations == 1);
