Detect a watch that is not answered by the store's revision

Cause: a watch that nobody will answer looks like one without changes. Only its own timeout ended it, 7 s at a holder and 21 s at a standby, and until then the daemon took its routes for current. Renewals of the lease use another connection, so they say nothing of the watch's.

Change: while a watch waits, the store's revision is read over the connection of the other calls, as a read that may be old, which costs a tenth. If it is newer than the watch's, and the watch isn't answered within 200 ms, a short watch on a new connection replaces it; so it does if the revision can't be read.

--- a/src/connection/key_value_store.h
+++ b/src/connection/key_value_store.h
@@ -53,6 +53,11 @@
   std::int64_t revision = 0;
 };
 
+struct KeyValueRevision {
+  KeyValueStatus status = KeyValueStatus::kUnknown;
+  std::int64_t revision = 0;
+};
+
 struct LeaseGrant {
   KeyValueStatus status = KeyValueStatus::kUnknown;
   LeaseId lease = 0;
@@ -93,6 +98,10 @@
   /// Cancels the outstanding watches, which may never get a response: their
   /// callbacks get `kUnknown`.
   virtual void CancelWatches() = 0;
+  /// Reads a revision that the store has had, mostly its current one and at
+  /// times one of some seconds ago; costs a fraction of a read.
+  virtual void ReadRecentRevision(
+      std::function<void(KeyValueRevision)> done) = 0;
   virtual void Grant(Duration time_to_live,
                      std::function<void(LeaseGrant)> done) = 0;
   virtual void Renew(LeaseId lease,
--- a/src/process/counting_key_value_store.cc
+++ b/src/process/counting_key_value_store.cc
@@ -7,9 +7,10 @@
 namespace bramleyspoke {
 namespace {
 
-constexpr EnumNames<StoreCallKind, 6> kStoreCallNames{{{
+constexpr EnumNames<StoreCallKind, 7> kStoreCallNames{{{
     {StoreCallKind::kRange, "range"},
     {StoreCallKind::kWatch, "watch"},
+    {StoreCallKind::kRevision, "revision"},
     {StoreCallKind::kGrant, "grant"},
     {StoreCallKind::kRenew, "renew"},
     {StoreCallKind::kRevoke, "revoke"},
@@ -48,6 +49,10 @@
                    CountCall(StoreCallKind::kWatch, std::move(done)));
   }
   void CancelWatches() override { m_store->CancelWatches(); }
+  void ReadRecentRevision(std::function<void(KeyValueRevision)> done) override {
+    m_store->ReadRecentRevision(
+        CountCall(StoreCallKind::kRevision, std::move(done)));
+  }
   void Grant(Duration time_to_live,
              std::function<void(LeaseGrant)> done) override {
     m_store->Grant(time_to_live,
--- a/src/process/counting_key_value_store.h
+++ b/src/process/counting_key_value_store.h
@@ -11,6 +11,7 @@
 enum class StoreCallKind {
   kRange,
   kWatch,
+  kRevision,
   kGrant,
   kRenew,
   kRevoke,
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -45,19 +45,19 @@
   StoreRelayControl(EventLoop& loop,
                     KeyValueStore& store,
                     const StoreSchema& schema,
-                    const RelayIdentity& self,
+                    const RelayControlOptions& options,
                     std::unique_ptr<SeedReader> seeds,
                     RelayControlListener& listener)
       : m_loop(loop),
         m_schema(schema),
-        m_own_key(schema.DaemonKey(self.name)),
+        m_own_key(schema.DaemonKey(options.name)),
         m_seeds(std::move(seeds)),
         m_listener(listener),
-        m_follower(loop, store, "", *this),
+        m_follower(loop, store, options.apply_bound, *this),
         m_registration(loop,
                        store,
                        m_own_key,
-                       schema.WriteDaemon(self.entry),
+                       schema.WriteDaemon(options.entry),
                        [this] { m_follower.Probe(); }),
         m_suspect_writer(loop, store) {
     store.OnEraChange(
@@ -463,10 +463,10 @@
     EventLoop& loop,
     KeyValueStore& store,
     const StoreSchema& schema,
-    const RelayIdentity& identity,
+    const RelayControlOptions& options,
     std::unique_ptr<SeedReader> seeds,
     RelayControlListener& listener) {
-  return std::make_unique<StoreRelayControl>(loop, store, schema, identity,
+  return std::make_unique<StoreRelayControl>(loop, store, schema, options,
                                              std::move(seeds), listener);
 }
 
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -31,10 +31,12 @@
   virtual void OnStoreReachability(bool is_reachable) = 0;
 };
 
-/// Name and store entry of this daemon.
-struct RelayIdentity {
+struct RelayControlOptions {
+  /// Name and store entry of this daemon.
   std::string name;
   DaemonEntry entry;
+  /// Time within which a change of the store has to be reported.
+  Duration apply_bound{0};
 };
 
 /// Follows routes, leafs, daemons and suspect requests in the store, and
@@ -43,12 +45,13 @@
 /// Runs on its own loop; the listener must pass events on to other threads.
 class RelayControl {
  public:
-  static std::unique_ptr<RelayControl> Create(EventLoop& loop,
-                                              KeyValueStore& store,
-                                              const StoreSchema& schema,
-                                              const RelayIdentity& identity,
-                                              std::unique_ptr<SeedReader> seeds,
-                                              RelayControlListener& listener);
+  static std::unique_ptr<RelayControl> Create(
+      EventLoop& loop,
+      KeyValueStore& store,
+      const StoreSchema& schema,
+      const RelayControlOptions& options,
+      std::unique_ptr<SeedReader> seeds,
+      RelayControlListener& listener);
   virtual ~RelayControl() = default;
 
   virtual void Start() = 0;
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -95,11 +95,12 @@
         });
     m_control = RelayControl::Create(
         *m_control_loop, *m_store, m_adapters.schema,
-        RelayIdentity{
+        RelayControlOptions{
             m_settings.name,
             DaemonEntry{m_settings.caller_listen, m_settings.peer_listen,
                         m_settings.failure_domain, m_settings.region,
-                        m_settings.processor}},
+                        m_settings.processor},
+            m_settings.apply_bound},
         SeedReader::Create(*m_control_loop, m_peers->Network(), OtherSeeds()),
         *this);
     return {};
--- a/src/process/relay_settings.cc
+++ b/src/process/relay_settings.cc
@@ -19,6 +19,8 @@
 constexpr NumberRange kAddressTime{1'000, 60'000, "ms"};
 constexpr NumberRange kStopBound{500, 3'600'000, "ms"};
 
+constexpr NumberRange kApplyBound{1'000, 60'000, "ms"};
+
 constexpr std::string_view kSection = "relay";
 
 void ReadRelay(JsonReader& object, RelaySettings& settings) {
@@ -54,6 +56,8 @@
                                               settings.address_time);
   settings.stop_bound =
       object.Milliseconds("stop_bound_ms", kStopBound, settings.stop_bound);
+  settings.apply_bound =
+      object.Milliseconds("apply_bound_ms", kApplyBound, settings.apply_bound);
   settings.log_level = object.Choice("log_level", kLogLevelNames,
                                      std::optional(settings.log_level));
 }
--- a/src/process/relay_settings.h
+++ b/src/process/relay_settings.h
@@ -40,6 +40,9 @@
   Duration address_time = std::chrono::seconds(1);
   /// Maximum duration of a planned stop.
   Duration stop_bound = std::chrono::seconds(6);
+  /// Time within which a change that the store has acknowledged has to be in
+  /// use, also if a connection to the store has gone silent.
+  Duration apply_bound = std::chrono::seconds(3);
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -9,6 +9,9 @@
 namespace bramleyspoke {
 namespace {
 
+// The store's revision counts the changes of all keys, so all are watched.
+const std::string kAllKeys;
+
 TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
@@ -17,11 +20,11 @@
 
 StoreFollower::StoreFollower(EventLoop& loop,
                              KeyValueStore& store,
-                             std::string prefix,
+                             Duration apply_bound,
                              StoreListener& listener)
     : m_loop(loop),
       m_store(store),
-      m_prefix(std::move(prefix)),
+      m_check_interval(apply_bound / kChecksPerApplyBound),
       m_listener(listener),
       m_self(std::make_shared<StoreFollower*>(this)) {}
 
@@ -39,7 +42,7 @@
     ++m_read;
   }
   m_store.Range(
-      m_prefix, after,
+      kAllKeys, after,
       [weak = std::weak_ptr(m_self), read = m_read](KeyValuePage page) {
         if (const auto self = weak.lock()) {
           (*self)->OnPage(read, std::move(page));
@@ -77,15 +80,56 @@
 void StoreFollower::Watch() {
   m_watch = ++m_last_watch;
   m_called_at = Now();
-  m_store.Watch(
-      m_prefix, m_revision,
-      m_is_unavailable || m_is_probing ? kProbeWait : m_timings.watch_wait,
-      [weak = std::weak_ptr(m_self),
-       watch = m_watch](const KeyValueChanges& changes) {
-        if (const auto self = weak.lock()) {
-          (*self)->OnChanges(watch, changes);
-        }
-      });
+  const bool is_short = m_is_unavailable || m_is_probing;
+  if (!is_short) {
+    ScheduleCheck();
+  }
+  m_store.Watch(kAllKeys, m_revision,
+                is_short ? kProbeWait : m_timings.watch_wait,
+                [weak = std::weak_ptr(m_self),
+                 watch = m_watch](const KeyValueChanges& changes) {
+                  if (const auto self = weak.lock()) {
+                    (*self)->OnChanges(watch, changes);
+                  }
+                });
+}
+
+void StoreFollower::ScheduleCheck() {
+  m_check_timer = m_loop.At(Now() + m_check_interval, [this] { Check(); });
+}
+
+void StoreFollower::Check() {
+  m_store.ReadRecentRevision([weak = std::weak_ptr(m_self),
+                              watch = m_watch](const KeyValueRevision& read) {
+    if (const auto self = weak.lock()) {
+      (*self)->OnRevision(watch, read);
+    }
+  });
+}
+
+// The watch's response may still be on its way when the revision arrives.
+void StoreFollower::OnRevision(std::uint64_t watch,
+                               const KeyValueRevision& read) {
+  if (watch != m_watch) {
+    return;
+  }
+  if (read.status != KeyValueStatus::kOk) {
+    Probe();
+    return;
+  }
+  if (read.revision <= m_revision) {
+    ScheduleCheck();
+    return;
+  }
+  m_check_timer = m_loop.At(Now() + kMaxWatchDelay,
+                            [this, watch, revision = read.revision] {
+                              if (watch == m_watch) {
+                                WriteLog(LogLevel::kWarning, "watch_overdue",
+                                         {Field("revision", m_revision),
+                                          Field("store_revision", revision)});
+                                Probe();
+                              }
+                            });
 }
 
 void StoreFollower::Probe() {
@@ -93,6 +137,7 @@
     return;
   }
   m_watch = 0;
+  m_check_timer.reset();
   m_store.CancelWatches();
   BeginProbe();
 }
@@ -109,6 +154,7 @@
 // before that.
 void StoreFollower::OnNewEra() {
   m_watch = 0;
+  m_check_timer.reset();
   ++m_read;
   m_revision = 0;
   m_items.clear();
@@ -122,6 +168,7 @@
     return;
   }
   m_watch = 0;
+  m_check_timer.reset();
   if (changes.status == KeyValueStatus::kHistoryGone) {
     m_revision = 0;
     ScheduleNext(Duration::zero());
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -44,19 +44,31 @@
   virtual void OnStoreAvailable() = 0;
 };
 
-/// Follows all keys under a prefix: reads them, then watches for changes.
+/// Follows all keys of the store: reads them, then watches for changes.
+///
+/// A watch that is not answered looks like one without changes. While one
+/// waits, the store's revision is therefore read over another connection; if
+/// the store has changed and the watch is not answered, a short one replaces
+/// it.
 class StoreFollower {
  public:
   /// Wait of a watch that probes whether the store answers at all. It is short,
   /// as a store that recovers may never answer the watches it received before.
   static constexpr Duration kProbeWait = std::chrono::milliseconds(200);
+  /// Time in which a watch is answered after a read has shown a change.
+  static constexpr Duration kMaxWatchDelay = std::chrono::milliseconds(200);
+  /// Reads of the revision per apply bound; the rest of an interval is left for
+  /// timeouts and for the read of the change.
+  static constexpr int kChecksPerApplyBound = 2;
   /// Delay before a retry, doubled with each failure up to the longest.
   static constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
   static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
 
+  /// `apply_bound` is the time within which a change of the store has to be
+  /// reported.
   StoreFollower(EventLoop& loop,
                 KeyValueStore& store,
-                std::string prefix,
+                Duration apply_bound,
                 StoreListener& listener);
   ~StoreFollower();
 
@@ -76,6 +88,9 @@
   void OnPage(std::uint64_t read, KeyValuePage page);
   void Watch();
   void BeginProbe();
+  void ScheduleCheck();
+  void Check();
+  void OnRevision(std::uint64_t watch, const KeyValueRevision& read);
   void OnChanges(std::uint64_t watch, const KeyValueChanges& changes);
   void OnFailure(KeyValueStatus status);
   void OnSuccess(TimePoint confirmed_at);
@@ -84,7 +99,7 @@
 
   EventLoop& m_loop;
   KeyValueStore& m_store;
-  std::string m_prefix;
+  const Duration m_check_interval;
   StoreListener& m_listener;
   std::vector<KeyValueItem> m_items;
   /// Revision to watch from; 0 until all keys were read.
@@ -105,6 +120,8 @@
   std::uint64_t m_last_watch = 0;
   bool m_is_probing = false;
   std::unique_ptr<Timer> m_timer;
+  /// Next check of the outstanding watch.
+  std::unique_ptr<Timer> m_check_timer;
   std::shared_ptr<StoreFollower*> m_self;
 };
 
--- a/src/process/store_timings.h
+++ b/src/process/store_timings.h
@@ -9,8 +9,7 @@
   /// Time to live of the lease on the daemon's entry.
   Duration time_to_live;
   Duration renew_interval;
-  /// Time that one watch waits for changes; a dead connection is detected
-  /// within this time.
+  /// Time that one watch waits for changes.
   Duration watch_wait;
   /// Delay between an answer with changes and the next watch, so that changes
   /// in quick succession share a call.
--- a/tests/held_store.h
+++ b/tests/held_store.h
@@ -22,6 +22,8 @@
     Duration time_to_live{0};
     std::function<void(LeaseGrant)> done;
   };
+  /// Revision of all responses.
+  static constexpr std::int64_t kRevision = 7;
   using StatusCallback = std::function<void(KeyValueStatus)>;
 
   void OnEraChange(std::function<void(const StoreEraChange&)> done) override {
@@ -43,6 +45,9 @@
       watch.done({KeyValueStatus::kUnknown, {}, 0});
     }
   }
+  void ReadRecentRevision(std::function<void(KeyValueRevision)> done) override {
+    revision_reads.push_back(std::move(done));
+  }
   void Grant(Duration time_to_live,
              std::function<void(LeaseGrant)> done) override {
     grants.push_back({time_to_live, std::move(done)});
@@ -64,11 +69,11 @@
   void AnswerRange(std::vector<KeyValueItem> items = {}) {
     REQUIRE(ranges.size() == 1);
     std::exchange(ranges, {})
-        .front()({KeyValueStatus::kOk, std::move(items), false, 7});
+        .front()({KeyValueStatus::kOk, std::move(items), false, kRevision});
   }
   void AnswerWatch(KeyValueStatus status) {
     REQUIRE(watches.size() == 1);
-    std::exchange(watches, {}).front().done({status, {}, 7});
+    std::exchange(watches, {}).front().done({status, {}, kRevision});
   }
   void AnswerGrant(LeaseId lease) {
     REQUIRE(grants.size() == 1);
@@ -86,6 +91,7 @@
   std::function<void(const StoreEraChange&)> on_era_change;
   std::vector<std::function<void(KeyValuePage)>> ranges;
   std::vector<HeldWatch> watches;
+  std::vector<std::function<void(KeyValueRevision)>> revision_reads;
   std::vector<HeldGrant> grants;
   std::vector<StatusCallback> renews;
   std::vector<StatusCallback> puts;
--- a/tests/relay_control_test.cc
+++ b/tests/relay_control_test.cc
@@ -35,7 +35,9 @@
             loop,
             store,
             schema,
-            {"self", {{"127.0.0.9", 1}, {"127.0.0.9", 2}, "z", "r"}},
+            {"self",
+             {{"127.0.0.9", 1}, {"127.0.0.9", 2}, "z", "r"},
+             std::chrono::seconds(3)},
             SeedReader::Create(loop, peers, {}),
             *this)) {
     control->Start();
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -12,7 +12,7 @@
 
 class FollowerFixture : public StoreListener {
  public:
-  FollowerFixture() : follower(loop, store, "", *this) {
+  FollowerFixture() : follower(loop, store, std::chrono::seconds(3), *this) {
     follower.Start();
     loop.RunNextTimer();
     store.AnswerRange();
@@ -64,6 +64,49 @@
   CHECK(fixture.Wait() == kHolderTimings.watch_wait);
 }
 
+TEST_CASE("a watch that is not answered although the store has changed") {
+  FollowerFixture fixture;
+  const auto read_revision = [&](KeyValueStatus status, std::int64_t revision) {
+    REQUIRE(fixture.loop.RunNextTimer());
+    REQUIRE(fixture.store.revision_reads.size() == 1);
+    std::exchange(fixture.store.revision_reads, {}).front()({status, revision});
+  };
+  constexpr auto kOk = KeyValueStatus::kOk;
+
+  SUBCASE("is replaced by a short one") {
+    read_revision(kOk, HeldStore::kRevision);
+    read_revision(kOk, HeldStore::kRevision + 1);
+    CHECK(fixture.Wait() == kHolderTimings.watch_wait);
+    fixture.loop.RunNextTimer();
+    CHECK(fixture.Wait() == StoreFollower::kProbeWait);
+    CHECK(fixture.outages == 0);
+  }
+  SUBCASE("stays if its response was on its way") {
+    read_revision(kOk, HeldStore::kRevision + 1);
+    fixture.store.AnswerWatch(kOk);
+    fixture.loop.RunNextTimer();
+    CHECK(fixture.Wait() == kHolderTimings.watch_wait);
+  }
+  SUBCASE("stays if the revision is one of some seconds ago") {
+    read_revision(kOk, HeldStore::kRevision - 3);
+    CHECK(fixture.Wait() == kHolderTimings.watch_wait);
+  }
+  SUBCASE("is replaced if the revision can't be read") {
+    read_revision(KeyValueStatus::kUnknown, 0);
+    CHECK(fixture.Wait() == StoreFollower::kProbeWait);
+    CHECK(fixture.outages == 0);
+  }
+  SUBCASE("a read for an earlier watch says nothing") {
+    REQUIRE(fixture.loop.RunNextTimer());
+    const auto early = std::exchange(fixture.store.revision_reads, {}).front();
+    fixture.store.AnswerWatch(kOk);
+    fixture.loop.RunNextTimer();
+    early({KeyValueStatus::kUnknown, 0});
+    CHECK(fixture.Wait() == kHolderTimings.watch_wait);
+  }
+  CHECK(fixture.store.watches.size() == 1);
+}
+
 TEST_CASE("a refused watch shows at once that the store is unavailable") {
   FollowerFixture fixture;
   fixture.store.AnswerWatch(KeyValueStatus::kRefused);
