Refuse a request as without a route only if the routes are shown to be current

Cause: a path without a route was refused by what the daemon knew, however long ago the store had shown that. Only a store known to be unavailable for 1.5 s changed that.

Change: unless the store has shown within the last 100 ms that the routes are current, the request waits for a read of the store's revision (a tenth of a call, one at a time), and for the watch's response if that is newer; a delayed watch is sent at once. After 0.5 s without a response it is refused as not run, with a time to come back. Requests wait in UnroutedRequests, which reads no clock.

--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -78,6 +78,8 @@
     m_registration.SetTimings(timings);
   }
 
+  void CheckStore() override { m_follower.CheckNow(); }
+
   void AddCrashSuspect(const CrashSuspect& suspect) override {
     const std::string key = m_schema.CrashSuspectKey(suspect);
     KeepSuspect(key, suspect);
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -58,6 +58,9 @@
   /// Sets the timings of store calls for a holder or a standby; called on the
   /// control loop.
   virtual void SetIsHolder(bool is_holder) = 0;
+  /// Has the store asked whether what was reported of it is current; called on
+  /// the control loop.
+  virtual void CheckStore() = 0;
   /// Writes a request that this daemon found to crash leafs to the store;
   /// called on the control loop.
   virtual void AddCrashSuspect(const CrashSuspect& suspect) = 0;
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -161,7 +161,7 @@
   }
 
   void OnStoreConfirmed(TimePoint at) override {
-    m_loop->Post([this, at] { m_front->SetConfirmed(at); });
+    m_loop->Post([this, at] { m_front->OnRoutesConfirmed(at); });
   }
 
   void OnStoreReachability(bool is_reachable) override {
@@ -200,6 +200,10 @@
     m_log.WriteCrashEvidence(event);
   }
 
+  void OnRoutesDoubted() override {
+    m_control_loop->Post([this] { m_control->CheckStore(); });
+  }
+
   // What a daemon knows ends with its process; the store outlasts it.
   void OnSuspectFound(const CrashSuspect& suspect) override {
     m_control_loop->Post(
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -54,16 +54,60 @@
 
 void RelayFront::Handle(std::shared_ptr<HttpExchange> exchange) {
   CallerHead head = m_protocol.ReadHead(exchange->Request());
-  const Route* route = m_table ? m_table->Find(head.host, head.path) : nullptr;
+  const Route* route = FindRoute(head);
   if (route != nullptr) {
-    Submit(std::move(exchange), std::move(head), *route);
-    return;
+    Submit(Now(), std::move(exchange), std::move(head), *route);
+  } else if (!m_table || m_is_stale) {
+    RefuseNotReady(*exchange, head);
+  } else if (m_unrouted.AreRoutesCurrent(Now())) {
+    AnswerNoRoute(*exchange, head);
+  } else {
+    Hold({std::move(exchange), Now()});
   }
-  if (!m_table || m_is_stale) {
-    Refuse(*exchange, head,
-           {RefusalReason::kNotReady, Verdict::kNotRun, kNoRoutesRetryAfter});
-    return;
+}
+
+const Route* RelayFront::FindRoute(const CallerHead& head) const {
+  return m_table ? m_table->Find(head.host, head.path) : nullptr;
+}
+
+void RelayFront::Hold(UnroutedRequest request) {
+  HttpExchange& exchange = *request.exchange;
+  exchange.OnClientDisconnected(
+      [this, &exchange] { m_unrouted.Remove(exchange); });
+  m_unrouted.Hold(std::move(request));
+  ArmHoldTimer();
+  m_observer.OnRoutesDoubted();
+}
+
+void RelayFront::OnRoutesConfirmed(TimePoint at) {
+  m_unrouted.OnConfirmed(at);
+  for (UnroutedRequest& held : m_unrouted.TakeConfirmed()) {
+    CallerHead head = m_protocol.ReadHead(held.exchange->Request());
+    if (const Route* route = FindRoute(head)) {
+      Submit(held.arrived, std::move(held.exchange), std::move(head), *route);
+    } else {
+      AnswerNoRoute(*held.exchange, head);
+    }
   }
+  ArmHoldTimer();
+}
+
+void RelayFront::ArmHoldTimer() {
+  m_hold_timer.reset();
+  if (const auto expiry = m_unrouted.NextExpiry()) {
+    m_hold_timer = m_loop.At(*expiry, [this] { RefuseExpired(); });
+  }
+}
+
+void RelayFront::RefuseExpired() {
+  for (const UnroutedRequest& held : m_unrouted.TakeExpired(Now())) {
+    RefuseNotReady(*held.exchange,
+                   m_protocol.ReadHead(held.exchange->Request()));
+  }
+  ArmHoldTimer();
+}
+
+void RelayFront::AnswerNoRoute(HttpExchange& exchange, const CallerHead& head) {
   HttpResponse response = m_protocol.MakeNoRoute();
   RelayEnd end;
   end.request_id = head.request_id;
@@ -71,12 +115,18 @@
   end.status = response.status;
   end.routes_unconfirmed = RoutesUnconfirmed(Now());
   m_observer.OnRequestEnd(end);
-  exchange->Respond(std::move(response));
+  exchange.Respond(std::move(response));
+}
+
+void RelayFront::RefuseNotReady(HttpExchange& exchange,
+                                const CallerHead& head) {
+  Refuse(exchange, head,
+         {RefusalReason::kNotReady, Verdict::kNotRun, kNoRoutesRetryAfter});
 }
 
 std::optional<Duration> RelayFront::RoutesUnconfirmed(TimePoint now) const {
-  return m_confirmed_at ? std::optional<Duration>(now - *m_confirmed_at)
-                        : std::nullopt;
+  const auto at = m_unrouted.ConfirmedAt();
+  return at ? std::optional<Duration>(now - *at) : std::nullopt;
 }
 
 void RelayFront::Refuse(HttpExchange& exchange,
@@ -102,10 +152,10 @@
                             route.target_latency / 2);
 }
 
-void RelayFront::Submit(std::shared_ptr<HttpExchange> exchange,
+void RelayFront::Submit(TimePoint arrived,
+                        std::shared_ptr<HttpExchange> exchange,
                         CallerHead head,
                         const Route& route) {
-  const TimePoint now = Now();
   const RelayNumber number = ++m_last_number;
   const Duration allowed =
       std::min(head.timeout.value_or(route.timeout), route.timeout);
@@ -115,16 +165,16 @@
   request.resource = ResourceOf(exchange->Request());
   request.table = m_table;
   request.route = &route;
-  request.deadline = now + std::max(allowed - kAnswerMargin, allowed / 2);
+  request.deadline = arrived + std::max(allowed - kAnswerMargin, allowed / 2);
   request.answer_by =
-      now + route.target_latency - TimeOutsideDaemon(*exchange, route);
+      arrived + route.target_latency - TimeOutsideDaemon(*exchange, route);
   m_in_flight.emplace(number, RequestInFlight{exchange,
                                               {},
                                               {},
                                               std::move(head.request_id),
                                               m_table,
                                               &route,
-                                              now,
+                                              arrived,
                                               request.answer_by,
                                               request.fingerprint,
                                               request.resource});
@@ -132,7 +182,7 @@
     m_in_flight.erase(number);
     Apply(m_engine.OnCallerDisconnected(number, Now()));
   });
-  Apply(m_engine.Submit(number, std::move(request), now));
+  Apply(m_engine.Submit(number, std::move(request), Now()));
 }
 
 void RelayFront::SetTable(std::shared_ptr<const RouteTable> table) {
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -12,6 +12,7 @@
 #include "connection/leaf_exchanges.h"
 #include "connection/peer.h"
 #include "connection/relay_protocol.h"
+#include "process/unrouted_requests.h"
 #include "request/relay_engine.h"
 
 namespace bramleyspoke {
@@ -54,6 +55,8 @@
   /// A leaf crashed while it ran this part of a request.
   virtual void OnLeafCrash(const LeafCrash& crash) = 0;
   virtual void OnCrashEvidence(const CrashEvidenceEvent& event) = 0;
+  /// A request waits until the store shows whether the routes are current.
+  virtual void OnRoutesDoubted() = 0;
   /// This daemon found a request to crash leafs.
   virtual void OnSuspectFound(const CrashSuspect& suspect) = 0;
 };
@@ -102,8 +105,8 @@
   /// Sets whether the routes may be out of date. If so, a request without a
   /// matching route is refused as not ready, since its route may exist.
   void SetStale(bool is_stale) { m_is_stale = is_stale; }
-  /// Sets when the store last showed that the routes are current.
-  void SetConfirmed(TimePoint at) { m_confirmed_at = at; }
+  /// The store has shown that the routes were current at `at`.
+  void OnRoutesConfirmed(TimePoint at);
   std::optional<Duration> RoutesUnconfirmed(TimePoint now) const;
 
   bool IsHolder() const { return m_is_holder; }
@@ -134,9 +137,16 @@
   /// Part of a route's target latency that is spent outside of this daemon.
   static Duration TimeOutsideDaemon(const HttpExchange& exchange,
                                     const Route& route);
-  void Submit(std::shared_ptr<HttpExchange> exchange,
+  const Route* FindRoute(const CallerHead& head) const;
+  void Submit(TimePoint arrived,
+              std::shared_ptr<HttpExchange> exchange,
               CallerHead head,
               const Route& route);
+  void Hold(UnroutedRequest request);
+  void ArmHoldTimer();
+  void RefuseExpired();
+  void RefuseNotReady(HttpExchange& exchange, const CallerHead& head);
+  void AnswerNoRoute(HttpExchange& exchange, const CallerHead& head);
   void Refuse(HttpExchange& exchange,
               const CallerHead& head,
               const RelayRefusal& refusal);
@@ -168,7 +178,8 @@
       m_peer_calls;
   std::shared_ptr<const RouteTable> m_table;
   bool m_is_stale = false;
-  std::optional<TimePoint> m_confirmed_at;
+  UnroutedRequests m_unrouted;
+  std::unique_ptr<Timer> m_hold_timer;
   bool m_is_holder = true;
   std::unordered_map<RelayNumber, RequestInFlight> m_in_flight;
   /// Peers' requests that were answered with shards still pending, by request
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -70,8 +70,10 @@
   }
   m_revision = m_first_page_revision;
   const StoreCallEnd end = EndOfCall(page.status);
-  OnSuccess(m_called_at);
+  OnSuccess();
   m_listener.OnKeys(m_items, end);
+  // The read shows the store at some time since it began.
+  Confirm(m_called_at);
   m_items.clear();
   m_items.shrink_to_fit();
   Watch();
@@ -81,9 +83,6 @@
   m_watch = ++m_last_watch;
   m_called_at = Now();
   const bool is_short = m_is_unavailable || m_is_probing;
-  if (!is_short) {
-    ScheduleCheck();
-  }
   m_store.Watch(kAllKeys, m_revision,
                 is_short ? kProbeWait : m_timings.watch_wait,
                 [weak = std::weak_ptr(m_self),
@@ -92,35 +91,66 @@
                     (*self)->OnChanges(watch, changes);
                   }
                 });
+  if (is_short) {
+    return;
+  }
+  if (std::exchange(m_is_check_due, false)) {
+    Check();
+  } else {
+    ScheduleCheck();
+  }
 }
 
 void StoreFollower::ScheduleCheck() {
   m_check_timer = m_loop.At(Now() + m_check_interval, [this] { Check(); });
 }
 
+void StoreFollower::CheckNow() {
+  if (m_is_unavailable || m_is_probing || m_revision == 0) {
+    return;
+  }
+  if (m_watch != 0) {
+    Check();
+    return;
+  }
+  m_is_check_due = true;
+  ScheduleNext(Duration::zero());
+}
+
 void StoreFollower::Check() {
-  m_store.ReadRecentRevision([weak = std::weak_ptr(m_self),
-                              watch = m_watch](const KeyValueRevision& read) {
+  if (std::exchange(m_is_check_outstanding, true)) {
+    return;
+  }
+  m_check_timer.reset();
+  m_store.ReadRecentRevision([weak = std::weak_ptr(m_self), watch = m_watch,
+                              read_at = Now()](const KeyValueRevision& read) {
     if (const auto self = weak.lock()) {
-      (*self)->OnRevision(watch, read);
+      (*self)->OnRevision(watch, read_at, read);
     }
   });
 }
 
 // The watch's response may still be on its way when the revision arrives.
 void StoreFollower::OnRevision(std::uint64_t watch,
+                               TimePoint read_at,
                                const KeyValueRevision& read) {
-  if (watch != m_watch) {
-    return;
+  m_is_check_outstanding = false;
+  const bool is_ok = read.status == KeyValueStatus::kOk;
+  const bool is_current = is_ok && read.revision <= m_revision;
+  if (is_current) {
+    m_listener.OnStoreConfirmed(read_at);
   }
-  if (read.status != KeyValueStatus::kOk) {
-    Probe();
+  if (m_watch == 0 || watch != m_watch) {
     return;
   }
-  if (read.revision <= m_revision) {
+  if (is_current) {
     ScheduleCheck();
     return;
   }
+  if (!is_ok) {
+    Probe();
+    return;
+  }
   m_check_timer = m_loop.At(Now() + kMaxWatchDelay,
                             [this, watch, revision = read.revision] {
                               if (watch == m_watch) {
@@ -186,10 +216,11 @@
   }
   m_revision = std::max(m_revision, changes.revision);
   const StoreCallEnd end = EndOfCall(changes.status);
-  OnSuccess(Now());
+  OnSuccess();
   if (!changes.events.empty()) {
     m_listener.OnChanges(changes.events, end);
   }
+  Confirm(Now());
   ScheduleNext(changes.events.empty() ? Duration::zero()
                                       : m_timings.batch_delay);
 }
@@ -203,10 +234,12 @@
   ScheduleNext(delay);
 }
 
-// A read shows the state of the store at some time since it began.
-void StoreFollower::OnSuccess(TimePoint confirmed_at) {
-  m_confirmed_at = confirmed_at;
-  m_listener.OnStoreConfirmed(confirmed_at);
+void StoreFollower::Confirm(TimePoint at) {
+  m_confirmed_at = at;
+  m_listener.OnStoreConfirmed(at);
+}
+
+void StoreFollower::OnSuccess() {
   m_retry_delay = kMinRetryDelay;
   m_is_probing = false;
   if (std::exchange(m_is_unavailable, false)) {
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -35,7 +35,8 @@
                       const StoreCallEnd& end) = 0;
   virtual void OnChanges(const std::vector<KeyValueEvent>& events,
                          const StoreCallEnd& end) = 0;
-  /// The store has shown that what is known of it is current.
+  /// The store has shown that what was reported of it was current at `at`, or
+  /// some seconds before if it responded to a read of its recent revision.
   virtual void OnStoreConfirmed(TimePoint at) = 0;
   /// A call failed, for the first time since the last one that succeeded. A
   /// watch without a response counts only if a short one has none either.
@@ -78,6 +79,11 @@
   /// Replaces the outstanding watch by a short one; called if the store did not
   /// answer another call and may not answer this watch either.
   void Probe();
+  /// Reads the store's revision at once, unless it is being read, and ends a
+  /// delay before the next watch. `OnStoreConfirmed` follows if the store
+  /// responds.
+
+  void CheckNow();
   /// Forgets the revision and reads all keys again; called when the store is in
   /// a new era.
   void OnNewEra();
@@ -90,10 +96,13 @@
   void BeginProbe();
   void ScheduleCheck();
   void Check();
-  void OnRevision(std::uint64_t watch, const KeyValueRevision& read);
+  void OnRevision(std::uint64_t watch,
+                  TimePoint read_at,
+                  const KeyValueRevision& read);
   void OnChanges(std::uint64_t watch, const KeyValueChanges& changes);
   void OnFailure(KeyValueStatus status);
-  void OnSuccess(TimePoint confirmed_at);
+  void OnSuccess();
+  void Confirm(TimePoint at);
   StoreCallEnd EndOfCall(KeyValueStatus status) const;
   void ScheduleNext(Duration delay);
 
@@ -119,6 +128,9 @@
   std::uint64_t m_watch = 0;
   std::uint64_t m_last_watch = 0;
   bool m_is_probing = false;
+  bool m_is_check_outstanding = false;
+  /// Whether the next watch is checked as soon as it is sent.
+  bool m_is_check_due = false;
   std::unique_ptr<Timer> m_timer;
   /// Next check of the outstanding watch.
   std::unique_ptr<Timer> m_check_timer;
--- a/tests/process_relay_silence_test.cc
+++ b/tests/process_relay_silence_test.cc
@@ -232,4 +232,23 @@
   }
 }
 
+TEST_CASE(
+    "a request for a route that was just added is not refused as missing") {
+  // A refusal may rest on what the store has shown within this time.
+  constexpr milliseconds kMaxRefusalAge{100};
+  ProxiedFleet fleet(1);
+  fleet.AnswerWatches();
+  SUBCASE("before the next watch is sent") {}
+  SUBCASE("while the watch's connection is silent") {
+    fleet.WaitForWatches();
+    fleet.SilenceAll(Silence::kAcknowledged, "kv-watch");
+    std::this_thread::sleep_for(seconds(1));
+  }
+  fleet.AddRoute();
+  std::this_thread::sleep_for(kMaxRefusalAge + milliseconds(20));
+  for (int probe = 0; probe < kProbes; ++probe) {
+    CHECK(ProxiedFleet::Status(fleet.Relay(0), kAdded) != 404);
+  }
+}
+
 }  // namespace bramleyspoke
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -107,6 +107,26 @@
   CHECK(fixture.store.watches.size() == 1);
 }
 
+TEST_CASE("the store is asked at once whether what is known is current") {
+  FollowerFixture fixture;
+  constexpr auto kOk = KeyValueStatus::kOk;
+  SUBCASE("while a watch waits, once at a time") {
+    fixture.follower.CheckNow();
+    fixture.follower.CheckNow();
+  }
+  SUBCASE("in the delay before the next watch, which ends") {
+    fixture.store.AnswerWatch(kOk);
+    fixture.follower.CheckNow();
+    CHECK(fixture.store.revision_reads.empty());
+    fixture.loop.RunNextTimer();
+    REQUIRE(fixture.store.watches.size() == 1);
+  }
+  REQUIRE(fixture.store.revision_reads.size() == 1);
+  const int before = fixture.confirmations;
+  fixture.store.revision_reads.front()({kOk, HeldStore::kRevision});
+  CHECK(fixture.confirmations == before + 1);
+}
+
 TEST_CASE("a refused watch shows at once that the store is unavailable") {
   FollowerFixture fixture;
   fixture.store.AnswerWatch(KeyValueStatus::kRefused);
