Take newer routes from a peer at a start and in a new era of the store

Cause: a daemon that starts trusted the store's first answer, and one daemon's version was no evidence for another. Versions only increase within a process.

Change: a daemon asks its seeds for the version of their routes, by the gossip call whose field for it relays left empty, when it starts and in each new era. Once it has routes of its own, it fetches those of a seed that has a newer version. Leafs and daemons are still the store's: an entry that a peer only keeps for its grace period would never be removed here.

Ruled out: fetching what seeds know at every start (tens of kilobytes from each seed on a grown site, mostly across regions); periodic gossip of versions (the store's revision already shows a late daemon, at a lower cost).

Tests: process_relay_test, "a relay that starts on an older copy of the store serves the routes that were in force", and two cases of relay_control_test; without the questions all three failed.

--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -70,6 +70,8 @@
 struct GossipMessage {
   MemberUpdate sender;
   std::vector<MemberUpdate> members;
+  /// Generation of the manifest, or version of a relay's routes, that the
+  /// sender uses; 0 if none.
   std::uint64_t generation = 0;
   std::string root;
   /// Time since the store last confirmed `generation`.
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -13,6 +13,8 @@
 #include "process/daemon_registration.h"
 #include "process/log.h"
 #include "process/log_sampler.h"
+#include "process/peer_routes.h"
+#include "process/seed_reader.h"
 #include "process/store_follower.h"
 #include "version/entry_registry.h"
 
@@ -40,18 +42,34 @@
   return end.unconfirmed ? ToMilliseconds(*end.unconfirmed) : -1;
 }
 
+MemberUpdate MakeMember(const DaemonEntry& entry) {
+  MemberUpdate member;
+  member.address.caller = entry.address;
+  member.address.peer = entry.peer;
+  member.address.failure_domain = entry.failure_domain;
+  member.address.region = entry.region;
+  return member;
+}
+
 class StoreRelayControl final : public RelayControl, public StoreListener {
  public:
   StoreRelayControl(EventLoop& loop,
                     KeyValueStore& store,
                     const StoreSchema& schema,
                     const RelayControlOptions& options,
-                    std::unique_ptr<SeedReader> seeds,
+                    PeerNetwork& peers,
                     RelayControlListener& listener)
       : m_loop(loop),
         m_schema(schema),
         m_own_key(schema.DaemonKey(options.name)),
-        m_seeds(std::move(seeds)),
+        m_seeds(options.seeds),
+        m_seed_reader(SeedReader::Create(loop, peers, options.seeds)),
+        m_peer_routes(loop,
+                      peers,
+                      MakeMember(options.entry),
+                      [this](const std::string& routes) {
+                        ApplyRoutes(routes, RoutesSource::kPeer, {});
+                      }),
         m_listener(listener),
         m_follower(loop, store, options.apply_bound, *this),
         m_registration(loop,
@@ -67,7 +85,9 @@
   void Start() override {
     m_follower.Start();
     m_registration.Start();
-    m_seeds->Start([this](const StoreKnowledge& knowledge) {
+    // A store that has gone back to an older copy has older routes than peers.
+    m_peer_routes.Ask(m_seeds);
+    m_seed_reader->Start([this](const StoreKnowledge& knowledge) {
       ApplyPeerKnowledge(knowledge);
     });
   }
@@ -107,7 +127,7 @@
 
   void OnKeys(const std::vector<KeyValueItem>& items,
               const StoreCallEnd& end) override {
-    m_seeds->Stop();
+    m_seed_reader->Stop();
     m_listener.OnStoreReachability(true);
     std::set<std::string> leafs;
     std::set<std::string> daemons;
@@ -225,6 +245,7 @@
     m_registration.OnNewEra();
     m_suspect_writer.OnNewEra();
     m_follower.OnNewEra();
+    m_peer_routes.Ask(m_seeds);
     m_listener.OnStoreEra(change);
   }
 
@@ -257,6 +278,7 @@
          Field("waited_ms", ToMilliseconds(end.waited)),
          Field("unconfirmed_ms", UnconfirmedMilliseconds(end))});
     m_listener.OnTable(table);
+    m_peer_routes.SetVersion(m_version);
   }
 
   std::optional<LeafRegistration> ApplyLeaf(const std::string& name,
@@ -442,7 +464,9 @@
   EventLoop& m_loop;
   const StoreSchema& m_schema;
   std::string m_own_key;
-  std::unique_ptr<SeedReader> m_seeds;
+  std::vector<Endpoint> m_seeds;
+  std::unique_ptr<SeedReader> m_seed_reader;
+  PeerRoutes m_peer_routes;
   RelayControlListener& m_listener;
   StoreFollower m_follower;
   DaemonRegistration m_registration;
@@ -466,10 +490,10 @@
     KeyValueStore& store,
     const StoreSchema& schema,
     const RelayControlOptions& options,
-    std::unique_ptr<SeedReader> seeds,
+    PeerNetwork& peers,
     RelayControlListener& listener) {
   return std::make_unique<StoreRelayControl>(loop, store, schema, options,
-                                             std::move(seeds), listener);
+                                             peers, listener);
 }
 
 }  // namespace bramleyspoke
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "connection/key_value_store.h"
-#include "process/seed_reader.h"
+#include "connection/peer.h"
 #include "process/store_schema.h"
 
 namespace bramleyspoke {
@@ -37,6 +37,8 @@
   DaemonEntry entry;
   /// Time within which a change of the store has to be reported.
   Duration apply_bound{0};
+  /// Some peers, without this daemon; may be out of date.
+  std::vector<Endpoint> seeds;
 };
 
 /// Follows routes, leafs, daemons and suspect requests in the store, and
@@ -50,7 +52,7 @@
       KeyValueStore& store,
       const StoreSchema& schema,
       const RelayControlOptions& options,
-      std::unique_ptr<SeedReader> seeds,
+      PeerNetwork& peers,
       RelayControlListener& listener);
   virtual ~RelayControl() = default;
 
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -1,6 +1,7 @@
 #include "process/relay_daemon.h"
 
 #include <algorithm>
+#include <atomic>
 #include <set>
 #include <utility>
 
@@ -100,9 +101,8 @@
             DaemonEntry{m_settings.caller_listen, m_settings.peer_listen,
                         m_settings.failure_domain, m_settings.region,
                         m_settings.processor},
-            m_settings.apply_bound},
-        SeedReader::Create(*m_control_loop, m_peers->Network(), OtherSeeds()),
-        *this);
+            m_settings.apply_bound, OtherSeeds()},
+        m_peers->Network(), *this);
     return {};
   }
 
@@ -125,6 +125,7 @@
   // RelayControlListener, on the control loop.
 
   void OnTable(std::shared_ptr<const RouteTable> table) override {
+    m_version = table->Version();
     m_loop->Post([this, table] {
       HttpServerLimits limits;
       limits.header_bytes = table->Limits().header_bytes;
@@ -223,6 +224,7 @@
     });
     GossipMessage answer;
     answer.sender = Self();
+    answer.generation = m_version;
     reply(std::move(answer));
   }
   void OnPingVia(const Endpoint& /*target*/,
@@ -441,6 +443,8 @@
   std::unique_ptr<KeyValueStore> m_store;
   std::unique_ptr<RelayControl> m_control;
   std::vector<DaemonEntry> m_daemons;
+  /// Version of the newest routes; read on the peers' thread.
+  std::atomic<std::uint64_t> m_version = 0;
   bool m_has_leafs = false;
   bool m_is_store_reachable = false;
   std::uint64_t m_store_era = 0;
--- a/tests/process_relay_test.cc
+++ b/tests/process_relay_test.cc
@@ -103,4 +103,35 @@
       kEventTimeout));
 }
 
+TEST_CASE(
+    "a relay that starts on an older copy of the store serves the routes that "
+    "were in force") {
+  FakePlatform platform;
+  const RelayProcess running("127.0.5.1", platform.store.Address(), "");
+  RelayProcess restarted("127.0.5.2", platform.store.Address(),
+                         QuotedAddress(running.Peers()));
+  REQUIRE(WaitUntil([&] { return restarted.Serves(); }, kEventTimeout));
+  platform.store.TakeCopy();
+  platform.store.Put("op/config", Routes(4, "/newer/"));
+  const auto has_newer_routes = [](const RelayProcess& relay) {
+    return relay.Send("plain", "/newer/").status == 200 &&
+           relay.Send("plain", "/older/").status == 404;
+  };
+  REQUIRE(WaitUntil([&] { return has_newer_routes(running); }, kEventTimeout));
+
+  platform.store.ReturnToCopy();
+  restarted.Restart();
+  REQUIRE(WaitUntil(
+      [&] {
+        return restarted.Metrics().find(R"(what="ready"} 1)") !=
+               std::string::npos;
+      },
+      kEventTimeout));
+  // The users' bound on the time until new routes are in force.
+  constexpr std::chrono::seconds kRoutesBound{3};
+  CHECK_MESSAGE(
+      WaitUntil([&] { return has_newer_routes(restarted); }, kRoutesBound),
+      restarted.Log());
+}
+
 }  // namespace bramleyspoke
--- a/tests/relay_control_test.cc
+++ b/tests/relay_control_test.cc
@@ -27,19 +27,48 @@
          R"(","cold_remaining_ms":0,"seq":1,"born":5})";
 }
 
+const Endpoint kSeed{"127.0.0.8", 2};
+
+/// Peers that all have the same routes.
+class PeersWithRoutes final : public FakePeers {
+ public:
+  void Gossip(const Endpoint& /*peer*/,
+              const GossipMessage& /*message*/,
+              Duration /*timeout*/,
+              std::function<void(std::optional<GossipMessage>)> done) override {
+    GossipMessage reply;
+    reply.generation = version;
+    done(reply);
+  }
+  void FetchKnowledge(
+      const Endpoint& /*peer*/,
+      Duration /*timeout*/,
+      std::function<void(std::optional<StoreKnowledge>)> done) override {
+    ++fetches;
+    StoreKnowledge knowledge;
+    knowledge.routes = Routes(version);
+    done(knowledge);
+  }
+
+  int version = 0;
+  int fetches = 0;
+};
+
 /// The control part of a relay whose store is answered by the test.
 class ControlFixture final : public RelayControlListener {
  public:
-  ControlFixture()
+  explicit ControlFixture(int peers_version = 0)
       : control(RelayControl::Create(
             loop,
             store,
             schema,
             {"self",
              {{"127.0.0.9", 1}, {"127.0.0.9", 2}, "z", "r"},
-             std::chrono::seconds(3)},
-            SeedReader::Create(loop, peers, {}),
+             std::chrono::seconds(3),
+             {kSeed}},
+            peers,
             *this)) {
+    peers.version = peers_version;
     control->Start();
   }
 
@@ -74,7 +103,7 @@
 
   ManualLoop loop;
   HeldStore store;
-  FakePeers peers;
+  PeersWithRoutes peers;
   Platform::StoreEntries schema;
   std::vector<std::uint64_t> versions;
   std::vector<LeafRegistration> leafs;
@@ -109,6 +138,37 @@
   CHECK(fixture.store.revoked.empty());
 }
 
+TEST_CASE(
+    "a daemon that starts takes newer routes than the store's from a peer") {
+  using Versions = std::vector<std::uint64_t>;
+  SUBCASE("after it has read the store") {
+    ControlFixture fixture(5);
+    fixture.loop.RunAll();
+    CHECK(fixture.peers.fetches == 0);
+    fixture.AnswerRead({{"op/config", Routes(4)}});
+    fixture.loop.RunAll();
+    CHECK(fixture.versions == Versions{4, 5});
+    CHECK(fixture.peers.fetches == 1);
+  }
+  SUBCASE("not if no peer has any") {
+    ControlFixture fixture(4);
+    fixture.AnswerRead({{"op/config", Routes(4)}});
+    fixture.loop.RunAll();
+    CHECK(fixture.versions == Versions{4});
+    CHECK(fixture.peers.fetches == 0);
+  }
+}
+
+TEST_CASE("a daemon takes newer routes from a peer in a new era of the store") {
+  ControlFixture fixture(4);
+  fixture.AnswerRead({{"op/config", Routes(4)}});
+  fixture.loop.RunAll();
+  fixture.peers.version = 5;
+  fixture.store.on_era_change({1, 2});
+  fixture.loop.RunAll();
+  CHECK(fixture.versions == std::vector<std::uint64_t>{4, 5});
+}
+
 TEST_CASE(
     "a leaf that is removed while a connection to the store is broken gets no "
     "more requests") {
