Send no further calls on a peer's connection without a reply for 1.5 s

Callers would see: partial answers, or late ones, to every fan-out whose shards are delegated to a peer, after the connection to that peer has gone silent without a reset.

Change: a connection remembers when the first call since its last reply began, cancelled ones included. After 1.5 s it is taken from the pool and the next call opens another; calls in flight on it go on.

Ruled out: TCP_USER_TIMEOUT alone, which doesn't show a peer whose process hangs.

--- a/src/connection/peer_client.cc
+++ b/src/connection/peer_client.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr std::size_t kMaxPooledConnections = 64;
+// A connection on which calls have had no reply for this long may be silent for
+// good, and gets no further calls.
+constexpr auto kSilenceLimit = 1500 * kj::MILLISECONDS;
 constexpr auto kIdleTimeout = 10 * kj::SECONDS;
 constexpr auto kIdleCheckInterval = 1 * kj::SECONDS;
 // 16 MiB.
@@ -67,11 +70,19 @@
   wire::Peer::Client Peer() { return m_session->Peer(); }
   kj::Promise<void> OnDisconnect() { return m_session->OnDisconnect(); }
 
-  void BeginCall() { ++m_calls_in_flight; }
+  void BeginCall(kj::TimePoint now) {
+    ++m_calls_in_flight;
+    m_unanswered_since = m_unanswered_since.value_or(now);
+  }
+  void OnReply() { m_unanswered_since.reset(); }
   void EndCall(kj::TimePoint now) {
     --m_calls_in_flight;
     m_last_used = now;
   }
+  /// Whether calls have had no reply for long; those that were cancelled count.
+  bool IsSilent(kj::TimePoint now) const {
+    return m_unanswered_since && now - *m_unanswered_since > kSilenceLimit;
+  }
   bool HasCallsInFlight() const { return m_calls_in_flight > 0; }
   kj::TimePoint LastUsed() const { return m_last_used; }
 
@@ -90,6 +101,8 @@
   }
 
   std::size_t m_calls_in_flight = 0;
+  /// When the first call since the last reply began.
+  std::optional<kj::TimePoint> m_unanswered_since;
   kj::TimePoint m_last_used;
   std::unique_ptr<Session> m_session;
   kj::ForkedPromise<void> m_connected;
@@ -108,9 +121,12 @@
 
 PeerClient::ConnectionPtr PeerClient::FindOrConnect(const Endpoint& peer) {
   const auto pooled = m_pool.find(peer);
-  if (pooled != m_pool.end()) {
+  if (pooled != m_pool.end() && !pooled->second->IsSilent(Now())) {
     return pooled->second;
   }
+  if (pooled != m_pool.end()) {
+    RemoveFromPool(peer, ConnectionPtr(pooled->second));
+  }
   if (m_pool.size() >= kMaxPooledConnections) {
     CloseOldestIdle();
   }
@@ -145,6 +161,10 @@
   m_tasks.add(kj::evalLater([connection] {}));
 }
 
+kj::TimePoint PeerClient::Now() {
+  return m_thread.Io().provider->getTimer().now();
+}
+
 void PeerClient::CloseOldestIdle() {
   auto oldest = m_pool.end();
   for (auto entry = m_pool.begin(); entry != m_pool.end(); ++entry) {
@@ -196,7 +216,7 @@
     Send send,
     std::function<void(std::optional<Reply>, bool is_sent)> done) {
   const ConnectionPtr connection = FindOrConnect(peer);
-  connection->BeginCall();
+  connection->BeginCall(Now());
   auto is_sent = std::make_shared<bool>(false);
   kj::Timer& timer = m_thread.Io().provider->getTimer();
   kj::Promise<std::optional<Reply>> reply = connection->Connected().then(
@@ -212,6 +232,9 @@
   auto finish = [this, peer, connection, is_sent, &timer,
                  done = std::move(done)](std::optional<Reply> result) {
     connection->EndCall(timer.now());
+    if (result) {
+      connection->OnReply();
+    }
     // Without a reply the connection may be half-open: the next call opens a
     // new one.
     if (!result) {
--- a/src/connection/peer_client.h
+++ b/src/connection/peer_client.h
@@ -59,6 +59,7 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   void taskFailed(kj::Exception&& exception) override;
+  kj::TimePoint Now();
   ConnectionPtr FindOrConnect(const Endpoint& peer);
   void RemoveFromPool(const Endpoint& peer, const ConnectionPtr& connection);
   void CloseOldestIdle();
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -13,6 +13,8 @@
 
 #include "connection/capnp_peers.h"
 #include "connection/socket_address.h"
+#include "fleet.h"
+#include "silent_proxy.h"
 
 namespace bramleyspoke {
 namespace {
@@ -335,6 +337,38 @@
   }
 }
 
+TEST_CASE(
+    "queries reach a peer again soon after a connection to it has gone "
+    "silent") {
+  // As an engine does that answers its caller without the peer's shards.
+  constexpr std::chrono::milliseconds kCancelAfter{200};
+  constexpr std::chrono::seconds kBound{4};
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  const auto proxy = SilentProxy::Create(server->Address());
+  const auto is_answered = [&] {
+    ShardQuery query;
+    query.request_id = "id";
+    query.shards = {"s0", "s1"};
+    query.time_left = std::chrono::seconds(20);
+    auto done = std::make_shared<std::promise<void>>();
+    const auto call = client->Network().QueryShards(
+        proxy->Address(), query,
+        [done](const ShardOutcome&) { done->set_value(); });
+    return done->get_future().wait_for(kCancelAfter) ==
+           std::future_status::ready;
+  };
+  REQUIRE(is_answered());
+  SUBCASE("whose data is acknowledged") {
+    REQUIRE(proxy->SilenceOpen(Silence::kAcknowledged) == 1);
+  }
+  SUBCASE("whose data is not acknowledged") {
+    REQUIRE(proxy->SilenceOpen(Silence::kUnacknowledged) == 1);
+  }
+  CHECK(Harness::WaitUntil(is_answered, kBound));
+}
+
 TEST_CASE("a missing reply or an oversized response fails only its own call") {
   TestHandler handler;
   const auto server = MakePeers(handler);
