Soak of versions while connections to the store go silent

At random, and overlapping, open connections of some daemons go silent (acknowledged or not; the watch's, the other calls', all), daemons are restarted and paused, the store is away or comes back from an older copy, and versions are written every 1.5 s. From the caller's side it checks that a daemon in touch has a route of each version that is due and none that it dropped, and that no daemon goes back behind a version that it has served by.

No check changes.

--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -139,10 +139,10 @@
   SUBCASE("while the call waits for its response") {
     outcome = call("/silent");
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    REQUIRE(proxy->SilenceOpen(Silence::kUnacknowledged) == 1);
+    REQUIRE(proxy->SilenceOpen(SilenceKind::kUnacknowledged) == 1);
   }
   SUBCASE("before the call") {
-    REQUIRE(proxy->SilenceOpen(Silence::kUnacknowledged) == 1);
+    REQUIRE(proxy->SilenceOpen(SilenceKind::kUnacknowledged) == 1);
     outcome = call("/");
   }
   REQUIRE(outcome.wait_for(kSilenceBound) == std::future_status::ready);
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -361,10 +361,10 @@
   };
   REQUIRE(is_answered());
   SUBCASE("whose data is acknowledged") {
-    REQUIRE(proxy->SilenceOpen(Silence::kAcknowledged) == 1);
+    REQUIRE(proxy->SilenceOpen(SilenceKind::kAcknowledged) == 1);
   }
   SUBCASE("whose data is not acknowledged") {
-    REQUIRE(proxy->SilenceOpen(Silence::kUnacknowledged) == 1);
+    REQUIRE(proxy->SilenceOpen(SilenceKind::kUnacknowledged) == 1);
   }
   CHECK(Harness::WaitUntil(is_answered, kBound));
 }
--- a/tests/process_relay_soak_test.cc
+++ b/tests/process_relay_crash_soak_test.cc
@@ -1,9 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <algorithm>
-#include <array>
-#include <csignal>
-#include <cstdlib>
 #include <optional>
 #include <random>
 #include <string>
@@ -11,6 +7,8 @@
 #include <utility>
 
 #include "crashing_fleet.h"
+#include "disturbed_daemons.h"
+#include "soak_options.h"
 
 namespace bramleyspoke {
 namespace {
@@ -36,33 +34,16 @@
   return std::chrono::steady_clock::now();
 }
 
-// First half of the fleet's addresses; soaks that run at a time need different
-// ones.
-std::string Network() {
-  const char* number = std::getenv("BRAMLEYSPOKE_TEST_NETWORK");
-  return "127." + std::string(number == nullptr ? "1" : number);
-}
-
-std::uint64_t Seed() {
-  const char* text = std::getenv("BRAMLEYSPOKE_SOAK_SEED");
-  return text == nullptr ? kDefaultSeed : std::strtoull(text, nullptr, 10);
-}
-
 /// Sends requests to random daemons while others are restarted and paused.
 class CrashSoak {
  public:
   CrashSoak(std::uint64_t seed, std::string target)
       : m_random(seed), m_target(std::move(target)) {}
-  ~CrashSoak() {
-    for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
-      m_fleet.Relay(daemon).Signal(SIGCONT);
-    }
-  }
 
   void Run() {
     const TimePoint end = Now() + Duration(kLength);
     while (Now() < end) {
-      ResumePaused();
+      m_daemons.ResumeDue();
       DisturbOne();
       SendCrashingRequest();
       SendHarmlessRequest();
@@ -76,10 +57,7 @@
   int HarmlessAnswered() const { return m_harmless_answered; }
 
  private:
-  struct Daemon {
-    TimePoint disturbed_until;
-    bool is_paused = false;
-  };
+  static constexpr std::size_t kDaemons = CrashingFleet::kDaemons;
 
   std::size_t Random(std::size_t bound) {
     return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
@@ -91,47 +69,28 @@
     return page == 0 ? "" : "?page=" + std::to_string(page);
   }
 
-  bool IsInTouch(std::size_t daemon) const {
-    return Now() - m_daemons[daemon].disturbed_until >= Duration(kStableWindow);
-  }
-
-  void ResumePaused() {
-    for (std::size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
-      if (m_daemons[daemon].is_paused &&
-          Now() >= m_daemons[daemon].disturbed_until) {
-        m_daemons[daemon].is_paused = false;
-        m_daemons[daemon].disturbed_until = Now();
-        m_fleet.Relay(daemon).Signal(SIGCONT);
-      }
-    }
-  }
-
   // A restart and a pause are equally likely.
   void DisturbOne() {
-    const std::size_t daemon = Random(m_daemons.size());
-    if (Random(kDisturbanceOdds) > 0 || m_daemons[daemon].is_paused) {
+    const std::size_t daemon = Random(kDaemons);
+    if (Random(kDisturbanceOdds) > 0 || m_daemons.IsPaused(daemon)) {
       return;
     }
     if (Random(2) == 0) {
-      m_fleet.Relay(daemon).Restart();
-      m_daemons[daemon].disturbed_until = Now();
+      m_daemons.Restart(daemon);
       return;
     }
-    m_daemons[daemon].is_paused = true;
     const auto extra =
         static_cast<int>(Random((kMaxPause - kMinPause).count()));
-    m_daemons[daemon].disturbed_until =
-        Now() + Duration(kMinPause + seconds(extra));
-    m_fleet.Relay(daemon).Signal(SIGSTOP);
+    m_daemons.Pause(daemon, kMinPause + seconds(extra));
   }
 
   void SendCrashingRequest() {
-    const std::size_t daemon = Random(m_daemons.size());
-    if (Random(kCrashingRequestOdds) > 0 || m_daemons[daemon].is_paused) {
+    const std::size_t daemon = Random(kDaemons);
+    if (Random(kCrashingRequestOdds) > 0 || m_daemons.IsPaused(daemon)) {
       return;
     }
     const bool is_counted =
-        IsInTouch(daemon) && m_third_crash_at &&
+        m_daemons.IsInTouch(daemon) && m_third_crash_at &&
         Now() - *m_third_crash_at >= Duration(kStableWindow);
     const int before = m_fleet.Crashes();
     m_fleet.Relay(daemon).Send(std::string(FakePlatformLeaf::kCrashingBody),
@@ -144,8 +103,8 @@
   }
 
   void SendHarmlessRequest() {
-    const std::size_t daemon = Random(m_daemons.size());
-    if (m_daemons[daemon].is_paused) {
+    const std::size_t daemon = Random(kDaemons);
+    if (m_daemons.IsPaused(daemon)) {
       return;
     }
     const HttpResponse answer = m_fleet.Relay(daemon).Send(
@@ -157,8 +116,10 @@
 
   std::mt19937_64 m_random;
   std::string m_target;
-  CrashingFleet m_fleet{Network()};
-  std::array<Daemon, CrashingFleet::kDaemons> m_daemons;
+  CrashingFleet m_fleet{SoakNetwork()};
+  DisturbedDaemons m_daemons{
+      {&m_fleet.Relay(0), &m_fleet.Relay(1), &m_fleet.Relay(2)},
+      kStableWindow};
   std::optional<TimePoint> m_third_crash_at;
   int m_retries = 0;
   int m_harmless_suspects = 0;
@@ -170,7 +131,7 @@
 TEST_CASE(
     "a request that crashes leafs stays within its retries while daemons "
     "restart and pause") {
-  const std::uint64_t seed = Seed();
+  const std::uint64_t seed = SoakSeed(kDefaultSeed);
   CAPTURE(seed);
   std::string target;
   SUBCASE("one service") {
--- /dev/null
+++ b/tests/proxied_fleet.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "relay_platform.h"
+#include "relay_process.h"
+#include "silent_proxy.h"
+
+namespace bramleyspoke {
+
+/// Daemons that each reach the store through a proxy, and a few leafs of one
+/// service. Beyond three, daemons are standbys.
+class ProxiedFleet {
+ public:
+  /// Prefix of a route that each version has.
+  static constexpr std::string_view kBasePrefix = "/base/";
+
+  /// `network` is the first half of all addresses, such as "127.0"; fleets that
+  /// run at a time need different ones.
+  ProxiedFleet(std::string network, std::size_t daemons);
+
+  std::size_t Size() const { return m_relays.size(); }
+  RelayProcess& Relay(std::size_t index) { return *m_relays.at(index); }
+  FakePlatformStore& Store() { return m_store; }
+  /// Number of daemons that are holders.
+  std::size_t CountHolders() const;
+
+  /// Writes a version whose routes have the base prefix and `prefixes`.
+  void WriteRoutes(int version, const std::vector<std::string>& prefixes);
+  /// Writes the leafs' entries again.
+  void RegisterLeafs();
+  /// Status of a request for a path that begins with `prefix`.
+  int Status(std::size_t daemon, std::string_view prefix) const;
+
+  /// Answers all watches by a change; the daemons send the next ones after a
+  /// delay.
+  void AnswerWatches();
+  void WaitForWatches();
+  /// Silences the connections of one daemon, or of all, on which it has sent
+  /// `text`.
+  void Silence(std::size_t daemon, SilenceKind kind, std::string_view text);
+  void SilenceAll(SilenceKind kind, std::string_view text);
+
+ private:
+  void WaitUntilSettled();
+
+  FakePlatformStore m_store;
+  std::vector<std::unique_ptr<FakePlatformLeaf>> m_leafs;
+  std::vector<std::unique_ptr<SilentProxy>> m_proxies;
+  std::vector<std::unique_ptr<RelayProcess>> m_relays;
+};
+
+}  // namespace bramleyspoke
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -28,6 +28,8 @@
   std::size_t OpenWatches();
   /// From now on, accepts calls and never answers them.
   void StopAnswering() { m_is_unresponsive = true; }
+  /// Answers calls again, but never those that it accepted in between.
+  void AnswerAgain() { m_is_unresponsive = false; }
   /// Keeps a copy of the contents and their revision.
   void TakeCopy();
   /// Goes back to the copy and begins a new era.
--- a/tests/silent_proxy.cc
+++ b/tests/silent_proxy.cc
@@ -58,9 +58,9 @@
     return m_sent.find(text) != std::string::npos;
   }
 
-  void BeSilent(Silence silence) {
+  void BeSilent(SilenceKind kind) {
     m_is_silent = true;
-    if (silence == Silence::kUnacknowledged) {
+    if (kind == SilenceKind::kUnacknowledged) {
       DropIncomingSegments(m_client.native_handle());
     }
   }
@@ -161,12 +161,12 @@
     return {"127.0.0.1", m_acceptor.local_endpoint().port()};
   }
 
-  std::size_t SilenceOpen(Silence silence, std::string_view text) override {
-    return m_runner.Run([this, silence, text] {
+  std::size_t SilenceOpen(SilenceKind kind, std::string_view text) override {
+    return m_runner.Run([this, kind, text] {
       std::size_t count = 0;
       for (const auto& link : m_links) {
         if (link->IsOpen() && link->HasSent(text)) {
-          link->BeSilent(silence);
+          link->BeSilent(kind);
           ++count;
         }
       }
--- a/tests/silent_proxy.h
+++ b/tests/silent_proxy.h
@@ -10,7 +10,7 @@
 namespace bramleyspoke {
 
 /// How a silent connection behaves towards the client.
-enum class Silence {
+enum class SilenceKind {
   /// No segment of the client is acknowledged, as if a device on the path had
   /// dropped the connection's state.
   kUnacknowledged,
@@ -28,7 +28,7 @@
   virtual Endpoint Address() const = 0;
   /// Silences each open connection on which the client has sent `text`, ""
   /// for all; returns how many.
-  virtual std::size_t SilenceOpen(Silence silence,
+  virtual std::size_t SilenceOpen(SilenceKind kind,
                                   std::string_view text = "") = 0;
 };
 
