Keep the control actor's handle unchanged while other threads call it

Operators could see: a daemon of the own interface that ends with a segmentation fault in a planned stop, or at its start.

Cause: Control::Stop reset the handle of its actor, and Start set it and the pointer to its core, while the peers' and the traffic threads send messages through them: gossip arrives until the peers are stopped, which comes after the control, and crash evidence until the traffic threads are. A message is sent by checking the handle and then using it, so one that is reset in between is used null; one sent before the core is set runs on no core.

Change: the actor is spawned in the constructor, Start sends it a message, Stop ends it and keeps the handle. Messages to an actor that has ended are dropped.

--- a/src/process/control.cc
+++ b/src/process/control.cc
@@ -19,6 +19,7 @@
 namespace bramleyspoke {
 namespace {
 
+using StartAtom = caf::atom_constant<caf::atom("start")>;
 using TickAtom = caf::atom_constant<caf::atom("tick")>;
 
 // Serializes control: every event is a message to this actor.
@@ -39,8 +40,8 @@
   ControlCore& Core() { return *m_core; }
 
   caf::behavior make_behavior() override {
-    delayed_send(this, m_tick, TickAtom::value);
-    return {[this](TickAtom) {
+    return {[this](StartAtom) { delayed_send(this, m_tick, TickAtom::value); },
+            [this](TickAtom) {
               delayed_send(this, m_tick, TickAtom::value);
               m_core->OnTick();
             },
@@ -56,24 +57,23 @@
   std::unique_ptr<ControlCore> m_core;
 };
 
+// Other threads call it while it starts and stops, so the actor's handle does
+// not change: messages to an actor that has ended are dropped.
 class ControlImpl final : public Control {
  public:
-  ControlImpl(ControlOptions options,
+  ControlImpl(const ControlOptions& options,
               ControlRuntime& runtime,
-              ControlContext context)
-      : m_options(std::move(options)),
-        m_runtime(runtime),
-        m_context(std::move(context)) {}
+              const ControlContext& context)
+      : m_runtime(runtime),
+        m_actor(runtime.System().spawn<ControlActor>(options, context)),
+        m_core(&caf::actor_cast<ControlActor*>(m_actor)->Core()) {}
 
   ~ControlImpl() override { ControlImpl::Stop(); }
 
-  void Start() override {
-    m_actor = m_runtime.System().spawn<ControlActor>(m_options, m_context);
-    m_core = &caf::actor_cast<ControlActor*>(m_actor)->Core();
-  }
+  void Start() override { caf::anon_send(m_actor, StartAtom::value); }
 
   void Stop() override {
-    if (!m_actor) {
+    if (std::exchange(m_is_stopped, true)) {
       return;
     }
     caf::anon_send_exit(m_actor, caf::exit_reason::user_shutdown);
@@ -83,7 +83,6 @@
       caf::scoped_actor self(m_runtime.System());
       self->wait_for(m_actor);
     }
-    m_actor = nullptr;
   }
 
   void BeginLeaving() override {
@@ -132,17 +131,16 @@
     caf::anon_send(m_actor, ControlCall{std::move(call)});
   }
 
-  ControlOptions m_options;
   ControlRuntime& m_runtime;
-  ControlContext m_context;
-  caf::actor m_actor;
+  const caf::actor m_actor;
   // Owned by the actor, which runs all calls on it.
-  ControlCore* m_core = nullptr;
+  ControlCore* const m_core;
+  bool m_is_stopped = false;
 };
 
 }  // namespace
 
-Result<std::unique_ptr<Control>> Control::Create(ControlOptions options,
+Result<std::unique_ptr<Control>> Control::Create(const ControlOptions& options,
                                                  ControlRuntime& runtime,
                                                  ConfigStore& store,
                                                  VmList& vm_list,
@@ -154,7 +152,7 @@
                 "more than two ticks, and a tick longer than 0 ms");
   }
   return std::unique_ptr<Control>(std::make_unique<ControlImpl>(
-      std::move(options), runtime,
+      options, runtime,
       ControlContext{store, vm_list, peers, listener, nullptr, nullptr}));
 }
 
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -60,7 +60,7 @@
 class Control {
  public:
   /// The references must outlive the object.
-  static Result<std::unique_ptr<Control>> Create(ControlOptions options,
+  static Result<std::unique_ptr<Control>> Create(const ControlOptions& options,
                                                  ControlRuntime& runtime,
                                                  ConfigStore& store,
                                                  VmList& vm_list,
