Use the store's client and the VM list only on the platform's loop

Cause: the control thread called the store's client and the VM list directly, though both must be used on the platform's loop. Destroying a watch there closes its stream; the cancelled read ends the stream on the loop at the same moment, and both close one socket.

Change: PostedConfigStore and PostedVmList pass calls, and the end of a watch, to the loop.

--- a/src/process/daemon.cc
+++ b/src/process/daemon.cc
@@ -12,6 +12,8 @@
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
 #include "connection/http_vm_list.h"
+#include "connection/posted_config_store.h"
+#include "connection/posted_vm_list.h"
 #include "process/caller_api.h"
 #include "process/control.h"
 #include "process/control_runtime.h"
@@ -115,17 +117,22 @@
                       CapnpPeers::Create(m_settings.peer_listen, m_gateway));
     m_store = EtcdStore::Create(*m_platform_loop, m_settings.store.endpoints,
                                 m_settings.store.call_timeout);
+    m_posted_store =
+        std::make_unique<PostedConfigStore>(*m_platform_loop, *m_store);
     m_counting_store =
-        std::make_unique<CountingConfigStore>(*m_store, *m_metrics);
+        std::make_unique<CountingConfigStore>(*m_posted_store, *m_metrics);
     m_vm_list = HttpVmList::Create(*m_platform_loop, m_settings.vm_list);
+    m_posted_vm_list =
+        std::make_unique<PostedVmList>(*m_platform_loop, *m_vm_list);
     m_runtime = ControlRuntime::Create();
     ControlOptions options;
     options.self = m_self;
     options.seeds = m_settings.seeds;
     options.seed = m_seed;
-    BOOST_LEAF_ASSIGN(m_control,
-                      Control::Create(options, *m_runtime, *m_counting_store,
-                                      *m_vm_list, m_peers->Network(), *this));
+    BOOST_LEAF_ASSIGN(
+        m_control,
+        Control::Create(options, *m_runtime, *m_counting_store,
+                        *m_posted_vm_list, m_peers->Network(), *this));
     CreateTraffic();
     BOOST_LEAF_ASSIGN(
         m_server, HttpServer::Create(*m_front_loop, m_settings.caller_listen,
@@ -352,8 +359,11 @@
   std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<StopSignal> m_stop_signal;
   std::unique_ptr<ConfigStore> m_store;
+  /// For the control thread, as the store is used on the platform loop.
+  std::unique_ptr<PostedConfigStore> m_posted_store;
   std::unique_ptr<CountingConfigStore> m_counting_store;
   std::unique_ptr<VmList> m_vm_list;
+  std::unique_ptr<PostedVmList> m_posted_vm_list;
   std::unique_ptr<ControlRuntime> m_runtime;
   std::unique_ptr<CapnpPeers> m_peers;
   std::unique_ptr<Control> m_control;
--- a/tests/config_store_contract_test.cc
+++ b/tests/config_store_contract_test.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include "connection/etcd_store.h"
 #include "connection/http_client.h"
+#include "connection/posted_config_store.h"
 #include "loop_runner.h"
 #include "stand_in/config_store_server.h"
 
@@ -221,6 +223,34 @@
   CHECK(fixture.Calls().find(R"("txn":2)") != std::string::npos);
 }
 
+TEST_CASE("a watch may be closed on another thread while its stream ends") {
+  constexpr int kRounds = 300;
+  StoreFixture fixture;
+  PostedConfigStore store(fixture.ClientLoop().Loop(), fixture.Store());
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string value = std::to_string(round);
+    std::promise<void> is_open;
+    auto watch = store.Watch(
+        "key", 0,
+        [&](const StoreValue& change) {
+          if (change.value == value) {
+            is_open.set_value();
+          }
+        },
+        [] {});
+    fixture.Swap(fixture.Get().value.revision, value);
+    is_open.get_future().wait();
+    // The server closes the streams of all watches.
+    std::thread breaker([&] {
+      fixture.Apply({CallFaultMode::kBreakWatches, {}, 0, {}});
+    });
+    watch.reset();
+    breaker.join();
+    // No callback refers to this round any more.
+    fixture.ClientLoop().Run([] { return true; });
+  }
+}
+
 TEST_CASE("a watch reports each change after its revision, then its end") {
   StoreFixture fixture;
   const std::int64_t first = fixture.Swap(0, "one").revision;
