Write requests that crash leafs again if the store has lost them

Callers and leafs would see: after the store came back from an older copy, a daemon that starts later sends a request on to leafs that has crashed three.

Change: after the first read in a new era, each daemon writes those that it knows and the store lacks, at a time of its own within two seconds, so that most find the entries of another.

Test: relay_control_test, "requests that crash leafs are written again in a new era of the store"; its first case failed before (no put).

--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -21,6 +21,9 @@
 namespace bramleyspoke {
 namespace {
 
+// Time over which all daemons spread the writes of suspect requests that the
+// store has lost.
+constexpr std::chrono::milliseconds kSuspectRewriteSpread{2000};
 // Limit on the log lines about changed leafs.
 constexpr std::uint32_t kMaxLeafLinesPerSecond = 5;
 
@@ -158,6 +161,9 @@
     if (!daemons.contains(m_own_key)) {
       m_registration.Restore();
     }
+    if (MayBeOutdated()) {
+      ScheduleRewrite();
+    }
     WriteLog(LogLevel::kInfo, "store_read",
              {Field("keys", items.size()), Field("leafs", m_leafs.size()),
               Field("daemons", m_daemons.size())});
@@ -385,6 +391,24 @@
     return m_suspects.emplace(key, KeptSuspect{suspect, expires_at}).second;
   }
 
+  // Spread over the daemons: those that come later find the entries in the
+  // store.
+  void ScheduleRewrite() {
+    const auto delay = std::chrono::milliseconds(
+        std::hash<std::string>()(m_own_key) %
+        static_cast<std::size_t>(kSuspectRewriteSpread.count()));
+    m_rewrite_timer = m_loop.At(Now() + delay, [this] { RewriteSuspects(); });
+  }
+
+  // The writer leaves out those that the store has.
+  void RewriteSuspects() {
+    for (const auto& [key, kept] : m_suspects) {
+      if (Now() < kept.expires_at) {
+        m_suspect_writer.Write(key, m_schema.WriteCrashSuspect(kept.suspect));
+      }
+    }
+  }
+
   void ApplyCrashSuspectEvent(const KeyValueEvent& event) {
     if (event.value) {
       ApplyCrashSuspect(event.key, *event.value);
@@ -480,6 +504,7 @@
   std::uint64_t m_version = 0;
   std::optional<TimePoint> m_era_began_at;
   std::unique_ptr<Timer> m_expiry_timer;
+  std::unique_ptr<Timer> m_rewrite_timer;
   LogSampler m_leaf_log_sampler{kMaxLeafLinesPerSecond};
 };
 
--- a/tests/relay_control_test.cc
+++ b/tests/relay_control_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -93,6 +94,22 @@
     std::exchange(store.watches, {}).front().done(changes);
   }
 
+  /// Runs timers and answers grants and puts for a while; returns how often
+  /// `key` was put.
+  std::ptrdiff_t CountPuts(const std::string& key) {
+    constexpr int kTimers = 20;
+    for (int i = 0; i < kTimers; ++i) {
+      loop.RunNextTimer();
+      for (const auto& grant : std::exchange(store.grants, {})) {
+        grant.done({KeyValueStatus::kOk, i + 1, {}});
+      }
+      for (const auto& put : std::exchange(store.puts, {})) {
+        put(KeyValueStatus::kOk);
+      }
+    }
+    return std::count(store.put_keys.begin(), store.put_keys.end(), key);
+  }
+
   /// Runs timers until the keys are read, and answers the read.
   void AnswerRead(std::vector<KeyValueItem> items) {
     while (store.ranges.empty()) {
@@ -159,6 +176,29 @@
   }
 }
 
+TEST_CASE(
+    "requests that crash leafs are written again in a new era of the store") {
+  ControlFixture fixture;
+  const CrashSuspect suspect{42, ""};
+  const std::string key = fixture.schema.CrashSuspectKey(suspect);
+  const KeyValueItem entry{key, fixture.schema.WriteCrashSuspect(suspect)};
+  fixture.AnswerRead({entry});
+  fixture.store.on_era_change({1, 2});
+  SUBCASE("if the store has lost them") {
+    fixture.AnswerRead({});
+    CHECK(fixture.CountPuts(key) == 1);
+  }
+  SUBCASE("not if it still has them") {
+    fixture.AnswerRead({entry});
+    CHECK(fixture.CountPuts(key) == 0);
+  }
+  SUBCASE("not if another daemon was first") {
+    fixture.AnswerRead({});
+    fixture.AnswerWatch({KeyValueStatus::kOk, {{entry.key, entry.value}}, 8});
+    CHECK(fixture.CountPuts(key) == 0);
+  }
+}
+
 TEST_CASE("a daemon takes newer routes from a peer in a new era of the store") {
   ControlFixture fixture(4);
   fixture.AnswerRead({{"op/config", Routes(4)}});
