Split the suspects' entries from relay control and the peers' part from the front

CrashSuspects keeps the requests that crash leafs and their entries in the store; relay_front_peers.cc has the delegation of shards to peers and the service of theirs; the fingerprints of a request stand in request_fingerprint.h. Moves only: behaviour and checks are as before. The cases of relay_control, crash suspects and the process tests of relays pass.

--- a/src/connection/socket_options.h
+++ b/src/connection/socket_options.h
@@ -15,7 +15,7 @@
 /// `limit`; the probes add up to a second.
 void LimitSilence(int socket, Duration limit);
 
-/// Round-trip time of a connection as measured by the system.
+/// Round-trip time of a connection, as reported by the system.
 std::optional<Duration> RoundTripOf(int socket);
 
 }  // namespace bramleyspoke
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -1,7 +1,6 @@
 #include "process/relay_control.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -9,7 +8,7 @@
 #include "base/enum_names.h"
 #include "base/problems.h"
 #include "connection/event_loop.h"
-#include "process/crash_suspect_writer.h"
+#include "process/crash_suspects.h"
 #include "process/daemon_registration.h"
 #include "process/log.h"
 #include "process/log_sampler.h"
@@ -21,9 +20,6 @@
 namespace bramleyspoke {
 namespace {
 
-// Time over which all daemons spread the writes of suspect requests that the
-// store has lost.
-constexpr std::chrono::milliseconds kSuspectRewriteSpread{2000};
 // Limit on the log lines about changed leafs.
 constexpr std::uint32_t kMaxLeafLinesPerSecond = 5;
 
@@ -80,7 +76,13 @@
                        m_own_key,
                        schema.WriteDaemon(options.entry),
                        [this] { m_follower.Probe(); }),
-        m_suspect_writer(loop, store) {
+        m_suspects(loop,
+                   store,
+                   schema,
+                   m_own_key,
+                   [this](const CrashSuspect& suspect) {
+                     m_listener.OnCrashSuspect(suspect);
+                   }) {
     store.OnEraChange(
         [this](const StoreEraChange& change) { BeginEra(change); });
   }
@@ -104,9 +106,7 @@
   void CheckStore() override { m_follower.CheckNow(); }
 
   void AddCrashSuspect(const CrashSuspect& suspect) override {
-    const std::string key = m_schema.CrashSuspectKey(suspect);
-    KeepSuspect(key, suspect);
-    m_suspect_writer.Write(key, m_schema.WriteCrashSuspect(suspect));
+    m_suspects.Add(suspect);
   }
 
   StoreKnowledge Knowledge() const override {
@@ -116,11 +116,7 @@
     for (const auto& [key, daemon] : m_daemons.Rows()) {
       knowledge.daemons.push_back({key, daemon});
     }
-    for (const auto& [key, kept] : m_suspects) {
-      if (Now() < kept.expires_at) {
-        knowledge.suspects.push_back(kept.suspect);
-      }
-    }
+    knowledge.suspects = m_suspects.Values();
     return knowledge;
   }
 
@@ -150,7 +146,7 @@
           }
           break;
         case StoreKeyKind::kCrashSuspect:
-          ApplyCrashSuspect(item.key, item.value);
+          m_suspects.ApplyEntry(item.key, item.value);
           break;
         case StoreKeyKind::kOther:
           break;
@@ -162,7 +158,7 @@
       m_registration.Restore();
     }
     if (MayBeOutdated()) {
-      ScheduleRewrite();
+      m_suspects.RewriteMissing();
     }
     WriteLog(LogLevel::kInfo, "store_read",
              {Field("keys", items.size()), Field("leafs", m_leafs.size()),
@@ -228,11 +224,6 @@
   }
 
  private:
-  struct KeptSuspect {
-    CrashSuspect suspect;
-    TimePoint expires_at;
-  };
-
   static TimePoint Now() { return std::chrono::steady_clock::now(); }
 
   // Everything stays in use until the keys are read again. As after an outage,
@@ -249,7 +240,7 @@
     m_daemons.OnStoreUnavailable();
     m_daemons.OnStoreAvailable(Now());
     m_registration.OnNewEra();
-    m_suspect_writer.OnNewEra();
+    m_suspects.OnNewEra();
     m_follower.OnNewEra();
     m_peer_routes.Ask(m_seeds);
     m_listener.OnStoreEra(change);
@@ -367,55 +358,12 @@
     }
   }
 
-  void ApplyCrashSuspect(const std::string& key, const std::string& value) {
-    const auto read = Check([&] { return m_schema.ReadCrashSuspect(value); });
-    if (!read.value) {
-      WriteLog(LogLevel::kWarning, "crash_suspect_refused",
-               {Field("key", key), Field("problems", ToString(read.problems))});
-      return;
-    }
-    m_suspect_writer.OnStored(key);
-    if (KeepSuspect(key, *read.value)) {
-      WriteLog(LogLevel::kInfo, "crash_suspect_read", {Field("key", key)});
-    }
-    m_listener.OnCrashSuspect(*read.value);
-  }
-
-  // Returns whether the suspect is new.
-  bool KeepSuspect(const std::string& key, const CrashSuspect& suspect) {
-    std::erase_if(m_suspects, [](const auto& entry) {
-      return Now() >= entry.second.expires_at;
-    });
-    const TimePoint expires_at =
-        Now() + Duration(CrashSuspectWriter::kTimeToLive);
-    return m_suspects.emplace(key, KeptSuspect{suspect, expires_at}).second;
-  }
-
-  // Spread over the daemons: those that come later find the entries in the
-  // store.
-  void ScheduleRewrite() {
-    const auto delay = std::chrono::milliseconds(
-        std::hash<std::string>()(m_own_key) %
-        static_cast<std::size_t>(kSuspectRewriteSpread.count()));
-    m_rewrite_timer = m_loop.At(Now() + delay, [this] { RewriteSuspects(); });
-  }
-
-  // The writer leaves out those that the store has.
-  void RewriteSuspects() {
-    for (const auto& [key, kept] : m_suspects) {
-      if (Now() < kept.expires_at) {
-        m_suspect_writer.Write(key, m_schema.WriteCrashSuspect(kept.suspect));
-      }
-    }
-  }
-
   void ApplyCrashSuspectEvent(const KeyValueEvent& event) {
     if (event.value) {
-      ApplyCrashSuspect(event.key, *event.value);
-      return;
+      m_suspects.ApplyEntry(event.key, *event.value);
+    } else {
+      m_suspects.RemoveEntry(event.key);
     }
-    m_suspects.erase(event.key);
-    m_suspect_writer.OnRemoved(event.key);
   }
 
   // Applies routes, leafs and daemons received from a peer. The first read of
@@ -433,8 +381,7 @@
       m_daemons.Put(keyed.key, keyed.daemon);
     }
     for (const CrashSuspect& suspect : knowledge.suspects) {
-      KeepSuspect(m_schema.CrashSuspectKey(suspect), suspect);
-      m_listener.OnCrashSuspect(suspect);
+      m_suspects.AddFromPeer(suspect);
     }
     NotifyLeafs();
     NotifyDaemons();
@@ -494,17 +441,14 @@
   RelayControlListener& m_listener;
   StoreFollower m_follower;
   DaemonRegistration m_registration;
-  CrashSuspectWriter m_suspect_writer;
+  CrashSuspects m_suspects;
   EntryRegistry<LeafRegistration> m_leafs;
   EntryRegistry<DaemonEntry> m_daemons;
-  /// By key.
-  std::map<std::string, KeptSuspect> m_suspects;
   /// The routes in force, as stored.
   std::string m_routes;
   std::uint64_t m_version = 0;
   std::optional<TimePoint> m_era_began_at;
   std::unique_ptr<Timer> m_expiry_timer;
-  std::unique_ptr<Timer> m_rewrite_timer;
   LogSampler m_leaf_log_sampler{kMaxLeafLinesPerSecond};
 };
 
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "connection/event_loop.h"
+#include "request/request_fingerprint.h"
 
 namespace bramleyspoke {
 namespace {
@@ -15,22 +16,6 @@
   return std::chrono::steady_clock::now();
 }
 
-std::uint64_t FingerprintOf(const HttpRequest& request) {
-  return FingerprintOfContent(request.method, request.target, request.body);
-}
-
-// A request that crashes leafs may come again with the same path and body but
-// with another query.
-std::uint64_t ResourceOf(const HttpRequest& request) {
-  const std::size_t query = request.target.find('?');
-  return query == std::string::npos
-             ? 0
-             : FingerprintOfContent(
-                   request.method,
-                   std::string_view(request.target).substr(0, query),
-                   request.body);
-}
-
 }  // namespace
 
 RelayFront::RelayFront(EventLoop& loop,
@@ -162,7 +147,7 @@
   RelayRequest request;
   request.request_id = head.request_id;
   request.fingerprint = FingerprintOf(exchange->Request());
-  request.resource = ResourceOf(exchange->Request());
+  request.resource = ResourceFingerprintOf(exchange->Request());
   request.table = m_table;
   request.route = &route;
   request.deadline = arrived + std::max(allowed - kAnswerMargin, allowed / 2);
@@ -223,83 +208,6 @@
   m_engine.OnPeerSuspect(suspect, Now());
 }
 
-// The route's values are taken from the query, because this daemon may have
-// another version of the route table than the peer.
-std::function<void()> RelayFront::ServePeer(
-    ShardQuery query,
-    std::function<void(ShardAnswer)> reply) {
-  if (query.is_continuation) {
-    return ContinueForPeer(query, std::move(reply));
-  }
-  const TimePoint now = Now();
-  const RelayNumber number = ++m_last_number;
-  Route route;
-  route.name = query.route;
-  route.shards = std::move(query.shards);
-  route.max_attempts = query.max_attempts;
-  route.result_limit = query.result_limit;
-  route.priority = query.priority;
-  route.timeout = query.time_left;
-  route.target_latency = query.answer_time_left;
-  auto table = std::make_shared<const RouteTable>(
-      0, std::vector{std::move(route)}, std::vector<RoutedService>(),
-      CallerLimits());
-  RelayRequest request;
-  request.request_id = query.request_id;
-  request.fingerprint = FingerprintOf(query.request);
-  request.resource = ResourceOf(query.request);
-  request.table = table;
-  request.route = &table->Routes().front();
-  request.deadline = now + query.time_left;
-  request.answer_by = now + query.answer_time_left;
-  request.is_for_peer = true;
-  request.bypassable = std::move(query.bypassable);
-  m_in_flight.emplace(
-      number, RequestInFlight{nullptr, std::move(query.request),
-                              std::move(reply), std::move(query.request_id),
-                              table, request.route, now, request.answer_by,
-                              request.fingerprint, request.resource});
-  Apply(m_engine.Submit(number, std::move(request), now));
-  return MakeCancellation(number);
-}
-
-// A request that was already answered is not cancelled: some of its shards may
-// be pending, and the peer may ask for them in a continuation.
-std::function<void()> RelayFront::MakeCancellation(RelayNumber number) {
-  return [this, weak = std::weak_ptr(m_self), number] {
-    if (!weak.lock()) {
-      return;
-    }
-    const auto found = m_in_flight.find(number);
-    if (found != m_in_flight.end() && found->second.peer_reply) {
-      m_pending_for_peers.erase(found->second.request_id);
-      m_in_flight.erase(found);
-      Apply(m_engine.OnCallerDisconnected(number, Now()));
-    }
-  };
-}
-
-// The empty answer to a continuation that arrives too late means that no shard
-// is pending.
-std::function<void()> RelayFront::ContinueForPeer(
-    const ShardQuery& query,
-    std::function<void(ShardAnswer)> reply) {
-  const TimePoint now = Now();
-  const auto pending = m_pending_for_peers.find(query.request_id);
-  if (pending == m_pending_for_peers.end() ||
-      !m_engine.Continue(pending->second, now + query.time_left, now)) {
-    reply(ShardAnswer());
-    return [] {};
-  }
-  const RelayNumber number = pending->second;
-  m_pending_for_peers.erase(pending);
-  RequestInFlight& request = m_in_flight.at(number);
-  request.peer_reply = std::move(reply);
-  request.arrived = now;
-  Apply(m_engine.OnTimer(now));
-  return MakeCancellation(number);
-}
-
 void RelayFront::Apply(RelayActions actions) {
   for (const RelayAttemptNumber number : actions.cancellations) {
     m_exchanges.Cancel(number);
@@ -340,115 +248,6 @@
       });
 }
 
-void RelayFront::Delegate(const RelayDelegation& delegation) {
-  const auto found = m_in_flight.find(delegation.request);
-  if (found == m_in_flight.end()) {
-    return;
-  }
-  const RequestInFlight& request = found->second;
-  const TimePoint now = Now();
-  ShardQuery query;
-  query.request_id = request.request_id;
-  query.is_continuation = delegation.is_continuation;
-  if (!delegation.is_continuation) {
-    query.request = request.Request();
-    query.route = request.route->name;
-  }
-  query.shards = delegation.shards;
-  query.bypassable = delegation.bypassable;
-  query.max_attempts = request.route->max_attempts;
-  query.result_limit = request.route->result_limit;
-  query.priority = request.route->priority;
-  query.time_left = std::max(delegation.deadline - now, Duration::zero());
-  query.answer_time_left =
-      std::max(delegation.answer_by - now, Duration::zero());
-  m_peer_calls[delegation.number] = m_peers.QueryShards(
-      delegation.peer, query,
-      [this, weak = std::weak_ptr(m_self), &loop = m_loop,
-       number = delegation.number,
-       shards = request.route->shards.size()](ShardOutcome outcome) {
-        loop.Post([this, weak, number, shards,
-                   outcome = std::move(outcome)]() mutable {
-          if (weak.lock()) {
-            OnPeerOutcome(number, shards, std::move(outcome));
-          }
-        });
-      });
-}
-
-void RelayFront::OnPeerOutcome(RelayAttemptNumber number,
-                               std::size_t shards,
-                               ShardOutcome outcome) {
-  if (m_peer_calls.erase(number) == 0) {
-    return;
-  }
-  DelegationReply reply;
-  switch (outcome.result) {
-    case ForwardResult::kReplied:
-      reply.kind = LeafReplyKind::kSucceeded;
-      break;
-    case ForwardResult::kNotSent:
-      reply.kind = LeafReplyKind::kNotSent;
-      break;
-    case ForwardResult::kLost:
-      reply.kind = LeafReplyKind::kLost;
-      break;
-  }
-  reply.covered = std::move(outcome.answer.covered);
-  reply.uncovered = std::move(outcome.answer.uncovered);
-  reply.answer = std::move(outcome.answer.response);
-  reply.processing_time = outcome.answer.processing_time;
-  reply.stalls = std::move(outcome.answer.stalls);
-  const bool is_valid =
-      std::all_of(reply.covered.begin(), reply.covered.end(),
-                  [&](std::size_t index) { return index < shards; });
-  if (!is_valid) {
-    reply.kind = LeafReplyKind::kLost;
-    reply.covered.clear();
-  }
-  Apply(m_engine.OnDelegationReply(number, std::move(reply), Now()));
-}
-
-void RelayFront::AnswerPeer(RelayNumber number, const RelayOutcome& outcome) {
-  RequestInFlight& request = m_in_flight.at(number);
-  const auto reply = std::exchange(request.peer_reply, nullptr);
-  if (reply) {
-    reply(MakePeerAnswer(request, outcome));
-  }
-  if (outcome.is_continued) {
-    m_pending_for_peers[request.request_id] = number;
-    return;
-  }
-  m_pending_for_peers.erase(request.request_id);
-  m_in_flight.erase(number);
-}
-
-ShardAnswer RelayFront::MakePeerAnswer(const RequestInFlight& request,
-                                       const RelayOutcome& outcome) {
-  ShardAnswer answer;
-  answer.covered = outcome.covered;
-  answer.uncovered = outcome.uncovered;
-  if (!outcome.answers.empty()) {
-    answer.response = m_protocol.MakeMergedAnswer(outcome.answers, 0,
-                                                  request.route->result_limit);
-  }
-  answer.processing_time = Now() - request.arrived;
-  answer.stalls = m_engine.RecentStalls(request.route->shards, Now());
-  RelayEnd end;
-  end.request_id = request.request_id;
-  end.route = request.route;
-  end.taken = answer.processing_time;
-  end.time_for_answer = request.answer_by - request.arrived;
-  end.missing_shards = outcome.uncovered.size();
-  end.outcome = &outcome;
-  end.refusal = outcome.refusal;
-  end.is_for_peer = true;
-  end.fingerprint = request.fingerprint;
-  end.resource = request.resource;
-  m_observer.OnRequestEnd(end);
-  return answer;
-}
-
 void RelayFront::Finish(RelayFinish finish) {
   const auto found = m_in_flight.find(finish.request);
   if (found == m_in_flight.end()) {
