Give each fleet of a process test a network that it has claimed

Cause: both tests started daemons on 127.0.8.1 and up. Addresses were constants in each test, and two were equal. A daemon that finds its port taken ends, so the silence test's requests reached the drill's daemon, which knows four.

Change: the fleets take their addresses from FleetNetwork, which the bench's fleets use and which claims a free network by a bound port.

No check changes.

--- a/bench/fleet_network.cc
+++ b/bench/fleet_network.cc
@@ -20,8 +20,10 @@
 constexpr std::uint16_t kControlPort = 7900;
 constexpr std::uint16_t kCallerPort = 8080;
 constexpr std::uint16_t kPeerPort = 9000;
+constexpr std::uint16_t kLeafPort = 7000;
 constexpr std::size_t kPlatformSubnet = 0;
 constexpr std::size_t kDaemonSubnet = 1;
+constexpr std::size_t kLeafSubnet = 2;
 constexpr std::size_t kFirstControlHost = 10;
 constexpr std::size_t kDaemonsPerSubnet = 250;
 // Third octet from the 251st daemon on; the octets in between are for leafs.
@@ -113,4 +115,8 @@
   return Endpoint{Caller(daemon).host, kPeerPort};
 }
 
+Endpoint FleetNetwork::Leaf(std::size_t leaf) const {
+  return Address(kLeafSubnet, leaf + 1, kLeafPort);
+}
+
 }  // namespace bramleyspoke::Harness
--- a/bench/fleet_network.h
+++ b/bench/fleet_network.h
@@ -29,6 +29,8 @@
   Endpoint LeafControl(std::size_t process) const;
   Endpoint Caller(std::size_t daemon) const;
   Endpoint Peer(std::size_t daemon) const;
+  /// Address of a leaf that has a host of its own.
+  Endpoint Leaf(std::size_t leaf) const;
 
  private:
   FleetNetwork(int second_octet, int socket);
--- a/tests/crashing_fleet.cc
+++ b/tests/crashing_fleet.cc
@@ -15,7 +15,6 @@
 constexpr std::chrono::seconds kEventTimeout{30};
 // Time in which a leaf that restarts is known to all daemons again.
 constexpr std::chrono::milliseconds kSettleTime{500};
-constexpr std::uint16_t kLeafPort = 9000;
 
 std::string ShardName(int shard) {
   return "shard-" + std::to_string(shard);
@@ -48,8 +47,8 @@
 
 }  // namespace
 
-CrashingFleet::CrashingFleet(std::string network)
-    : m_network(std::move(network)) {
+CrashingFleet::CrashingFleet()
+    : m_network(Harness::FleetNetwork::Create().value()) {
   m_store.Put("op/config", RoutesJson());
   for (int i = 0; i < kLeafsPerService; ++i) {
     AddLeaf("s", i);
@@ -57,9 +56,10 @@
       AddLeaf(ShardName(shard), i);
     }
   }
+  const std::string seed =
+      "\"" + ToString(RelayProcess::PeersOn(m_network->Caller(0).host)) + "\"";
   for (std::size_t i = 0; i < kDaemons; ++i) {
-    const std::string ip = m_network + ".6." + std::to_string(i + 1);
-    const std::string seed = "\"" + m_network + ".6.1:8106\"";
+    const std::string ip = m_network->Caller(i).host;
     const bool is_far = i + 1 == kDaemons;
     m_relays.push_back(std::make_unique<RelayProcess>(
         ip, m_store.Address(), seed,
@@ -70,9 +70,8 @@
 
 void CrashingFleet::AddLeaf(const std::string& service, int index) {
   const std::string id = service + "-" + std::to_string(index);
-  const Endpoint address{m_network + ".7." + std::to_string(m_leafs.size() + 1),
-                         kLeafPort};
-  m_leafs.push_back(std::make_unique<FakePlatformLeaf>(id, address));
+  m_leafs.push_back(
+      std::make_unique<FakePlatformLeaf>(id, m_network->Leaf(m_leafs.size())));
   FakePlatformLeaf& leaf = *m_leafs.back();
   const auto register_leaf = [this, &leaf, id, service] {
     m_store.Put("servers/" + id, leaf.Entry(service));
--- a/tests/crashing_fleet.h
+++ b/tests/crashing_fleet.h
@@ -7,6 +7,7 @@
 
 #include "base/time.h"
 #include "connection/http_message.h"
+#include "fleet_network.h"
 #include "relay_platform.h"
 #include "relay_process.h"
 
@@ -22,9 +23,7 @@
   static constexpr int kLeafsPerService = 6;
   static constexpr Duration kLeafRestartDelay = std::chrono::seconds(2);
 
-  /// `network` is the first half of all addresses, such as "127.0"; fleets that
-  /// run at a time need different ones.
-  explicit CrashingFleet(std::string network);
+  CrashingFleet();
 
   RelayProcess& Relay(std::size_t index) { return *m_relays.at(index); }
   void LoseStore() { m_store.StopAnswering(); }
@@ -44,7 +43,7 @@
  private:
   void AddLeaf(const std::string& service, int index);
 
-  std::string m_network;
+  std::unique_ptr<Harness::FleetNetwork> m_network;
   FakePlatformStore m_store;
   std::vector<std::unique_ptr<FakePlatformLeaf>> m_leafs;
   std::vector<std::unique_ptr<RelayProcess>> m_relays;
--- a/tests/process_relay_config_soak_test.cc
+++ b/tests/process_relay_config_soak_test.cc
@@ -10,7 +10,7 @@
 
 #include "disturbed_daemons.h"
 #include "proxied_fleet.h"
-#include "soak_options.h"
+#include "soak_seed.h"
 
 namespace bramleyspoke {
 namespace {
@@ -241,7 +241,7 @@
   }
 
   std::mt19937_64 m_random;
-  ProxiedFleet m_fleet{SoakNetwork(), kDaemons};
+  ProxiedFleet m_fleet{kDaemons};
   DisturbedDaemons m_daemons{{&m_fleet.Relay(0), &m_fleet.Relay(1),
                               &m_fleet.Relay(2), &m_fleet.Relay(3)},
                              kStableWindow};
--- a/tests/process_relay_crash_soak_test.cc
+++ b/tests/process_relay_crash_soak_test.cc
@@ -8,7 +8,7 @@
 
 #include "crashing_fleet.h"
 #include "disturbed_daemons.h"
-#include "soak_options.h"
+#include "soak_seed.h"
 
 namespace bramleyspoke {
 namespace {
@@ -116,7 +116,7 @@
 
   std::mt19937_64 m_random;
   std::string m_target;
-  CrashingFleet m_fleet{SoakNetwork()};
+  CrashingFleet m_fleet;
   DisturbedDaemons m_daemons{
       {&m_fleet.Relay(0), &m_fleet.Relay(1), &m_fleet.Relay(2)},
       kStableWindow};
--- a/tests/process_relay_crash_test.cc
+++ b/tests/process_relay_crash_test.cc
@@ -7,14 +7,10 @@
 #include "crashing_fleet.h"
 
 namespace bramleyspoke {
-namespace {
-
-const std::string kNetwork = "127.0";
-
-}  // namespace
+namespace {}  // namespace
 
 TEST_CASE("a request that crashes leafs is refused by daemons that restarted") {
-  CrashingFleet fleet(kNetwork);
+  CrashingFleet fleet;
   fleet.SendUntilRefused();
   for (std::size_t relay = 0; relay < 3; ++relay) {
     fleet.Relay(relay).Restart();
@@ -29,7 +25,7 @@
 TEST_CASE(
     "a request that crashes leafs is refused by a daemon that restarted while "
     "the store does not answer") {
-  CrashingFleet fleet(kNetwork);
+  CrashingFleet fleet;
   fleet.SendUntilRefused();
   fleet.LoseStore();
   fleet.Relay(2).Restart();
@@ -41,7 +37,7 @@
 TEST_CASE(
     "a request that crashes leafs is refused by a daemon that was paused "
     "meanwhile") {
-  CrashingFleet fleet(kNetwork);
+  CrashingFleet fleet;
   fleet.Relay(2).Signal(SIGSTOP);
   fleet.SendUntilRefused();
   fleet.Relay(2).Signal(SIGCONT);
@@ -51,7 +47,7 @@
 }
 
 TEST_CASE("a daemon far from the leafs delegates the shards of a fan-out") {
-  CrashingFleet fleet(kNetwork);
+  CrashingFleet fleet;
   CHECK(fleet.Relay(2).Send("plain", "/sweep/all").status == 200);
   CHECK(fleet.Relay(2).Metrics().find(R"(what="delegations"} 1)") !=
         std::string::npos);
--- a/tests/process_relay_drill_test.cc
+++ b/tests/process_relay_drill_test.cc
@@ -116,7 +116,7 @@
 TEST_CASE(
     "relays serve every request while the store comes back from an older "
     "copy") {
-  ProxiedFleet fleet("127.0", kDaemons);
+  ProxiedFleet fleet(kDaemons);
   const Callers callers(fleet);
   const auto calls_at_begin = CountStoreCalls(fleet);
   std::this_thread::sleep_for(kObserved);
--- a/tests/process_relay_silence_test.cc
+++ b/tests/process_relay_silence_test.cc
@@ -21,7 +21,6 @@
 constexpr int kProbes = 20;
 constexpr milliseconds kProbeInterval{50};
 
-const std::string kNetwork = "127.0";
 const std::string kAdded = "/added/";
 
 TimePoint Now() {
@@ -92,7 +91,7 @@
   CAPTURE(silent_connections);
   CAPTURE(is_watch_waiting);
   CAPTURE(daemons);
-  ProxiedFleet fleet(kNetwork, daemons);
+  ProxiedFleet fleet(daemons);
   REQUIRE(fleet.CountHolders() == std::min<std::size_t>(daemons, 3));
   fleet.AnswerWatches();
   if (is_watch_waiting) {
@@ -122,7 +121,7 @@
     "a request for a route that was just added is not refused as missing") {
   // A refusal may rest on what the store has shown within this time.
   constexpr milliseconds kMaxRefusalAge{100};
-  ProxiedFleet fleet(kNetwork, 1);
+  ProxiedFleet fleet(1);
   fleet.AnswerWatches();
   SUBCASE("before the next watch is sent") {}
   SUBCASE("while the watch's connection is silent") {
--- a/tests/process_relay_test.cc
+++ b/tests/process_relay_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "fleet.h"
+#include "fleet_network.h"
 #include "relay_platform.h"
 #include "relay_process.h"
 
@@ -36,6 +37,13 @@
     }
   }
 
+  /// Address of a daemon.
+  std::string Daemon(std::size_t index) const {
+    return network->Caller(index).host;
+  }
+
+  std::unique_ptr<Harness::FleetNetwork> network =
+      Harness::FleetNetwork::Create().value();
   FakePlatformStore store;
   std::vector<std::unique_ptr<FakePlatformLeaf>> leafs = MakeLeafs();
 
@@ -58,14 +66,14 @@
 TEST_CASE(
     "a relay that starts while the store does not answer serves requests") {
   FakePlatform platform;
-  const RelayProcess first("127.0.5.1", platform.store.Address(), "");
+  const RelayProcess first(platform.Daemon(0), platform.store.Address(), "");
   const bool is_serving =
       WaitUntil([&] { return first.Serves(); }, kEventTimeout);
   REQUIRE_MESSAGE(is_serving, first.Log());
   CHECK(first.Metrics().find(R"(what="store_reachable"} 1)") !=
         std::string::npos);
   platform.store.StopAnswering();
-  const RelayProcess second("127.0.5.2", platform.store.Address(),
+  const RelayProcess second(platform.Daemon(1), platform.store.Address(),
                             QuotedAddress(first.Peers()));
   CHECK(WaitUntil([&] { return second.Serves(); }, kEventTimeout));
   CHECK(first.Serves());
@@ -80,7 +88,7 @@
   // The users' bound on the time until new routes are in force.
   constexpr std::chrono::seconds kRoutesBound{4};
   FakePlatform platform;
-  const RelayProcess relay("127.0.5.1", platform.store.Address(), "");
+  const RelayProcess relay(platform.Daemon(0), platform.store.Address(), "");
   const auto serves = [&](const std::string& path) {
     return relay.Send("plain", path).status == 200;
   };
@@ -107,8 +115,8 @@
     "a relay that starts on an older copy of the store serves the routes that "
     "were in force") {
   FakePlatform platform;
-  const RelayProcess running("127.0.5.1", platform.store.Address(), "");
-  RelayProcess restarted("127.0.5.2", platform.store.Address(),
+  const RelayProcess running(platform.Daemon(0), platform.store.Address(), "");
+  RelayProcess restarted(platform.Daemon(1), platform.store.Address(),
                          QuotedAddress(running.Peers()));
   REQUIRE(WaitUntil([&] { return restarted.Serves(); }, kEventTimeout));
   platform.store.TakeCopy();
--- a/tests/proxied_fleet.cc
+++ b/tests/proxied_fleet.cc
@@ -38,18 +38,19 @@
 
 }  // namespace
 
-ProxiedFleet::ProxiedFleet(std::string network, std::size_t daemons) {
+ProxiedFleet::ProxiedFleet(std::size_t daemons)
+    : m_network(Harness::FleetNetwork::Create().value()) {
   WriteRoutes(1, {});
   for (std::size_t i = 0; i < kLeafs; ++i) {
     m_leafs.push_back(std::make_unique<FakePlatformLeaf>(LeafId(i)));
   }
   RegisterLeafs();
-  network += ".8.";
-  const std::string seed = "\"" + network + "1:8106\"";
+  const std::string seed =
+      "\"" + ToString(RelayProcess::PeersOn(m_network->Caller(0).host)) + "\"";
   for (std::size_t i = 0; i < daemons; ++i) {
     m_proxies.push_back(SilentProxy::Create(m_store.Address()));
     m_relays.push_back(std::make_unique<RelayProcess>(
-        network + std::to_string(i + 1), m_proxies.back()->Address(), seed));
+        m_network->Caller(i).host, m_proxies.back()->Address(), seed));
   }
   WaitUntilSettled();
 }
--- a/tests/proxied_fleet.h
+++ b/tests/proxied_fleet.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fleet_network.h"
 #include "relay_platform.h"
 #include "relay_process.h"
 #include "silent_proxy.h"
@@ -19,9 +20,7 @@
   /// Prefix of a route that each version has.
   static constexpr std::string_view kBasePrefix = "/base/";
 
-  /// `network` is the first half of all addresses, such as "127.0"; fleets that
-  /// run at a time need different ones.
-  ProxiedFleet(std::string network, std::size_t daemons);
+  explicit ProxiedFleet(std::size_t daemons);
 
   std::size_t Size() const { return m_relays.size(); }
   RelayProcess& Relay(std::size_t index) { return *m_relays.at(index); }
@@ -48,6 +47,7 @@
  private:
   void WaitUntilSettled();
 
+  std::unique_ptr<Harness::FleetNetwork> m_network;
   FakePlatformStore m_store;
   std::vector<std::unique_ptr<FakePlatformLeaf>> m_leafs;
   std::vector<std::unique_ptr<SilentProxy>> m_proxies;
--- a/tests/relay_process.h
+++ b/tests/relay_process.h
@@ -29,7 +29,9 @@
   ~RelayProcess();
 
   Endpoint Callers() const { return {m_ip, 8104}; }
-  Endpoint Peers() const { return {m_ip, 8106}; }
+  Endpoint Peers() const { return PeersOn(m_ip); }
+  /// Where the daemon on this address listens for peers.
+  static Endpoint PeersOn(const std::string& ip) { return {ip, 8106}; }
 
   /// Sends a request with this body and waits for the answer.
   HttpResponse Send(const std::string& body,
