--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -2,12 +2,15 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <deque>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "connection/http_server.h"
+#include "fleet.h"
 #include "loop_runner.h"
 
 namespace bramleyspoke {
@@ -82,6 +85,54 @@
   return calls;
 }
 
+/// A store that answers no call until it closes all connections.
+class SilentStore final : public HttpHandler {
+ public:
+  SilentStore() { Start({"127.0.0.1", 0}); }
+  ~SilentStore() override { Close(); }
+
+  Endpoint Address() const { return m_address; }
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    m_unanswered.push_back(std::move(exchange));
+  }
+
+  /// Targets of the calls since the connections were closed.
+  std::vector<std::string> Calls() {
+    return m_runner.Run([this] {
+      std::vector<std::string> targets;
+      for (const auto& exchange : m_unanswered) {
+        targets.push_back(exchange->Request().target);
+      }
+      return targets;
+    });
+  }
+
+  void Close() {
+    m_runner.Run([this] {
+      m_server.reset();
+      m_unanswered.clear();
+      return true;
+    });
+  }
+
+  void Start(const Endpoint& address) {
+    m_runner.Run([&] {
+      m_server = HttpServer::Create(m_runner.Loop(), address,
+                                    HttpServerLimits(), *this)
+                     .value();
+      return true;
+    });
+    m_address = m_server->Address();
+  }
+
+ private:
+  LoopRunner m_runner;
+  std::unique_ptr<HttpServer> m_server;
+  Endpoint m_address;
+  std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
+};
+
 }  // namespace
 
 TEST_CASE("a change of the store's era is reported before its response") {
@@ -105,4 +156,76 @@
   }
 }
 
+// The client's loop is held up until both connections have broken, so that it
+// handles both in one turn; the call that fails first ends the watch.
+TEST_CASE(
+    "a watch that is cancelled while its connection breaks ends once, and so "
+    "does the next one") {
+  constexpr std::chrono::seconds kEventTimeout{10};
+  constexpr std::chrono::seconds kWait{5};
+  SilentStore store;
+  LoopRunner runner;
+  std::vector<int> ends(3);
+  auto client = runner.Run([&] {
+    return Platform::StoreClient::Create(runner.Loop(), store.Address());
+  });
+  runner.Run([&] {
+    client->ReadRecentRevision([&](const KeyValueRevision& /*revision*/) {
+      ++ends[0];
+      client->CancelWatches();
+      client->Watch("", 1, kWait,
+                    [&](const KeyValueChanges& /*changes*/) { ++ends[2]; });
+    });
+    client->Watch("", 1, kWait,
+                  [&](const KeyValueChanges& /*changes*/) { ++ends[1]; });
+    return true;
+  });
+  REQUIRE(Harness::WaitUntil([&] { return store.Calls().size() == 2; },
+                             kEventTimeout));
+  runner.Run([&] {
+    store.Close();
+    store.Start(store.Address());
+    return true;
+  });
+  CHECK(Harness::WaitUntil([&] { return store.Calls().size() == 1; },
+                           kEventTimeout));
+  CHECK(runner.Run([&] { return ends; }) == std::vector{1, 1, 0});
+  store.Close();
+  const auto has_ended = [&] {
+    return runner.Run([&] { return ends[2]; }) == 1;
+  };
+  CHECK(Harness::WaitUntil(has_ended, kEventTimeout));
+  runner.Run([&] {
+    client.reset();
+    return true;
+  });
+}
+
+TEST_CASE(
+    "a watch that is cancelled before it is sent does not delay the next") {
+  constexpr std::chrono::seconds kEventTimeout{10};
+  constexpr std::chrono::seconds kWait{5};
+  SilentStore store;
+  LoopRunner runner;
+  int first_ends = 0;
+  auto client = runner.Run([&] {
+    return Platform::StoreClient::Create(runner.Loop(), store.Address());
+  });
+  runner.Run([&] {
+    client->Watch("", 1, kWait,
+                  [&](const KeyValueChanges& /*changes*/) { ++first_ends; });
+    client->CancelWatches();
+    client->Watch("", 2, kWait, [](const KeyValueChanges& /*changes*/) {});
+    return true;
+  });
+  CHECK(runner.Run([&] { return first_ends; }) == 1);
+  REQUIRE(Harness::WaitUntil([&] { return !store.Calls().empty(); },
+                             kEventTimeout));
+  CHECK(store.Calls().front().find("after=2") != std::string::npos);
+  runner.Run([&] {
+    client.reset();
+    return true;
+  });
+}
+
 }  // namespace bramleyspoke
