Take newer routes from a peer if the store does not give them to this daemon

Callers saw: 503 for a route that had been added, and old routes, at a daemon that the store rejects while it serves the others; for as long as that lasts, though the daemon exchanges queries with peers that have the new version. Also, a daemon whose watch is silent had to find that out by reads of the store that may be seconds old (LIMITATIONS.md).

Change: the answer to a delegated query has the version of the peer's routes, unless the store is unavailable to it. A daemon that sees a newer one and does not get it within a quarter of apply_bound_ms replaces its watch by a short one; if the store is unavailable, or has no newer version after the same time again, it fetches the peer's routes, with its leafs and daemons in the first case, and reads all keys again once the store is back. That costs nothing while all agree.

--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -111,6 +111,8 @@
   servedInUs @3 :UInt32;
   stalls @4 :List(Stall);
   uncovered @5 :List(Uncovered);
+  # Version of the peer's routes; 0 if the store is unavailable to it.
+  version @6 :UInt64;
 }
 
 # Registration of a leaf.
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -155,6 +155,8 @@
   /// Processing time in the peer, without network latency.
   Duration processing_time{0};
   std::vector<StallNotice> stalls;
+  /// Version of the peer's routes; 0 if the store is unavailable to it.
+  std::uint64_t version = 0;
 };
 
 /// How a shard query to a peer ended; `answer` is set only for `kReplied`.
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -261,6 +261,7 @@
       std::chrono::duration_cast<std::chrono::microseconds>(
           answer.processing_time);
   builder.setServedInUs(static_cast<std::uint32_t>(processing_time.count()));
+  builder.setVersion(answer.version);
   auto uncovered = builder.initUncovered(answer.uncovered.size());
   for (unsigned i = 0; i < uncovered.size(); ++i) {
     const UncoveredShard& shard = answer.uncovered[i];
@@ -288,6 +289,7 @@
   answer.response.headers = SplitHeaders(ToStd(reader.getHeaders()));
   answer.response.body = FromData(reader.getBody());
   answer.processing_time = std::chrono::microseconds(reader.getServedInUs());
+  answer.version = reader.getVersion();
   for (const auto shard : reader.getUncovered()) {
     answer.uncovered.push_back(
         {shard.getPlace(), shard.getRuns(), shard.getIsPending()});
--- a/src/process/peer_routes.cc
+++ b/src/process/peer_routes.cc
@@ -12,11 +12,15 @@
 PeerRoutes::PeerRoutes(EventLoop& loop,
                        PeerNetwork& peers,
                        MemberUpdate self,
-                       std::function<void(const std::string&)> on_routes)
+                       Duration patience,
+                       std::function<bool()> ask_store,
+                       std::function<void(const StoreKnowledge&)> on_knowledge)
     : m_loop(loop),
       m_peers(peers),
       m_self(std::move(self)),
-      m_on_routes(std::move(on_routes)),
+      m_patience(patience),
+      m_ask_store(std::move(ask_store)),
+      m_on_knowledge(std::move(on_knowledge)),
       m_alive(std::make_shared<PeerRoutes*>(this)) {}
 
 PeerRoutes::~PeerRoutes() = default;
@@ -52,10 +56,44 @@
   FetchNewest();
 }
 
+void PeerRoutes::OnVersionSeen(const Endpoint& peer, std::uint64_t version) {
+  m_seen[peer] = version;
+  EraseOutdated(m_seen);
+  if (!m_seen.empty() && !m_overdue_timer) {
+    WaitForStore();
+  }
+}
+
+void PeerRoutes::WaitForStore() {
+  m_overdue_timer = m_loop.At(std::chrono::steady_clock::now() + m_patience,
+                              [this] { OnOverdue(); });
+}
+
+void PeerRoutes::OnOverdue() {
+  m_overdue_timer.reset();
+  EraseOutdated(m_seen);
+  if (m_seen.empty()) {
+    m_is_store_asked = false;
+    return;
+  }
+  if (!m_is_store_asked && m_ask_store()) {
+    m_is_store_asked = true;
+    WaitForStore();
+    return;
+  }
+  m_is_store_asked = false;
+  m_offers.merge(m_seen);
+  m_seen.clear();
+  FetchNewest();
+}
+
+void PeerRoutes::EraseOutdated(Versions& versions) const {
+  std::erase_if(versions,
+                [this](const auto& row) { return row.second <= m_version; });
+}
+
 void PeerRoutes::FetchNewest() {
-  std::erase_if(m_offers, [this](const auto& offer) {
-    return offer.second <= m_version;
-  });
+  EraseOutdated(m_offers);
   if (m_version == 0 || m_offers.empty() || m_is_fetching) {
     return;
   }
@@ -84,7 +122,7 @@
   m_is_fetching = false;
   m_offers.erase(peer);
   if (reply && !reply->routes.empty()) {
-    m_on_routes(reply->routes);
+    m_on_knowledge(*reply);
   }
   FetchNewest();
 }
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -20,6 +20,10 @@
 namespace bramleyspoke {
 namespace {
 
+// The part of the apply bound in which routes that a peer has should arrive
+// from the store. A holder delays its watches for less, a standby for less than
+// twice as long.
+constexpr int kRoutesPatienceFraction = 4;
 // Limit on the log lines about changed leafs.
 constexpr std::uint32_t kMaxLeafLinesPerSecond = 5;
 
@@ -63,12 +67,15 @@
         m_own_key(schema.DaemonKey(options.name)),
         m_seeds(options.seeds),
         m_seed_reader(SeedReader::Create(loop, peers, options.seeds)),
-        m_peer_routes(loop,
-                      peers,
-                      MakeMember(options.entry),
-                      [this](const std::string& routes) {
-                        ApplyRoutes(routes, RoutesSource::kPeer, {});
-                      }),
+        m_peer_routes(
+            loop,
+            peers,
+            MakeMember(options.entry),
+            options.apply_bound / kRoutesPatienceFraction,
+            [this] { return AskStoreForRoutes(); },
+            [this](const StoreKnowledge& knowledge) {
+              TakeNewerRoutes(knowledge);
+            }),
         m_listener(listener),
         m_follower(loop, store, options.apply_bound, *this),
         m_registration(loop,
@@ -105,6 +112,11 @@
 
   void CheckStore() override { m_follower.CheckNow(); }
 
+  void OnNewerRoutesAtPeer(const Endpoint& peer,
+                           std::uint64_t version) override {
+    m_peer_routes.OnVersionSeen(peer, version);
+  }
+
   void AddCrashSuspect(const CrashSuspect& suspect) override {
     m_suspects.Add(suspect);
   }
@@ -241,7 +253,7 @@
     m_daemons.OnStoreAvailable(Now());
     m_registration.OnNewEra();
     m_suspects.OnNewEra();
-    m_follower.OnNewEra();
+    m_follower.ReadAgain();
     m_peer_routes.Ask(m_seeds);
     m_listener.OnStoreEra(change);
   }
@@ -387,6 +399,28 @@
     NotifyDaemons();
   }
 
+  // Returns false if the store is unavailable.
+  bool AskStoreForRoutes() {
+    if (m_follower.IsUnavailable()) {
+      return false;
+    }
+    m_follower.Probe();
+    return true;
+  }
+
+  // While the store is unavailable to this daemon alone, the peer's leafs are
+  // needed too: the new routes may lead to leafs that are not known here. One
+  // that the peer only keeps for its grace period goes with the next read of
+  // all keys.
+  void TakeNewerRoutes(const StoreKnowledge& knowledge) {
+    if (!m_follower.IsUnavailable()) {
+      ApplyRoutes(knowledge.routes, RoutesSource::kPeer, {});
+      return;
+    }
+    ApplyPeerKnowledge(knowledge);
+    m_follower.ReadAgain();
+  }
+
   void NotifyLeafs() {
     m_listener.OnLeafs(m_leafs.Values());
     ArmExpiryTimer();
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -63,6 +63,10 @@
   /// Has the store asked whether what was reported of it is current; called on
   /// the control loop.
   virtual void CheckStore() = 0;
+  /// A peer that the store is available to has newer routes; called on the
+  /// control loop.
+  virtual void OnNewerRoutesAtPeer(const Endpoint& peer,
+                                   std::uint64_t version) = 0;
   /// Writes a request that this daemon found to crash leafs to the store;
   /// called on the control loop.
   virtual void AddCrashSuspect(const CrashSuspect& suspect) = 0;
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -205,6 +205,12 @@
     m_control_loop->Post([this] { m_control->CheckStore(); });
   }
 
+  void OnNewerRoutes(const Endpoint& peer, std::uint64_t version) override {
+    m_control_loop->Post([this, peer, version] {
+      m_control->OnNewerRoutesAtPeer(peer, version);
+    });
+  }
+
   // What a daemon knows ends with its process; the store outlasts it.
   void OnSuspectFound(const CrashSuspect& suspect) override {
     m_control_loop->Post(
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -57,6 +57,8 @@
   virtual void OnCrashEvidence(const CrashEvidenceEvent& event) = 0;
   /// A request waits until the store shows whether the routes are current.
   virtual void OnRoutesDoubted() = 0;
+  /// A peer that the store is available to has newer routes.
+  virtual void OnNewerRoutes(const Endpoint& peer, std::uint64_t version) = 0;
   /// This daemon found a request to crash leafs.
   virtual void OnSuspectFound(const CrashSuspect& suspect) = 0;
 };
@@ -155,6 +157,7 @@
   void Send(const RelayAttempt& send);
   void Delegate(const RelayDelegation& delegation);
   void OnPeerOutcome(RelayAttemptNumber number,
+                     const Endpoint& peer,
                      std::size_t shards,
                      ShardOutcome outcome);
   void Finish(RelayFinish finish);
--- a/src/process/relay_front_peers.cc
+++ b/src/process/relay_front_peers.cc
@@ -118,23 +118,27 @@
   m_peer_calls[delegation.number] = m_peers.QueryShards(
       delegation.peer, query,
       [this, weak = std::weak_ptr(m_self), &loop = m_loop,
-       number = delegation.number,
+       number = delegation.number, peer = delegation.peer,
        shards = request.route->shards.size()](ShardOutcome outcome) {
-        loop.Post([this, weak, number, shards,
+        loop.Post([this, weak, number, peer, shards,
                    outcome = std::move(outcome)]() mutable {
           if (weak.lock()) {
-            OnPeerOutcome(number, shards, std::move(outcome));
+            OnPeerOutcome(number, peer, shards, std::move(outcome));
           }
         });
       });
 }
 
 void RelayFront::OnPeerOutcome(RelayAttemptNumber number,
+                               const Endpoint& peer,
                                std::size_t shards,
                                ShardOutcome outcome) {
   if (m_peer_calls.erase(number) == 0) {
     return;
   }
+  if (m_table && outcome.answer.version > m_table->Version()) {
+    m_observer.OnNewerRoutes(peer, outcome.answer.version);
+  }
   DelegationReply reply;
   switch (outcome.result) {
     case ForwardResult::kReplied:
@@ -187,6 +191,7 @@
   }
   answer.processing_time = Now() - request.arrived;
   answer.stalls = m_engine.RecentStalls(request.route->shards, Now());
+  answer.version = m_table && !m_is_stale ? m_table->Version() : 0;
   RelayEnd end;
   end.request_id = request.request_id;
   end.route = request.route;
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -180,9 +180,9 @@
   Watch();
 }
 
-// A watch from a revision that was given out again would miss what was written
-// before that.
-void StoreFollower::OnNewEra() {
+// In a new era of the store, a watch from a revision that was given out again
+// would miss what was written before that.
+void StoreFollower::ReadAgain() {
   m_watch = 0;
   m_check_timer.reset();
   ++m_read;
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -82,11 +82,10 @@
   /// Reads the store's revision at once, unless it is being read, and ends a
   /// delay before the next watch. `OnStoreConfirmed` follows if the store
   /// responds.
-
   void CheckNow();
-  /// Forgets the revision and reads all keys again; called when the store is in
-  /// a new era.
-  void OnNewEra();
+  /// Forgets the revision and reads all keys again; called when what is known
+  /// may not be what the store held at that revision.
+  void ReadAgain();
   bool IsUnavailable() const { return m_is_unavailable; }
 
  private:
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -111,6 +111,7 @@
     ShardAnswer answer;
     answer.covered = {1};
     answer.uncovered = {{0, 2, true}};
+    answer.version = 12;
     reply(std::move(answer));
     return [] {};
   }
@@ -274,6 +275,7 @@
   REQUIRE(outcome.answer.uncovered.size() == 1);
   CHECK(outcome.answer.uncovered.front().possible_runs == 2);
   CHECK(outcome.answer.uncovered.front().is_pending);
+  CHECK(outcome.answer.version == 12);
   const ShardQuery& received = handler.Query();
   CHECK(received.request_id == query.request_id);
   CHECK(received.request.target == query.request.target);
--- a/tests/process_relay_test.cc
+++ b/tests/process_relay_test.cc
@@ -8,6 +8,7 @@
 #include "fleet_network.h"
 #include "relay_platform.h"
 #include "relay_process.h"
+#include "silent_proxy.h"
 
 namespace bramleyspoke {
 namespace {
@@ -16,6 +17,23 @@
 
 constexpr std::chrono::seconds kEventTimeout{30};
 
+// Routes of this version with one route to two shards, for the paths under
+// `prefix`.
+std::string ShardedRoutes(int version, const std::string& prefix) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"sweep","host":"h","prefix":")" + prefix +
+         R"(",)"
+         R"("route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":500,)"
+         R"("max_attempts":2,"result_limit":5,"min_shard_ratio":1,)"
+         R"("fanout_services":["s","t"]}],)"
+         R"("services":[{"name":"s","health_path":"/health",)"
+         R"("connection_limit":100,"protocol":"h1","tls":false},)"
+         R"({"name":"t","health_path":"/health",)"
+         R"("connection_limit":100,"protocol":"h1","tls":false}],)"
+         R"("limits":{"header_bytes":16384,"body_bytes":262144,)"
+         R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+}
+
 // Routes of this version with one route, for the paths under `prefix`.
 std::string Routes(int version, const std::string& prefix) {
   return R"({"version":)" + std::to_string(version) +
@@ -142,4 +160,62 @@
       restarted.Log());
 }
 
+// The far daemon delegates its shards to the near one, whose answers show the
+// version of its routes.
+TEST_CASE("a relay that the store rejects serves new routes that a peer has") {
+  FakePlatform platform;
+  platform.store.Put("servers/leaf-t", platform.leafs[0]->Entry("t"));
+  platform.store.Put("op/config", ShardedRoutes(4, "/old/"));
+  const auto proxy = SilentProxy::Create(platform.store.Address());
+  const RelayProcess near(platform.Daemon(0), platform.store.Address(), "");
+  const RelayProcess far(platform.Daemon(1), proxy->Address(),
+                         QuotedAddress(near.Peers()), {"y", "far"});
+  const auto serves = [](const RelayProcess& relay, const std::string& path) {
+    return relay.Send("plain", path).status == 200;
+  };
+  REQUIRE(WaitUntil([&] { return serves(near, "/old/"); }, kEventTimeout));
+  REQUIRE(WaitUntil([&] { return serves(far, "/old/"); }, kEventTimeout));
+  REQUIRE(WaitUntil(
+      [&] {
+        return far.Metrics().find(R"(what="daemons"} 2)") != std::string::npos;
+      },
+      kEventTimeout));
+
+  proxy->RefuseAll();
+  // A leaf that only the new routes lead to, and that the far daemon does not
+  // know.
+  FakePlatformLeaf added("leaf-3");
+  platform.store.Put("servers/leaf-3", added.Entry("u"));
+  std::string routes = ShardedRoutes(5, "/old/");
+  const std::string route = R"({"name":"new","host":"h","prefix":"/new/",)"
+                            R"("route_kind":"idempotent","timeout_ms":2000,)"
+                            R"("target_latency_ms":500,"service":"u",)"
+                            R"("max_attempts":1},)";
+  routes.insert(routes.find("[{\"name\":\"sweep\"") + 1, route);
+  const std::string service = R"({"name":"u","health_path":"/health",)"
+                              R"("connection_limit":100,"protocol":"h1",)"
+                              R"("tls":false},)";
+  routes.insert(routes.find("\"services\":[") + 12, service);
+  platform.store.Put("op/config", routes);
+  // The users' bound on the time until new routes are in force.
+  constexpr std::chrono::seconds kRoutesBound{3};
+  CHECK_MESSAGE(WaitUntil(
+                    [&] {
+                      serves(far, "/old/");
+                      return serves(far, "/new/");
+                    },
+                    kRoutesBound),
+                far.Log());
+  CHECK(serves(far, "/old/"));
+
+  proxy->ServeAgain();
+  CHECK(WaitUntil(
+      [&] {
+        return far.Metrics().find(R"(what="store_reachable"} 1)") !=
+               std::string::npos;
+      },
+      kEventTimeout));
+  CHECK(serves(far, "/new/"));
+}
+
 }  // namespace bramleyspoke
--- a/tests/relay_control_test.cc
+++ b/tests/relay_control_test.cc
@@ -10,6 +10,7 @@
 #include "held_store.h"
 #include "manual_loop.h"
 #include "platform/store_entries.h"
+#include "process/store_follower.h"
 #include "router_fakes.h"
 
 namespace bramleyspoke {
@@ -48,10 +49,12 @@
     ++fetches;
     StoreKnowledge knowledge;
     knowledge.routes = Routes(version);
+    knowledge.leafs = leafs;
     done(knowledge);
   }
 
   int version = 0;
+  std::vector<LeafRegistration> leafs;
   int fetches = 0;
 };
 
@@ -110,6 +113,22 @@
     return std::count(store.put_keys.begin(), store.put_keys.end(), key);
   }
 
+  /// Runs timers until a short watch waits or a peer is asked for what it
+  /// knows; returns false if neither happens.
+  bool RunUntilAsked() {
+    constexpr int kTimers = 20;
+    for (int i = 0; i < kTimers; ++i) {
+      const bool is_store_asked =
+          !store.watches.empty() &&
+          store.watches.front().wait == StoreFollower::kProbeWait;
+      if (is_store_asked || peers.fetches > 0) {
+        return true;
+      }
+      loop.RunNextTimer();
+    }
+    return false;
+  }
+
   /// Runs timers until the keys are read, and answers the read.
   void AnswerRead(std::vector<KeyValueItem> items) {
     while (store.ranges.empty()) {
@@ -209,6 +228,46 @@
   CHECK(fixture.versions == std::vector<std::uint64_t>{4, 5});
 }
 
+TEST_CASE(
+    "a daemon that does not get routes which a peer has asks the store, and "
+    "then the peer") {
+  ControlFixture fixture;
+  fixture.AnswerRead(
+      {{"op/config", Routes(4)}, {"servers/a", Leaf(1, "ready")}});
+  fixture.peers.version = 5;
+  LeafRegistration unknown;
+  unknown.id = "b";
+  unknown.address = {"127.0.0.1", 2};
+  fixture.peers.leafs = {unknown};
+  SUBCASE("not if they arrive from the store") {
+    fixture.control->OnNewerRoutesAtPeer(kSeed, 5);
+    fixture.AnswerWatch({KeyValueStatus::kOk, {{"op/config", Routes(5)}}, 8});
+    CHECK_FALSE(fixture.RunUntilAsked());
+  }
+  SUBCASE("the store, if its watch does not answer") {
+    fixture.control->OnNewerRoutesAtPeer(kSeed, 5);
+    REQUIRE(fixture.RunUntilAsked());
+    CHECK(fixture.peers.fetches == 0);
+    fixture.AnswerWatch({KeyValueStatus::kOk, {{"op/config", Routes(5)}}, 8});
+    CHECK(fixture.versions == std::vector<std::uint64_t>{4, 5});
+    CHECK_FALSE(fixture.RunUntilAsked());
+  }
+  SUBCASE("the peer, if the store is unavailable") {
+    fixture.AnswerWatch({KeyValueStatus::kRefused, {}, 0});
+    fixture.control->OnNewerRoutesAtPeer(kSeed, 5);
+    while (fixture.peers.fetches == 0) {
+      REQUIRE(fixture.loop.RunNextTimer());
+    }
+    fixture.loop.RunAll();
+    CHECK(fixture.versions == std::vector<std::uint64_t>{4, 5});
+    CHECK(fixture.leafs.size() == 2);
+    SUBCASE("and reads all keys once it is available") {
+      fixture.AnswerRead({{"op/config", Routes(5)}});
+      CHECK(fixture.peers.fetches == 1);
+    }
+  }
+}
+
 TEST_CASE(
     "a leaf that is removed while a connection to the store is broken gets no "
     "more requests") {
--- a/tests/silent_proxy.cc
+++ b/tests/silent_proxy.cc
@@ -174,12 +174,34 @@
     });
   }
 
+  void RefuseAll() override {
+    m_runner.Run([this] {
+      m_is_refusing = true;
+      for (const auto& link : m_links) {
+        link->Close();
+      }
+      return true;
+    });
+  }
+
+  void ServeAgain() override {
+    m_runner.Run([this] {
+      m_is_refusing = false;
+      return true;
+    });
+  }
+
  private:
   void Accept() {
     m_acceptor.async_accept([this](Error error, tcp::socket client) {
       if (error) {
         return;
       }
+      if (m_is_refusing) {
+        client.close();
+        Accept();
+        return;
+      }
       m_links.push_back(std::make_shared<Link>(std::move(client)));
       m_links.back()->Start(m_server);
       Accept();
@@ -190,6 +212,7 @@
   LoopRunner m_runner;
   tcp::endpoint m_server;
   std::vector<std::shared_ptr<Link>> m_links;
+  bool m_is_refusing = false;
   tcp::acceptor m_acceptor;
 };
 
--- a/tests/silent_proxy.h
+++ b/tests/silent_proxy.h
@@ -19,7 +19,7 @@
 };
 
 /// TCP proxy on loopback whose open connections can go silent for good without
-/// a reset, while new ones work.
+/// a reset, while new ones work; or that closes all connections.
 class SilentProxy {
  public:
   static std::unique_ptr<SilentProxy> Create(const Endpoint& server);
@@ -30,6 +30,10 @@
   /// for all; returns how many.
   virtual std::size_t SilenceOpen(SilenceKind kind,
                                   std::string_view text = "") = 0;
+  /// Closes all connections, and new ones as soon as they are opened.
+  virtual void RefuseAll() = 0;
+  /// Serves new connections again.
+  virtual void ServeAgain() = 0;
 };
 
 }  // namespace bramleyspoke
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -172,7 +172,7 @@
   FollowerFixture fixture;
   REQUIRE(fixture.reads == 1);
   SUBCASE("the watch is dropped") {
-    fixture.follower.OnNewEra();
+    fixture.follower.ReadAgain();
     CHECK(fixture.store.watches.empty());
   }
   SUBCASE("a read that had begun before is ignored") {
@@ -181,13 +181,13 @@
     REQUIRE(fixture.store.ranges.size() == 1);
     const auto old_read = std::move(fixture.store.ranges.front());
     fixture.store.ranges.clear();
-    fixture.follower.OnNewEra();
+    fixture.follower.ReadAgain();
     old_read({KeyValueStatus::kOk, {}, false, 99});
     CHECK(fixture.reads == 1);
   }
   SUBCASE("twice in a row") {
-    fixture.follower.OnNewEra();
-    fixture.follower.OnNewEra();
+    fixture.follower.ReadAgain();
+    fixture.follower.ReadAgain();
   }
   fixture.loop.RunNextTimer();
   fixture.store.AnswerRange();
