Soaks of relays: reset all connections at a time, and fail if a daemon ends

Why the soaks missed the daemon that ends when both its connections to the store break at one moment: none of their events broke two at a time, and a daemon that ended by itself was only one that did not answer.

Change: the config soak stops the daemons for a moment, resets all connections to the store and lets them go on; both soaks fail if a daemon has ended by itself. The other events of a seed stay as they were.

--- a/tests/disturbed_daemons.cc
+++ b/tests/disturbed_daemons.cc
@@ -30,6 +30,17 @@
   OnDisturbed(daemon);
 }
 
+std::vector<std::size_t> DisturbedDaemons::RestartEnded() {
+  std::vector<std::size_t> ended;
+  for (std::size_t daemon = 0; daemon < m_states.size(); ++daemon) {
+    if (!m_states[daemon].daemon->IsRunning()) {
+      ended.push_back(daemon);
+      Restart(daemon);
+    }
+  }
+  return ended;
+}
+
 void DisturbedDaemons::Pause(std::size_t daemon, Duration duration) {
   State& state = m_states.at(daemon);
   OnDisturbed(daemon);
--- a/tests/disturbed_daemons.h
+++ b/tests/disturbed_daemons.h
@@ -21,6 +21,8 @@
   DisturbedDaemons& operator=(const DisturbedDaemons&) = delete;
 
   void Restart(std::size_t daemon);
+  /// Restarts the daemons that have ended by themselves; returns which.
+  std::vector<std::size_t> RestartEnded();
   void Pause(std::size_t daemon, Duration duration);
   /// Resumes the daemons whose pause is over.
   void ResumeDue();
--- a/tests/process_relay_config_soak_test.cc
+++ b/tests/process_relay_config_soak_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <random>
 #include <string>
 #include <thread>
@@ -32,6 +33,7 @@
 constexpr std::size_t kSilenceOdds = 60;
 constexpr std::size_t kDisturbanceOdds = 80;
 constexpr std::size_t kStoreOdds = 150;
+constexpr std::size_t kResetOdds = 80;
 constexpr milliseconds kMaxPause{3000};
 constexpr milliseconds kMaxStoreEvent{3000};
 // Time that the operator and the leafs take to write again what the store has
@@ -46,13 +48,15 @@
   return "/v" + std::to_string(version) + "/";
 }
 
-/// Writes versions while connections to the store go silent, daemons restart
-/// and pause, and the store is away or comes back from an older copy.
+/// Writes versions while connections to the store go silent or are reset,
+/// daemons restart and pause, and the store is away or comes back from an older
+/// copy.
 ///
 /// Version n adds the route of `PrefixOf(n)`, which version n + 2 drops.
 class ConfigSoak {
  public:
-  explicit ConfigSoak(std::uint64_t seed) : m_random(seed) {}
+  explicit ConfigSoak(std::uint64_t seed)
+      : m_random(seed), m_reset_random(~seed) {}
 
   void Run() {
     WriteVersion();
@@ -72,6 +76,9 @@
       if (Happens(kStoreOdds)) {
         DisturbStore();
       }
+      if (m_reset_random() % kResetOdds == 0) {
+        ResetAll();
+      }
       ProbeAll();
       std::this_thread::sleep_for(kStep);
     }
@@ -123,6 +130,19 @@
     }
   }
 
+  // The daemons are stopped meanwhile, so that each finds all its connections
+  // broken at one moment.
+  void ResetAll() {
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      m_fleet.Relay(daemon).Signal(SIGSTOP);
+      m_fleet.Reset(daemon);
+      if (!m_daemons.IsPaused(daemon)) {
+        m_fleet.Relay(daemon).Signal(SIGCONT);
+      }
+    }
+    DisturbAll();
+  }
+
   void DisturbOne() {
     const std::size_t daemon = Random(kDaemons);
     if (m_daemons.IsPaused(daemon)) {
@@ -173,6 +193,10 @@
   }
 
   void ProbeAll() {
+    for (const std::size_t daemon : m_daemons.RestartEnded()) {
+      AddBreach(daemon, "ended by itself");
+      m_seen[daemon] = 0;
+    }
     for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
       Probe(daemon);
     }
@@ -241,6 +265,8 @@
   }
 
   std::mt19937_64 m_random;
+  // Separate, so that a seed's other events do not depend on the resets.
+  std::mt19937_64 m_reset_random;
   ProxiedFleet m_fleet{kDaemons};
   DisturbedDaemons m_daemons{{&m_fleet.Relay(0), &m_fleet.Relay(1),
                               &m_fleet.Relay(2), &m_fleet.Relay(3)},
--- a/tests/process_relay_crash_soak_test.cc
+++ b/tests/process_relay_crash_soak_test.cc
@@ -44,6 +44,7 @@
     const TimePoint end = Now() + Duration(kLength);
     while (Now() < end) {
       m_daemons.ResumeDue();
+      m_daemons_ended += m_daemons.RestartEnded().size();
       DisturbOne();
       SendCrashingRequest();
       SendHarmlessRequest();
@@ -55,6 +56,8 @@
   int RetriesAfterThirdCrash() const { return m_retries; }
   int HarmlessRefusedAsSuspect() const { return m_harmless_suspects; }
   int HarmlessAnswered() const { return m_harmless_answered; }
+  /// Number of daemons that ended by themselves.
+  std::size_t DaemonsEnded() const { return m_daemons_ended; }
 
  private:
   static constexpr std::size_t kDaemons = CrashingFleet::kDaemons;
@@ -124,6 +127,7 @@
   int m_retries = 0;
   int m_harmless_suspects = 0;
   int m_harmless_answered = 0;
+  std::size_t m_daemons_ended = 0;
 };
 
 }  // namespace
@@ -150,6 +154,7 @@
   CHECK(soak.Crashes() >= 3);
   CHECK(soak.RetriesAfterThirdCrash() <= kMaxRetriesAfterThirdCrash);
   CHECK(soak.HarmlessRefusedAsSuspect() == 0);
+  CHECK(soak.DaemonsEnded() == 0);
   CHECK(soak.HarmlessAnswered() > 0);
 }
 
--- a/tests/proxied_fleet.h
+++ b/tests/proxied_fleet.h
@@ -43,6 +43,8 @@
   /// `text`.
   void Silence(std::size_t daemon, SilenceKind kind, std::string_view text);
   void SilenceAll(SilenceKind kind, std::string_view text);
+  /// Resets all connections of one daemon to the store.
+  void Reset(std::size_t daemon) { m_proxies.at(daemon)->ResetOpen(); }
 
  private:
   void WaitUntilSettled();
--- a/tests/relay_process.h
+++ b/tests/relay_process.h
@@ -41,6 +41,7 @@
   std::string Metrics() const;
   /// Kills the process and starts it again.
   void Restart();
+  bool IsRunning() { return m_process->IsRunning(); }
   void Signal(int signal) { m_process->Signal(signal); }
 
  private:
--- a/tests/silent_proxy.cc
+++ b/tests/silent_proxy.cc
@@ -70,6 +70,13 @@
     m_server.close();
   }
 
+  void Reset() {
+    if (m_client.is_open()) {
+      m_client.set_option(tcp::socket::linger(true, 0));
+    }
+    Close();
+  }
+
  private:
   using Buffer = std::array<char, 16384>;
 
@@ -174,6 +181,15 @@
     });
   }
 
+  void ResetOpen() override {
+    m_runner.Run([this] {
+      for (const auto& link : m_links) {
+        link->Reset();
+      }
+      return true;
+    });
+  }
+
   void RefuseAll() override {
     m_runner.Run([this] {
       m_is_refusing = true;
--- a/tests/silent_proxy.h
+++ b/tests/silent_proxy.h
@@ -30,6 +30,8 @@
   /// for all; returns how many.
   virtual std::size_t SilenceOpen(SilenceKind kind,
                                   std::string_view text = "") = 0;
+  /// Resets all open connections at one moment.
+  virtual void ResetOpen() = 0;
   /// Closes all connections, and new ones as soon as they are opened.
   virtual void RefuseAll() = 0;
   /// Serves new connections again.
