Bound the calls of control_stop_test, which could take all memory

Seen: under ThreadSanitizer the test was killed at 23 GB. Its threads call the control without a limit, and the queue of an actor that is slower than they are grows for as long as a round lasts; on a loaded machine it could without the sanitizer too.

Change: 2,000 calls a thread and round.

--- a/tests/control_stop_test.cc
+++ b/tests/control_stop_test.cc
@@ -15,6 +15,8 @@
 
 constexpr int kRounds = 200;
 constexpr int kThreads = 4;
+// Limits the memory if the control is slower than its callers.
+constexpr int kMaxCallsPerThread = 2000;
 
 class EmptyVmList final : public VmList {
  public:
@@ -51,7 +53,7 @@
     std::vector<std::thread> callers;
     for (int i = 0; i < kThreads; ++i) {
       callers.emplace_back([&] {
-        while (!is_done) {
+        for (int i = 0; i < kMaxCallsPerThread && !is_done; ++i) {
           control->PublishDrain({{"127.0.2.1", 7000}, "x"});
         }
       });
