--- a/tests/proxied_fleet.cc
+++ b/tests/proxied_fleet.cc
@@ -43,6 +43,7 @@
   WriteRoutes(1, {});
   for (std::size_t i = 0; i < kLeafs; ++i) {
     m_leafs.push_back(std::make_unique<FakePlatformLeaf>(LeafId(i)));
+    m_leaf_proxies.push_back(SilentProxy::Create(m_leafs.back()->Address()));
   }
   RegisterLeafs();
   const std::string seed =
@@ -76,7 +77,8 @@
 
 void ProxiedFleet::RegisterLeafs() {
   for (std::size_t i = 0; i < m_leafs.size(); ++i) {
-    m_store.Put("servers/" + LeafId(i), m_leafs[i]->Entry("s"));
+    m_store.Put("servers/" + LeafId(i),
+                m_leafs[i]->Entry("s", m_leaf_proxies[i]->Address()));
   }
 }
 
@@ -108,6 +110,12 @@
   }
 }
 
+void ProxiedFleet::SilenceLeafs(SilenceKind kind) {
+  for (const auto& proxy : m_leaf_proxies) {
+    REQUIRE(proxy->SilenceOpen(kind) > 0);
+  }
+}
+
 // All daemons serve and know each other, and no change is on its way.
 void ProxiedFleet::WaitUntilSettled() {
   const std::string all =
--- a/tests/proxied_fleet.h
+++ b/tests/proxied_fleet.h
@@ -14,7 +14,7 @@
 namespace bramleyspoke {
 
 /// Daemons that each reach the store through a proxy, and a few leafs of one
-/// service. Beyond three, daemons are standbys.
+/// service behind proxies. Beyond three, daemons are standbys.
 class ProxiedFleet {
  public:
   /// Prefix of a route that each version has.
@@ -43,6 +43,8 @@
   /// `text`.
   void Silence(std::size_t daemon, SilenceKind kind, std::string_view text);
   void SilenceAll(SilenceKind kind, std::string_view text);
+  /// Silences the daemons' connections to all leafs.
+  void SilenceLeafs(SilenceKind kind);
   /// Resets all connections of one daemon to the store.
   void Reset(std::size_t daemon) { m_proxies.at(daemon)->ResetOpen(); }
 
@@ -52,6 +54,7 @@
   std::unique_ptr<Harness::FleetNetwork> m_network;
   FakePlatformStore m_store;
   std::vector<std::unique_ptr<FakePlatformLeaf>> m_leafs;
+  std::vector<std::unique_ptr<SilentProxy>> m_leaf_proxies;
   std::vector<std::unique_ptr<SilentProxy>> m_proxies;
   std::vector<std::unique_ptr<RelayProcess>> m_relays;
 };
--- a/tests/relay_platform.cc
+++ b/tests/relay_platform.cc
@@ -214,9 +214,10 @@
   });
 }
 
-std::string FakePlatformLeaf::Entry(const std::string& service) const {
+std::string FakePlatformLeaf::Entry(const std::string& service,
+                                    const Endpoint& address) const {
   return json::serialize(json::object{{"service", service},
-                                      {"address", ToString(m_address)},
+                                      {"address", ToString(address)},
                                       {"zone", "z"},
                                       {"version", "v1"},
                                       {"slots", 4},
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -74,7 +74,12 @@
   ~FakePlatformLeaf() override;
 
   /// The leaf's entry in the store.
-  std::string Entry(const std::string& service) const;
+  std::string Entry(const std::string& service) const {
+    return Entry(service, m_address);
+  }
+  /// The same for callers that reach the leaf at `address`.
+  std::string Entry(const std::string& service, const Endpoint& address) const;
+  Endpoint Address() const { return m_address; }
   /// After a crash, the leaf starts again at its address after `delay`; then
   /// `on_start` is called on the leaf's thread. Without this call, the leaf
   /// never starts again.
