Move the leafs' entries out of relay control

LeafEntries reads the leafs' entries, keeps them through outages and writes their log lines. Moves only: relay_control_test and the process tests of relays pass as before.

--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -10,8 +10,8 @@
 #include "connection/event_loop.h"
 #include "process/crash_suspects.h"
 #include "process/daemon_registration.h"
+#include "process/leaf_entries.h"
 #include "process/log.h"
-#include "process/log_sampler.h"
 #include "process/peer_routes.h"
 #include "process/seed_reader.h"
 #include "process/store_follower.h"
@@ -24,8 +24,6 @@
 // from the store. A holder delays its watches for less, a standby for less than
 // twice as long.
 constexpr int kRoutesPatienceFraction = 4;
-// Limit on the log lines about changed leafs.
-constexpr std::uint32_t kMaxLeafLinesPerSecond = 5;
 
 /// How routes were received.
 enum class RoutesSource {
@@ -89,7 +87,8 @@
                    m_own_key,
                    [this](const CrashSuspect& suspect) {
                      m_listener.OnCrashSuspect(suspect);
-                   }) {
+                   }),
+        m_leafs(schema) {
     store.OnEraChange(
         [this](const StoreEraChange& change) { BeginEra(change); });
   }
@@ -124,7 +123,7 @@
   StoreKnowledge Knowledge() const override {
     StoreKnowledge knowledge;
     knowledge.routes = m_routes;
-    knowledge.leafs = m_leafs.Values();
+    knowledge.leafs = m_leafs.Registry().Values();
     for (const auto& [key, daemon] : m_daemons.Rows()) {
       knowledge.daemons.push_back({key, daemon});
     }
@@ -148,7 +147,8 @@
           ApplyRoutes(item.value, RoutesSource::kRead, end);
           break;
         case StoreKeyKind::kLeaf:
-          if (ApplyLeaf(m_schema.NameOf(item.key), item.value)) {
+          if (m_leafs.Apply(m_schema.NameOf(item.key), item.value,
+                            MayBeOutdated())) {
             leafs.insert(m_schema.NameOf(item.key));
           }
           break;
@@ -164,7 +164,7 @@
           break;
       }
     }
-    m_leafs.RetainOnly(leafs, Now());
+    m_leafs.Registry().RetainOnly(leafs, Now());
     m_daemons.RetainOnly(daemons, Now());
     if (!daemons.contains(m_own_key)) {
       m_registration.Restore();
@@ -172,9 +172,10 @@
     if (MayBeOutdated()) {
       m_suspects.RewriteMissing();
     }
-    WriteLog(LogLevel::kInfo, "store_read",
-             {Field("keys", items.size()), Field("leafs", m_leafs.size()),
-              Field("daemons", m_daemons.size())});
+    WriteLog(
+        LogLevel::kInfo, "store_read",
+        {Field("keys", items.size()), Field("leafs", m_leafs.Registry().size()),
+         Field("daemons", m_daemons.size())});
     NotifyLeafs();
     NotifyDaemons();
   }
@@ -192,7 +193,8 @@
           break;
         case StoreKeyKind::kLeaf:
           is_leaf_changed = true;
-          ApplyLeafEvent(event);
+          m_leafs.ApplyChange(m_schema.NameOf(event.key), event.value,
+                              MayBeOutdated(), Now());
           break;
         case StoreKeyKind::kDaemon:
           is_daemon_changed = true;
@@ -222,14 +224,14 @@
              {Field("status", ToString(end.status)),
               Field("waited_ms", ToMilliseconds(end.waited)),
               Field("unconfirmed_ms", UnconfirmedMilliseconds(end))});
-    m_leafs.OnStoreUnavailable();
+    m_leafs.Registry().OnStoreUnavailable();
     m_daemons.OnStoreUnavailable();
     m_listener.OnStoreReachability(false);
   }
 
   void OnStoreAvailable() override {
     WriteLog(LogLevel::kInfo, "store_back", {});
-    m_leafs.OnStoreAvailable(Now());
+    m_leafs.Registry().OnStoreAvailable(Now());
     m_daemons.OnStoreAvailable(Now());
     m_listener.OnStoreReachability(true);
     ArmExpiryTimer();
@@ -242,13 +244,14 @@
   // entries that the copy lacks are kept until their owners have had time to
   // write them again.
   void BeginEra(const StoreEraChange& change) {
-    WriteLog(LogLevel::kWarning, "store_era_changed",
-             {Field("before", change.before), Field("after", change.after),
-              Field("version", m_version), Field("leafs", m_leafs.size()),
-              Field("daemons", m_daemons.size())});
+    WriteLog(
+        LogLevel::kWarning, "store_era_changed",
+        {Field("before", change.before), Field("after", change.after),
+         Field("version", m_version), Field("leafs", m_leafs.Registry().size()),
+         Field("daemons", m_daemons.size())});
     m_era_began_at = Now();
-    m_leafs.OnStoreUnavailable();
-    m_leafs.OnStoreAvailable(Now());
+    m_leafs.Registry().OnStoreUnavailable();
+    m_leafs.Registry().OnStoreAvailable(Now());
     m_daemons.OnStoreUnavailable();
     m_daemons.OnStoreAvailable(Now());
     m_registration.OnNewEra();
@@ -290,66 +293,6 @@
     m_peer_routes.SetVersion(m_version);
   }
 
-  std::optional<LeafRegistration> ApplyLeaf(const std::string& name,
-                                            const std::string& value) {
-    const auto read = Check([&] { return m_schema.ReadLeaf(name, value); });
-    if (!read.value) {
-      WriteLog(
-          LogLevel::kWarning, "leaf_refused",
-          {Field("leaf", name), Field("problems", ToString(read.problems))});
-      return std::nullopt;
-    }
-    LeafRegistration leaf = *read.value;
-    const LeafRegistration* known = m_leafs.Find(name);
-    if (known != nullptr && MayBeOutdated() &&
-        known->started_at_ms == leaf.started_at_ms) {
-      leaf.is_draining = leaf.is_draining || known->is_draining;
-    }
-    m_leafs.Put(name, leaf);
-    return leaf;
-  }
-
-  void ApplyLeafEvent(const KeyValueEvent& event) {
-    const std::string name = m_schema.NameOf(event.key);
-    const LeafRegistration* known = m_leafs.Find(name);
-    const std::optional<LeafRegistration> before =
-        known == nullptr ? std::nullopt : std::optional(*known);
-    const std::optional<LeafRegistration> leaf =
-        event.value ? ApplyLeaf(name, *event.value) : std::nullopt;
-    if (!leaf) {
-      m_leafs.Remove(name, Now());
-    }
-    if (!IsSameLeaf(before, leaf)) {
-      WriteLeafLine(name, leaf);
-    }
-  }
-
-  // Whether the registrations are equal apart from `cold_remaining`, which
-  // changes often.
-  static bool IsSameLeaf(std::optional<LeafRegistration> before,
-                         std::optional<LeafRegistration> after) {
-    if (before && after) {
-      before->cold_remaining = after->cold_remaining;
-    }
-    return before == after;
-  }
-
-  void WriteLeafLine(const std::string& name,
-                     const std::optional<LeafRegistration>& leaf) {
-    if (!m_leaf_log_sampler.Admit(name, LogPriority::kOther, Now())) {
-      return;
-    }
-    if (!leaf) {
-      WriteLog(LogLevel::kInfo, "leaf_removed", {Field("leaf", name)});
-      return;
-    }
-    WriteLog(LogLevel::kInfo, "leaf_registered",
-             {Field("leaf", name), Field("service", leaf->service),
-              Field("address", ToString(leaf->address)),
-              Field("draining", leaf->is_draining),
-              Field("started_at_ms", leaf->started_at_ms)});
-  }
-
   bool ApplyDaemon(const std::string& key, const std::string& value) {
     const auto read = Check([&] { return m_schema.ReadDaemon(value); });
     if (!read.value) {
@@ -387,7 +330,7 @@
               Field("daemons", knowledge.daemons.size())});
     ApplyRoutes(knowledge.routes, RoutesSource::kPeer, {});
     for (const LeafRegistration& leaf : knowledge.leafs) {
-      m_leafs.Put(leaf.id, leaf);
+      m_leafs.AddFromPeer(leaf);
     }
     for (const KeyedDaemon& keyed : knowledge.daemons) {
       m_daemons.Put(keyed.key, keyed.daemon);
@@ -422,7 +365,7 @@
   }
 
   void NotifyLeafs() {
-    m_listener.OnLeafs(m_leafs.Values());
+    m_listener.OnLeafs(m_leafs.Registry().Values());
     ArmExpiryTimer();
   }
 
@@ -441,7 +384,7 @@
   }
 
   void ArmExpiryTimer() {
-    const auto leafs = m_leafs.NextExpiry();
+    const auto leafs = m_leafs.Registry().NextExpiry();
     const auto daemons = m_daemons.NextExpiry();
     if (!leafs && !daemons) {
       m_expiry_timer.reset();
@@ -453,10 +396,10 @@
   }
 
   void RemoveExpired() {
-    if (m_leafs.RemoveExpired(Now())) {
+    if (m_leafs.Registry().RemoveExpired(Now())) {
       WriteLog(LogLevel::kInfo, "leafs_settled",
-               {Field("leafs", m_leafs.size())});
-      m_listener.OnLeafs(m_leafs.Values());
+               {Field("leafs", m_leafs.Registry().size())});
+      m_listener.OnLeafs(m_leafs.Registry().Values());
     }
     if (m_daemons.RemoveExpired(Now())) {
       WriteLog(LogLevel::kInfo, "daemons_settled",
@@ -476,14 +419,13 @@
   StoreFollower m_follower;
   DaemonRegistration m_registration;
   CrashSuspects m_suspects;
-  EntryRegistry<LeafRegistration> m_leafs;
+  LeafEntries m_leafs;
   EntryRegistry<DaemonEntry> m_daemons;
   /// The routes in force, as stored.
   std::string m_routes;
   std::uint64_t m_version = 0;
   std::optional<TimePoint> m_era_began_at;
   std::unique_ptr<Timer> m_expiry_timer;
-  LogSampler m_leaf_log_sampler{kMaxLeafLinesPerSecond};
 };
 
 }  // namespace
