Report a crash at once, however many more follow

Cause: reports of crashes are collected for 20 ms, but each further crash began the 20 ms again, so they left only when no leaf had crashed for that long.

Evidence: the daemon saw the first crash at 26.670 s and sent its report at 26.757 s, after the last one; at 26.745 s the peer in its region got a copy of the request and sent it to 17 leafs.

Now a call starts at once, and the next one to the same peers 20 ms after it at the earliest, so that a series of crashes stays a few calls.

The test "further crashes do not postpone the report of a crash" failed before: no report in 200 ms of crashes 10 ms apart.

--- a/src/process/crash_reports.cc
+++ b/src/process/crash_reports.cc
@@ -1,5 +1,6 @@
 #include "process/crash_reports.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -28,26 +29,39 @@
 
 void CrashReports::SetPeers(std::set<Endpoint> peers) {
   m_notices.SetHolders(kAllServices, std::move(peers));
-  ScheduleSend(kBatchDelay);
+  ScheduleNewReports();
 }
 
 void CrashReports::Add(const LeafCrash& crash) {
   const TimePoint now = m_clock.Now();
   if (m_notices.Add(MakeEvidenceNotice(crash, now), {kAllServices}, now)) {
-    ScheduleSend(kBatchDelay);
+    ScheduleNewReports();
   }
 }
 
-void CrashReports::ScheduleSend(Duration delay) {
-  m_timer.reset();
-  if (m_notices.HasUndelivered()) {
-    m_timer = m_loop.At(m_clock.Now() + delay, [this] { Send(); });
+// A request to many shards may crash a leaf each few milliseconds, and may
+// reach another daemon within tens of milliseconds.
+void CrashReports::ScheduleNewReports() {
+  const TimePoint now = m_clock.Now();
+  ScheduleSend(m_last_send ? std::max(now, *m_last_send + kBatchDelay) : now);
+}
+
+void CrashReports::ScheduleSend(TimePoint at) {
+  if ((m_timer_at && *m_timer_at <= at) || !m_notices.HasUndelivered()) {
+    return;
   }
+  m_timer_at = at;
+  m_timer = m_loop.At(at, [this] {
+    m_timer_at.reset();
+    Send();
+  });
 }
 
 // Replies arrive on the peers' thread.
 void CrashReports::Send() {
-  for (const NoticeDelivery& delivery : m_notices.TakeDue(m_clock.Now())) {
+  const TimePoint now = m_clock.Now();
+  m_last_send = now;
+  for (const NoticeDelivery& delivery : m_notices.TakeDue(now)) {
     GossipMessage message;
     message.sender = m_self;
     message.evidence = delivery.evidence;
@@ -61,7 +75,7 @@
                      });
                    });
   }
-  ScheduleSend(kResendInterval);
+  ScheduleSend(now + kResendInterval);
 }
 
 void CrashReports::OnReply(const NoticeDelivery& delivery, bool is_received) {
--- a/src/process/crash_reports.h
+++ b/src/process/crash_reports.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "base/endpoint.h"
@@ -21,7 +22,7 @@
 /// Used on the loop's thread only.
 class CrashReports {
  public:
-  /// Delay in which reports are collected before they are sent.
+  /// Least time between two calls to a peer, in which reports are collected.
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(20);
   /// Interval at which undelivered reports are considered again.
   static constexpr Duration kResendInterval = std::chrono::seconds(1);
@@ -38,7 +39,9 @@
   void Add(const LeafCrash& crash);
 
  private:
-  void ScheduleSend(Duration delay);
+  /// Sends the undelivered reports at `at`, or earlier if that is scheduled.
+  void ScheduleSend(TimePoint at);
+  void ScheduleNewReports();
   void Send();
   void OnReply(const NoticeDelivery& delivery, bool is_received);
 
@@ -47,7 +50,10 @@
   PeerNetwork& m_peers;
   MemberUpdate m_self;
   NoticeTracker m_notices;
+  std::optional<TimePoint> m_last_send;
   std::unique_ptr<Timer> m_timer;
+  /// Set while `m_timer` is.
+  std::optional<TimePoint> m_timer_at;
   std::shared_ptr<CrashReports*> m_alive;
 };
 
--- a/tests/crash_reports_test.cc
+++ b/tests/crash_reports_test.cc
@@ -93,6 +93,36 @@
   CHECK(calls.front().evidence.size() == 2);
 }
 
+// A request to all shards crashed a leaf each few milliseconds, and the peers
+// heard of the first crash only after the last one.
+TEST_CASE("further crashes do not postpone the report of a crash") {
+  ReportsFixture fixture;
+  constexpr milliseconds kInterval{10};
+  const TimePoint first_crash = fixture.clock.Now();
+  std::optional<TimePoint> first_report;
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    fixture.Add(id);
+    fixture.clock.Advance(kInterval);
+    fixture.loop.RunTimersUntil(fixture.clock.Now());
+    if (!first_report && !fixture.peers.gossips.empty()) {
+      first_report = fixture.clock.Now();
+    }
+  }
+  REQUIRE(first_report.has_value());
+  CHECK(*first_report - first_crash <= CrashReports::kBatchDelay);
+}
+
+TEST_CASE("crashes in quick succession are reported in few calls") {
+  ReportsFixture fixture;
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    fixture.Add(id);
+    fixture.clock.Advance(milliseconds(1));
+    fixture.loop.RunTimersUntil(fixture.clock.Now());
+  }
+  const auto calls_to_each = fixture.peers.gossips.size() / 2;
+  CHECK(calls_to_each <= milliseconds(100) / CrashReports::kBatchDelay + 1);
+}
+
 TEST_CASE("a crash report has the age of the crash when it is sent again") {
   ReportsFixture fixture;
   const TimePoint at = fixture.clock.Now();
--- a/tests/manual_loop.h
+++ b/tests/manual_loop.h
@@ -63,6 +63,17 @@
     return false;
   }
 
+  /// Runs the timers that are due at `now`.
+  void RunTimersUntil(TimePoint now) {
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+      const Waiting next = std::move(m_timers.begin()->second);
+      m_timers.erase(m_timers.begin());
+      if (!next.alive.expired()) {
+        next.call();
+      }
+    }
+  }
+
  private:
   struct ManualTimer final : Timer {
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
