Keep a request's crashes when its path is answered with another query

Cause: a request is known by its content, and all requests for its path by the fingerprint without the query. For a request without a query both were the same number, so an answer to "/job?page=2", which speaks for the path, removed all crashes of "/job" itself. The request was then sent to all shards at once again, and nothing was left to refuse it at the next service of its route.

Now the path has a fingerprint that no request has. An answer to another query still takes back what counts against the path, so harmless requests beside a crashing one are served (checked: none refused).

The new test failed before: 4 crashed leafs after the first attempt for one service, 62 for 30 shards, where three are allowed.

--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -28,7 +28,7 @@
   ageMs @4 :UInt32;
   # Whether a leaf has answered the request since.
   isSurvived @5 :Bool;
-  # Fingerprint of the request without its query; 0 if it has none.
+  # Fingerprint of all requests that differ in their query only; 0 if not known.
   resource @6 :UInt64;
 }
 
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -49,7 +49,8 @@
   Duration age{0};
   /// Whether a leaf has answered the request since.
   bool is_survived = false;
-  /// Fingerprint of the request without its query; 0 if it has none.
+  /// Fingerprint of all requests that differ in their query only; 0 if not
+  /// known.
   std::uint64_t resource = 0;
 
   bool operator==(const EvidenceNotice&) const = default;
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -41,7 +41,8 @@
   bool is_for_peer = false;
   /// Fingerprint of the request's content; 0 without a route.
   std::uint64_t fingerprint = 0;
-  /// The same without the query; 0 if the request has none.
+  /// Fingerprint of all requests that differ from it in their query only; 0
+  /// without a route.
   std::uint64_t resource = 0;
 };
 
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -44,10 +44,6 @@
   return LogLevel::kInfo;
 }
 
-std::string FormatResource(std::uint64_t resource, std::uint64_t content) {
-  return FormatFingerprint(resource == 0 ? content : resource);
-}
-
 // -1 if the store has not confirmed the routes.
 std::int64_t UnconfirmedMilliseconds(const RelayEnd& end) {
   return end.routes_unconfirmed ? ToMilliseconds(*end.routes_unconfirmed) : -1;
@@ -105,7 +101,7 @@
        Field("sends", outcome.sends), Field("repeats", outcome.repeats),
        Field("missing_shards", end.missing_shards),
        Field("fingerprint", FormatFingerprint(end.fingerprint)),
-       Field("resource", FormatResource(end.resource, end.fingerprint)),
+       Field("resource", FormatFingerprint(end.resource)),
        Field("odd_parts", outcome.reportable_parts),
        Field("odd", DescribePartReports(outcome.part_reports)),
        Field("reason", ReasonOf(end)),
@@ -140,8 +136,7 @@
   WriteLog(
       level, is_crash ? "leaf_crashed" : "crash_evidence",
       {Field("step", ToString(event.step)), Field("fingerprint", fingerprint),
-       Field("resource",
-             FormatResource(event.part.resource, event.part.content)),
+       Field("resource", FormatFingerprint(event.part.resource)),
        Field("service", event.part.service), Field("leaf", event.leaf_id),
        Field("age_ms", ToMilliseconds(event.age)),
        Field("crashes", event.crashes)});
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -27,7 +27,8 @@
   /// Fingerprint of the request's content.
   std::uint64_t content = 0;
   std::string service;
-  /// Fingerprint of the content without the query; 0 if it has none.
+  /// Fingerprint of all requests that differ in their query only; 0 if not
+  /// known.
   std::uint64_t resource = 0;
 
   bool operator==(const RequestPart&) const = default;
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -31,7 +31,8 @@
   /// Hash of the request's content, by which a request that crashes leafs is
   /// recognized.
   std::uint64_t fingerprint = 0;
-  /// The same without the query; 0 if the request has none.
+  /// Hash shared by all requests that differ from it in their query only; 0 if
+  /// not known.
   std::uint64_t resource = 0;
   /// Time until which the caller waits.
   TimePoint deadline;
--- a/src/request/request_fingerprint.cc
+++ b/src/request/request_fingerprint.cc
@@ -1,6 +1,6 @@
 #include "request/request_fingerprint.h"
 
-#include <string_view>
+#include <string>
 
 #include "request/crash_ledger.h"
 
@@ -11,15 +11,12 @@
 }
 
 // A request that crashes leafs may come again with the same path and body but
-// with another query.
+// with another query. Its crashes must not be taken back by an answer to
+// another query, so the path is told from the request without a query by a
+// character that no target contains.
 std::uint64_t ResourceFingerprintOf(const HttpRequest& request) {
-  const std::size_t query = request.target.find('?');
-  return query == std::string::npos
-             ? 0
-             : FingerprintOfContent(
-                   request.method,
-                   std::string_view(request.target).substr(0, query),
-                   request.body);
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  return FingerprintOfContent(request.method, path + " ", request.body);
 }
 
 }  // namespace bramleyspoke
--- a/src/request/request_fingerprint.h
+++ b/src/request/request_fingerprint.h
@@ -9,7 +9,8 @@
 /// Fingerprint of the request's method, target and body.
 std::uint64_t FingerprintOf(const HttpRequest& request);
 
-/// The same without the query; 0 if the request has none.
+/// Fingerprint of all requests with this method, path and body, whatever their
+/// query; differs from that of each request.
 std::uint64_t ResourceFingerprintOf(const HttpRequest& request);
 
 }  // namespace bramleyspoke
--- a/tests/relay_crash_budget_test.cc
+++ b/tests/relay_crash_budget_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "relay_fixture.h"
+#include "request/request_fingerprint.h"
 
 namespace bramleyspoke {
 namespace {
@@ -13,6 +14,8 @@
 constexpr std::size_t kShards = 30;
 // Interval at which the caller sends the request again.
 constexpr std::chrono::seconds kResendInterval{8};
+// Interval at which another caller sends requests for the same path.
+constexpr milliseconds kOtherInterval{700};
 // Retries that may reach leafs once the request has crashed three of them.
 constexpr std::size_t kMaxRetriesAfterThirdCrash = 3;
 constexpr int kRequests = 12;
@@ -44,12 +47,23 @@
     fingerprint = 1;
   }
 
+  /// Subsequent requests are this one.
+  void SetRequest(const HttpRequest& request) {
+    fingerprint = FingerprintOf(request);
+    resource = ResourceFingerprintOf(request);
+  }
+
   /// Sends the request and returns the number of leafs that it has crashed.
   std::size_t SendAgain(RequestKind kind = RequestKind::kIdempotent) {
     const TimePoint end = now + Duration(kResendInterval);
     std::size_t crashes = 0;
     Submit(m_shards, kind);
+    TimePoint next_other = now + kOtherInterval;
     while (now < end) {
+      if (!answered_target.empty() && now >= next_other) {
+        next_other = now + kOtherInterval;
+        AnswerOther();
+      }
       for (const RelayAttempt& send : std::exchange(sends, {})) {
         ++crashes;
         Crash(send);
@@ -73,6 +87,11 @@
     return retries;
   }
 
+  /// Target of another caller's requests, which leafs answer; empty for none.
+  std::string answered_target;
+  /// The other caller's requests that were refused as suspect.
+  std::size_t refused_others = 0;
+
  private:
   struct Sign {
     std::string leaf_id;
@@ -82,6 +101,27 @@
     bool is_seen_unreachable = false;
   };
 
+  void AnswerOther() {
+    const std::uint64_t own_fingerprint = fingerprint;
+    const std::uint64_t own_resource = resource;
+    HttpRequest other;
+    other.method = "GET";
+    other.target = answered_target;
+    SetRequest(other);
+    const RelayNumber number = Submit(m_shards);
+    while (!sends.empty()) {
+      Reply(sends.front().leaf_id, LeafReplyKind::kSucceeded);
+    }
+    const auto outcome = outcomes.find(number);
+    refused_others +=
+        outcome != outcomes.end() && outcome->second.refusal &&
+                outcome->second.refusal->reason == RefusalReason::kCrashSuspect
+            ? 1
+            : 0;
+    fingerprint = own_fingerprint;
+    resource = own_resource;
+  }
+
   void Crash(const RelayAttempt& send) {
     sends.push_back(send);
     Reply(send.leaf_id, m_signs.reply);
@@ -173,6 +213,33 @@
   }
 }
 
+// An answer to "/job?page=2" once cleared the crashes of "/job".
+TEST_CASE(
+    "answers to the same path with another query take nothing back of a "
+    "request's crashes") {
+  HttpRequest crashing;
+  crashing.method = "GET";
+  SUBCASE("the crashing request has no query") {
+    crashing.target = "/job";
+  }
+  SUBCASE("the crashing request has a query") {
+    crashing.target = "/job?page=1";
+  }
+  for (const std::size_t shards : {std::size_t{0}, kShards}) {
+    CAPTURE(shards);
+    CrashingLeafs relay(shards, CrashSigns());
+    relay.SetRequest(crashing);
+    relay.answered_target = "/job?page=2";
+    CHECK(relay.SendAgain() <= std::max<std::size_t>(shards, 1) + 1);
+    std::size_t crashes_afterwards = 0;
+    for (int request = 1; request < kRequests; ++request) {
+      crashes_afterwards += relay.SendAgain();
+    }
+    CHECK(crashes_afterwards <= kMaxRetriesAfterThirdCrash);
+    CHECK(relay.refused_others == 0);
+  }
+}
+
 TEST_CASE(
     "a failure that a leaf answers does not clear a request that crashes "
     "leafs") {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -148,8 +148,8 @@
   std::vector<bool> bypassable;
   /// Fingerprint of subsequent requests.
   std::uint64_t fingerprint = 0;
-  /// Fingerprint of subsequent requests without their queries; 0 if they have
-  /// none.
+  /// Fingerprint of subsequent requests and those that differ from them in
+  /// their query only; 0 if not known.
   std::uint64_t resource = 0;
 
  private:
