Hedge a fan-out only once a leaf has answered it

Cause: the request runs for longer than usual before it crashes its leafs, so each of its attempts is overdue and hedged at the sibling, before a leaf of any shard has answered or been lost (27 sends, 13 of them repeats, in 87 ms).

Now a fan-out that is at work at four leafs or more gets no hedge before its first answer; that all of them stall at the same moment is unlikely, and after the first answer overdue parts are hedged at once. A request to fewer leafs is hedged as before.

The test "a fan-out that no leaf has answered leaves a leaf to each shard" failed before: 40 crashed leafs of 20 shards, now 21 at most.

--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -92,6 +92,9 @@
   }
   bool IsAnsweredByAnyLeaf() const;
   bool IsInProgress() const;
+  /// Whether several leafs are at work on it and none has answered, so that it
+  /// must not be hedged.
+  bool AwaitsFirstAnswer() const;
   /// Whether it must be sent to one leaf at a time.
   bool IsOnTrial() const { return is_doubtful && !IsAnsweredByAnyLeaf(); }
   bool IsIdempotent() const {
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -224,6 +224,10 @@
 // lets another leaf respond.
 void RelayEngine::Hedge(Request& request, std::size_t index) {
   Part& part = request.parts[index];
+  if (request.AwaitsFirstAnswer()) {
+    part.hedge_at = m_now;
+    return;
+  }
   const std::size_t out = part.outstanding.size() + (part.delegation ? 1 : 0);
   if (out != 1 ||
       part.runs + part.outstanding.size() >=
--- a/src/request/relay_trials.cc
+++ b/src/request/relay_trials.cc
@@ -11,6 +11,9 @@
 // other, from which on it is doubtful. Other requests are bounded by their
 // route's attempts.
 constexpr std::uint32_t kDoubtfulLosses = 2;
+// Number of leafs at work on a fan-out from which on it is unlikely that all of
+// them stall at the same time.
+constexpr std::size_t kUnlikelyStalls = 4;
 
 }  // namespace
 
@@ -24,6 +27,16 @@
                      [](const Part& part) { return part.IsInProgress(); });
 }
 
+// A request that crashes the leafs that run it would otherwise take both leafs
+// of many shards before the first of them is found gone.
+bool RelayEngine::Request::AwaitsFirstAnswer() const {
+  const auto at_leafs =
+      std::count_if(parts.begin(), parts.end(),
+                    [](const Part& part) { return !part.outstanding.empty(); });
+  return static_cast<std::size_t>(at_leafs) >= kUnlikelyStalls &&
+         !IsAnsweredByAnyLeaf();
+}
+
 // A request that has crashed leafs reaches one leaf only before it is refused
 // or proven harmless. If many leafs fail at once, all requests in flight become
 // doubtful; a retry is then answered at once and goes to the remaining shards.
--- a/tests/relay_crash_test.cc
+++ b/tests/relay_crash_test.cc
@@ -421,6 +421,49 @@
   CHECK(relay.sends.size() == kShards);
 }
 
+// A request that takes longer than usual until it crashes its leafs was hedged
+// at their siblings, so that no shard had a leaf left.
+TEST_CASE("a fan-out that no leaf has answered leaves a leaf to each shard") {
+  constexpr milliseconds kRunTime{90};
+  RelayFixture relay;
+  AddShards(relay);
+  relay.fingerprint = kCrashingFingerprint;
+  relay.Submit(kShards);
+  std::size_t crashed = 0;
+  for (milliseconds passed{0}; passed < milliseconds(500);
+       passed += milliseconds(1)) {
+    if (passed >= kRunTime) {
+      for (const RelayAttempt& send : std::vector(relay.sends)) {
+        ++crashed;
+        relay.Reply(send.leaf_id, LeafReplyKind::kLost);
+        relay.CollectActions(
+            relay.engine.OnReachable(send.address, false, relay.now));
+      }
+    }
+    relay.Advance(milliseconds(1));
+  }
+  CHECK(crashed <= kShards + 1);
+}
+
+TEST_CASE("a fan-out is hedged as soon as a leaf has answered it") {
+  RelayFixture relay;
+  AddShards(relay);
+  relay.Submit(kShards);
+  relay.Advance(milliseconds(70));
+  CHECK(relay.sends.size() == kShards);
+  relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  CHECK(relay.sends.size() == 2 * (kShards - 1));
+}
+
+TEST_CASE("a fan-out to few shards is hedged without an answer") {
+  RelayFixture relay;
+  AddShards(relay);
+  constexpr std::size_t kFewShards = 3;
+  relay.Submit(kFewShards);
+  relay.Advance(milliseconds(100));
+  CHECK(relay.sends.size() == 2 * kFewShards);
+}
+
 TEST_CASE("leafs that fail at once without a cause refuse no request") {
   constexpr std::uint64_t kRequests = 4;
   RelayFixture relay;
