Test of a request that crashed one service's leafs when its route moves

The users' record: three leafs of the first service, then three of the service that the route got, then the first of these after its restart. Today's code passes: counts crashes by the request's content.

--- a/tests/relay_crash_budget_test.cc
+++ b/tests/relay_crash_budget_test.cc
@@ -195,6 +195,26 @@
   }
 }
 
+// The count began again at 0 when the route moved, and three more leafs
+// crashed.
+TEST_CASE(
+    "a request that crashed one service's leafs does not crash those of the "
+    "next one") {
+  CrashingLeafs relay(0, CrashSigns());
+  for (std::size_t leaf = 0; leaf < kLeafsPerService; ++leaf) {
+    relay.AddLeaf("next", "next-" + std::to_string(leaf));
+  }
+  std::size_t crashes = 0;
+  for (int request = 0; request < 3; ++request) {
+    crashes += relay.SendAgain();
+  }
+  REQUIRE(crashes >= 3);
+  relay.single_service = "next";
+  for (int request = 0; request < kRequests; ++request) {
+    CHECK(relay.SendAgain() == 0);
+  }
+}
+
 TEST_CASE("a request that crashes leafs is recognized with another query") {
   constexpr std::uint64_t kResource = 1000;
   for (const std::size_t shards : {std::size_t{0}, kShards}) {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -48,7 +48,7 @@
     CollectActions(engine.SetLeafs(leafs, now));
   }
 
-  /// Submits a request on a route to the service "s0" if `shards` is 0, else to
+  /// Submits a request on a route to `single_service` if `shards` is 0, else to
   /// that number of shards.
   RelayNumber Submit(std::size_t shards,
                      RequestKind kind = RequestKind::kIdempotent,
@@ -62,7 +62,7 @@
     route.min_coverage = 0.75;
     route.result_limit = 10;
     if (shards == 0) {
-      route.services = {{"s0", 1}};
+      route.services = {{single_service, 1}};
     }
     for (std::size_t shard = 0; shard < shards; ++shard) {
       route.shards.push_back("s" + std::to_string(shard));
@@ -146,6 +146,8 @@
   RelayNumber last_number = 0;
   bool is_for_peer = false;
   std::vector<bool> bypassable;
+  /// Service of routes without shards.
+  std::string single_service = "s0";
   /// Fingerprint of subsequent requests.
   std::uint64_t fingerprint = 0;
   /// Fingerprint of subsequent requests and those that differ from them in
