Log and count the request rate that a leaf names

A leaf in need names the requests a second that it takes from all machines together. The header is decoded once, in platform/, into a field of the reply; a value that is no decimal number counts as absent and is logged with the leaf. Changes are logged (leaf_notice), counted by kind and shown in the dump, and the header no longer reaches callers.

--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -201,6 +201,11 @@
     m_log.WriteCrashEvidence(event);
   }
 
+  void OnLeafNotice(const LeafNotice& notice) override {
+    m_metrics->Observe(notice);
+    m_log.WriteLeafNotice(notice);
+  }
+
   void OnRoutesDoubted() override {
     m_control_loop->Post([this] { m_control->CheckStore(); });
   }
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -221,6 +221,7 @@
   }
   ReportFailedAttempts();
   ReportCrashes();
+  ReportLeafNotices();
   for (RelayFinish& finish : actions.finishes) {
     Finish(std::move(finish));
   }
@@ -296,6 +297,12 @@
   }
 }
 
+void RelayFront::ReportLeafNotices() {
+  for (const LeafNotice& notice : m_engine.TakeLeafNotices()) {
+    m_observer.OnLeafNotice(notice);
+  }
+}
+
 void RelayFront::ReportCrashes() {
   for (const CrashEvidenceEvent& event : m_engine.TakeCrashEvents()) {
     m_observer.OnCrashEvidence(event);
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -56,6 +56,8 @@
   /// A leaf crashed while it ran this part of a request.
   virtual void OnLeafCrash(const LeafCrash& crash) = 0;
   virtual void OnCrashEvidence(const CrashEvidenceEvent& event) = 0;
+  /// A leaf announced something else than before.
+  virtual void OnLeafNotice(const LeafNotice& notice) = 0;
   /// A request waits until the store shows whether the routes are current.
   virtual void OnRoutesDoubted() = 0;
   /// A peer that the store is available to has newer routes.
@@ -169,6 +171,7 @@
   ShardAnswer MakePeerAnswer(const RequestInFlight& request,
                              const RelayOutcome& outcome);
   void ReportFailedAttempts();
+  void ReportLeafNotices();
   void ReportCrashes();
   void ArmTimer();
 
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -142,6 +142,19 @@
        Field("crashes", event.crashes)});
 }
 
+void RelayLog::WriteLeafNotice(const LeafNotice& notice) {
+  const bool is_unreadable = notice.kind == LeafNoticeKind::kUnreadable;
+  const LogLevel level = is_unreadable ? LogLevel::kWarning : LogLevel::kInfo;
+  if (!ShouldWrite(level, notice.leaf_id, LogPriority::kOther)) {
+    return;
+  }
+  WriteLog(level, "leaf_notice",
+           {Field("kind", ToString(notice.kind)), Field("leaf", notice.leaf_id),
+            Field("service", notice.service),
+            Field("request_rate", notice.request_rate),
+            Field("detail", notice.detail)});
+}
+
 bool RelayLog::ShouldWrite(LogLevel level,
                            std::string_view request_id,
                            LogPriority priority) {
--- a/src/process/relay_log.h
+++ b/src/process/relay_log.h
@@ -26,6 +26,7 @@
   void WriteFailedAttempt(std::string_view request_id,
                           const FailedAttempt& send);
   void WriteCrashEvidence(const CrashEvidenceEvent& event);
+  void WriteLeafNotice(const LeafNotice& notice);
 
  private:
   bool ShouldWrite(LogLevel level,
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -63,6 +63,10 @@
                 .Help("Evidence of requests that crash leafs, by what became "
                       "of it")
                 .Register(m_registry)),
+        m_leaf_notices(BuildCounter()
+                           .Name("bramleyspoke_relay_leaf_notices_total")
+                           .Help("Changes of what leafs announce, by kind")
+                           .Register(m_registry)),
         m_store_calls(BuildCounter()
                           .Name("bramleyspoke_relay_store_calls_total")
                           .Help("Calls to the platform's store by outcome")
@@ -101,6 +105,11 @@
         .Increment();
   }
 
+  void Observe(const LeafNotice& notice) override {
+    m_leaf_notices.Add({{"kind", std::string(ToString(notice.kind))}})
+        .Increment();
+  }
+
   void Observe(StoreCallKind kind, KeyValueStatus status) override {
     m_store_calls
         .Add({{"kind", std::string(ToString(kind))},
@@ -163,6 +172,7 @@
   prometheus::Counter& m_missing;
   prometheus::Family<prometheus::Counter>& m_failed_attempts;
   prometheus::Family<prometheus::Counter>& m_crash_evidence;
+  prometheus::Family<prometheus::Counter>& m_leaf_notices;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Gauge>& m_leafs;
   prometheus::Gauge& m_least_budget;
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -39,6 +39,9 @@
   /// Whether a later run is registered under the leaf's id.
   bool is_restarted = false;
   std::optional<TimePoint> draining_since = {};
+  /// Requests per second that the leaf accepts from all daemons together, if it
+  /// named a limit.
+  std::optional<double> request_rate = {};
   /// Maximum number of attempts that this daemon has in flight at the leaf.
   std::uint32_t share = 1;
   /// Replaces `share` until `reduced_until`, after the leaf closed a new
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -13,6 +13,7 @@
 #include "connection/http_message.h"
 #include "connection/peer.h"
 #include "request/leaf_load.h"
+#include "request/leaf_notice.h"
 #include "version/route_table.h"
 
 namespace bramleyspoke {
@@ -76,6 +77,8 @@
   /// Set for `kSucceeded` and `kFailed`.
   HttpResponse response;
   std::optional<ReportedLoad> load;
+  /// Empty if the reply has no response of the leaf that was attempted.
+  std::optional<LeafAnnouncement> announcement;
   /// A new connection was closed before any data arrived.
   bool is_connection_refused = false;
   /// Network round-trip time, as part of the attempt's latency, if known.
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -183,6 +183,10 @@
   return next;
 }
 
+std::vector<LeafNotice> RelayEngine::TakeLeafNotices() {
+  return std::exchange(m_leaf_notices, {});
+}
+
 std::vector<FailedAttempt> RelayEngine::TakeFailedAttempts() {
   return std::exchange(m_failed_attempts, {});
 }
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -107,6 +107,9 @@
     return m_crashes.TakeEvents();
   }
 
+  /// Returns the changes of what leafs announce since the last call.
+  std::vector<LeafNotice> TakeLeafNotices();
+
   std::optional<TimePoint> NextTimer() const;
   const LeafTable& Leafs() const { return m_leaf_table; }
   const RelayCounters& Counters() const { return m_counters; }
@@ -210,6 +213,9 @@
   // Replies.
   void RecordReply(const Attempt& attempt, const LeafReply& reply);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
+  void RecordAnnouncement(RelayLeaf& leaf,
+                          const LeafAnnouncement& announcement);
+  void AddLeafNotice(LeafNoticeKind kind, const RelayLeaf& leaf);
   void ApplyReply(Request& request, const Attempt& attempt, LeafReply reply);
   void CancelQueuedAttempts(const Request& request, const Part& part);
   /// Marks the part as failed unless an attempt of it is outstanding.
@@ -247,6 +253,7 @@
   /// Attempts and delegations to cancel, by time.
   std::set<std::pair<TimePoint, RelayAttemptNumber>> m_cancellations;
   std::vector<FailedAttempt> m_failed_attempts;
+  std::vector<LeafNotice> m_leaf_notices;
   RelayCounters m_counters;
   RelayAttemptNumber m_last_attempt = 0;
   std::uint64_t m_last_sequence = 0;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -272,6 +272,9 @@
     attempt.leaf->OnConnectionRefused(m_now);
   }
   RecordCrashEvidence(attempt, reply.kind);
+  if (reply.announcement) {
+    RecordAnnouncement(*attempt.leaf, *reply.announcement);
+  }
   switch (reply.kind) {
     case LeafReplyKind::kSucceeded:
       load.OnAnswered(attempt.route_name, taken, reply.round_trip, reply.load,
@@ -301,6 +304,27 @@
                                attempt.request_part.content});
 }
 
+void RelayEngine::RecordAnnouncement(RelayLeaf& leaf,
+                                     const LeafAnnouncement& announcement) {
+  if (!announcement.unreadable.empty()) {
+    AddLeafNotice(LeafNoticeKind::kUnreadable, leaf);
+    m_leaf_notices.back().detail = announcement.unreadable;
+  }
+  if (leaf.request_rate == announcement.request_rate) {
+    return;
+  }
+  leaf.request_rate = announcement.request_rate;
+  AddLeafNotice(announcement.request_rate ? LeafNoticeKind::kRateLimited
+                                          : LeafNoticeKind::kRateLimitEnded,
+                leaf);
+}
+
+void RelayEngine::AddLeafNotice(LeafNoticeKind kind, const RelayLeaf& leaf) {
+  m_leaf_notices.push_back({kind, leaf.registration.id,
+                            leaf.registration.service,
+                            leaf.request_rate.value_or(0), ""});
+}
+
 void RelayEngine::RecordCrashEvidence(const Attempt& attempt,
                                       LeafReplyKind kind) {
   const RequestPart& part = attempt.request_part;
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -70,6 +70,45 @@
   CHECK(HeaderValue(answer.headers, "Response-Stamp").empty());
 }
 
+TEST_CASE(
+    "the request rate that a leaf names is read from any of its answers") {
+  const PlatformProtocol protocol;
+  const auto read = [&](int status, std::vector<HttpHeader> headers) {
+    return protocol.ReadReply(Answer(status, std::move(headers))).announcement;
+  };
+  for (const int status : {200, 500, 503}) {
+    CAPTURE(status);
+    const auto announcement = read(status, {{"Server-Limit", "22.8"}});
+    REQUIRE(announcement.has_value());
+    CHECK(announcement->request_rate == 22.8);
+    CHECK(announcement->unreadable.empty());
+  }
+  CHECK(read(200, {{"Server-Limit", "0"}})->request_rate == 0);
+  CHECK_FALSE(read(200, {})->request_rate.has_value());
+  // The answer is another leaf's.
+  CHECK_FALSE(read(421, {{"Server-Limit", "5"}}).has_value());
+}
+
+TEST_CASE("a request rate that is no number counts as absent and is reported") {
+  const PlatformProtocol protocol;
+  for (const char* value : {"-1", "many", "1e3", "nan", "inf", "5/s", " 5 x"}) {
+    CAPTURE(value);
+    const auto announcement =
+        protocol.ReadReply(Answer(200, {{"Server-Limit", value}})).announcement;
+    REQUIRE(announcement.has_value());
+    CHECK_FALSE(announcement->request_rate.has_value());
+    CHECK(announcement->unreadable == std::string("Server-Limit: ") + value);
+  }
+}
+
+TEST_CASE("what a leaf announces to daemons does not reach callers") {
+  const PlatformProtocol protocol;
+  const HttpResponse answer = protocol.MakeAnswer(
+      *Answer(200, {{"Response-Stamp", "s"}, {"Server-Limit", "5"}}).response);
+  CHECK(HeaderValue(answer.headers, "Response-Stamp") == "s");
+  CHECK(HeaderValue(answer.headers, "Server-Limit").empty());
+}
+
 TEST_CASE("an answer is matched to its request by the request id") {
   const PlatformProtocol protocol;
   const auto belongs = [&](int status, std::vector<HttpHeader> headers) {
