Keep to the request rate that a leaf names

Cause: nothing read the limit. Class: a bound of the fleet that no daemon could keep, as each knows its own requests only.

The one choice of a leaf passes over those whose rate is used up, so hedges, retries and trials count as well; shards far away are still delegated. If nothing else accepts it, a shard is left out, and a request that then covers too little is refused at once with the time of the next one.

--- a/src/base/refusal.cc
+++ b/src/base/refusal.cc
@@ -5,13 +5,14 @@
 namespace bramleyspoke {
 namespace {
 
-constexpr EnumNames<RefusalReason, 17> kNames{{{
+constexpr EnumNames<RefusalReason, 18> kNames{{{
     {RefusalReason::kBadRequest, "bad_request"},
     {RefusalReason::kUnknownService, "unknown_service"},
     {RefusalReason::kOverloaded, "overloaded"},
     {RefusalReason::kCallerLimit, "caller_limit"},
     {RefusalReason::kDeadlinePassed, "deadline_passed"},
     {RefusalReason::kNoReplica, "no_replica"},
+    {RefusalReason::kLeafRateLimit, "leaf_rate_limit"},
     {RefusalReason::kNoSnapshot, "no_snapshot"},
     {RefusalReason::kCrashSuspect, "crash_suspect"},
     {RefusalReason::kIdNotIssued, "id_not_issued"},
--- a/src/base/refusal.h
+++ b/src/base/refusal.h
@@ -17,6 +17,8 @@
   kCallerLimit,
   kDeadlinePassed,
   kNoReplica,
+  /// The leafs named request rates, and this daemon's part of them is used up.
+  kLeafRateLimit,
   kNoSnapshot,
   kCrashSuspect,
   kIdNotIssued,
--- a/src/process/relay_dump.cc
+++ b/src/process/relay_dump.cc
@@ -13,21 +13,24 @@
   return json::string(text.data(), text.size());
 }
 
+json::value DumpRate(const LeafRateLimit& limit) {
+  return limit.Rate() ? json::value(*limit.Rate()) : json::value();
+}
+
 json::array DumpLeafs(const LeafTable& leaf_table, TimePoint now) {
   json::array leafs;
   for (const auto& [name, service] : leaf_table.Services()) {
     for (const auto& leaf : service->leafs) {
-      leafs.push_back(json::object{
-          {"id", leaf->registration.id},
-          {"service", name},
-          {"address", ToString(leaf->registration.address)},
-          {"state", Text(ToString(StateOf(*leaf, now)))},
-          {"near", leaf->is_near},
-          {"in_flight", leaf->load.InFlight()},
-          {"share", leaf->share},
-          {"silent", leaf->load.IsSilent(now)},
-          {"request_rate", leaf->request_rate ? json::value(*leaf->request_rate)
-                                              : json::value()}});
+      leafs.push_back(
+          json::object{{"id", leaf->registration.id},
+                       {"service", name},
+                       {"address", ToString(leaf->registration.address)},
+                       {"state", Text(ToString(StateOf(*leaf, now)))},
+                       {"near", leaf->is_near},
+                       {"in_flight", leaf->load.InFlight()},
+                       {"share", leaf->share},
+                       {"silent", leaf->load.IsSilent(now)},
+                       {"request_rate", DumpRate(leaf->rate_limit)}});
     }
   }
   return leafs;
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -22,9 +22,10 @@
 
 constexpr std::size_t kMaxRouteLabels = 32;
 
-constexpr std::array<LeafState, 6> kLeafStates{
-    LeafState::kReady,    LeafState::kFull,        LeafState::kEjected,
-    LeafState::kDraining, LeafState::kUnreachable, LeafState::kGone};
+constexpr std::array<LeafState, 7> kLeafStates{
+    LeafState::kReady,   LeafState::kFull,     LeafState::kRateLimited,
+    LeafState::kEjected, LeafState::kDraining, LeafState::kUnreachable,
+    LeafState::kGone};
 
 std::string_view OutcomeOf(const RelayEnd& end) {
   if (end.refusal) {
@@ -145,6 +146,8 @@
     SetStateGauge("delegations", observation.engine.delegations);
     SetStateGauge("budget_refusals", observation.engine.budget_refusals);
     SetStateGauge("crash_refusals", observation.engine.crash_refusals);
+    SetStateGauge("rate_limit_refusals",
+                  observation.engine.rate_limit_refusals);
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
   }
 
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -41,9 +41,10 @@
   return leaf.load.IsUsable(now) ? LeafTier::kReady : LeafTier::kEjected;
 }
 
-constexpr EnumNames<LeafState, 6> kLeafStateNames{{{
+constexpr EnumNames<LeafState, 7> kLeafStateNames{{{
     {LeafState::kReady, "ready"},
     {LeafState::kFull, "full"},
+    {LeafState::kRateLimited, "rate_limited"},
     {LeafState::kEjected, "ejected"},
     {LeafState::kDraining, "draining"},
     {LeafState::kUnreachable, "unreachable"},
@@ -69,6 +70,9 @@
   if (!leaf.load.IsUsable(now)) {
     return LeafState::kEjected;
   }
+  if (leaf.rate_limit.IsUsedUp(now)) {
+    return LeafState::kRateLimited;
+  }
   return leaf.load.InFlight() >= leaf.AttemptLimit(now) ? LeafState::kFull
                                                         : LeafState::kReady;
 }
@@ -266,6 +270,7 @@
 void LeafTable::UpdateShares() {
   for (const auto& [id, leaf] : m_leafs) {
     leaf->share = ShareOf(leaf->registration);
+    leaf->rate_limit.SetFraction(RateFractionOf(*leaf));
   }
 }
 
@@ -293,6 +298,21 @@
   return std::max(even_share, taken < usable ? (usable - taken) / near : 1);
 }
 
+// The daemons of the leaf's own region send it most of its requests: those of
+// other regions delegate theirs.
+double LeafTable::RateFractionOf(const RelayLeaf& leaf) const {
+  const auto all = static_cast<double>(DaemonCount());
+  const auto found = m_daemons.find(RegionOf(leaf));
+  const auto near =
+      found == m_daemons.end() ? 0.0 : static_cast<double>(found->second);
+  const double far = all - near;
+  if (near <= 0 || far <= 0) {
+    return 1 / all;
+  }
+  return RegionOf(leaf) == m_locality.region ? (1 - kFarRateFraction) / near
+                                             : kFarRateFraction / far;
+}
+
 std::uint32_t LeafTable::ConnectionLimit(const std::string& service) const {
   if (!m_route_table) {
     return kDefaultConnectionLimit;
@@ -326,6 +346,13 @@
         std::find(tried.begin(), tried.end(), leaf.get()) != tried.end()) {
       continue;
     }
+    const bool is_delegable = scope == LeafScope::kDelegable && !leaf->is_near;
+    const TimePoint permitted_at = leaf->rate_limit.NextAt(now);
+    if (permitted_at > now && !is_delegable) {
+      choice.rate_limited_until = std::min(
+          permitted_at, choice.rate_limited_until.value_or(permitted_at));
+      continue;
+    }
     if (leaf->load.InFlight() >= leaf->AttemptLimit(now)) {
       choice.is_full = true;
       continue;
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -12,6 +12,7 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "request/leaf_load.h"
+#include "request/leaf_rate_limit.h"
 #include "request/retry_budget.h"
 #include "version/leaf_registration.h"
 #include "version/route_table.h"
@@ -39,9 +40,7 @@
   /// Whether a later run is registered under the leaf's id.
   bool is_restarted = false;
   std::optional<TimePoint> draining_since = {};
-  /// Requests per second that the leaf accepts from all daemons together, if it
-  /// named a limit.
-  std::optional<double> request_rate = {};
+  LeafRateLimit rate_limit = {};
   /// Maximum number of attempts that this daemon has in flight at the leaf.
   std::uint32_t share = 1;
   /// Replaces `share` until `reduced_until`, after the leaf closed a new
@@ -60,6 +59,8 @@
   kReady,
   /// This daemon's share of the leaf is in use.
   kFull,
+  /// This daemon's part of the request rate that the leaf accepts is used up.
+  kRateLimited,
   /// The leaf is temporarily excluded after failures or after it shed load.
   kEjected,
   kDraining,
@@ -100,6 +101,8 @@
   /// Fraction of a leaf's connection limit that the daemons connected to it
   /// leave free for restarts.
   static constexpr double kConnectionReserve = 0.2;
+  /// Fraction of a leaf's request rate that the daemons of other regions share.
+  static constexpr double kFarRateFraction = 0.1;
   /// Maximum share of a leaf in another region: most attempts there are sent by
   /// a daemon of that region.
   static constexpr std::uint32_t kFarShare = 2;
@@ -141,6 +144,7 @@
 
  private:
   void UpdateShares();
+  double RateFractionOf(const RelayLeaf& leaf) const;
   std::size_t PoolSizeOf(const RelayLeaf& leaf) const;
   std::size_t DaemonCount() const;
   std::uint32_t ShareOf(const LeafRegistration& leaf) const;
@@ -160,13 +164,20 @@
 /// The leafs considered in a choice.
 enum class LeafScope {
   kAny,
+  /// Those in this daemon's region.
   kNear,
+  /// All, including those in other regions whose request rate only this daemon
+  /// may not use: a peer there has a larger part of it.
+  kDelegable,
 };
 
 struct LeafChoice {
   std::shared_ptr<RelayLeaf> leaf;
   /// Whether a leaf was skipped because this daemon's share of it is in use.
   bool is_full = false;
+  /// If leafs were skipped because this daemon's part of their request rate is
+  /// used up: when the first of them may get a request.
+  std::optional<TimePoint> rate_limited_until;
 };
 
 /// The best leaf of `service` for a request of this kind: ready before draining
--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -55,30 +55,34 @@
     case CoverageStep::kGiveUp:
       break;
   }
-  FinishRefused(request,
-                m_now >= request.request.deadline
-                    ? RefusalReason::kDeadlinePassed
-                    : ReasonOfFailure(request, RefusalReason::kNoReplica),
-                kUnavailableRetryAfter);
+  if (m_now >= request.request.deadline) {
+    FinishRefused(request, RefusalReason::kDeadlinePassed,
+                  kUnavailableRetryAfter);
+  } else if (IsTrialLost(request)) {
+    FinishRefused(request, RefusalReason::kCrashSuspect,
+                  kUnavailableRetryAfter);
+  } else {
+    FinishWithoutLeafs(request);
+  }
   return true;
 }
 
-RefusalReason RelayEngine::ReasonOfFailure(const Request& request,
-                                           RefusalReason other) {
-  return request.is_trial_lost && request.IsOnTrial()
-             ? RefusalReason::kCrashSuspect
-             : other;
+bool RelayEngine::IsTrialLost(const Request& request) {
+  return request.is_trial_lost && request.IsOnTrial();
 }
 
 void RelayEngine::FinishSingle(Request& request) {
   Part& part = request.parts.front();
   std::optional<HttpResponse>& response =
       part.answer ? part.answer : part.failure;
+  if (!response && part.verdict == Verdict::kNotRun) {
+    FinishWithoutLeafs(request);
+    return;
+  }
   if (!response) {
     FinishRefused(request,
-                  part.verdict == Verdict::kNotRun
-                      ? RefusalReason::kNoReplica
-                      : ReasonOfFailure(request, RefusalReason::kLost),
+                  IsTrialLost(request) ? RefusalReason::kCrashSuspect
+                                       : RefusalReason::kLost,
                   kUnavailableRetryAfter);
     return;
   }
@@ -168,6 +172,12 @@
   Finish(request, std::move(outcome));
 }
 
+void RelayEngine::FinishWithoutLeafs(Request& request) {
+  RelayOutcome outcome;
+  outcome.refusal = RefusalWithoutLeafs(request);
+  Finish(request, std::move(outcome));
+}
+
 PartState RelayEngine::Part::State() const {
   if (is_covered) {
     return PartState::kCovered;
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -97,7 +97,8 @@
     std::size_t index) const {
   const RelayService& service = *request.parts[index].service;
   const std::string& route_name = request.MatchedRoute().name;
-  const LeafChoice best = SelectLeaf(request, request.parts[index]);
+  const LeafChoice best =
+      SelectLeaf(request, request.parts[index], LeafScope::kDelegable);
   if (!best.leaf) {
     return {};
   }
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -27,6 +27,8 @@
   std::uint64_t budget_refusals = 0;
   /// Parts refused as suspected of crashing leafs.
   std::uint64_t crash_refusals = 0;
+  /// Parts not sent because the request rates of their leafs were used up.
+  std::uint64_t rate_limit_refusals = 0;
 };
 
 /// Decides for relayed requests which leafs get them, when to retry or hedge,
@@ -141,11 +143,18 @@
   /// Credits a part that this daemon sends to the service's retry budget.
   static void CreditRetryBudget(const Request& request, Part& part);
   bool RefuseIfUnservable(Request& request);
+  /// The leafs that could get a new request's parts, here or through a peer.
+  static LeafScope FirstScope(const Request& request);
+  /// The refusal of a request whose leafs are unavailable or accept no more
+  /// requests now.
+  RelayRefusal RefusalWithoutLeafs(const Request& request) const;
   bool IsSuspect(const Request& request, const Part& part) const;
   /// Whether another attempt by this daemon could bring the leafs that the part
   /// reaches above the route's maximum.
   static bool CouldExceedAttempts(const Request& request, const Part& part);
-  LeafChoice SelectLeaf(const Request& request, const Part& part) const;
+  LeafChoice SelectLeaf(const Request& request,
+                        const Part& part,
+                        LeafScope scope = LeafScope::kAny) const;
   /// Starts an attempt for a part, queues the part if all leafs are full,
   /// delays it if the retry budget is exhausted, or fails it if no leaf is
   /// usable.
@@ -213,7 +222,7 @@
   // Replies.
   void RecordReply(const Attempt& attempt, const LeafReply& reply);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
-  void RecordAnnouncement(RelayLeaf& leaf,
+  void RecordAnnouncement(const Attempt& attempt,
                           const LeafAnnouncement& announcement);
   void AddLeafNotice(LeafNoticeKind kind, const RelayLeaf& leaf);
   void ApplyReply(Request& request, const Attempt& attempt, LeafReply reply);
@@ -224,9 +233,8 @@
   // Completion.
   /// Returns true if the request has ended and was erased.
   bool FinishIfDone(Request& request);
-  /// `kCrashSuspect` if a trial was lost, else `other`.
-  static RefusalReason ReasonOfFailure(const Request& request,
-                                       RefusalReason other);
+  /// Whether a trial of the request was lost and no leaf has answered it.
+  static bool IsTrialLost(const Request& request);
   void FinishSingle(Request& request);
   void FinishFanOut(Request& request);
   /// Returns true if the request has ended and was erased.
@@ -237,6 +245,7 @@
   void FinishRefused(Request& request,
                      RefusalReason reason,
                      std::optional<Duration> retry_after);
+  void FinishWithoutLeafs(Request& request);
   void Finish(Request& request, RelayOutcome outcome);
   void FillLogDetails(const Request& request, RelayOutcome& outcome) const;
   Verdict VerdictOfParts(const Request& request) const;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -44,6 +44,12 @@
   return m_crashes.IsSuspect(request.PartAt(*part.service), m_now);
 }
 
+LeafScope RelayEngine::FirstScope(const Request& request) {
+  return request.MatchedRoute().IsFanOut() && !request.request.is_for_peer
+             ? LeafScope::kDelegable
+             : LeafScope::kAny;
+}
+
 // In bursts of requests, or if the leafs of shards are all unavailable, a
 // request that cannot be served is refused before its first attempt, so that
 // the verdict "not run" is true.
@@ -58,7 +64,8 @@
       m_crashes.ReportIfSuspect(request.PartAt(*part.service), m_now);
       continue;
     }
-    const LeafChoice choice = ChooseLeaf(*part.service, route.name, {}, m_now);
+    const LeafChoice choice =
+        ChooseLeaf(*part.service, route.name, {}, m_now, FirstScope(request));
     without_leaf += choice.leaf || choice.is_full ? 0 : 1;
     most_waiting = std::max(most_waiting, part.service->waiting.size());
   }
@@ -72,7 +79,7 @@
     return true;
   }
   if (reachable == 0 || reachable < needed) {
-    FinishRefused(request, RefusalReason::kNoReplica, kUnavailableRetryAfter);
+    FinishWithoutLeafs(request);
     return true;
   }
   if (m_requests.size() > kMaxRequests || most_waiting > kMaxWaitingParts) {
@@ -82,15 +89,38 @@
   return false;
 }
 
+// A request is not kept until the leafs accept more: others that arrive
+// meanwhile would be refused in its place, and its caller would wait for
+// longer.
+RelayRefusal RelayEngine::RefusalWithoutLeafs(const Request& request) const {
+  std::optional<TimePoint> next;
+  for (const Part& part : request.parts) {
+    const LeafChoice choice =
+        ChooseLeaf(*part.service, request.MatchedRoute().name, {}, m_now);
+    if (choice.rate_limited_until && !choice.leaf && !choice.is_full) {
+      next = std::min(*choice.rate_limited_until,
+                      next.value_or(*choice.rate_limited_until));
+    }
+  }
+  if (next) {
+    return {RefusalReason::kLeafRateLimit, VerdictOfParts(request),
+            *next - m_now};
+  }
+  return {RefusalReason::kNoReplica, VerdictOfParts(request),
+          kUnavailableRetryAfter};
+}
+
 // Each near leaf stalls now and then, and responses of far leafs cost bandwidth
 // between regions. A near leaf that would be best without its predicted stall
 // is therefore chosen for the first attempt if there is still time for the far
 // leaf to respond after it.
 LeafChoice RelayEngine::SelectLeaf(const Request& request,
-                                   const Part& part) const {
+                                   const Part& part,
+                                   LeafScope scope) const {
   const std::string& route_name = request.MatchedRoute().name;
   const auto tried = Pointers(part.tried);
-  const LeafChoice best = ChooseLeaf(*part.service, route_name, tried, m_now);
+  const LeafChoice best =
+      ChooseLeaf(*part.service, route_name, tried, m_now, scope);
   if (!best.leaf || best.leaf->is_near || !part.tried.empty()) {
     return best;
   }
@@ -122,6 +152,7 @@
     if (choice.is_full) {
       Enqueue(request, index);
     } else {
+      m_counters.rate_limit_refusals += choice.rate_limited_until ? 1 : 0;
       FailUnlessOutstanding(part);
     }
     return;
@@ -153,6 +184,7 @@
   attempt.sent_at = m_now;
   attempt.is_trial = request.is_doubtful || !part.is_next_attempt_free;
   leaf->load.OnSent(m_now);
+  leaf->rate_limit.OnSent(m_now);
   part.outstanding.push_back(number);
   part.tried.push_back(leaf);
   part.is_next_attempt_free = false;
@@ -273,7 +305,7 @@
   }
   RecordCrashEvidence(attempt, reply.kind);
   if (reply.announcement) {
-    RecordAnnouncement(*attempt.leaf, *reply.announcement);
+    RecordAnnouncement(attempt, *reply.announcement);
   }
   switch (reply.kind) {
     case LeafReplyKind::kSucceeded:
@@ -304,25 +336,25 @@
                                attempt.request_part.content});
 }
 
-void RelayEngine::RecordAnnouncement(RelayLeaf& leaf,
+void RelayEngine::RecordAnnouncement(const Attempt& attempt,
                                      const LeafAnnouncement& announcement) {
+  RelayLeaf& leaf = *attempt.leaf;
   if (!announcement.unreadable.empty()) {
     AddLeafNotice(LeafNoticeKind::kUnreadable, leaf);
     m_leaf_notices.back().detail = announcement.unreadable;
   }
-  if (leaf.request_rate == announcement.request_rate) {
-    return;
+  if (leaf.rate_limit.OnAnnounced(announcement.request_rate, attempt.sent_at,
+                                  m_now)) {
+    AddLeafNotice(announcement.request_rate ? LeafNoticeKind::kRateLimited
+                                            : LeafNoticeKind::kRateLimitEnded,
+                  leaf);
   }
-  leaf.request_rate = announcement.request_rate;
-  AddLeafNotice(announcement.request_rate ? LeafNoticeKind::kRateLimited
-                                          : LeafNoticeKind::kRateLimitEnded,
-                leaf);
 }
 
 void RelayEngine::AddLeafNotice(LeafNoticeKind kind, const RelayLeaf& leaf) {
   m_leaf_notices.push_back({kind, leaf.registration.id,
                             leaf.registration.service,
-                            leaf.request_rate.value_or(0), ""});
+                            leaf.rate_limit.Rate().value_or(0), ""});
 }
 
 void RelayEngine::RecordCrashEvidence(const Attempt& attempt,
--- a/src/tool/explanation.cc
+++ b/src/tool/explanation.cc
@@ -13,12 +13,15 @@
   std::string_view text;
 };
 
-constexpr std::array<Description, 7> kRefusalReasons{{
+constexpr std::array<Description, 8> kRefusalReasons{{
     {"not_ready",
      "No route matched, and the daemon's routes may have been outdated: look "
      "for "
      "an earlier store_lost or started event."},
     {"no_replica", "Too few leafs of the service were available."},
+    {"leaf_rate_limit",
+     "Leafs of the service had named the request rate that they accept, and "
+     "this daemon's part of it was used up."},
     {"overloaded",
      "Too many requests were in flight or queued at one service."},
     {"crash_suspect",
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -19,13 +19,14 @@
 /// Each of the services "s0", "s1", ... is a shard; `AddLeaf` adds its leafs.
 class RelayFixture {
  public:
-  explicit RelayFixture(RetryAllowance allowance = {1, 100})
+  explicit RelayFixture(RetryAllowance allowance = {1, 100},
+                        const std::string& region = "r1")
       : engine(
-            Locality{"d1",
-                     "r1",
+            Locality{"d" + region.substr(1),
+                     region,
                      {{"d1", "r1"}, {"d1b", "r1"}, {"d2", "r2"}, {"d3", "r3"}}},
             allowance) {
-    engine.SetDaemons({{"r1", 1}});
+    engine.SetDaemons({{region, 1}});
   }
 
   void AddLeaf(const std::string& service,
@@ -93,13 +94,28 @@
         std::find_if(sends.begin(), sends.end(),
                      [&](const auto& send) { return send.leaf_id == leaf; });
     REQUIRE(found != sends.end());
-    const RelayAttemptNumber number = found->number;
+    const RelayAttempt attempt = *found;
     sends.erase(found);
+    ReplyTo(attempt, kind);
+  }
+
+  /// Replies to an attempt that was taken from `sends`.
+  void ReplyTo(const RelayAttempt& attempt, LeafReplyKind kind) {
     LeafReply reply;
     reply.kind = kind;
-    reply.response.body = leaf;
+    reply.response.body = attempt.leaf_id;
     reply.round_trip = milliseconds(1);
-    CollectActions(engine.OnReply(number, std::move(reply), now));
+    const bool has_response = kind == LeafReplyKind::kSucceeded ||
+                              kind == LeafReplyKind::kFailed ||
+                              kind == LeafReplyKind::kRefused;
+    if (has_response) {
+      const auto named = named_rates.find(attempt.leaf_id);
+      reply.announcement.emplace();
+      if (named != named_rates.end()) {
+        reply.announcement->request_rate = named->second;
+      }
+    }
+    CollectActions(engine.OnReply(attempt.number, std::move(reply), now));
   }
 
   /// Advances the time in steps of a millisecond and fires due timers.
@@ -146,6 +162,8 @@
   RelayNumber last_number = 0;
   bool is_for_peer = false;
   std::vector<bool> bypassable;
+  /// Request rates that leafs name in their responses, by leaf.
+  std::map<std::string, double> named_rates;
   /// Service of routes without shards.
   std::string single_service = "s0";
   /// Fingerprint of subsequent requests.
