Tell the delegating daemon which shards a peer refused

Callers saw: an answer without the shards that a peer refused at once, or with 502 instead of 503, although other leafs of these shards could answer and none had run the request.

Cause: a refusal of the whole delegated query named no shard, and the daemon takes shards that an answer does not mention for lost ones that may have run. Found by reading, while the rates of leafs made such refusals more likely.

A refusal now lists all shards with the number of leafs that may have run them. Only a request that crashes leafs is refused as before, so that it is not sent on to others.

The test "a peer that refuses shards reports that none of them ran" failed before: no shard was listed.

--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -25,7 +25,8 @@
       return true;
     }
     if (m_now >= request.request.deadline) {
-      FinishRefused(request, RefusalReason::kDeadlinePassed, std::nullopt);
+      FinishRefused(request, {RefusalReason::kDeadlinePassed,
+                              VerdictOfParts(request), std::nullopt});
       return true;
     }
     return false;
@@ -56,13 +57,13 @@
       break;
   }
   if (m_now >= request.request.deadline) {
-    FinishRefused(request, RefusalReason::kDeadlinePassed,
-                  kUnavailableRetryAfter);
+    FinishRefused(request, {RefusalReason::kDeadlinePassed,
+                            VerdictOfParts(request), kUnavailableRetryAfter});
   } else if (IsTrialLost(request)) {
-    FinishRefused(request, RefusalReason::kCrashSuspect,
-                  kUnavailableRetryAfter);
+    FinishRefused(request, {RefusalReason::kCrashSuspect,
+                            VerdictOfParts(request), kUnavailableRetryAfter});
   } else {
-    FinishWithoutLeafs(request);
+    FinishRefused(request, RefusalWithoutLeafs(request));
   }
   return true;
 }
@@ -76,14 +77,13 @@
   std::optional<HttpResponse>& response =
       part.answer ? part.answer : part.failure;
   if (!response && part.verdict == Verdict::kNotRun) {
-    FinishWithoutLeafs(request);
+    FinishRefused(request, RefusalWithoutLeafs(request));
     return;
   }
   if (!response) {
-    FinishRefused(request,
-                  IsTrialLost(request) ? RefusalReason::kCrashSuspect
-                                       : RefusalReason::kLost,
-                  kUnavailableRetryAfter);
+    FinishRefused(request, {IsTrialLost(request) ? RefusalReason::kCrashSuspect
+                                                 : RefusalReason::kLost,
+                            VerdictOfParts(request), kUnavailableRetryAfter});
     return;
   }
   RelayOutcome outcome;
@@ -115,19 +115,16 @@
   RelayOutcome outcome;
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     Part& part = request.parts[index];
-    if (part.is_delivered) {
-      continue;
-    }
-    if (part.answer) {
+    if (!part.is_delivered && part.answer) {
       outcome.answers.push_back(std::move(*part.answer));
       outcome.covered.push_back(index);
       part.is_delivered = true;
-      continue;
     }
-    const auto out = static_cast<std::uint32_t>(part.outstanding.size());
-    outcome.uncovered.push_back({index, part.runs + out, part.IsOpen()});
-    outcome.is_continued = outcome.is_continued || part.IsOpen();
   }
+  outcome.uncovered = UncoveredShards(request);
+  outcome.is_continued =
+      std::any_of(outcome.uncovered.begin(), outcome.uncovered.end(),
+                  [](const UncoveredShard& shard) { return shard.is_pending; });
   if (!outcome.is_continued || m_now >= request.request.deadline) {
     outcome.is_continued = false;
     CancelAttempts(request);
@@ -164,18 +161,32 @@
   return true;
 }
 
-void RelayEngine::FinishRefused(Request& request,
-                                RefusalReason reason,
-                                std::optional<Duration> retry_after) {
+// The delegating daemon requests uncovered shards from other leafs, which must
+// not get a request that crashes them.
+void RelayEngine::FinishRefused(Request& request, RelayRefusal refusal) {
   RelayOutcome outcome;
-  outcome.refusal = RelayRefusal{reason, VerdictOfParts(request), retry_after};
+  outcome.refusal = std::move(refusal);
+  if (request.request.is_for_peer &&
+      outcome.refusal->reason != RefusalReason::kCrashSuspect) {
+    outcome.uncovered = UncoveredShards(request);
+    for (UncoveredShard& shard : outcome.uncovered) {
+      shard.is_pending = false;
+    }
+  }
   Finish(request, std::move(outcome));
 }
 
-void RelayEngine::FinishWithoutLeafs(Request& request) {
-  RelayOutcome outcome;
-  outcome.refusal = RefusalWithoutLeafs(request);
-  Finish(request, std::move(outcome));
+std::vector<UncoveredShard> RelayEngine::UncoveredShards(
+    const Request& request) {
+  std::vector<UncoveredShard> uncovered;
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    const Part& part = request.parts[index];
+    if (!part.is_delivered) {
+      const auto out = static_cast<std::uint32_t>(part.outstanding.size());
+      uncovered.push_back({index, part.runs + out, part.IsOpen()});
+    }
+  }
+  return uncovered;
 }
 
 PartState RelayEngine::Part::State() const {
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -242,10 +242,9 @@
   /// Erases the request if no continuation came in time; true if it did so.
   bool FinishIfExpired(Request& request);
   void Erase(Request& request);
-  void FinishRefused(Request& request,
-                     RefusalReason reason,
-                     std::optional<Duration> retry_after);
-  void FinishWithoutLeafs(Request& request);
+  void FinishRefused(Request& request, RelayRefusal refusal);
+  /// The shards that no answer to the delegating peer has included yet.
+  static std::vector<UncoveredShard> UncoveredShards(const Request& request);
   void Finish(Request& request, RelayOutcome outcome);
   void FillLogDetails(const Request& request, RelayOutcome& outcome) const;
   Verdict VerdictOfParts(const Request& request) const;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -75,15 +75,17 @@
   const double needed = route.IsFanOut() ? route.min_coverage * shards : 1;
   m_counters.crash_refusals += suspect;
   if (unsuspected == 0 || unsuspected < needed) {
-    FinishRefused(request, RefusalReason::kCrashSuspect, std::nullopt);
+    FinishRefused(request, {RefusalReason::kCrashSuspect,
+                            VerdictOfParts(request), std::nullopt});
     return true;
   }
   if (reachable == 0 || reachable < needed) {
-    FinishWithoutLeafs(request);
+    FinishRefused(request, RefusalWithoutLeafs(request));
     return true;
   }
   if (m_requests.size() > kMaxRequests || most_waiting > kMaxWaitingParts) {
-    FinishRefused(request, RefusalReason::kOverloaded, kOverloadedRetryAfter);
+    FinishRefused(request, {RefusalReason::kOverloaded, VerdictOfParts(request),
+                            kOverloadedRetryAfter});
     return true;
   }
   return false;
--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -286,4 +286,32 @@
   }
 }
 
+// The delegating daemon took the shards of such an answer for lost ones that
+// may have run, and did not request them from other leafs.
+TEST_CASE("a peer that refuses shards reports that none of them ran") {
+  RelayFixture peer;
+  peer.is_for_peer = true;
+  constexpr std::size_t kShards = 2;
+  const RelayNumber number = peer.Submit(kShards);
+  const RelayOutcome& outcome = peer.Outcome(number);
+  REQUIRE(outcome.refusal.has_value());
+  REQUIRE(outcome.uncovered.size() == kShards);
+  for (std::size_t shard = 0; shard < kShards; ++shard) {
+    CHECK(outcome.uncovered[shard].place == shard);
+    CHECK(outcome.uncovered[shard].possible_runs == 0);
+    CHECK_FALSE(outcome.uncovered[shard].is_pending);
+  }
+}
+
+TEST_CASE("a peer that refuses a request as suspect offers no shard of it") {
+  RelayFixture peer;
+  peer.is_for_peer = true;
+  peer.AddLeaf("s0", "a");
+  peer.fingerprint = 1;
+  peer.engine.OnPeerSuspect({1, ""}, peer.now);
+  const RelayOutcome& outcome = peer.Outcome(peer.Submit(1));
+  REQUIRE(outcome.refusal.has_value());
+  CHECK(outcome.uncovered.empty());
+}
+
 }  // namespace bramleyspoke
