Decide in one place whether a leaf may get a request, and why not

Cause: the choice of a leaf and the state that log, dump and metrics show were decided by two functions, with the reasons in two orders; the request rate had to be added to both.

StateOf now gives the one reason, and the choice follows it; a leaf that has drained for longer than the grace period has a state of its own. One leaf's state moves out of the table into relay_leaf. Decisions are the same; a leaf that is both ejected and full is shown as full.

--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -22,10 +22,10 @@
 
 constexpr std::size_t kMaxRouteLabels = 32;
 
-constexpr std::array<LeafState, 7> kLeafStates{
-    LeafState::kReady,   LeafState::kFull,     LeafState::kRateLimited,
-    LeafState::kEjected, LeafState::kDraining, LeafState::kUnreachable,
-    LeafState::kGone};
+constexpr std::array<LeafState, 8> kLeafStates{
+    LeafState::kReady,       LeafState::kDraining,    LeafState::kEjected,
+    LeafState::kFull,        LeafState::kRateLimited, LeafState::kDrained,
+    LeafState::kUnreachable, LeafState::kGone};
 
 std::string_view OutcomeOf(const RelayEnd& end) {
   if (end.refusal) {
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -4,8 +4,6 @@
 #include <limits>
 #include <utility>
 
-#include "base/enum_names.h"
-
 namespace bramleyspoke {
 namespace {
 
@@ -14,81 +12,23 @@
 constexpr Duration kSameRegionRoundTrip = std::chrono::milliseconds(1);
 constexpr Duration kOtherRegionRoundTrip = std::chrono::milliseconds(40);
 
-// How long a leaf that closed a new connection gets no more concurrent attempts
-// than were in flight then.
-constexpr Duration kReducedShareTime = std::chrono::seconds(1);
-
 constexpr std::uint32_t kDefaultConnectionLimit = 8;
 
-enum class LeafTier {
-  kReady,
-  kDraining,
-  kEjected,
-  kNone,
-};
-
-// Draining and ejected leafs are a last resort: an attempt there is better than
-// none.
-LeafTier TierOf(const RelayLeaf& leaf, TimePoint now) {
-  if (leaf.is_gone || leaf.load.IsUnreachable(now)) {
-    return LeafTier::kNone;
-  }
-  if (leaf.draining_since) {
-    return now < *leaf.draining_since + LeafTable::kDrainGracePeriod
-               ? LeafTier::kDraining
-               : LeafTier::kNone;
-  }
-  return leaf.load.IsUsable(now) ? LeafTier::kReady : LeafTier::kEjected;
+// A peer near the leaf can use its own part of the rate.
+LeafState StateIn(LeafScope scope, const RelayLeaf& leaf, TimePoint now) {
+  const LeafState state = StateOf(leaf, now);
+  const bool is_delegable = scope == LeafScope::kDelegable && !leaf.is_near;
+  return is_delegable && state == LeafState::kRateLimited ? LeafState::kReady
+                                                          : state;
 }
 
-constexpr EnumNames<LeafState, 7> kLeafStateNames{{{
-    {LeafState::kReady, "ready"},
-    {LeafState::kFull, "full"},
-    {LeafState::kRateLimited, "rate_limited"},
-    {LeafState::kEjected, "ejected"},
-    {LeafState::kDraining, "draining"},
-    {LeafState::kUnreachable, "unreachable"},
-    {LeafState::kGone, "gone"},
-}}};
-
 }  // namespace
 
-std::string_view ToString(LeafState state) {
-  return kLeafStateNames.NameOf(state);
-}
-
-LeafState StateOf(const RelayLeaf& leaf, TimePoint now) {
-  if (leaf.is_gone) {
-    return LeafState::kGone;
-  }
-  if (leaf.load.IsUnreachable(now)) {
-    return LeafState::kUnreachable;
-  }
-  if (leaf.draining_since) {
-    return LeafState::kDraining;
-  }
-  if (!leaf.load.IsUsable(now)) {
-    return LeafState::kEjected;
-  }
-  if (leaf.rate_limit.IsUsedUp(now)) {
-    return LeafState::kRateLimited;
-  }
-  return leaf.load.InFlight() >= leaf.AttemptLimit(now) ? LeafState::kFull
-                                                        : LeafState::kReady;
-}
-
 bool Locality::IsSameRegion(const std::string& domain) const {
   const auto found = regions.find(domain);
   return found != regions.end() && found->second == region;
 }
 
-// A leaf with a long queue accepts fewer connections than its limit, so the
-// number of attempts in flight now, at least 1, becomes the limit.
-void RelayLeaf::OnConnectionRefused(TimePoint now) {
-  reduced_share = std::max<std::uint32_t>(1, load.InFlight());
-  reduced_until = now + kReducedShareTime;
-}
-
 void LeafTable::SetRouteTable(std::shared_ptr<const RouteTable> table) {
   m_route_table = std::move(table);
   UpdateShares();
@@ -337,31 +277,37 @@
                       TimePoint now,
                       LeafScope scope) {
   LeafChoice choice;
-  LeafTier best_tier = LeafTier::kNone;
+  LeafState best_state = LeafState::kGone;
   Duration best_cost{0};
   for (const auto& leaf : service.leafs) {
-    const LeafTier tier = TierOf(*leaf, now);
-    if (tier == LeafTier::kNone ||
-        (scope == LeafScope::kNear && !leaf->is_near) ||
+    if ((scope == LeafScope::kNear && !leaf->is_near) ||
         std::find(tried.begin(), tried.end(), leaf.get()) != tried.end()) {
       continue;
     }
-    const bool is_delegable = scope == LeafScope::kDelegable && !leaf->is_near;
-    const TimePoint permitted_at = leaf->rate_limit.NextAt(now);
-    if (permitted_at > now && !is_delegable) {
-      choice.rate_limited_until = std::min(
-          permitted_at, choice.rate_limited_until.value_or(permitted_at));
-      continue;
-    }
-    if (leaf->load.InFlight() >= leaf->AttemptLimit(now)) {
-      choice.is_full = true;
-      continue;
+    const LeafState state = StateIn(scope, *leaf, now);
+    switch (state) {
+      case LeafState::kDrained:
+      case LeafState::kUnreachable:
+      case LeafState::kGone:
+        continue;
+      case LeafState::kFull:
+        choice.is_full = true;
+        continue;
+      case LeafState::kRateLimited:
+        choice.rate_limited_until =
+            std::min(leaf->rate_limit.NextAt(now),
+                     choice.rate_limited_until.value_or(TimePoint::max()));
+        continue;
+      case LeafState::kReady:
+      case LeafState::kDraining:
+      case LeafState::kEjected:
+        break;
     }
     const Duration cost = leaf->load.Cost(kind, now);
-    if (!choice.leaf || tier < best_tier ||
-        (tier == best_tier && cost < best_cost)) {
+    if (!choice.leaf || state < best_state ||
+        (state == best_state && cost < best_cost)) {
       choice.leaf = leaf;
-      best_tier = tier;
+      best_state = state;
       best_cost = cost;
     }
   }
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -11,8 +11,7 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
-#include "request/leaf_load.h"
-#include "request/leaf_rate_limit.h"
+#include "request/relay_leaf.h"
 #include "request/retry_budget.h"
 #include "version/leaf_registration.h"
 #include "version/route_table.h"
@@ -29,48 +28,6 @@
   bool IsSameRegion(const std::string& domain) const;
 };
 
-/// One run of a registered leaf, and its load as seen by this daemon.
-struct RelayLeaf {
-  LeafRegistration registration;
-  LeafLoad load;
-  /// Whether the leaf is in this daemon's region.
-  bool is_near = false;
-  /// Whether the leaf is no longer registered, or a later run has replaced it.
-  bool is_gone = false;
-  /// Whether a later run is registered under the leaf's id.
-  bool is_restarted = false;
-  std::optional<TimePoint> draining_since = {};
-  LeafRateLimit rate_limit = {};
-  /// Maximum number of attempts that this daemon has in flight at the leaf.
-  std::uint32_t share = 1;
-  /// Replaces `share` until `reduced_until`, after the leaf closed a new
-  /// connection.
-  std::uint32_t reduced_share = 1;
-  TimePoint reduced_until = {};
-
-  std::uint32_t AttemptLimit(TimePoint now) const {
-    return now < reduced_until ? reduced_share : share;
-  }
-  void OnConnectionRefused(TimePoint now);
-};
-
-/// Whether a leaf can be sent attempts, and if not, why.
-enum class LeafState {
-  kReady,
-  /// This daemon's share of the leaf is in use.
-  kFull,
-  /// This daemon's part of the request rate that the leaf accepts is used up.
-  kRateLimited,
-  /// The leaf is temporarily excluded after failures or after it shed load.
-  kEjected,
-  kDraining,
-  kUnreachable,
-  kGone,
-};
-
-std::string_view ToString(LeafState state);
-LeafState StateOf(const RelayLeaf& leaf, TimePoint now);
-
 /// An attempt that waits for capacity at one of a service's leafs. Ordered by
 /// priority, then by arrival.
 struct WaitingPart {
@@ -96,8 +53,6 @@
 /// All services and leafs that are named by a route or registered.
 class LeafTable {
  public:
-  /// How long a draining leaf still gets attempts if no other leaf is ready.
-  static constexpr Duration kDrainGracePeriod = std::chrono::milliseconds(1000);
   /// Fraction of a leaf's connection limit that the daemons connected to it
   /// leave free for restarts.
   static constexpr double kConnectionReserve = 0.2;
@@ -180,9 +135,8 @@
   std::optional<TimePoint> rate_limited_until;
 };
 
-/// The best leaf of `service` for a request of this kind: ready before draining
-/// before ejected, then by lowest cost. Null if none is available. Leafs in
-/// `tried` are skipped.
+/// The best leaf of `service` for a request of this kind: by state, then by
+/// lowest cost. Null if none is available. Leafs in `tried` are skipped.
 LeafChoice ChooseLeaf(const RelayService& service,
                       const std::string& kind,
                       const std::vector<const RelayLeaf*>& tried,
