Stop sending requests to a leaf that says that it is leaving

Cause: a leaf was draining only by its entry in the store, which a daemon may learn late or never.

Its run is remembered for ten minutes, so that an entry that lapses and comes back, also at another address, does not make it ready again; another run does.

--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -298,9 +298,19 @@
 }
 
 void RelayFront::ReportLeafNotices() {
+  bool is_any_leaving = false;
   for (const LeafNotice& notice : m_engine.TakeLeafNotices()) {
+    is_any_leaving = is_any_leaving || notice.kind == LeafNoticeKind::kLeaving;
     m_observer.OnLeafNotice(notice);
   }
+  // Posted, since this may run in the callback of a connection that it closes.
+  if (is_any_leaving) {
+    m_loop.Post([this, weak = std::weak_ptr(m_self)] {
+      if (weak.lock()) {
+        UpdatePoolSizes();
+      }
+    });
+  }
 }
 
 void RelayFront::ReportCrashes() {
--- a/src/request/leaf_notice.cc
+++ b/src/request/leaf_notice.cc
@@ -5,9 +5,10 @@
 namespace bramleyspoke {
 namespace {
 
-constexpr EnumNames<LeafNoticeKind, 3> kNames{{{
+constexpr EnumNames<LeafNoticeKind, 4> kNames{{{
     {LeafNoticeKind::kRateLimited, "rate_limited"},
     {LeafNoticeKind::kRateLimitEnded, "rate_limit_ended"},
+    {LeafNoticeKind::kLeaving, "leaving"},
     {LeafNoticeKind::kUnreadable, "unreadable"},
 }}};
 
--- a/src/request/leaf_notice.h
+++ b/src/request/leaf_notice.h
@@ -11,6 +11,8 @@
   /// Requests per second that the leaf accepts from all daemons together; it
   /// holds until a response does not name it. Empty if not named.
   std::optional<double> request_rate;
+  /// The leaf will end soon and should get no new requests.
+  bool is_leaving = false;
   /// Name and value of a field that could not be read, and counts as absent;
   /// empty if there was none.
   std::string unreadable;
@@ -22,6 +24,8 @@
   kRateLimited,
   /// The leaf no longer names one.
   kRateLimitEnded,
+  /// The leaf says that it is leaving.
+  kLeaving,
   /// A field could not be read.
   kUnreadable,
 };
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -38,35 +38,27 @@
                          TimePoint now) {
   std::map<std::string, std::shared_ptr<RelayLeaf>> leafs_by_id;
   for (const LeafRegistration& registration : leafs) {
-    const auto known = m_leafs.find(registration.id);
-    const bool is_same_run =
-        known != m_leafs.end() &&
-        known->second->registration.started_at_ms ==
-            registration.started_at_ms &&
-        known->second->registration.address == registration.address &&
-        known->second->registration.service == registration.service;
-    std::shared_ptr<RelayLeaf> leaf;
-    if (is_same_run) {
-      leaf = known->second;
-      leaf->registration = registration;
-    } else {
-      leaf = std::make_shared<RelayLeaf>(RelayLeaf{
-          registration, LeafLoad(registration.slots,
-                                 InitialRoundTrip(registration), m_fleet)});
-    }
+    const std::shared_ptr<RelayLeaf> leaf = FindOrMake(registration);
     leaf->is_near = m_locality.IsSameRegion(registration.failure_domain);
-    if (!registration.is_draining) {
+    if (!registration.is_draining && !leaf->is_leaving) {
       leaf->draining_since.reset();
     } else if (!leaf->draining_since) {
       leaf->draining_since = now;
     }
-    leafs_by_id.emplace(registration.id, std::move(leaf));
+    leafs_by_id.emplace(registration.id, leaf);
   }
   for (auto& [id, leaf] : m_leafs) {
     const auto found = leafs_by_id.find(id);
+    if (found == leafs_by_id.end()) {
+      m_departed[id] = {leaf, now};
+    }
     leaf->is_restarted = found != leafs_by_id.end() && found->second != leaf;
     leaf->is_gone = found == leafs_by_id.end() || leaf->is_restarted;
   }
+  std::erase_if(m_departed, [&](const auto& entry) {
+    return leafs_by_id.contains(entry.first) ||
+           now - entry.second.at >= kDepartedRetention;
+  });
   m_leafs = std::move(leafs_by_id);
   std::map<RelayService*, std::vector<std::shared_ptr<RelayLeaf>>> before;
   for (auto& [name, service] : m_services) {
@@ -83,6 +75,43 @@
   UpdateShares();
 }
 
+// An entry may lapse, for example while the store is away, and come back, while
+// the leaf runs on.
+std::shared_ptr<RelayLeaf> LeafTable::FindOrMake(
+    const LeafRegistration& registration) {
+  const std::shared_ptr<RelayLeaf> known = FindRun(registration);
+  if (known && known->registration.address == registration.address &&
+      known->registration.service == registration.service) {
+    known->registration = registration;
+    known->is_gone = false;
+    return known;
+  }
+  auto made = std::make_shared<RelayLeaf>(RelayLeaf{
+      registration,
+      LeafLoad(registration.slots, InitialRoundTrip(registration), m_fleet)});
+  if (known) {
+    made->is_leaving = known->is_leaving;
+    made->draining_since = known->draining_since;
+    made->rate_limit = known->rate_limit;
+  }
+  return made;
+}
+
+std::shared_ptr<RelayLeaf> LeafTable::FindRun(
+    const LeafRegistration& registration) const {
+  std::shared_ptr<RelayLeaf> leaf;
+  if (const auto found = m_leafs.find(registration.id);
+      found != m_leafs.end()) {
+    leaf = found->second;
+  } else if (const auto departed = m_departed.find(registration.id);
+             departed != m_departed.end()) {
+    leaf = departed->second.leaf;
+  }
+  const bool is_same_run =
+      leaf && leaf->registration.started_at_ms == registration.started_at_ms;
+  return is_same_run ? leaf : nullptr;
+}
+
 void LeafTable::SetDaemons(std::map<std::string, std::size_t> by_region) {
   m_daemons = std::move(by_region);
   for (auto& [name, service] : m_services) {
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -65,6 +65,9 @@
   /// request and the hedge of another request are often in flight together.
   static constexpr std::size_t kNearPoolSize = 2;
   static constexpr std::size_t kFarPoolSize = 1;
+  /// How long a leaf that is no longer registered is remembered, in case that
+  /// its entry comes back.
+  static constexpr Duration kDepartedRetention = std::chrono::minutes(10);
 
   LeafTable(Locality locality, const RetryAllowance& allowance)
       : m_locality(std::move(locality)), m_allowance(allowance) {}
@@ -98,6 +101,16 @@
   const Locality& OwnLocality() const { return m_locality; }
 
  private:
+  struct DepartedLeaf {
+    std::shared_ptr<RelayLeaf> leaf;
+    TimePoint at;
+  };
+
+  /// The leaf for an entry: the known one, if it has not started again.
+  std::shared_ptr<RelayLeaf> FindOrMake(const LeafRegistration& registration);
+  /// The known leaf of the same run, registered or departed; null if none.
+  std::shared_ptr<RelayLeaf> FindRun(
+      const LeafRegistration& registration) const;
   void UpdateShares();
   double RateFractionOf(const RelayLeaf& leaf) const;
   std::size_t PoolSizeOf(const RelayLeaf& leaf) const;
@@ -114,6 +127,8 @@
       std::make_shared<FleetStatistics>();
   std::map<std::string, std::unique_ptr<RelayService>> m_services;
   std::map<std::string, std::shared_ptr<RelayLeaf>> m_leafs;
+  /// Leafs that are no longer registered, by id.
+  std::map<std::string, DepartedLeaf> m_departed;
 };
 
 /// The leafs considered in a choice.
--- a/src/request/relay_leaf.cc
+++ b/src/request/relay_leaf.cc
@@ -1,6 +1,7 @@
 #include "request/relay_leaf.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/enum_names.h"
 
@@ -58,4 +59,9 @@
   reduced_until = now + kReducedShareTime;
 }
 
+bool RelayLeaf::OnLeaving(TimePoint now) {
+  draining_since = draining_since.value_or(now);
+  return !std::exchange(is_leaving, true);
+}
+
 }  // namespace bramleyspoke
--- a/src/request/relay_leaf.h
+++ b/src/request/relay_leaf.h
@@ -25,6 +25,8 @@
   /// Whether a later run is registered under the leaf's id.
   bool is_restarted = false;
   std::optional<TimePoint> draining_since = {};
+  /// Whether the leaf has said that it is leaving, whatever its entry says.
+  bool is_leaving = false;
   LeafRateLimit rate_limit = {};
   /// Maximum number of attempts that this daemon has in flight at the leaf.
   std::uint32_t share = 1;
@@ -37,6 +39,8 @@
     return now < reduced_until ? reduced_share : share;
   }
   void OnConnectionRefused(TimePoint now);
+  /// Returns whether this is news.
+  bool OnLeaving(TimePoint now);
 };
 
 /// Whether a leaf can be sent attempts, and if not, why. The first three can,
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -345,6 +345,9 @@
     AddLeafNotice(LeafNoticeKind::kUnreadable, leaf);
     m_leaf_notices.back().detail = announcement.unreadable;
   }
+  if (announcement.is_leaving && leaf.OnLeaving(m_now)) {
+    AddLeafNotice(LeafNoticeKind::kLeaving, leaf);
+  }
   if (leaf.rate_limit.OnAnnounced(announcement.request_rate, attempt.sent_at,
                                   m_now)) {
     AddLeafNotice(announcement.request_rate ? LeafNoticeKind::kRateLimited
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -101,12 +101,31 @@
   }
 }
 
+TEST_CASE("a leaf that is leaving says so in any of its answers") {
+  const PlatformProtocol protocol;
+  const auto read = [&](int status, std::vector<HttpHeader> headers) {
+    return protocol.ReadReply(Answer(status, std::move(headers))).announcement;
+  };
+  for (const int status : {200, 500, 503}) {
+    CHECK(read(status, {{"Server-Leaving", "1"}})->is_leaving);
+    CHECK_FALSE(read(status, {})->is_leaving);
+  }
+  const auto unreadable =
+      read(200, {{"Server-Leaving", "yes"}, {"Server-Limit", "x"}});
+  CHECK_FALSE(unreadable->is_leaving);
+  CHECK(unreadable->unreadable == "Server-Limit: x, Server-Leaving: yes");
+}
+
 TEST_CASE("what a leaf announces to daemons does not reach callers") {
   const PlatformProtocol protocol;
-  const HttpResponse answer = protocol.MakeAnswer(
-      *Answer(200, {{"Response-Stamp", "s"}, {"Server-Limit", "5"}}).response);
+  const HttpResponse answer =
+      protocol.MakeAnswer(*Answer(200, {{"Response-Stamp", "s"},
+                                        {"Server-Limit", "5"},
+                                        {"Server-Leaving", "1"}})
+                               .response);
   CHECK(HeaderValue(answer.headers, "Response-Stamp") == "s");
   CHECK(HeaderValue(answer.headers, "Server-Limit").empty());
+  CHECK(HeaderValue(answer.headers, "Server-Leaving").empty());
 }
 
 TEST_CASE("an answer is matched to its request by the request id") {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -114,6 +115,7 @@
       if (named != named_rates.end()) {
         reply.announcement->request_rate = named->second;
       }
+      reply.announcement->is_leaving = leaving.contains(attempt.leaf_id);
     }
     CollectActions(engine.OnReply(attempt.number, std::move(reply), now));
   }
@@ -164,6 +166,8 @@
   std::vector<bool> bypassable;
   /// Request rates that leafs name in their responses, by leaf.
   std::map<std::string, double> named_rates;
+  /// Leafs that say in their responses that they are leaving.
+  std::set<std::string> leaving;
   /// Service of routes without shards.
   std::string single_service = "s0";
   /// Fingerprint of subsequent requests.
