Send nothing to a leaf for as long as it asked for a pause

Cause: a refusal ejected the leaf for 10 to 80 ms, whatever time it named.

The time is decoded in platform/ and kept by the leaf's run: no first attempts, retries, hedges or trials until it ends, also after the entry was read anew or had lapsed. Afterwards the daemon's share returns step by step, and daemons that were refused together return at different times. If all leafs pause, callers are refused at once with the shortest time.

--- a/src/base/refusal.cc
+++ b/src/base/refusal.cc
@@ -5,7 +5,7 @@
 namespace bramleyspoke {
 namespace {
 
-constexpr EnumNames<RefusalReason, 18> kNames{{{
+constexpr EnumNames<RefusalReason, 19> kNames{{{
     {RefusalReason::kBadRequest, "bad_request"},
     {RefusalReason::kUnknownService, "unknown_service"},
     {RefusalReason::kOverloaded, "overloaded"},
@@ -13,6 +13,7 @@
     {RefusalReason::kDeadlinePassed, "deadline_passed"},
     {RefusalReason::kNoReplica, "no_replica"},
     {RefusalReason::kLeafRateLimit, "leaf_rate_limit"},
+    {RefusalReason::kLeafPaused, "leaf_paused"},
     {RefusalReason::kNoSnapshot, "no_snapshot"},
     {RefusalReason::kCrashSuspect, "crash_suspect"},
     {RefusalReason::kIdNotIssued, "id_not_issued"},
--- a/src/base/refusal.h
+++ b/src/base/refusal.h
@@ -19,6 +19,8 @@
   kNoReplica,
   /// The leafs named request rates, and this daemon's part of them is used up.
   kLeafRateLimit,
+  /// The leafs asked this daemon for a pause.
+  kLeafPaused,
   kNoSnapshot,
   kCrashSuspect,
   kIdNotIssued,
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -152,6 +152,7 @@
            {Field("kind", ToString(notice.kind)), Field("leaf", notice.leaf_id),
             Field("service", notice.service),
             Field("request_rate", notice.request_rate),
+            Field("pause_ms", ToMilliseconds(notice.pause)),
             Field("detail", notice.detail)});
 }
 
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -22,10 +22,10 @@
 
 constexpr std::size_t kMaxRouteLabels = 32;
 
-constexpr std::array<LeafState, 8> kLeafStates{
-    LeafState::kReady,       LeafState::kDraining,    LeafState::kEjected,
-    LeafState::kFull,        LeafState::kRateLimited, LeafState::kDrained,
-    LeafState::kUnreachable, LeafState::kGone};
+constexpr std::array<LeafState, 9> kLeafStates{
+    LeafState::kReady,   LeafState::kDraining,    LeafState::kEjected,
+    LeafState::kFull,    LeafState::kRateLimited, LeafState::kPaused,
+    LeafState::kDrained, LeafState::kUnreachable, LeafState::kGone};
 
 std::string_view OutcomeOf(const RelayEnd& end) {
   if (end.refusal) {
@@ -146,8 +146,7 @@
     SetStateGauge("delegations", observation.engine.delegations);
     SetStateGauge("budget_refusals", observation.engine.budget_refusals);
     SetStateGauge("crash_refusals", observation.engine.crash_refusals);
-    SetStateGauge("rate_limit_refusals",
-                  observation.engine.rate_limit_refusals);
+    SetStateGauge("leaf_wait_refusals", observation.engine.leaf_wait_refusals);
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
   }
 
--- a/src/request/leaf_notice.cc
+++ b/src/request/leaf_notice.cc
@@ -5,10 +5,11 @@
 namespace bramleyspoke {
 namespace {
 
-constexpr EnumNames<LeafNoticeKind, 4> kNames{{{
+constexpr EnumNames<LeafNoticeKind, 5> kNames{{{
     {LeafNoticeKind::kRateLimited, "rate_limited"},
     {LeafNoticeKind::kRateLimitEnded, "rate_limit_ended"},
     {LeafNoticeKind::kLeaving, "leaving"},
+    {LeafNoticeKind::kPaused, "paused"},
     {LeafNoticeKind::kUnreadable, "unreadable"},
 }}};
 
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -14,12 +14,24 @@
 
 constexpr std::uint32_t kDefaultConnectionLimit = 8;
 
-// A peer near the leaf can use its own part of the rate.
+// A peer near the leaf can use its own part of the rate, and the leaf may not
+// have asked it for a pause.
 LeafState StateIn(LeafScope scope, const RelayLeaf& leaf, TimePoint now) {
   const LeafState state = StateOf(leaf, now);
   const bool is_delegable = scope == LeafScope::kDelegable && !leaf.is_near;
-  return is_delegable && state == LeafState::kRateLimited ? LeafState::kReady
-                                                          : state;
+  const bool is_limited =
+      state == LeafState::kRateLimited || state == LeafState::kPaused;
+  return is_delegable && is_limited ? LeafState::kReady : state;
+}
+
+TimePoint AcceptsAt(const RelayLeaf& leaf, TimePoint now) {
+  return std::max(leaf.pause.End(), leaf.rate_limit.NextAt(now));
+}
+
+void KeepEarliest(std::optional<LeafWait>& earliest, const LeafWait& other) {
+  if (!earliest || other.until < earliest->until) {
+    earliest = other;
+  }
 }
 
 }  // namespace
@@ -93,6 +105,7 @@
     made->is_leaving = known->is_leaving;
     made->draining_since = known->draining_since;
     made->rate_limit = known->rate_limit;
+    made->pause = known->pause;
   }
   return made;
 }
@@ -323,9 +336,8 @@
         choice.is_full = true;
         continue;
       case LeafState::kRateLimited:
-        choice.rate_limited_until =
-            std::min(leaf->rate_limit.NextAt(now),
-                     choice.rate_limited_until.value_or(TimePoint::max()));
+      case LeafState::kPaused:
+        KeepEarliest(choice.wait, {state, AcceptsAt(*leaf, now)});
         continue;
       case LeafState::kReady:
       case LeafState::kDraining:
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -136,18 +136,24 @@
   kAny,
   /// Those in this daemon's region.
   kNear,
-  /// All, including those in other regions whose request rate only this daemon
-  /// may not use: a peer there has a larger part of it.
+  /// All, including those in other regions that accept no requests from this
+  /// daemon now: a peer there can send them.
   kDelegable,
 };
 
+/// A leaf that accepts requests again at a known time.
+struct LeafWait {
+  /// `kRateLimited` or `kPaused`.
+  LeafState state = LeafState::kRateLimited;
+  TimePoint until;
+};
+
 struct LeafChoice {
   std::shared_ptr<RelayLeaf> leaf;
   /// Whether a leaf was skipped because this daemon's share of it is in use.
   bool is_full = false;
-  /// If leafs were skipped because this daemon's part of their request rate is
-  /// used up: when the first of them may get a request.
-  std::optional<TimePoint> rate_limited_until;
+  /// Set if leafs were skipped that accept requests again later: the first one.
+  std::optional<LeafWait> wait;
 };
 
 /// The best leaf of `service` for a request of this kind: by state, then by
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -27,8 +27,8 @@
   std::uint64_t budget_refusals = 0;
   /// Parts refused as suspected of crashing leafs.
   std::uint64_t crash_refusals = 0;
-  /// Parts not sent because the request rates of their leafs were used up.
-  std::uint64_t rate_limit_refusals = 0;
+  /// Parts not sent because their leafs accept requests again later only.
+  std::uint64_t leaf_wait_refusals = 0;
 };
 
 /// Decides for relayed requests which leafs get them, when to retry or hedge,
--- a/src/request/relay_leaf.cc
+++ b/src/request/relay_leaf.cc
@@ -12,12 +12,13 @@
 // than were in flight then.
 constexpr Duration kReducedShareTime = std::chrono::seconds(1);
 
-constexpr EnumNames<LeafState, 8> kNames{{{
+constexpr EnumNames<LeafState, 9> kNames{{{
     {LeafState::kReady, "ready"},
     {LeafState::kDraining, "draining"},
     {LeafState::kEjected, "ejected"},
     {LeafState::kFull, "full"},
     {LeafState::kRateLimited, "rate_limited"},
+    {LeafState::kPaused, "paused"},
     {LeafState::kDrained, "drained"},
     {LeafState::kUnreachable, "unreachable"},
     {LeafState::kGone, "gone"},
@@ -40,6 +41,9 @@
       now >= *leaf.draining_since + RelayLeaf::kDrainGracePeriod) {
     return LeafState::kDrained;
   }
+  if (leaf.pause.IsPaused(now)) {
+    return LeafState::kPaused;
+  }
   if (leaf.rate_limit.IsUsedUp(now)) {
     return LeafState::kRateLimited;
   }
--- a/src/request/relay_leaf.h
+++ b/src/request/relay_leaf.h
@@ -6,6 +6,7 @@
 
 #include "base/time.h"
 #include "request/leaf_load.h"
+#include "request/leaf_pause.h"
 #include "request/leaf_rate_limit.h"
 #include "version/leaf_registration.h"
 
@@ -28,6 +29,7 @@
   /// Whether the leaf has said that it is leaving, whatever its entry says.
   bool is_leaving = false;
   LeafRateLimit rate_limit = {};
+  LeafPause pause = {};
   /// Maximum number of attempts that this daemon has in flight at the leaf.
   std::uint32_t share = 1;
   /// Replaces `share` until `reduced_until`, after the leaf closed a new
@@ -36,7 +38,7 @@
   TimePoint reduced_until = {};
 
   std::uint32_t AttemptLimit(TimePoint now) const {
-    return now < reduced_until ? reduced_share : share;
+    return pause.AttemptLimit(now < reduced_until ? reduced_share : share);
   }
   void OnConnectionRefused(TimePoint now);
   /// Returns whether this is news.
@@ -55,6 +57,8 @@
   kFull,
   /// This daemon's part of the request rate that the leaf accepts is used up.
   kRateLimited,
+  /// The leaf asked this daemon for a pause.
+  kPaused,
   /// The leaf has been draining for longer than the grace period.
   kDrained,
   kUnreachable,
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -95,21 +95,23 @@
 // meanwhile would be refused in its place, and its caller would wait for
 // longer.
 RelayRefusal RelayEngine::RefusalWithoutLeafs(const Request& request) const {
-  std::optional<TimePoint> next;
+  std::optional<LeafWait> first;
   for (const Part& part : request.parts) {
     const LeafChoice choice =
         ChooseLeaf(*part.service, request.MatchedRoute().name, {}, m_now);
-    if (choice.rate_limited_until && !choice.leaf && !choice.is_full) {
-      next = std::min(*choice.rate_limited_until,
-                      next.value_or(*choice.rate_limited_until));
+    if (choice.wait && !choice.leaf && !choice.is_full &&
+        (!first || choice.wait->until < first->until)) {
+      first = choice.wait;
     }
   }
-  if (next) {
-    return {RefusalReason::kLeafRateLimit, VerdictOfParts(request),
-            *next - m_now};
+  const Verdict verdict = VerdictOfParts(request);
+  if (!first) {
+    return {RefusalReason::kNoReplica, verdict, kUnavailableRetryAfter};
   }
-  return {RefusalReason::kNoReplica, VerdictOfParts(request),
-          kUnavailableRetryAfter};
+  const RefusalReason reason = first->state == LeafState::kPaused
+                                   ? RefusalReason::kLeafPaused
+                                   : RefusalReason::kLeafRateLimit;
+  return {reason, verdict, first->until - m_now};
 }
 
 // Each near leaf stalls now and then, and responses of far leafs cost bandwidth
@@ -154,7 +156,7 @@
     if (choice.is_full) {
       Enqueue(request, index);
     } else {
-      m_counters.rate_limit_refusals += choice.rate_limited_until ? 1 : 0;
+      m_counters.leaf_wait_refusals += choice.wait ? 1 : 0;
       FailUnlessOutstanding(part);
     }
     return;
@@ -348,6 +350,13 @@
   if (announcement.is_leaving && leaf.OnLeaving(m_now)) {
     AddLeafNotice(LeafNoticeKind::kLeaving, leaf);
   }
+  if (announcement.pause) {
+    leaf.pause.OnAnnounced(*announcement.pause, m_now);
+    AddLeafNotice(LeafNoticeKind::kPaused, leaf);
+    m_leaf_notices.back().pause = *announcement.pause;
+  } else {
+    leaf.pause.OnAnswered(attempt.sent_at);
+  }
   if (leaf.rate_limit.OnAnnounced(announcement.request_rate, attempt.sent_at,
                                   m_now)) {
     AddLeafNotice(announcement.request_rate ? LeafNoticeKind::kRateLimited
@@ -357,9 +366,9 @@
 }
 
 void RelayEngine::AddLeafNotice(LeafNoticeKind kind, const RelayLeaf& leaf) {
-  m_leaf_notices.push_back({kind, leaf.registration.id,
-                            leaf.registration.service,
-                            leaf.rate_limit.Rate().value_or(0), ""});
+  m_leaf_notices.push_back(
+      {kind, leaf.registration.id, leaf.registration.service,
+       leaf.rate_limit.Rate().value_or(0), Duration::zero(), ""});
 }
 
 void RelayEngine::RecordCrashEvidence(const Attempt& attempt,
--- a/src/tool/explanation.cc
+++ b/src/tool/explanation.cc
@@ -13,7 +13,7 @@
   std::string_view text;
 };
 
-constexpr std::array<Description, 8> kRefusalReasons{{
+constexpr std::array<Description, 9> kRefusalReasons{{
     {"not_ready",
      "No route matched, and the daemon's routes may have been outdated: look "
      "for "
@@ -22,6 +22,8 @@
     {"leaf_rate_limit",
      "Leafs of the service had named the request rate that they accept, and "
      "this daemon's part of it was used up."},
+    {"leaf_paused",
+     "Leafs of the service had asked this daemon to send nothing for a time."},
     {"overloaded",
      "Too many requests were in flight or queued at one service."},
     {"crash_suspect",
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -116,16 +116,39 @@
   CHECK(unreadable->unreadable == "Server-Limit: x, Server-Leaving: yes");
 }
 
+TEST_CASE("a leaf asks for a pause with its status 503 only") {
+  const PlatformProtocol protocol;
+  const auto read = [&](int status, const char* value) {
+    return *protocol.ReadReply(Answer(status, {{"Retry-After", value}}))
+                .announcement;
+  };
+  CHECK(read(503, "2").pause == std::chrono::seconds(2));
+  CHECK(read(503, "0.25").pause == std::chrono::milliseconds(250));
+  CHECK_FALSE(read(500, "2").pause.has_value());
+  CHECK_FALSE(read(200, "2").pause.has_value());
+  CHECK_FALSE(read(503, "0").pause.has_value());
+  CHECK(read(503, "0").unreadable.empty());
+  CHECK(read(503, "99999999999999999999").pause == std::chrono::hours(24));
+  for (const char* value : {"-3", "soon", "Fri, 04 Dec 2026 11:00:00 GMT"}) {
+    CAPTURE(value);
+    CHECK_FALSE(read(503, value).pause.has_value());
+    CHECK(read(503, value).unreadable == std::string("Retry-After: ") + value);
+  }
+}
+
 TEST_CASE("what a leaf announces to daemons does not reach callers") {
   const PlatformProtocol protocol;
   const HttpResponse answer =
       protocol.MakeAnswer(*Answer(200, {{"Response-Stamp", "s"},
                                         {"Server-Limit", "5"},
-                                        {"Server-Leaving", "1"}})
+                                        {"Server-Leaving", "1"},
+                                        {"Retry-After", "1"}})
                                .response);
   CHECK(HeaderValue(answer.headers, "Response-Stamp") == "s");
-  CHECK(HeaderValue(answer.headers, "Server-Limit").empty());
-  CHECK(HeaderValue(answer.headers, "Server-Leaving").empty());
+  for (const char* name : {"Server-Limit", "Server-Leaving", "Retry-After"}) {
+    CAPTURE(name);
+    CHECK(HeaderValue(answer.headers, name).empty());
+  }
 }
 
 TEST_CASE("an answer is matched to its request by the request id") {
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -116,6 +116,10 @@
         reply.announcement->request_rate = named->second;
       }
       reply.announcement->is_leaving = leaving.contains(attempt.leaf_id);
+      const auto pause = pauses.find(attempt.leaf_id);
+      if (pause != pauses.end() && kind == LeafReplyKind::kRefused) {
+        reply.announcement->pause = pause->second;
+      }
     }
     CollectActions(engine.OnReply(attempt.number, std::move(reply), now));
   }
@@ -166,6 +170,8 @@
   std::vector<bool> bypassable;
   /// Request rates that leafs name in their responses, by leaf.
   std::map<std::string, double> named_rates;
+  /// Pauses that leafs ask for with each refusal, by leaf.
+  std::map<std::string, Duration> pauses;
   /// Leafs that say in their responses that they are leaving.
   std::set<std::string> leaving;
   /// Service of routes without shards.
