Bound what a response may take while it is read

Callers would have seen: a daemon that ends for lack of memory, with all their requests. A leaf (or the store) that sends bytes without end in a chunk's header or a trailer was read until the deadline: 1.6 GB from one connection in five seconds, all kept in memory; a body up to 64 MB was kept for each attempt.

Cause: only the head and the body had limits, not what is buffered between them.

Responses are read a part at a time, so that other requests on the loop get their turn. Beyond a bound the connection is closed and the attempt counts as malformed: it may have run, and no part of it reaches a caller. Interim responses (status 1xx) are skipped as HTTP has it, at most 16 in a call.

--- a/src/connection/http_call_queue.cc
+++ b/src/connection/http_call_queue.cc
@@ -58,6 +58,9 @@
   m_connection = std::move(connection);
   if (m_connection) {
     m_connection->LimitSilence(m_options.silence_limit);
+    HttpResponseLimits limits;
+    limits.body_bytes = m_options.max_body_bytes;
+    m_connection->LimitResponses(limits);
   }
   if (m_calls.empty()) {
     return;
--- a/src/connection/http_call_queue.h
+++ b/src/connection/http_call_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -19,6 +20,8 @@
   /// A connection on which the server acknowledges nothing for this long is
   /// closed.
   Duration silence_limit{0};
+  /// A longer body of a response ends its call as malformed.
+  std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
 };
 
 /// Calls to one server that are sent one at a time, in order, over a persistent
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -19,6 +19,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "connection/byte_budget.h"
 #include "connection/event_loop.h"
 #include "connection/socket_options.h"
 
@@ -30,7 +31,12 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t kMaxResponseBytes = std::size_t{64} * 1024 * 1024;
+// Bytes that are read at a time, in addition to a head.
+constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+// Interim responses and responses to other requests that are skipped before one
+// call.
+constexpr int kMaxSkippedResponses = 16;
+constexpr int kFirstFinalStatus = 200;
 
 std::optional<tcp::endpoint> Resolve(const Endpoint& server) {
   beast::error_code error;
@@ -105,6 +111,8 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  HttpResponseLimits limits;
+  ByteClaim claim;
   http::request<http::string_body> request;
   std::optional<http::response_parser<http::string_body>> parser;
   HttpResponseMatcher matches;
@@ -112,8 +120,9 @@
   std::string host;
   bool is_open = false;
   bool is_writing = false;
-  /// Whether the response to another request was read in this call.
-  bool has_skipped_response = false;
+  /// Responses that were read in this call and are not the awaited one.
+  int skipped_interim = 0;
+  int skipped_others = 0;
 };
 
 void FinishCall(ConnectionState& state, HttpOutcome outcome) {
@@ -126,6 +135,7 @@
 void FailCall(ConnectionState& state, beast::error_code error) {
   state.is_open = false;
   state.stream.close();
+  state.claim = ByteClaim();
   FinishCall(state, HttpOutcome{std::nullopt, FailureOf(error)});
 }
 
@@ -145,22 +155,33 @@
 
 void ReadResponse(const std::shared_ptr<ConnectionState>& state);
 
+bool IsAwaited(const ConnectionState& state, const HttpResponse& response) {
+  return response.status >= kFirstFinalStatus &&
+         (!state.matches || state.matches(response));
+}
+
+void SkipResponse(const std::shared_ptr<ConnectionState>& state,
+                  const HttpResponse& response) {
+  ++(response.status < kFirstFinalStatus ? state->skipped_interim
+                                         : state->skipped_others);
+  if (state->skipped_interim + state->skipped_others > kMaxSkippedResponses) {
+    FailCall(*state, http::make_error_code(http::error::unexpected_body));
+    return;
+  }
+  ReadResponse(state);
+}
+
 // The connection is closed after a response that arrived before the request was
 // completely written, or that followed a response to another request: later
 // responses could be matched to the wrong request.
-void OnResponse(const std::shared_ptr<ConnectionState>& state,
-                beast::error_code error) {
-  if (error) {
-    FailCall(*state, error);
-    return;
-  }
-  const bool is_in_sync = !state->is_writing && !state->has_skipped_response;
+void OnResponse(const std::shared_ptr<ConnectionState>& state) {
+  const bool is_in_sync = !state->is_writing && state->skipped_others == 0;
   const bool keep_alive = state->parser->keep_alive() && is_in_sync;
   HttpOutcome outcome{ConvertResponse(state->parser->release()), {}};
   outcome.round_trip = RoundTripOf(state->stream.socket().native_handle());
-  if (state->matches && !state->matches(*outcome.response)) {
-    state->has_skipped_response = true;
-    ReadResponse(state);
+  state->claim = ByteClaim();
+  if (!IsAwaited(*state, *outcome.response)) {
+    SkipResponse(state, *outcome.response);
     return;
   }
   state->stream.expires_never();
@@ -173,12 +194,39 @@
   FinishCall(*state, std::move(outcome));
 }
 
+void ReadPart(const std::shared_ptr<ConnectionState>& state);
+
+// Reads a part at a time, so that bytes without end neither fill the memory nor
+// hold up other connections of the loop.
+void OnPart(const std::shared_ptr<ConnectionState>& state,
+            beast::error_code error) {
+  if (error) {
+    FailCall(*state, error);
+  } else if (!state->claim.GrowTo(state->buffer.size() +
+                                  state->parser->get().body().size())) {
+    FailCall(*state, http::make_error_code(http::error::body_limit));
+  } else if (state->parser->is_done()) {
+    OnResponse(state);
+  } else {
+    ReadPart(state);
+  }
+}
+
+void ReadPart(const std::shared_ptr<ConnectionState>& state) {
+  http::async_read_some(
+      state->stream, state->buffer, *state->parser,
+      [state](auto error, std::size_t) { OnPart(state, error); });
+}
+
 void ReadResponse(const std::shared_ptr<ConnectionState>& state) {
+  const HttpResponseLimits& limits = state->limits;
+  state->buffer.max_size(limits.head_bytes + kReadBytes);
+  state->claim = ByteClaim(limits.budget);
   state->parser.emplace();
-  state->parser->body_limit(kMaxResponseBytes);
-  http::async_read(
-      state->stream, state->buffer, *state->parser,
-      [state](auto error, std::size_t) { OnResponse(state, error); });
+  state->parser->eager(true);
+  state->parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+  state->parser->body_limit(limits.body_bytes);
+  ReadPart(state);
 }
 
 class BeastConnection final : public HttpConnection {
@@ -212,6 +260,8 @@
     m_state->done = std::move(done);
     m_state->matches = std::move(matches);
     m_state->is_writing = true;
+    m_state->skipped_interim = 0;
+    m_state->skipped_others = 0;
     m_state->request = MakeMessage(std::move(request), m_state->host);
     m_state->stream.socket().cancel();
     m_state->stream.expires_at(deadline);
@@ -222,6 +272,10 @@
     ReadResponse(m_state);
   }
 
+  void LimitResponses(const HttpResponseLimits& limits) override {
+    m_state->limits = limits;
+  }
+
   void LimitSilence(Duration limit) override {
     bramleyspoke::LimitSilence(m_state->stream.socket().native_handle(), limit);
   }
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 
 namespace bramleyspoke {
 
+class ByteBudget;
 class EventLoop;
 
 /// Why a request got no response.
@@ -45,6 +47,15 @@
 
 using HttpCallback = std::function<void(HttpOutcome)>;
 
+/// Bounds of a response; one beyond them ends its call as malformed.
+struct HttpResponseLimits {
+  /// Of the status line and the header fields, and of a chunk's header.
+  std::size_t head_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{64} * 1024 * 1024;
+  /// Shared with other connections; null for none.
+  std::shared_ptr<ByteBudget> budget;
+};
+
 /// Whether a response belongs to the current request.
 using HttpResponseMatcher = std::function<bool(const HttpResponse&)>;
 
@@ -64,12 +75,14 @@
   virtual void Send(HttpRequest request,
                     TimePoint deadline,
                     HttpCallback done) = 0;
-  /// Sends a request and skips responses for which `matches` is false; after a
-  /// skipped response, the connection is closed at the end of the call.
+  /// Sends a request and skips some responses for which `matches` is false;
+  /// after a skipped response, the connection is closed at the end of the call.
   virtual void SendMatching(HttpRequest request,
                             TimePoint deadline,
                             HttpResponseMatcher matches,
                             HttpCallback done) = 0;
+  /// Sets the bounds of later responses.
+  virtual void LimitResponses(const HttpResponseLimits& limits) = 0;
   /// Makes the connection fail once the server has acknowledged nothing for
   /// `limit`, plus up to a second.
   virtual void LimitSilence(Duration limit) = 0;
--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -38,8 +38,11 @@
 
 }  // namespace
 
-LeafExchanges::LeafExchanges(EventLoop& loop, ReachabilityCallback on_reachable)
+LeafExchanges::LeafExchanges(EventLoop& loop,
+                             HttpResponseLimits limits,
+                             ReachabilityCallback on_reachable)
     : m_loop(loop),
+      m_limits(std::move(limits)),
       m_on_reachable(std::move(on_reachable)),
       m_self(std::make_shared<LeafExchanges*>(this)) {
   m_timer = m_loop.At(Now() + kMaintainInterval, [this] { Maintain(); });
@@ -142,6 +145,7 @@
           OnOutcome(number, HttpOutcome{std::nullopt, HttpFailure::kConnect});
           return;
         }
+        connection->LimitResponses(m_limits);
         found->second.connection = std::move(connection);
         found->second.connection_opened_at = Now();
         Write(number, found->second);
@@ -248,6 +252,7 @@
                          --opened.opening;
                          const bool is_reachable = connection != nullptr;
                          if (is_reachable && m_pool_sizes.contains(endpoint)) {
+                           connection->LimitResponses(m_limits);
                            opened.idle.push_back(
                                Idle{std::move(connection),
                                     Now() + Duration(kDefaultIdleTime), Now()});
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -44,7 +44,9 @@
   /// `on_reachable` is called when opening a pooled connection has ended, with
   /// whether it succeeded. If a connection that the leaf had accepted breaks,
   /// another one is opened at once, as the leaf may have crashed.
-  LeafExchanges(EventLoop& loop, ReachabilityCallback on_reachable);
+  LeafExchanges(EventLoop& loop,
+                HttpResponseLimits limits,
+                ReachabilityCallback on_reachable);
   ~LeafExchanges();
 
   /// Calls `done` once, unless the exchange is cancelled.
@@ -102,6 +104,7 @@
   void OpenPooled(const Endpoint& endpoint);
 
   EventLoop& m_loop;
+  HttpResponseLimits m_limits;
   ReachabilityCallback m_on_reachable;
   std::map<Endpoint, Leaf> m_leafs;
   std::map<ExchangeNumber, Exchange> m_exchanges;
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/problems.h"
+#include "connection/byte_budget.h"
 #include "connection/capnp_peers.h"
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
@@ -41,6 +42,13 @@
   return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
+HttpResponseLimits LimitsOf(const LeafResponseSizes& sizes) {
+  HttpResponseLimits limits;
+  limits.body_bytes = sizes.max_each;
+  limits.budget = std::make_shared<ByteBudget>(sizes.max_total);
+  return limits;
+}
+
 class RelayProcess final : public RelayDaemon,
                            public RelayControlListener,
                            public RelayObserver,
@@ -77,7 +85,8 @@
         *m_loop, m_adapters.protocol,
         Locality{m_settings.failure_domain, m_settings.region,
                  m_settings.regions},
-        m_settings.repeats, m_peers->Network(), *this);
+        m_settings.repeats, LimitsOf(m_settings.leaf_responses),
+        m_peers->Network(), *this);
     m_reports = std::make_unique<CrashReports>(*m_loop, m_clock,
                                                m_peers->Network(), Self());
     BOOST_LEAF_ASSIGN(m_callers,
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -22,6 +22,7 @@
                        const RelayProtocol& protocol,
                        const Locality& locality,
                        const RetryAllowance& repeats,
+                       const HttpResponseLimits& leaf_responses,
                        PeerNetwork& peers,
                        RelayObserver& observer)
     : m_loop(loop),
@@ -29,6 +30,7 @@
       m_observer(observer),
       m_engine(locality, repeats),
       m_exchanges(loop,
+                  leaf_responses,
                   [this](const Endpoint& leaf, bool is_reachable) {
                     Apply(m_engine.OnReachable(leaf, is_reachable, Now()));
                   }),
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -85,6 +85,7 @@
              const RelayProtocol& protocol,
              const Locality& locality,
              const RetryAllowance& repeats,
+             const HttpResponseLimits& leaf_responses,
              PeerNetwork& peers,
              RelayObserver& observer);
   ~RelayFront() override;
--- a/src/process/relay_settings.cc
+++ b/src/process/relay_settings.cc
@@ -20,6 +20,7 @@
 constexpr NumberRange kStopBound{500, 3'600'000, "ms"};
 
 constexpr NumberRange kApplyBound{1'000, 60'000, "ms"};
+constexpr NumberRange kResponseBytes{1'024, 1'000'000'000, "bytes"};
 
 constexpr std::string_view kSection = "relay";
 
@@ -58,6 +59,12 @@
       object.Milliseconds("stop_bound_ms", kStopBound, settings.stop_bound);
   settings.apply_bound =
       object.Milliseconds("apply_bound_ms", kApplyBound, settings.apply_bound);
+  object.Object("leaf_responses", true, [&](JsonReader& part) {
+    LeafResponseSizes& sizes = settings.leaf_responses;
+    sizes.max_each = part.Integer("max_bytes", kResponseBytes, sizes.max_each);
+    sizes.max_total =
+        part.Integer("max_total_bytes", kResponseBytes, sizes.max_total);
+  });
   settings.log_level = object.Choice("log_level", kLogLevelNames,
                                      std::optional(settings.log_level));
 }
--- a/src/process/relay_settings.h
+++ b/src/process/relay_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -14,6 +15,13 @@
 
 namespace bramleyspoke {
 
+/// Bounds of leafs' responses, in bytes of their bodies.
+struct LeafResponseSizes {
+  std::uint32_t max_each = std::uint32_t{2} * 1024 * 1024;
+  /// Of all responses that are being read.
+  std::uint32_t max_total = std::uint32_t{16} * 1024 * 1024;
+};
+
 /// Settings of a daemon that relays requests along routes read from a store.
 struct RelaySettings {
   std::string name;
@@ -43,6 +51,7 @@
   /// Time within which a change that the store has acknowledged has to be in
   /// use, also if a connection to the store has gone silent.
   Duration apply_bound = std::chrono::seconds(3);
+  LeafResponseSizes leaf_responses;
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/tests/leaf_exchanges_test.cc
+++ b/tests/leaf_exchanges_test.cc
@@ -29,7 +29,7 @@
  public:
   LeafFixture()
       : m_loop(EventLoop::Create()),
-        m_exchanges(*m_loop, [this](const Endpoint&, bool is_reachable) {
+        m_exchanges(*m_loop, {}, [this](const Endpoint&, bool is_reachable) {
           ++(is_reachable ? m_reachable : m_unreachable);
         }) {
     leaf.RestartAfter(kRestartDelay, [] {});
