Bound what a caller's request may take between its head and its body

Callers would have seen: a daemon that ends for lack of memory. One caller that sends a chunk's header or a trailer without end got 1.1 to 1.2 GB into the daemon's memory in three seconds, and had ten.

Cause: as with responses, only the head and the body had limits.

The buffer is bounded by the head's limit; beyond it the request is refused with 413 and the connection closed.

--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -172,6 +172,9 @@
 
   void ReadRequest() {
     m_is_idle = false;
+    // The parser limits neither a chunk's header nor the trailer.
+    m_buffer.max_size(std::max(m_state->limits.header_bytes, m_buffer.size()) +
+                      kReadSize);
     m_parser.emplace();
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_state->limits.header_bytes));
@@ -378,8 +381,9 @@
     return;
   }
   if (error) {
-    const bool is_too_large =
-        error == http::error::body_limit || error == http::error::header_limit;
+    const bool is_too_large = error == http::error::body_limit ||
+                              error == http::error::header_limit ||
+                              error == http::error::buffer_overflow;
     Refuse(is_too_large ? 413 : 400, error.message());
     return;
   }
--- a/tests/endless_server.cc
+++ b/tests/endless_bytes.cc
@@ -1,11 +1,10 @@
-#include "endless_server.h"
+#include "endless_bytes.h"
 
 #include <arpa/inet.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
 #include <cerrno>
 #include <chrono>
 #include <stdexcept>
@@ -31,6 +30,45 @@
   return block;
 }
 
+// Sends on a socket that it does not own.
+class Sender {
+ public:
+  Sender(int socket, const EndlessBytes& bytes)
+      : m_socket(socket),
+        m_pause(bytes.pause),
+        m_block(Block(bytes)),
+        m_next(bytes.prefix + m_block) {}
+
+  /// Sends what the socket takes and adds it to `sent`; false once the peer has
+  /// closed the connection.
+  bool Send(std::atomic<std::size_t>& sent) {
+    if (!WaitFor(m_socket, POLLOUT)) {
+      return true;
+    }
+    const auto size =
+        ::send(m_socket, m_next.data() + m_offset, m_next.size() - m_offset,
+               MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (size < 0) {
+      return errno == EAGAIN;
+    }
+    m_offset += static_cast<std::size_t>(size);
+    sent += static_cast<std::size_t>(size);
+    if (m_offset == m_next.size()) {
+      m_next = m_block;
+      m_offset = 0;
+      std::this_thread::sleep_for(m_pause);
+    }
+    return true;
+  }
+
+ private:
+  int m_socket;
+  std::chrono::microseconds m_pause;
+  std::string m_block;
+  std::string m_next;
+  std::size_t m_offset = 0;
+};
+
 }  // namespace
 
 EndlessServer::EndlessServer(EndlessBytes bytes)
@@ -74,28 +112,35 @@
   ++m_open;
   while (!m_is_stopping && !WaitFor(socket, POLLIN)) {
   }
-  const std::string block = Block(m_bytes);
-  std::string next = m_bytes.prefix + block;
-  std::size_t offset = 0;
-  while (!m_is_stopping) {
-    if (!WaitFor(socket, POLLOUT)) {
-      continue;
-    }
-    const auto sent = ::send(socket, next.data() + offset, next.size() - offset,
-                             MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (sent < 0 && errno != EAGAIN) {
-      break;
-    }
-    offset += sent > 0 ? static_cast<std::size_t>(sent) : 0;
-    m_sent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
-    if (offset == next.size()) {
-      next = block;
-      offset = 0;
-      std::this_thread::sleep_for(m_bytes.pause);
-    }
+  Sender sender(socket, m_bytes);
+  while (!m_is_stopping && sender.Send(m_sent)) {
   }
   ::close(socket);
   --m_open;
 }
 
+AcceptedBytes SendWithoutEnd(const Endpoint& server,
+                             const EndlessBytes& bytes,
+                             std::chrono::milliseconds time) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(server.port);
+  ::inet_pton(AF_INET, server.host.c_str(), &address.sin_addr);
+  if (::connect(socket, reinterpret_cast<sockaddr*>(&address),
+                sizeof(address)) != 0) {
+    ::close(socket);
+    throw std::runtime_error("cannot connect to the server");
+  }
+  const auto end = std::chrono::steady_clock::now() + time;
+  std::atomic<std::size_t> sent = 0;
+  Sender sender(socket, bytes);
+  bool is_open = true;
+  while (is_open && std::chrono::steady_clock::now() < end) {
+    is_open = sender.Send(sent);
+  }
+  ::close(socket);
+  return {sent, !is_open};
+}
+
 }  // namespace bramleyspoke
--- a/tests/endless_server.h
+++ b/tests/endless_bytes.h
@@ -11,7 +11,7 @@
 
 namespace bramleyspoke {
 
-/// What an `EndlessServer` sends on each connection.
+/// Bytes to be sent on a connection.
 struct EndlessBytes {
   std::string prefix;
   /// Sent again and again after `prefix`.
@@ -47,4 +47,17 @@
   std::thread m_acceptor;
 };
 
+/// What a server accepted of `EndlessBytes`.
+struct AcceptedBytes {
+  std::size_t count = 0;
+  /// Whether the server closed the connection within the time.
+  bool is_closed = false;
+};
+
+/// Connects to `server` and sends bytes without end until the server closes the
+/// connection, for `time` at most.
+AcceptedBytes SendWithoutEnd(const Endpoint& server,
+                             const EndlessBytes& bytes,
+                             std::chrono::milliseconds time);
+
 }  // namespace bramleyspoke
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -12,7 +12,7 @@
 #include "connection/event_loop.h"
 #include "connection/http_client.h"
 #include "connection/leaf_exchanges.h"
-#include "endless_server.h"
+#include "endless_bytes.h"
 #include "fleet.h"
 #include "loop_runner.h"
 #include "relay_platform.h"
