Bound the messages of the configuration store's watch

Callers saw nothing: the watch of the own interface kept a message that did not end, and a chunk's header that did not, for as long as the store sent them (1.4 GB in four seconds), and searched the whole message again with each part.

The new test failed before in both of its rows.

--- a/src/connection/etcd_store.cc
+++ b/src/connection/etcd_store.cc
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+// A message of a watch that is longer than this ends the watch.
+constexpr std::size_t kMaxMessageBytes = std::size_t{16} * 1024 * 1024;
 constexpr int kHttpTooManyRequests = 429;
 
 bool IsRejection(int status) {
@@ -107,9 +109,10 @@
 
  private:
   void OnData(std::string_view chunk) {
+    const std::size_t searched = m_buffer.size();
     m_buffer.append(chunk);
     const auto self = m_self;
-    std::size_t end = m_buffer.find('\n');
+    std::size_t end = m_buffer.find('\n', searched);
     while (end != std::string::npos) {
       const std::string line = m_buffer.substr(0, end);
       m_buffer.erase(0, end + 1);
@@ -119,6 +122,10 @@
       }
       end = m_buffer.find('\n');
     }
+    if (m_buffer.size() > kMaxMessageBytes) {
+      m_buffer.clear();
+      PostEnd();
+    }
   }
 
   void OnLine(const std::string& line) {
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -302,6 +302,7 @@
         m_on_data(std::move(on_data)),
         m_on_end(std::move(on_end)) {
     m_parser.body_limit(boost::none);
+    m_buffer.max_size(HttpResponseLimits().head_bytes + kReadBytes);
   }
 
   void Start(const tcp::endpoint& server) {
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -1,5 +1,6 @@
 #include "connection/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "connection/byte_budget.h"
+#include "connection/etcd_store.h"
 #include "connection/event_loop.h"
 #include "connection/http_client.h"
 #include "connection/leaf_exchanges.h"
@@ -180,4 +181,38 @@
   CHECK(budget->Used() == 0);
 }
 
+TEST_CASE("a watch ends if one of its messages does not") {
+  const std::vector<EndlessRow> rows{
+      {"a message in chunks",
+       {kChunkedHead, "1000\r\n" + std::string(4096, 'm') + "\r\n"}},
+      {"a chunk's extension", {kChunkedHead + "1;", std::string(4096, 'e')}},
+  };
+  for (const EndlessRow& row : rows) {
+    CAPTURE(row.name);
+    constexpr std::size_t kMaxMessageBytes = std::size_t{16} * 1024 * 1024;
+    EndlessServer server(row.bytes);
+    LoopRunner loop;
+    std::unique_ptr<EtcdStore> store;
+    std::unique_ptr<StoreWatch> watch;
+    std::atomic<bool> has_ended = false;
+    loop.Run([&] {
+      store = EtcdStore::Create(loop.Loop(), {server.Address()}, kDeadline);
+      watch = store->Watch(
+          "key", 1, [](const StoreValue&) {},
+          [&] {
+            has_ended = true;
+            watch.reset();
+          });
+      return 0;
+    });
+    CHECK(Harness::WaitUntil([&] { return has_ended.load(); }, kDeadline));
+    CHECK(server.Sent() < kMaxMessageBytes + 2 * kSocketBytes);
+    loop.Run([&] {
+      watch.reset();
+      store.reset();
+      return 0;
+    });
+  }
+}
+
 }  // namespace bramleyspoke
