--- a/tests/process_relay_test.cc
+++ b/tests/process_relay_test.cc
@@ -34,22 +34,9 @@
          R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 }
 
-// Routes of this version with one route, for the paths under `prefix`.
-std::string Routes(int version, const std::string& prefix) {
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[{"name":"lookup","host":"h","prefix":")" + prefix +
-         R"(",)"
-         R"("route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":500,)"
-         R"("service":"s","max_attempts":1}],)"
-         R"("services":[{"name":"s","health_path":"/health",)"
-         R"("connection_limit":100,"protocol":"h1","tls":false}],)"
-         R"("limits":{"header_bytes":16384,"body_bytes":262144,)"
-         R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
-}
-
 struct FakePlatform {
   FakePlatform() {
-    store.Put("op/config", Routes(3, "/"));
+    store.Put("op/config", SingleServiceRoutes(3, "/"));
     for (std::size_t i = 0; i < leafs.size(); ++i) {
       store.Put("servers/leaf-" + std::to_string(i), leafs[i]->Entry("s"));
     }
@@ -113,13 +100,13 @@
   REQUIRE(WaitUntil([&] { return serves("/"); }, kEventTimeout));
   platform.store.TakeCopy();
   for (int version = 4; version < 9; ++version) {
-    platform.store.Put("op/config", Routes(version, "/before/"));
+    platform.store.Put("op/config", SingleServiceRoutes(version, "/before/"));
   }
   REQUIRE(WaitUntil([&] { return serves("/before/"); }, kEventTimeout));
 
   platform.store.ReturnToCopy();
   CHECK(serves("/before/"));
-  platform.store.Put("op/config", Routes(9, "/after/"));
+  platform.store.Put("op/config", SingleServiceRoutes(9, "/after/"));
   CHECK_MESSAGE(WaitUntil([&] { return serves("/after/"); }, kRoutesBound),
                 relay.Log());
   CHECK(WaitUntil(
@@ -138,7 +125,7 @@
                          QuotedAddress(running.Peers()));
   REQUIRE(WaitUntil([&] { return restarted.Serves(); }, kEventTimeout));
   platform.store.TakeCopy();
-  platform.store.Put("op/config", Routes(4, "/newer/"));
+  platform.store.Put("op/config", SingleServiceRoutes(4, "/newer/"));
   const auto has_newer_routes = [](const RelayProcess& relay) {
     return relay.Send("plain", "/newer/").status == 200 &&
            relay.Send("plain", "/older/").status == 404;
--- a/tests/relay_platform.cc
+++ b/tests/relay_platform.cc
@@ -233,12 +233,61 @@
     Crash(std::move(exchange));
     return;
   }
+  m_arrivals.push_back({Now(), request.body});
+  exchange->Respond(MakeAnswer(request));
+}
+
+HttpResponse FakePlatformLeaf::MakeAnswer(const HttpRequest& request) {
   HttpResponse response;
   const std::string id(HeaderValue(request.headers, Platform::kRequestId));
   response.headers = {{std::string(Platform::kRequestId), id},
                       {std::string(Platform::kStamp), m_id + "/" + id}};
   response.body = "answer";
-  exchange->Respond(std::move(response));
+  if (m_request_rate) {
+    response.headers.push_back(
+        {std::string(Platform::kRequestRate), std::to_string(*m_request_rate)});
+  }
+  if (m_is_leaving) {
+    response.headers.push_back({std::string(Platform::kLeaving), "1"});
+  }
+  if (Now() < m_paused_until) {
+    const std::chrono::duration<double> left = m_paused_until - Now();
+    response.status = 503;
+    response.headers.push_back({std::string(Platform::kNotRun), "1"});
+    response.headers.push_back(
+        {std::string(Platform::kRetryAfter), std::to_string(left.count())});
+  }
+  return response;
+}
+
+void FakePlatformLeaf::NameRate(std::optional<double> requests_per_second) {
+  RunOn(*m_loop, [&] { m_request_rate = requests_per_second; });
+}
+
+void FakePlatformLeaf::SayLeaving() {
+  RunOn(*m_loop, [&] { m_is_leaving = true; });
+}
+
+void FakePlatformLeaf::AskForPause(Duration pause) {
+  RunOn(*m_loop, [&] { m_paused_until = Now() + pause; });
+}
+
+std::vector<LeafArrival> FakePlatformLeaf::Arrivals() {
+  std::vector<LeafArrival> arrivals;
+  RunOn(*m_loop, [&] { arrivals = m_arrivals; });
+  return arrivals;
+}
+
+std::string SingleServiceRoutes(int version, const std::string& prefix) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"lookup","host":"h","prefix":")" + prefix +
+         R"(",)"
+         R"("route_kind":"idempotent","timeout_ms":2000,"target_latency_ms":500,)"
+         R"("service":"s","max_attempts":1}],)"
+         R"("services":[{"name":"s","health_path":"/health",)"
+         R"("connection_limit":100,"protocol":"h1","tls":false}],)"
+         R"("limits":{"header_bytes":16384,"body_bytes":262144,)"
+         R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 }
 
 HttpResponse SendRequest(const Endpoint& server, const HttpRequest& request) {
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -5,11 +5,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/endpoint.h"
+#include "base/time.h"
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
 
@@ -62,6 +64,12 @@
   std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
 };
 
+/// A request that reached a leaf.
+struct LeafArrival {
+  TimePoint at;
+  std::string body;
+};
+
 /// Leaf that answers each request with the body `answer`, and crashes when it
 /// begins to run one whose body is `kCrashingBody`.
 class FakePlatformLeaf final : public HttpHandler {
@@ -86,11 +94,21 @@
   void RestartAfter(Duration delay, std::function<void()> on_start);
   int Crashes() const { return m_crashes; }
 
+  /// Names this request rate in its answers from now on; none if empty.
+  void NameRate(std::optional<double> requests_per_second);
+  /// Says in its answers from now on that it is leaving.
+  void SayLeaving();
+  /// Refuses all requests for this long, with the time that is left.
+  void AskForPause(Duration pause);
+  /// All requests so far, in order.
+  std::vector<LeafArrival> Arrivals();
+
   void Handle(std::shared_ptr<HttpExchange> exchange) override;
 
  private:
   void Crash(std::shared_ptr<HttpExchange> exchange);
   void Start();
+  HttpResponse MakeAnswer(const HttpRequest& request);
 
   std::string m_id;
   std::unique_ptr<EventLoop> m_loop;
@@ -99,11 +117,19 @@
   bool m_is_crashing = false;
   std::atomic<int> m_crashes = 0;
   std::atomic<std::int64_t> m_started_at_ms = 1;
+  std::optional<double> m_request_rate;
+  bool m_is_leaving = false;
+  TimePoint m_paused_until;
+  std::vector<LeafArrival> m_arrivals;
   Duration m_restart_delay{0};
   std::function<void()> m_on_start;
   std::unique_ptr<Timer> m_restart_timer;
 };
 
+/// Routes of this version as in the store: one route of the host "h" to the
+/// service "s", for the paths under `prefix`.
+std::string SingleServiceRoutes(int version, const std::string& prefix);
+
 /// Sends a request and waits for the answer; the status is 0 if none arrives.
 HttpResponse SendRequest(const Endpoint& server, const HttpRequest& request);
 
