Keep what a leaf announced if its new run is registered late

Cause: the leaf started again while the store was away and said that it was leaving. Its answers were taken for the earlier run's; when the entry of the new run arrived, the daemon took it for another leaf, about which it knew nothing.

The time between the starts of two runs is known from the leaf's own clock. What was heard later than the first run's appearance plus that time was said by the new run and is taken over: leaving, pause and rate. That also holds for an older copy of an entry that comes and goes. Said before, it ends with the earlier run.

The stand-in's runs have the time of their start now; they counted from 1.

--- a/src/request/leaf_pause.cc
+++ b/src/request/leaf_pause.cc
@@ -20,6 +20,7 @@
 }  // namespace
 
 void LeafPause::OnAnnounced(Duration pause, TimePoint now) {
+  m_asked_at = now;
   const Duration bounded = std::min(pause, kMaxPause);
   const auto spread =
       std::min(std::chrono::duration_cast<Duration>(bounded * kSpreadFraction),
--- a/src/request/leaf_pause.h
+++ b/src/request/leaf_pause.h
@@ -24,6 +24,8 @@
   /// Records a response without a pause to an attempt sent at `sent`.
   void OnAnswered(TimePoint sent);
 
+  /// When the leaf last asked for a pause.
+  TimePoint AskedAt() const { return m_asked_at; }
   /// When the last pause ends or has ended.
   TimePoint End() const { return m_end; }
   bool IsPaused(TimePoint now) const { return now < m_end; }
@@ -31,6 +33,7 @@
   std::uint32_t AttemptLimit(std::uint32_t share) const;
 
  private:
+  TimePoint m_asked_at;
   TimePoint m_end;
   /// Attempts in flight after the pause, until the whole share has returned.
   std::optional<std::uint32_t> m_returned;
--- a/src/request/leaf_rate_limit.h
+++ b/src/request/leaf_rate_limit.h
@@ -29,6 +29,7 @@
   bool OnAnnounced(std::optional<double> rate, TimePoint sent, TimePoint now);
   /// The rate that the leaf named, if any.
   std::optional<double> Rate() const { return m_rate; }
+  TimePoint NamedAt() const { return m_named_at; }
 
   void OnSent(TimePoint now);
   /// The earliest time from `now` on at which a request may be sent.
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -14,6 +14,20 @@
 
 constexpr std::uint32_t kDefaultConnectionLimit = 8;
 
+// Negative if an entry of an earlier run has come back.
+Duration TimeBetweenStarts(const LeafRegistration& from,
+                           const LeafRegistration& to) {
+  // The times are the leaf's and may be any numbers.
+  constexpr std::int64_t kMaxMilliseconds =
+      std::int64_t{365} * 24 * 3600 * 1000;
+  const double difference = static_cast<double>(to.started_at_ms) -
+                            static_cast<double>(from.started_at_ms);
+  const double bounded =
+      std::clamp(difference, -static_cast<double>(kMaxMilliseconds),
+                 static_cast<double>(kMaxMilliseconds));
+  return std::chrono::milliseconds(static_cast<std::int64_t>(bounded));
+}
+
 // A peer near the leaf can use its own part of the rate, and the leaf may not
 // have asked it for a pause.
 LeafState StateIn(LeafScope scope, const RelayLeaf& leaf, TimePoint now) {
@@ -50,9 +64,9 @@
                          TimePoint now) {
   std::map<std::string, std::shared_ptr<RelayLeaf>> leafs_by_id;
   for (const LeafRegistration& registration : leafs) {
-    const std::shared_ptr<RelayLeaf> leaf = FindOrMake(registration);
+    const std::shared_ptr<RelayLeaf> leaf = FindOrMake(registration, now);
     leaf->is_near = m_locality.IsSameRegion(registration.failure_domain);
-    if (!registration.is_draining && !leaf->is_leaving) {
+    if (!registration.is_draining && !leaf->leaving_said_at) {
       leaf->draining_since.reset();
     } else if (!leaf->draining_since) {
       leaf->draining_since = now;
@@ -88,11 +102,16 @@
 }
 
 // An entry may lapse, for example while the store is away, and come back, while
-// the leaf runs on.
+// the leaf runs on. Its next run may also be registered late: what the leaf
+// said before that is the next run's if it was said after that run began, by
+// the leaf's own clock.
 std::shared_ptr<RelayLeaf> LeafTable::FindOrMake(
-    const LeafRegistration& registration) {
-  const std::shared_ptr<RelayLeaf> known = FindRun(registration);
-  if (known && known->registration.address == registration.address &&
+    const LeafRegistration& registration,
+    TimePoint now) {
+  const std::shared_ptr<RelayLeaf> known = FindKnown(registration.id);
+  const bool is_same_run =
+      known && known->registration.started_at_ms == registration.started_at_ms;
+  if (is_same_run && known->registration.address == registration.address &&
       known->registration.service == registration.service) {
     known->registration = registration;
     known->is_gone = false;
@@ -101,28 +120,23 @@
   auto made = std::make_shared<RelayLeaf>(RelayLeaf{
       registration,
       LeafLoad(registration.slots, InitialRoundTrip(registration), m_fleet)});
+  made->first_seen = now;
   if (known) {
-    made->is_leaving = known->is_leaving;
-    made->draining_since = known->draining_since;
-    made->rate_limit = known->rate_limit;
-    made->pause = known->pause;
+    const TimePoint start =
+        known->first_seen +
+        TimeBetweenStarts(known->registration, registration);
+    made->first_seen = std::min(now, start);
+    made->TakeAnnouncements(*known, start);
   }
   return made;
 }
 
-std::shared_ptr<RelayLeaf> LeafTable::FindRun(
-    const LeafRegistration& registration) const {
-  std::shared_ptr<RelayLeaf> leaf;
-  if (const auto found = m_leafs.find(registration.id);
-      found != m_leafs.end()) {
-    leaf = found->second;
-  } else if (const auto departed = m_departed.find(registration.id);
-             departed != m_departed.end()) {
-    leaf = departed->second.leaf;
+std::shared_ptr<RelayLeaf> LeafTable::FindKnown(const std::string& id) const {
+  if (const auto found = m_leafs.find(id); found != m_leafs.end()) {
+    return found->second;
   }
-  const bool is_same_run =
-      leaf && leaf->registration.started_at_ms == registration.started_at_ms;
-  return is_same_run ? leaf : nullptr;
+  const auto departed = m_departed.find(id);
+  return departed == m_departed.end() ? nullptr : departed->second.leaf;
 }
 
 void LeafTable::SetDaemons(std::map<std::string, std::size_t> by_region) {
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -107,10 +107,10 @@
   };
 
   /// The leaf for an entry: the known one, if it has not started again.
-  std::shared_ptr<RelayLeaf> FindOrMake(const LeafRegistration& registration);
-  /// The known leaf of the same run, registered or departed; null if none.
-  std::shared_ptr<RelayLeaf> FindRun(
-      const LeafRegistration& registration) const;
+  std::shared_ptr<RelayLeaf> FindOrMake(const LeafRegistration& registration,
+                                        TimePoint now);
+  /// The leaf of this id, registered or departed; null if none.
+  std::shared_ptr<RelayLeaf> FindKnown(const std::string& id) const;
   void UpdateShares();
   double RateFractionOf(const RelayLeaf& leaf) const;
   std::size_t PoolSizeOf(const RelayLeaf& leaf) const;
--- a/src/request/relay_leaf.cc
+++ b/src/request/relay_leaf.cc
@@ -1,7 +1,6 @@
 #include "request/relay_leaf.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "base/enum_names.h"
 
@@ -65,7 +64,22 @@
 
 bool RelayLeaf::OnLeaving(TimePoint now) {
   draining_since = draining_since.value_or(now);
-  return !std::exchange(is_leaving, true);
+  const bool is_news = !leaving_said_at;
+  leaving_said_at = now;
+  return is_news;
+}
+
+void RelayLeaf::TakeAnnouncements(const RelayLeaf& earlier, TimePoint since) {
+  if (earlier.leaving_said_at && *earlier.leaving_said_at >= since) {
+    leaving_said_at = earlier.leaving_said_at;
+    draining_since = earlier.draining_since;
+  }
+  if (earlier.rate_limit.NamedAt() >= since) {
+    rate_limit = earlier.rate_limit;
+  }
+  if (earlier.pause.AskedAt() >= since) {
+    pause = earlier.pause;
+  }
 }
 
 }  // namespace bramleyspoke
--- a/src/request/relay_leaf.h
+++ b/src/request/relay_leaf.h
@@ -26,8 +26,10 @@
   /// Whether a later run is registered under the leaf's id.
   bool is_restarted = false;
   std::optional<TimePoint> draining_since = {};
-  /// Whether the leaf has said that it is leaving, whatever its entry says.
-  bool is_leaving = false;
+  /// When the leaf last said that it is leaving, whatever its entry says.
+  std::optional<TimePoint> leaving_said_at = {};
+  /// When this daemon first knew this run.
+  TimePoint first_seen = {};
   LeafRateLimit rate_limit = {};
   LeafPause pause = {};
   /// Maximum number of attempts that this daemon has in flight at the leaf.
@@ -43,6 +45,9 @@
   void OnConnectionRefused(TimePoint now);
   /// Returns whether this is news.
   bool OnLeaving(TimePoint now);
+  /// Takes over what the leaf announced to this daemon from `since` on, while
+  /// its entry was `earlier`.
+  void TakeAnnouncements(const RelayLeaf& earlier, TimePoint since);
 };
 
 /// Whether a leaf can be sent attempts, and if not, why. The first three can,
--- a/tests/relay_leaving_test.cc
+++ b/tests/relay_leaving_test.cc
@@ -93,6 +93,62 @@
   }
 }
 
+// The store was away when the leaf started again, so its answers were taken for
+// those of its earlier run.
+TEST_CASE("a leaf is still leaving when its new run is registered late") {
+  RelayFixture relay;
+  relay.AddLeaf("s0", "a");
+  relay.AddLeaf("s0", "b");
+  relay.Advance(seconds(10));
+  const std::int64_t restarted_after_ms = 10'000;
+  const auto register_run = [&] {
+    relay.leafs.front().started_at_ms += restarted_after_ms;
+    relay.CollectActions(relay.engine.SetLeafs(relay.leafs, relay.now));
+  };
+  const auto say_leaving = [&] {
+    relay.leaving = {"a"};
+    while (!relay.IsSentTo("a")) {
+      relay.Submit(0);
+    }
+    relay.Reply("a", LeafReplyKind::kSucceeded);
+    relay.sends.clear();
+  };
+  const auto gets_requests = [&] {
+    bool is_sent = false;
+    for (int request = 0; request < 20; ++request) {
+      relay.Submit(0);
+      is_sent = is_sent || relay.IsSentTo("a");
+      relay.sends.clear();
+    }
+    return is_sent;
+  };
+  SUBCASE("said by the new run") {
+    relay.Advance(milliseconds(500));
+    say_leaving();
+    relay.Advance(seconds(1));
+    register_run();
+    CHECK_FALSE(gets_requests());
+  }
+  SUBCASE("said by the new run, whose entry is replaced by an older copy") {
+    register_run();
+    say_leaving();
+    relay.Advance(seconds(1));
+    relay.leafs.front().started_at_ms -= restarted_after_ms;
+    relay.CollectActions(relay.engine.SetLeafs(relay.leafs, relay.now));
+    CHECK_FALSE(gets_requests());
+    relay.Advance(seconds(1));
+    register_run();
+    CHECK_FALSE(gets_requests());
+  }
+  SUBCASE("said by the earlier run") {
+    relay.now -= seconds(1);
+    say_leaving();
+    relay.Advance(seconds(1));
+    register_run();
+    CHECK(gets_requests());
+  }
+}
+
 TEST_CASE("a leaf that is leaving keeps no idle connections") {
   LeavingLeaf relay;
   const auto pools = relay.engine.Leafs().ConnectionPoolSizes();
--- a/tests/relay_platform.cc
+++ b/tests/relay_platform.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -171,6 +172,7 @@
     : m_id(std::move(id)),
       m_loop(EventLoop::Create()),
       m_address(std::move(listen)) {
+  BeginRun();
   Start();
   m_loop->Start();
 }
@@ -185,6 +187,12 @@
   m_address = m_server->Address();
 }
 
+void FakePlatformLeaf::BeginRun() {
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  m_started_at_ms = std::max<std::int64_t>(m_started_at_ms + 1, now.count());
+}
+
 void FakePlatformLeaf::RestartAfter(Duration delay,
                                     std::function<void()> on_start) {
   RunOn(*m_loop, [&] {
@@ -206,7 +214,7 @@
       return;
     }
     m_restart_timer = m_loop->At(Now() + m_restart_delay, [this] {
-      ++m_started_at_ms;
+      BeginRun();
       m_is_crashing = false;
       Start();
       m_on_start();
@@ -233,7 +241,10 @@
     Crash(std::move(exchange));
     return;
   }
-  m_arrivals.push_back({Now(), request.body});
+  const bool is_paused = Now() < m_paused_until;
+  m_arrivals.push_back(
+      {Now(), request.body, m_started_at_ms, m_is_leaving, m_request_rate,
+       is_paused ? std::optional(m_paused_until) : std::nullopt});
   exchange->Respond(MakeAnswer(request));
 }
 
@@ -272,6 +283,15 @@
   RunOn(*m_loop, [&] { m_paused_until = Now() + pause; });
 }
 
+void FakePlatformLeaf::StartNewRun() {
+  RunOn(*m_loop, [&] {
+    BeginRun();
+    m_is_leaving = false;
+    m_request_rate.reset();
+    m_paused_until = {};
+  });
+}
+
 std::vector<LeafArrival> FakePlatformLeaf::Arrivals() {
   std::vector<LeafArrival> arrivals;
   RunOn(*m_loop, [&] { arrivals = m_arrivals; });
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -64,10 +64,16 @@
   std::vector<std::shared_ptr<HttpExchange>> m_unanswered;
 };
 
-/// A request that reached a leaf.
+/// A request that reached a leaf, and what the leaf announced in its answer.
 struct LeafArrival {
   TimePoint at;
   std::string body;
+  /// Number of the leaf's run.
+  std::int64_t run = 0;
+  bool is_leaving = false;
+  std::optional<double> request_rate;
+  /// Set if the request was refused with a pause.
+  std::optional<TimePoint> paused_until;
 };
 
 /// Leaf that answers each request with the body `answer`, and crashes when it
@@ -100,6 +106,8 @@
   void SayLeaving();
   /// Refuses all requests for this long, with the time that is left.
   void AskForPause(Duration pause);
+  /// Begins a new run, which announces nothing.
+  void StartNewRun();
   /// All requests so far, in order.
   std::vector<LeafArrival> Arrivals();
 
@@ -108,6 +116,7 @@
  private:
   void Crash(std::shared_ptr<HttpExchange> exchange);
   void Start();
+  void BeginRun();
   HttpResponse MakeAnswer(const HttpRequest& request);
 
   std::string m_id;
@@ -116,7 +125,7 @@
   std::unique_ptr<HttpServer> m_server;
   bool m_is_crashing = false;
   std::atomic<int> m_crashes = 0;
-  std::atomic<std::int64_t> m_started_at_ms = 1;
+  std::atomic<std::int64_t> m_started_at_ms = 0;
   std::optional<double> m_request_rate;
   bool m_is_leaving = false;
   TimePoint m_paused_until;
--- a/tests/relay_rate_limit_test.cc
+++ b/tests/relay_rate_limit_test.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "loaded_fleet.h"
 #include "relay_fixture.h"
 
 namespace bramleyspoke {
@@ -23,18 +24,6 @@
   return 1.5 * rate * std::chrono::duration<double>(kWindow).count() + 5;
 }
 
-std::size_t MostInWindow(std::vector<TimePoint> arrivals, TimePoint from) {
-  std::sort(arrivals.begin(), arrivals.end());
-  std::size_t most = 0;
-  for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
-       first != arrivals.end(); ++first) {
-    const auto end =
-        std::lower_bound(first, arrivals.end(), *first + Duration(kWindow));
-    most = std::max(most, static_cast<std::size_t>(end - first));
-  }
-  return most;
-}
-
 /// Daemons that relay requests to the service "s0" or to the shards "s0", "s1",
 /// ..., whose leafs answer after a time.
 class LimitedFleet {
@@ -144,8 +133,8 @@
   fleet.NameRate("limited", kRate);
   const TimePoint named = fleet.Now();
   fleet.Run(seconds(20), 90);
-  CHECK(MostInWindow(fleet.ArrivalsAt("limited"), named + kNoticeTime) <=
-        AllowedIn(kRate));
+  CHECK(MostInWindow(fleet.ArrivalsAt("limited"), named + kNoticeTime,
+                     kWindow) <= AllowedIn(kRate));
   CHECK(fleet.Refused() == 0);
 }
 
@@ -161,7 +150,7 @@
   fleet.Run(seconds(20), 120);
   for (const char* leaf : {"a", "b"}) {
     CAPTURE(leaf);
-    CHECK(MostInWindow(fleet.ArrivalsAt(leaf), from + kNoticeTime) <=
+    CHECK(MostInWindow(fleet.ArrivalsAt(leaf), from + kNoticeTime, kWindow) <=
           AllowedIn(kRate));
     const auto used = std::count_if(
         fleet.ArrivalsAt(leaf).begin(), fleet.ArrivalsAt(leaf).end(),
