--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -61,6 +61,7 @@
     return !outstanding.empty() || delegation || pending || waiting || retry_at;
   }
   PartState State() const;
+  std::vector<const RelayLeaf*> TriedLeafs() const;
   /// Whether the part was not answered, or needed more than one attempt.
   bool IsReportable() const { return !IsAnswered() || attempts > 1; }
   PartReport Describe(TimePoint now) const;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -7,29 +7,12 @@
 namespace bramleyspoke {
 namespace {
 
-// Delay before a request is retried at leafs that refused it, multiplied by the
-// number of attempts so far.
-constexpr Duration kRefusedRetryDelay = std::chrono::milliseconds(30);
-// Attempts that a part may make beyond the route's limit, as refused ones have
-// not run.
-constexpr std::uint32_t kMaxRefusals = 6;
 // Delay before a retry or hedge that could not start is considered again: the
 // retry budget was exhausted, or no leaf could take the hedge.
 constexpr Duration kBudgetRetryDelay = std::chrono::milliseconds(15);
-// Time that a new connection costs a leaf, with a margin.
-constexpr Duration kReconnectCost = std::chrono::milliseconds(15);
 // Estimated number of requests at a leaf at and above which it gets no hedge.
 constexpr double kMaxHedgeOccupancy = 4;
 
-std::vector<const RelayLeaf*> Pointers(
-    const std::vector<std::shared_ptr<RelayLeaf>>& leafs) {
-  std::vector<const RelayLeaf*> pointers;
-  for (const auto& leaf : leafs) {
-    pointers.push_back(leaf.get());
-  }
-  return pointers;
-}
-
 }  // namespace
 
 void RelayEngine::AddPart(Request& request, const std::string& service) {
@@ -122,7 +105,7 @@
                                    const Part& part,
                                    LeafScope scope) const {
   const std::string& route_name = request.MatchedRoute().name;
-  const auto tried = Pointers(part.tried);
+  const auto tried = part.TriedLeafs();
   const LeafChoice best =
       ChooseLeaf(*part.service, route_name, tried, m_now, scope);
   if (!best.leaf || best.leaf->is_near || !part.tried.empty()) {
@@ -234,7 +217,7 @@
       continue;
     }
     const LeafChoice choice = ChooseLeaf(service, request->MatchedRoute().name,
-                                         Pointers(part.tried), m_now);
+                                         part.TriedLeafs(), m_now);
     if (!choice.leaf && choice.is_full) {
       return;
     }
@@ -274,7 +257,7 @@
     return;
   }
   const LeafChoice choice = ChooseLeaf(
-      *part.service, request.MatchedRoute().name, Pointers(part.tried), m_now);
+      *part.service, request.MatchedRoute().name, part.TriedLeafs(), m_now);
   const bool can_take = choice.leaf && CanTakeHedge(request, *choice.leaf);
   if (!can_take || !part.service->budget.TakeForHedge()) {
     part.hedge_at = m_now + kBudgetRetryDelay;
@@ -300,187 +283,4 @@
          expected < request.request.answer_by;
 }
 
-void RelayEngine::RecordReply(const Attempt& attempt, const LeafReply& reply) {
-  LeafLoad& load = attempt.leaf->load;
-  const Duration taken = m_now - attempt.sent_at;
-  load.OnEnded(m_now);
-  if (reply.is_connection_refused) {
-    attempt.leaf->OnConnectionRefused(m_now);
-  }
-  RecordCrashEvidence(attempt, reply.kind);
-  if (reply.announcement) {
-    RecordAnnouncement(attempt, *reply.announcement);
-  }
-  switch (reply.kind) {
-    case LeafReplyKind::kSucceeded:
-      load.OnAnswered(attempt.route_name, taken, reply.round_trip, reply.load,
-                      m_now);
-      load.OnSuccess(m_now);
-      return;
-    case LeafReplyKind::kFailed:
-      load.OnAnswered(attempt.route_name, taken, reply.round_trip, reply.load,
-                      m_now);
-      load.OnFailure(m_now);
-      break;
-    case LeafReplyKind::kRefused:
-      load.OnShed(m_now);
-      break;
-    case LeafReplyKind::kOtherLeaf:
-    case LeafReplyKind::kNotSent:
-      load.OnUnreachable(m_now);
-      break;
-    case LeafReplyKind::kLost:
-    case LeafReplyKind::kTimedOut:
-    case LeafReplyKind::kMalformed:
-      load.OnFailure(m_now);
-      break;
-  }
-  m_failed_attempts.push_back({attempt.request, attempt.leaf->registration.id,
-                               attempt.service->name, reply.kind, taken,
-                               attempt.request_part.content});
-}
-
-void RelayEngine::RecordAnnouncement(const Attempt& attempt,
-                                     const LeafAnnouncement& announcement) {
-  RelayLeaf& leaf = *attempt.leaf;
-  if (!announcement.unreadable.empty()) {
-    AddLeafNotice(LeafNoticeKind::kUnreadable, leaf);
-    m_leaf_notices.back().detail = announcement.unreadable;
-  }
-  if (announcement.is_leaving && leaf.OnLeaving(m_now)) {
-    AddLeafNotice(LeafNoticeKind::kLeaving, leaf);
-  }
-  if (announcement.pause) {
-    leaf.pause.OnAnnounced(*announcement.pause, m_now);
-    AddLeafNotice(LeafNoticeKind::kPaused, leaf);
-    m_leaf_notices.back().pause = *announcement.pause;
-  } else {
-    leaf.pause.OnAnswered(attempt.sent_at);
-  }
-  if (leaf.rate_limit.OnAnnounced(announcement.request_rate, attempt.sent_at,
-                                  m_now)) {
-    AddLeafNotice(announcement.request_rate ? LeafNoticeKind::kRateLimited
-                                            : LeafNoticeKind::kRateLimitEnded,
-                  leaf);
-  }
-}
-
-void RelayEngine::AddLeafNotice(LeafNoticeKind kind, const RelayLeaf& leaf) {
-  m_leaf_notices.push_back(
-      {kind, leaf.registration.id, leaf.registration.service,
-       leaf.rate_limit.Rate().value_or(0), Duration::zero(), ""});
-}
-
-void RelayEngine::RecordCrashEvidence(const Attempt& attempt,
-                                      LeafReplyKind kind) {
-  const RequestPart& part = attempt.request_part;
-  switch (kind) {
-    case LeafReplyKind::kSucceeded:
-      m_crashes.OnSurvived(part, m_now);
-      m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
-      return;
-    case LeafReplyKind::kFailed:
-    case LeafReplyKind::kRefused:
-      m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
-      return;
-    case LeafReplyKind::kLost:
-    case LeafReplyKind::kTimedOut:
-    case LeafReplyKind::kMalformed:
-      m_crashes.OnUnanswered(part, attempt.leaf, m_now);
-      return;
-    case LeafReplyKind::kOtherLeaf:
-    case LeafReplyKind::kNotSent:
-      return;
-  }
-}
-
-void RelayEngine::ApplyReply(Request& request,
-                             const Attempt& attempt,
-                             LeafReply reply) {
-  const std::size_t index = attempt.part;
-  Part& part = request.parts[index];
-  if (!part.IsOpen()) {
-    return;
-  }
-  const Verdict verdict = VerdictOf(reply.kind);
-  if (verdict == Verdict::kMayHaveRun) {
-    RecordUnanswered(request, attempt, reply.kind);
-  }
-  part.verdict = Combine(part.verdict, verdict);
-  part.runs += verdict == Verdict::kNotRun ? 0 : 1;
-  if (reply.kind == LeafReplyKind::kSucceeded) {
-    part.answer = std::move(reply.response);
-    part.answered_by = attempt.leaf;
-    CancelQueuedAttempts(request, part);
-    return;
-  }
-  if (reply.kind == LeafReplyKind::kFailed) {
-    part.failure = std::move(reply.response);
-  }
-  if (reply.kind == LeafReplyKind::kNotSent) {
-    part.is_next_attempt_free = part.attempts == 1;
-  }
-  Retry(request, index);
-}
-
-// When a leaf stalls or has a long queue, another leaf responds first, or the
-// request ends without the shard; the leaf would still run the queued attempt.
-// Closing the connection saves the leaf that processing time but costs it a new
-// connection, so only attempts that are likely queued and have a longer
-// processing time are cancelled.
-void RelayEngine::CancelQueuedAttempts(const Request& request,
-                                       const Part& part) {
-  for (const RelayAttemptNumber number : part.outstanding) {
-    const auto found = m_attempts.find(number);
-    if (found == m_attempts.end()) {
-      continue;
-    }
-    const RelayLeaf& leaf = *found->second.leaf;
-    const Duration processing_time =
-        leaf.load.EstimatedLatency(request.MatchedRoute().name) -
-        leaf.load.RoundTripTime();
-    const bool is_likely_queued =
-        leaf.load.IsSilent(m_now) ||
-        leaf.load.Occupancy(m_now) > 2 * leaf.registration.slots;
-    if (processing_time > kReconnectCost && is_likely_queued) {
-      m_cancellations.emplace(m_now, number);
-    }
-  }
-}
-
-void RelayEngine::Retry(Request& request, std::size_t index) {
-  Part& part = request.parts[index];
-  if (!part.outstanding.empty() || part.delegation) {
-    return;
-  }
-  const Route& route = request.MatchedRoute();
-  const bool may_have_run = part.verdict != Verdict::kNotRun;
-  if ((may_have_run && !request.IsIdempotent()) ||
-      part.runs >= route.max_attempts ||
-      part.attempts >= route.max_attempts + kMaxRefusals) {
-    FailUnlessOutstanding(part);
-    return;
-  }
-  const LeafChoice other =
-      ChooseLeaf(*part.service, route.name, Pointers(part.tried), m_now);
-  if (other.leaf || other.is_full) {
-    DispatchPart(request, index);
-    return;
-  }
-  // All leafs were attempted; those that refused may have free slots again.
-  part.tried.clear();
-  const LeafChoice again = ChooseLeaf(*part.service, route.name, {}, m_now);
-  if (!again.leaf && !again.is_full) {
-    FailUnlessOutstanding(part);
-    return;
-  }
-  part.retry_at = m_now + kRefusedRetryDelay * part.attempts;
-}
-
-void RelayEngine::FailUnlessOutstanding(Part& part) {
-  if (part.outstanding.empty()) {
-    part.is_failed = true;
-  }
-}
-
 }  // namespace bramleyspoke
--- a/tests/relay_rate_limit_test.cc
+++ b/tests/relay_rate_limit_test.cc
@@ -121,6 +121,19 @@
   std::minstd_rand m_random{24};
 };
 
+// Lets the leafs "a" and "b" name their rates, of which nothing is saved up
+// then.
+void UseUpRates(RelayFixture& relay) {
+  for (const char* leaf : {"a", "b"}) {
+    relay.Submit(0);
+    relay.Submit(0);
+    while (relay.IsSentTo(leaf)) {
+      relay.Reply(leaf, LeafReplyKind::kSucceeded);
+    }
+  }
+  relay.sends.clear();
+}
+
 }  // namespace
 
 // A leaf that named 24 requests a second got 48: nobody read the rate.
@@ -164,14 +177,7 @@
   relay.AddLeaf("s0", "a");
   relay.AddLeaf("s0", "b");
   relay.named_rates = {{"a", 10}, {"b", 20}};
-  for (const char* leaf : {"a", "b"}) {
-    relay.Submit(0);
-    relay.Submit(0);
-    while (relay.IsSentTo(leaf)) {
-      relay.Reply(leaf, LeafReplyKind::kSucceeded);
-    }
-  }
-  relay.sends.clear();
+  UseUpRates(relay);
   const RelayNumber number = relay.Submit(0);
   REQUIRE(relay.outcomes.contains(number));
   const auto& refusal = relay.Outcome(number).refusal;
@@ -231,14 +237,7 @@
   relay.AddLeaf("s0", "a");
   relay.AddLeaf("s0", "b");
   relay.named_rates = {{"a", 4}, {"b", 4}};
-  for (const char* leaf : {"a", "b"}) {
-    relay.Submit(0);
-    relay.Submit(0);
-    while (relay.IsSentTo(leaf)) {
-      relay.Reply(leaf, LeafReplyKind::kSucceeded);
-    }
-  }
-  relay.sends.clear();
+  UseUpRates(relay);
   relay.Advance(milliseconds(250));
   relay.Submit(0);
   REQUIRE(relay.sends.size() == 1);
