Ask again whether a leaf wants a request once a connection is ready

Callers saw nothing; found by reading. An attempt may wait up to a second until its connection is opened, which takes long exactly where a leaf is in need. If the leaf asked for a pause meanwhile, as many such attempts reached it in the pause as the daemon has in flight there; two are allowed.

The engine is asked again before the request is written; a leaf that pauses, has drained or is gone does not get it, and the attempt has not run. The unused connection goes to the pool.

--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -50,19 +50,10 @@
 
 LeafExchanges::~LeafExchanges() = default;
 
-void LeafExchanges::Send(ExchangeNumber number,
-                         const Endpoint& leaf,
-                         HttpRequest request,
-                         TimePoint deadline,
-                         HttpResponseMatcher matches,
-                         HttpCallback done) {
+void LeafExchanges::Send(ExchangeNumber number, LeafCall call) {
   Exchange& exchange = m_exchanges[number];
-  exchange.leaf = leaf;
-  exchange.request = std::move(request);
-  exchange.deadline = deadline;
-  exchange.matches = std::move(matches);
-  exchange.done = std::move(done);
-  Leaf& state = m_leafs[leaf];
+  exchange.call = std::move(call);
+  Leaf& state = m_leafs[exchange.call.leaf];
   ++state.busy;
   TakeIdle(state, exchange);
   if (exchange.connection) {
@@ -77,7 +68,7 @@
   if (found == m_exchanges.end()) {
     return;
   }
-  --m_leafs[found->second.leaf].busy;
+  --m_leafs[found->second.call.leaf].busy;
   m_exchanges.erase(found);
 }
 
@@ -128,10 +119,10 @@
 void LeafExchanges::OpenConnection(ExchangeNumber number) {
   const Exchange& exchange = m_exchanges[number];
   const TimePoint deadline =
-      std::min(exchange.deadline, Now() + Duration(kConnectTimeout));
+      std::min(exchange.call.deadline, Now() + Duration(kConnectTimeout));
   ++m_opened;
   HttpConnection::Open(
-      m_loop, exchange.leaf, deadline,
+      m_loop, exchange.call.leaf, deadline,
       [this, weak = std::weak_ptr(m_self),
        number](std::unique_ptr<HttpConnection> connection) {
         if (!weak.lock()) {
@@ -152,14 +143,30 @@
       });
 }
 
+// While the connection was opened, the leaf may have asked for a pause or have
+// begun to leave.
 void LeafExchanges::Write(ExchangeNumber number, Exchange& exchange) {
+  if (exchange.call.may_send && !exchange.call.may_send()) {
+    KeepUnused(exchange);
+    OnOutcome(number, HttpOutcome{std::nullopt, HttpFailure::kConnect});
+    return;
+  }
   exchange.connection->SendMatching(
-      std::move(exchange.request), exchange.deadline,
-      std::move(exchange.matches), [this, number](HttpOutcome outcome) {
+      std::move(exchange.call.request), exchange.call.deadline,
+      std::move(exchange.call.matches), [this, number](HttpOutcome outcome) {
         OnOutcome(number, std::move(outcome));
       });
 }
 
+void LeafExchanges::KeepUnused(Exchange& exchange) {
+  if (m_pool_sizes.contains(exchange.call.leaf)) {
+    m_leafs[exchange.call.leaf].idle.push_back(
+        Idle{std::move(exchange.connection), Now() + Duration(kDefaultIdleTime),
+             exchange.connection_opened_at, !exchange.is_connection_new});
+  }
+  exchange.connection.reset();
+}
+
 // A failed connection is destroyed in a posted call, since this function runs
 // in the connection's callback.
 void LeafExchanges::OnOutcome(ExchangeNumber number, HttpOutcome outcome) {
@@ -169,7 +176,7 @@
   }
   Exchange exchange = std::move(found->second);
   m_exchanges.erase(found);
-  --m_leafs[exchange.leaf].busy;
+  --m_leafs[exchange.call.leaf].busy;
   if (exchange.connection) {
     if (outcome.response) {
       ReturnToPool(exchange, *outcome.response);
@@ -181,18 +188,19 @@
   const bool is_broken =
       !outcome.response && outcome.failure == HttpFailure::kClosed;
   outcome.is_connection_refused = exchange.is_connection_new && is_broken;
-  Leaf& leaf = m_leafs[exchange.leaf];
+  Leaf& leaf = m_leafs[exchange.call.leaf];
   if (is_broken && exchange.IsConnectionAccepted(Now()) && leaf.opening == 0) {
     ++leaf.opening;
-    OpenPooled(exchange.leaf);
+    OpenPooled(exchange.call.leaf);
   }
-  exchange.done(std::move(outcome));
+  exchange.call.done(std::move(outcome));
 }
 
 void LeafExchanges::ReturnToPool(Exchange& exchange,
                                  const HttpResponse& response) {
-  Leaf& leaf = m_leafs[exchange.leaf];
-  if (!exchange.connection->IsOpen() || !m_pool_sizes.contains(exchange.leaf)) {
+  Leaf& leaf = m_leafs[exchange.call.leaf];
+  if (!exchange.connection->IsOpen() ||
+      !m_pool_sizes.contains(exchange.call.leaf)) {
     m_loop.Post([dropped = std::shared_ptr(std::move(exchange.connection))] {});
     return;
   }
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -18,6 +18,18 @@
 /// Number of an exchange, chosen by the user of `LeafExchanges`.
 using ExchangeNumber = std::uint64_t;
 
+/// A request to a leaf.
+struct LeafCall {
+  Endpoint leaf;
+  HttpRequest request;
+  TimePoint deadline;
+  HttpResponseMatcher matches;
+  /// Asked when a connection is ready: the leaf may not want the request any
+  /// more. If not, the call ends as not sent.
+  std::function<bool()> may_send;
+  HttpCallback done;
+};
+
 /// HTTP requests to leafs over pooled connections, each of which carries one
 /// request at a time.
 ///
@@ -50,12 +62,7 @@
   ~LeafExchanges();
 
   /// Calls `done` once, unless the exchange is cancelled.
-  void Send(ExchangeNumber number,
-            const Endpoint& leaf,
-            HttpRequest request,
-            TimePoint deadline,
-            HttpResponseMatcher matches,
-            HttpCallback done);
+  void Send(ExchangeNumber number, LeafCall call);
   /// Cancels the exchange by closing its connection; `done` is not called.
   void Cancel(ExchangeNumber number);
   /// Sets how many connections are kept open to each leaf, so that a request
@@ -81,11 +88,7 @@
     TimePoint next_open_time;
   };
   struct Exchange {
-    Endpoint leaf;
-    HttpRequest request;
-    TimePoint deadline;
-    HttpResponseMatcher matches;
-    HttpCallback done;
+    LeafCall call;
     std::unique_ptr<HttpConnection> connection;
     bool is_connection_new = false;
     TimePoint connection_opened_at;
@@ -96,6 +99,7 @@
   static void TakeIdle(Leaf& leaf, Exchange& exchange);
   void OpenConnection(ExchangeNumber number);
   void Write(ExchangeNumber number, Exchange& exchange);
+  void KeepUnused(Exchange& exchange);
   void OnOutcome(ExchangeNumber number, HttpOutcome outcome);
   void ReturnToPool(Exchange& exchange, const HttpResponse& response);
   void Maintain();
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -240,15 +240,20 @@
       found->second.Request(), send.leaf_id,
       std::max<Duration>(left, std::chrono::milliseconds(1)));
   const RelayAttemptNumber number = send.number;
-  m_exchanges.Send(
-      number, send.address, std::move(request), send.deadline,
-      [this, id = found->second.request_id](const HttpResponse& response) {
-        return m_protocol.IsResponseTo(id, response);
-      },
-      [this, number](HttpOutcome outcome) {
-        Apply(m_engine.OnReply(number, m_protocol.ReadReply(std::move(outcome)),
-                               Now()));
-      });
+  LeafCall call;
+  call.leaf = send.address;
+  call.request = std::move(request);
+  call.deadline = send.deadline;
+  call.matches = [this,
+                  id = found->second.request_id](const HttpResponse& response) {
+    return m_protocol.IsResponseTo(id, response);
+  };
+  call.may_send = [this, number] { return m_engine.MaySend(number, Now()); };
+  call.done = [this, number](HttpOutcome outcome) {
+    Apply(m_engine.OnReply(number, m_protocol.ReadReply(std::move(outcome)),
+                           Now()));
+  };
+  m_exchanges.Send(number, std::move(call));
 }
 
 void RelayFront::Finish(RelayFinish finish) {
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -89,6 +89,16 @@
   return FinishEvent();
 }
 
+bool RelayEngine::MaySend(RelayAttemptNumber number, TimePoint now) const {
+  const auto found = m_attempts.find(number);
+  if (found == m_attempts.end()) {
+    return false;
+  }
+  const LeafState state = StateOf(*found->second.leaf, now);
+  return state != LeafState::kPaused && state != LeafState::kDrained &&
+         state != LeafState::kGone;
+}
+
 RelayActions RelayEngine::OnCallerDisconnected(RelayNumber number,
                                                TimePoint now) {
   m_now = now;
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -68,6 +68,9 @@
   RelayActions OnReply(RelayAttemptNumber number,
                        LeafReply reply,
                        TimePoint now);
+  /// Whether the attempt's leaf still wants it; to be asked once a connection
+  /// is ready.
+  bool MaySend(RelayAttemptNumber number, TimePoint now) const;
   RelayActions OnDelegationReply(RelayAttemptNumber number,
                                  DelegationReply reply,
                                  TimePoint now);
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -151,10 +151,12 @@
   std::size_t most_used = 0;
   std::atomic<int> malformed = 0;
   const auto send = [&](const Endpoint& leaf, HttpCallback done) {
-    exchanges->Send(
-        ++number, leaf, {"GET", "/", {}, ""},
-        std::chrono::steady_clock::now() + Duration(kDeadline),
-        [](const HttpResponse&) { return true; }, std::move(done));
+    LeafCall call;
+    call.leaf = leaf;
+    call.request = {"GET", "/", {}, ""};
+    call.deadline = std::chrono::steady_clock::now() + Duration(kDeadline);
+    call.done = std::move(done);
+    exchanges->Send(++number, std::move(call));
   };
   loop.Run([&] {
     for (int leaf = 0; leaf < kEndless; ++leaf) {
--- a/tests/leaf_exchanges_test.cc
+++ b/tests/leaf_exchanges_test.cc
@@ -45,20 +45,27 @@
     std::this_thread::sleep_for(kAcceptedAge);
   }
 
-  void SendCrashingRequest() {
-    std::promise<void> done;
+  HttpOutcome Send(const std::string& body, bool may_send = true) {
+    std::promise<HttpOutcome> done;
     m_loop->Post([&] {
-      m_exchanges.Send(
-          ++m_last_number, kLeaf,
-          {"POST", "/", {}, std::string(FakePlatformLeaf::kCrashingBody)},
-          std::chrono::steady_clock::now() + Duration(kEventTimeout),
-          [](const HttpResponse&) { return true; },
-          [&](HttpOutcome outcome) {
-            CHECK(outcome.failure == HttpFailure::kClosed);
-            done.set_value();
-          });
+      LeafCall call;
+      call.leaf = kLeaf;
+      call.request = {"POST", "/", {}, body};
+      call.deadline =
+          std::chrono::steady_clock::now() + Duration(kEventTimeout);
+      call.may_send = [may_send] { return may_send; };
+      call.done = [&](HttpOutcome outcome) {
+        done.set_value(std::move(outcome));
+      };
+      m_exchanges.Send(++m_last_number, std::move(call));
     });
-    done.get_future().wait();
+    return done.get_future().get();
+  }
+
+  void SendCrashingRequest() {
+    const HttpOutcome outcome =
+        Send(std::string(FakePlatformLeaf::kCrashingBody));
+    CHECK(outcome.failure == HttpFailure::kClosed);
   }
 
   int Unreachable() const { return m_unreachable; }
@@ -86,4 +93,19 @@
   }
 }
 
+TEST_CASE("a request that its leaf no longer wants is not sent") {
+  LeafFixture fixture;
+  SUBCASE("on a pooled connection") {
+    fixture.WaitForPool(1);
+  }
+  SUBCASE("on a connection that was opened for it") {}
+  const HttpOutcome outcome = fixture.Send("unwanted", false);
+  CHECK_FALSE(outcome.response.has_value());
+  CHECK(outcome.failure == HttpFailure::kConnect);
+  CHECK(fixture.Send("wanted").response.has_value());
+  const auto arrivals = fixture.leaf.Arrivals();
+  REQUIRE(arrivals.size() == 1);
+  CHECK(arrivals.front().body == "wanted");
+}
+
 }  // namespace bramleyspoke
--- a/tests/relay_pause_test.cc
+++ b/tests/relay_pause_test.cc
@@ -82,6 +82,19 @@
   CHECK_FALSE(relay.IsSentTo("a"));
 }
 
+TEST_CASE("an attempt that waits for a connection is not sent in a pause") {
+  RelayFixture relay;
+  relay.AddLeaf("s0", "a");
+  relay.pauses = {{"a", kPause}};
+  relay.Submit(0);
+  relay.Submit(0);
+  REQUIRE(relay.sends.size() == 2);
+  const RelayAttemptNumber waiting = relay.sends.back().number;
+  CHECK(relay.engine.MaySend(waiting, relay.now));
+  relay.Reply("a", LeafReplyKind::kRefused);
+  CHECK_FALSE(relay.engine.MaySend(waiting, relay.now));
+}
+
 TEST_CASE("another run of a leaf is not paused") {
   PausedLeaf relay;
   relay.leafs.front().started_at_ms += 1;
