--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -163,9 +163,9 @@
 
 // The delegating daemon requests uncovered shards from other leafs, which must
 // not get a request that crashes them.
-void RelayEngine::FinishRefused(Request& request, RelayRefusal refusal) {
+void RelayEngine::FinishRefused(Request& request, const RelayRefusal& refusal) {
   RelayOutcome outcome;
-  outcome.refusal = std::move(refusal);
+  outcome.refusal = refusal;
   if (request.request.is_for_peer &&
       outcome.refusal->reason != RefusalReason::kCrashSuspect) {
     outcome.uncovered = UncoveredShards(request);
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -245,7 +245,7 @@
   /// Erases the request if no continuation came in time; true if it did so.
   bool FinishIfExpired(Request& request);
   void Erase(Request& request);
-  void FinishRefused(Request& request, RelayRefusal refusal);
+  void FinishRefused(Request& request, const RelayRefusal& refusal);
   /// The shards that no answer to the delegating peer has included yet.
   static std::vector<UncoveredShard> UncoveredShards(const Request& request);
   void Finish(Request& request, RelayOutcome outcome);
