Follow a full response to a watch by another watch at once

Cause: the store answers a watch with at most 500 changes. The daemon waited 1.2 s (its batch delay) after each response, full or not, so it could take at most 370 changes a second. While the store turned it away for nine seconds a reshard had written 5,000. Each full response also counted as evidence that the routes were current, hence 404 instead of 503.

Evidence: the sizes of the responses, logged in a trial: 500 changes each from 12.1 s to 24.6 s, with the store's revision up to 3,900 ahead; versions come into force in the order of the pages. Ruled out: a watch that is not answered (each was, within 160 ms), the store's rate (no call was refused after 12.1 s), a slow processor.

Why this works: a response that may be full is followed by a watch without delay, and is no evidence of being current. Ten pages take 1.5 s. The number of calls does not rise, as a full response can't be merged with others.

The test fails before: the second watch is sent only after the delay.

--- a/src/connection/key_value_store.h
+++ b/src/connection/key_value_store.h
@@ -51,6 +51,8 @@
   std::vector<KeyValueEvent> events;
   /// Revision from which to continue watching.
   std::int64_t revision = 0;
+  /// Whether the response may be full, so that more events wait already.
+  bool has_more = false;
 };
 
 struct KeyValueRevision {
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -220,9 +220,12 @@
   if (!changes.events.empty()) {
     m_listener.OnChanges(changes.events, end);
   }
-  Confirm(Now());
-  ScheduleNext(changes.events.empty() ? Duration::zero()
-                                      : m_timings.batch_delay);
+  if (!changes.has_more) {
+    Confirm(Now());
+  }
+  // A delay after a full response would only let the daemon fall behind.
+  const bool is_batch = !changes.events.empty() && !changes.has_more;
+  ScheduleNext(is_batch ? m_timings.batch_delay : Duration::zero());
 }
 
 void StoreFollower::OnFailure(KeyValueStatus status) {
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -127,6 +127,31 @@
   CHECK(fixture.confirmations == before + 1);
 }
 
+// After an outage of the store, more changes wait than one response has. With
+// a delay after each, routes came into force seconds after their bound.
+TEST_CASE("a response to a watch that is full is followed by a watch at once") {
+  FollowerFixture fixture;
+  const int before = fixture.confirmations;
+  const auto answer = [&](bool has_more) {
+    REQUIRE(fixture.store.watches.size() == 1);
+    std::exchange(fixture.store.watches, {})
+        .front()
+        .done({KeyValueStatus::kOk,
+               {{"key", "value"}},
+               HeldStore::kRevision,
+               has_more});
+    fixture.loop.RunTimersUntil(std::chrono::steady_clock::now());
+  };
+  answer(true);
+  answer(true);
+  CHECK(fixture.confirmations == before);
+  CHECK(fixture.store.watches.size() == 1);
+
+  answer(false);
+  CHECK(fixture.confirmations == before + 1);
+  CHECK(fixture.store.watches.empty());
+}
+
 TEST_CASE("a refused watch shows at once that the store is unavailable") {
   FollowerFixture fixture;
   fixture.store.AnswerWatch(KeyValueStatus::kRefused);
