Let standbys follow the store through peers of their failure domain

Cause: each daemon asked the store for itself.

Change: the daemons of a failure domain form trees with the holders as roots (process/watch_source). A standby's watch goes to its parent (watchStore), which answers from the changes that its own watches brought (process/peer_watches, store_history). A peer's answer is no evidence of being current: each daemon still reads the store's revision itself twice in the apply bound, and if it has changed and the change does not arrive within a second, asks the store itself. A revision that the store repeatedly does not have is doubted. A parent that loses the store, restarts, stops or sees a new era refuses its watches; its children ask the store for ten seconds. Watches that wait for a call of a peer do not make the connection count as silent.

Besides: a change of role takes effect once it has lasted two seconds; a daemon registers as a standby; the first read of all keys may be old, at a tenth of the price, and is reported together with what has changed since; calls that fail are repeated less often by standbys.

Ruled out: a few elected watchers (they need an election and everything waits for them); gossip of entries (no order, so none could say what is missing); longer waits alone (the watches end with each change anyway).

Tests that fail without it: process_relay_follow_test (real daemons: no watches of standbys for four versions; sources paused, killed, stopped, cut from the store), peer_watches, peer_followed_store, watch_source (property: no cycles, at most 16 children, three hops for 700 daemons), store_follower (a lagging peer, one with a false revision, old reads).

--- a/src/connection/capnp_peers.cc
+++ b/src/connection/capnp_peers.cc
@@ -93,6 +93,15 @@
     });
   }
 
+  void WatchStore(const Endpoint& peer,
+                  const PeerWatch& watch,
+                  Duration timeout,
+                  std::function<void(KeyValueChanges)> done) override {
+    m_queue->Post([this, peer, watch, timeout, done = std::move(done)] {
+      m_client->WatchStore(peer, watch, timeout, done);
+    });
+  }
+
   std::unique_ptr<PeerCall> QueryShards(
       const Endpoint& peer,
       const ShardQuery& query,
--- a/src/connection/key_value_store.h
+++ b/src/connection/key_value_store.h
@@ -27,6 +27,13 @@
 
 using LeaseId = std::int64_t;
 
+/// Whether a read may return what the store held some seconds ago, which costs
+/// a fraction of one that may not.
+enum class ReadAge {
+  kCurrent,
+  kMayBeOld,
+};
+
 struct KeyValueItem {
   std::string key;
   std::string value;
@@ -53,6 +60,8 @@
   std::int64_t revision = 0;
   /// Whether the response may be full, so that more events wait already.
   bool has_more = false;
+  /// Whether a peer answered in the store's place. It may be behind the store.
+  bool is_from_peer = false;
 };
 
 struct KeyValueRevision {
@@ -88,9 +97,13 @@
   /// the callback of that response.
   virtual void OnEraChange(std::function<void(const StoreEraChange&)> done) = 0;
 
+  /// Newest era that a response has shown; 0 if none has.
+  virtual std::uint64_t Era() const = 0;
+
   /// Reads one page of the keys under `prefix` that sort after `after`.
   virtual void Range(const std::string& prefix,
                      const std::string& after,
+                     ReadAge age,
                      std::function<void(KeyValuePage)> done) = 0;
   /// Waits up to `wait` for changes under `prefix` after `revision`.
   virtual void Watch(const std::string& prefix,
--- a/src/connection/knowledge_messages.cc
+++ b/src/connection/knowledge_messages.cc
@@ -106,4 +106,37 @@
   return knowledge;
 }
 
+void WriteChanges(const KeyValueChanges& changes,
+                  wire::StoreChanges::Builder builder) {
+  builder.setIsKnown(changes.status == KeyValueStatus::kOk);
+  builder.setRevision(changes.revision);
+  builder.setHasMore(changes.has_more);
+  auto events =
+      builder.initEvents(static_cast<unsigned>(changes.events.size()));
+  for (unsigned i = 0; i < events.size(); ++i) {
+    const KeyValueEvent& event = changes.events[i];
+    events[i].setKey(event.key);
+    events[i].setIsRemoved(!event.value);
+    if (event.value) {
+      events[i].setValue(AsData(*event.value));
+    }
+  }
+}
+
+KeyValueChanges ReadChanges(wire::StoreChanges::Reader reader) {
+  KeyValueChanges changes;
+  changes.status =
+      reader.getIsKnown() ? KeyValueStatus::kOk : KeyValueStatus::kRefused;
+  changes.revision = reader.getRevision();
+  changes.has_more = reader.getHasMore();
+  for (const auto event : reader.getEvents()) {
+    KeyValueEvent change{ToStd(event.getKey()), std::nullopt};
+    if (!event.getIsRemoved()) {
+      change.value = FromData(event.getValue());
+    }
+    changes.events.push_back(std::move(change));
+  }
+  return changes;
+}
+
 }  // namespace bramleyspoke
--- a/src/connection/knowledge_messages.h
+++ b/src/connection/knowledge_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/key_value_store.h"
 #include "peer.capnp.h"
 #include "version/store_knowledge.h"
 
@@ -9,5 +10,8 @@
                     wire::Knowledge::Builder builder);
 /// Skips entries with malformed addresses.
 StoreKnowledge ReadKnowledge(wire::Knowledge::Reader reader);
+void WriteChanges(const KeyValueChanges& changes,
+                  wire::StoreChanges::Builder builder);
+KeyValueChanges ReadChanges(wire::StoreChanges::Reader reader);
 
 }  // namespace bramleyspoke
--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -154,6 +154,24 @@
   suspects @3 :List(Suspect);
 }
 
+# A change of one key of the store.
+struct StoreEvent {
+  key @0 :Text;
+  value @1 :Data;
+  isRemoved @2 :Bool;
+}
+
+# The store's changes after a revision.
+struct StoreChanges {
+  # Whether the peer follows the store and knows all these changes.
+  isKnown @0 :Bool;
+  events @1 :List(StoreEvent);
+  # Revision that the events lead to.
+  revision @2 :Int64;
+  # Whether the peer knows of later changes.
+  hasMore @3 :Bool;
+}
+
 interface Peer {
   gossip @0 (message :Gossip) -> (reply :Gossip);
   # Pings another daemon on behalf of one that could not reach it.
@@ -168,4 +186,7 @@
   # Returns the peer's knowledge to a daemon that starts while the store is
   # unavailable.
   fetchKnowledge @5 () -> (knowledge :Knowledge);
+  # Waits for changes of the store after a revision of the given era.
+  watchStore @6 (era :UInt64, revision :Int64, waitMs :UInt32)
+      -> (changes :StoreChanges);
 }
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "connection/backend_server.h"
 #include "connection/http_message.h"
+#include "connection/key_value_store.h"
 #include "version/routing_table.h"
 #include "version/store_knowledge.h"
 
@@ -160,6 +161,16 @@
   std::uint64_t version = 0;
 };
 
+/// Watch of the store's changes at a peer that follows the store.
+struct PeerWatch {
+  /// Era of the store that `revision` belongs to.
+  std::uint64_t era = 0;
+  /// Changes after this revision are wanted.
+  std::int64_t revision = 0;
+  /// Longest time to wait for a change.
+  Duration wait{0};
+};
+
 /// How a shard query to a peer ended; `answer` is set only for `kReplied`.
 struct ShardOutcome {
   ForwardResult result = ForwardResult::kNotSent;
@@ -208,6 +219,15 @@
       std::function<void(std::optional<StoreKnowledge>)> done) {
     done(std::nullopt);
   }
+  /// `done` gets `kRefused` if the peer does not know all changes after the
+  /// revision, and `kUnknown` if the call failed or the implementation does not
+  /// support it.
+  virtual void WatchStore(const Endpoint& /*peer*/,
+                          const PeerWatch& /*watch*/,
+                          Duration /*timeout*/,
+                          std::function<void(KeyValueChanges)> done) {
+    done({});
+  }
   /// Returns null, without calling `done`, if the implementation does not
   /// support the call.
   virtual std::unique_ptr<PeerCall> QueryShards(
@@ -235,6 +255,12 @@
   virtual void OnFetchKnowledge(std::function<void(StoreKnowledge)> reply) {
     reply({});
   }
+  virtual void OnWatchStore(const PeerWatch& /*watch*/,
+                            std::function<void(KeyValueChanges)> reply) {
+    KeyValueChanges changes;
+    changes.status = KeyValueStatus::kRefused;
+    reply(std::move(changes));
+  }
   /// Returns a function that may be called from any thread. The server calls it
   /// when the querying peer cancels the call, and also after a reply, when it
   /// must have no effect. A handler that serves no shards never replies.
--- a/src/connection/peer_client.cc
+++ b/src/connection/peer_client.cc
@@ -70,8 +70,11 @@
   wire::Peer::Client Peer() { return m_session->Peer(); }
   kj::Promise<void> OnDisconnect() { return m_session->OnDisconnect(); }
 
-  void BeginCall(kj::TimePoint now) {
+  void BeginCall(kj::TimePoint now, ReplyTime reply_time) {
     ++m_calls_in_flight;
+    if (reply_time == ReplyTime::kMayBeLong) {
+      return;
+    }
     m_unanswered_since = m_unanswered_since.value_or(now);
   }
   void OnReply() { m_unanswered_since.reset(); }
@@ -205,8 +208,10 @@
     const Endpoint& peer,
     Duration timeout,
     Send send,
-    std::function<void(std::optional<Reply>, bool is_sent)> done) {
-  m_tasks.add(SendCall<Reply>(peer, timeout, std::move(send), std::move(done)));
+    std::function<void(std::optional<Reply>, bool is_sent)> done,
+    ReplyTime reply_time) {
+  m_tasks.add(SendCall<Reply>(peer, timeout, std::move(send), std::move(done),
+                              reply_time));
 }
 
 template <typename Reply, typename Send>
@@ -214,9 +219,10 @@
     const Endpoint& peer,
     Duration timeout,
     Send send,
-    std::function<void(std::optional<Reply>, bool is_sent)> done) {
+    std::function<void(std::optional<Reply>, bool is_sent)> done,
+    ReplyTime reply_time) {
   const ConnectionPtr connection = FindOrConnect(peer);
-  connection->BeginCall(Now());
+  connection->BeginCall(Now(), reply_time);
   auto is_sent = std::make_shared<bool>(false);
   kj::Timer& timer = m_thread.Io().provider->getTimer();
   kj::Promise<std::optional<Reply>> reply = connection->Connected().then(
@@ -350,6 +356,29 @@
       });
 }
 
+void PeerClient::WatchStore(const Endpoint& peer,
+                            const PeerWatch& watch,
+                            Duration timeout,
+                            std::function<void(KeyValueChanges)> done) {
+  Call<KeyValueChanges>(
+      peer, timeout,
+      [watch](wire::Peer::Client server) {
+        auto request = server.watchStoreRequest();
+        request.setEra(watch.era);
+        request.setRevision(watch.revision);
+        request.setWaitMs(
+            static_cast<std::uint32_t>(ToMilliseconds(watch.wait)));
+        return request.send().then([](auto&& response) {
+          return std::optional<KeyValueChanges>(
+              ReadChanges(response.getChanges()));
+        });
+      },
+      [done = std::move(done)](std::optional<KeyValueChanges> reply, bool) {
+        done(reply ? std::move(*reply) : KeyValueChanges());
+      },
+      ReplyTime::kMayBeLong);
+}
+
 // Cancellation destroys the call's promise, which notifies the peer; the
 // connection then counts the call as ended.
 void PeerClient::QueryShards(const Endpoint& peer,
--- a/src/connection/peer_client.h
+++ b/src/connection/peer_client.h
@@ -48,6 +48,10 @@
   void FetchKnowledge(const Endpoint& peer,
                       Duration timeout,
                       std::function<void(std::optional<StoreKnowledge>)> done);
+  void WatchStore(const Endpoint& peer,
+                  const PeerWatch& watch,
+                  Duration timeout,
+                  std::function<void(KeyValueChanges)> done);
   /// Fulfilling `cancelled` ends the call without calling `done`.
   void QueryShards(const Endpoint& peer,
                    const ShardQuery& query,
@@ -55,6 +59,8 @@
                    std::function<void(ShardOutcome)> done);
 
  private:
+  /// Whether a reply that takes long shows that the connection is silent.
+  enum class ReplyTime { kPrompt, kMayBeLong };
   class Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -73,13 +79,15 @@
       const Endpoint& peer,
       Duration timeout,
       Send send,
-      std::function<void(std::optional<Reply>, bool is_sent)> done);
+      std::function<void(std::optional<Reply>, bool is_sent)> done,
+      ReplyTime reply_time = ReplyTime::kPrompt);
   /// Like `SendCall`, with the promise kept in `m_tasks`.
   template <typename Reply, typename Send>
   void Call(const Endpoint& peer,
             Duration timeout,
             Send send,
-            std::function<void(std::optional<Reply>, bool is_sent)> done);
+            std::function<void(std::optional<Reply>, bool is_sent)> done,
+            ReplyTime reply_time = ReplyTime::kPrompt);
 
   KjThread& m_thread;
   std::map<Endpoint, ConnectionPtr> m_pool;
--- a/src/connection/peer_service.cc
+++ b/src/connection/peer_service.cc
@@ -113,6 +113,19 @@
       });
 }
 
+kj::Promise<void> PeerService::watchStore(WatchStoreContext context) {
+  const auto params = context.getParams();
+  const PeerWatch watch{params.getEra(), params.getRevision(),
+                        std::chrono::milliseconds(params.getWaitMs())};
+  return CallHandler<KeyValueChanges>(
+             [&](std::function<void(KeyValueChanges)> reply) {
+               m_handler.OnWatchStore(watch, std::move(reply));
+             })
+      .then([context](const KeyValueChanges& changes) mutable {
+        WriteChanges(changes, context.getResults().initChanges());
+      });
+}
+
 // Cancelling the call destroys its promise, which notifies the handler. The
 // notification also comes after a reply, where it has no effect.
 kj::Promise<void> PeerService::queryShards(QueryShardsContext context) {
--- a/src/connection/peer_service.h
+++ b/src/connection/peer_service.h
@@ -33,6 +33,7 @@
   kj::Promise<void> forward(ForwardContext context) override;
   kj::Promise<void> fetchParts(FetchPartsContext context) override;
   kj::Promise<void> fetchKnowledge(FetchKnowledgeContext context) override;
+  kj::Promise<void> watchStore(WatchStoreContext context) override;
   kj::Promise<void> queryShards(QueryShardsContext context) override;
 
  private:
--- a/src/process/counting_key_value_store.cc
+++ b/src/process/counting_key_value_store.cc
@@ -35,10 +35,12 @@
   void OnEraChange(std::function<void(const StoreEraChange&)> done) override {
     m_store->OnEraChange(std::move(done));
   }
+  std::uint64_t Era() const override { return m_store->Era(); }
   void Range(const std::string& prefix,
              const std::string& after,
+             ReadAge age,
              std::function<void(KeyValuePage)> done) override {
-    m_store->Range(prefix, after,
+    m_store->Range(prefix, after, age,
                    CountCall(StoreCallKind::kRange, std::move(done)));
   }
   void Watch(const std::string& prefix,
--- a/src/process/daemon_registration.cc
+++ b/src/process/daemon_registration.cc
@@ -1,5 +1,6 @@
 #include "process/daemon_registration.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "connection/event_loop.h"
@@ -98,7 +99,7 @@
 void DaemonRegistration::OnGranted(const LeaseGrant& grant) {
   ReportIfUnanswered(grant.status);
   if (grant.status != KeyValueStatus::kOk) {
-    ScheduleCall(kRetryDelay, &DaemonRegistration::Grant);
+    Retry(&DaemonRegistration::Grant);
     return;
   }
   m_lease = grant.lease;
@@ -115,14 +116,15 @@
 void DaemonRegistration::OnPut(KeyValueStatus status) {
   ReportIfUnanswered(status);
   if (status == KeyValueStatus::kNotFound) {
-    ScheduleCall(kRetryDelay, &DaemonRegistration::Grant);
+    Retry(&DaemonRegistration::Grant);
     return;
   }
   if (status != KeyValueStatus::kOk) {
-    ScheduleCall(kRetryDelay, &DaemonRegistration::Put);
+    Retry(&DaemonRegistration::Put);
     return;
   }
   m_is_registered = true;
+  m_retry_delay = kMinRetryDelay;
   WriteLog(LogLevel::kInfo, "registered",
            {Field("lease", m_lease),
             Field("ttl_ms", ToMilliseconds(m_timings.time_to_live))});
@@ -144,9 +146,18 @@
     Grant();
     return;
   }
-  ScheduleCall(
-      status == KeyValueStatus::kOk ? m_timings.renew_interval : kRetryDelay,
-      &DaemonRegistration::Renew);
+  if (status != KeyValueStatus::kOk) {
+    Retry(&DaemonRegistration::Renew);
+    return;
+  }
+  m_retry_delay = kMinRetryDelay;
+  ScheduleCall(m_timings.renew_interval, &DaemonRegistration::Renew);
+}
+
+void DaemonRegistration::Retry(void (DaemonRegistration::*call)()) {
+  const Duration delay = std::min(m_retry_delay, m_timings.max_retry_delay);
+  m_retry_delay = delay * 2;
+  ScheduleCall(delay, call);
 }
 
 // A failed call is not retried, as the lease expires without renewals.
--- a/src/process/daemon_registration.h
+++ b/src/process/daemon_registration.h
@@ -17,7 +17,9 @@
 /// Keeps one key of this process in the store, under a lease that it renews.
 class DaemonRegistration {
  public:
-  static constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
+  /// Delay before the first retry, doubled with each failure up to the longest
+  /// of the timings.
+  static constexpr Duration kMinRetryDelay = std::chrono::milliseconds(500);
   /// Time over which all daemons' registrations are spread in a new era.
   static constexpr std::chrono::milliseconds kNewEraSpread{1000};
 
@@ -50,6 +52,7 @@
   void OnRenewed(KeyValueStatus status);
   void RevokeLease(LeaseId lease);
   void ReportIfUnanswered(KeyValueStatus status) const;
+  void Retry(void (DaemonRegistration::*call)());
   void ScheduleCall(Duration delay, void (DaemonRegistration::*call)());
   /// Returns a callback that does nothing once another call has begun.
   template <typename Result>
@@ -61,7 +64,9 @@
   std::string m_key;
   std::string m_value;
   std::function<void()> m_on_unanswered;
-  StoreTimings m_timings = kHolderTimings;
+  /// In a large fleet most daemons are standbys; a holder moves to a new lease.
+  StoreTimings m_timings = kStandbyTimings;
+  Duration m_retry_delay = kMinRetryDelay;
   LeaseId m_lease = 0;
   /// The previous lease, until the key is under the new one; 0: none.
   LeaseId m_old_lease = 0;
--- a/src/process/holder_choice.cc
+++ b/src/process/holder_choice.cc
@@ -7,18 +7,6 @@
 namespace bramleyspoke {
 namespace {
 
-// FNV-1a hash of the address. It gives the same order at every daemon, prefers
-// no group of addresses, and a daemon that joins or leaves changes few holders.
-std::uint64_t AddressHash(const DaemonEntry& daemon) {
-  constexpr std::uint64_t kOffset = 14695981039346656037ULL;
-  constexpr std::uint64_t kPrime = 1099511628211ULL;
-  std::uint64_t hash = kOffset;
-  for (const char c : ToString(daemon.address)) {
-    hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
-  }
-  return hash;
-}
-
 template <typename Accepts>
 std::vector<Endpoint> Select(const std::vector<DaemonEntry>& daemons,
                              Accepts accepts) {
@@ -54,6 +42,18 @@
 
 }  // namespace
 
+// FNV-1a hash of the address. It gives the same order at every daemon, prefers
+// no group of addresses, and a daemon that joins or leaves changes few holders.
+std::uint64_t AddressHash(const DaemonEntry& daemon) {
+  constexpr std::uint64_t kOffset = 14695981039346656037ULL;
+  constexpr std::uint64_t kPrime = 1099511628211ULL;
+  std::uint64_t hash = kOffset;
+  for (const char c : ToString(daemon.address)) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+  }
+  return hash;
+}
+
 // If many daemons share leafs that accept few connections, a few holders can
 // keep enough connections, and each sees enough responses of its leafs to
 // estimate their load.
--- a/src/process/holder_choice.h
+++ b/src/process/holder_choice.h
@@ -19,6 +19,9 @@
 /// Minimum number of holders in a region that has that many daemons.
 inline constexpr std::size_t kMinHoldersPerRegion = 3;
 
+/// Hash that puts daemons in an order that is the same at each of them.
+std::uint64_t AddressHash(const DaemonEntry& daemon);
+
 /// Chooses the holders: the daemons of a large fleet that serve callers and
 /// keep connections to leafs. All daemons compute the same result.
 ///
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -25,6 +25,10 @@
 // twice as long.
 constexpr int kRoutesPatienceFraction = 4;
 
+// While a fleet starts, daemons change between holder and standby as leafs and
+// other daemons register. Each change of timings costs three calls.
+constexpr std::chrono::seconds kRoleSettleTime{2};
+
 /// How routes were received.
 enum class RoutesSource {
   kRead,
@@ -104,9 +108,12 @@
   }
 
   void SetIsHolder(bool is_holder) override {
-    const StoreTimings& timings = is_holder ? kHolderTimings : kStandbyTimings;
-    m_follower.SetTimings(timings);
-    m_registration.SetTimings(timings);
+    if (m_is_holder == is_holder) {
+      return;
+    }
+    m_is_holder = is_holder;
+    m_role_timer = m_loop.At(Now() + Duration(kRoleSettleTime),
+                             [this] { ApplyTimings(); });
   }
 
   void CheckStore() override { m_follower.CheckNow(); }
@@ -238,6 +245,13 @@
   }
 
  private:
+  void ApplyTimings() {
+    const StoreTimings& timings =
+        m_is_holder ? kHolderTimings : kStandbyTimings;
+    m_follower.SetTimings(timings);
+    m_registration.SetTimings(timings);
+  }
+
   static TimePoint Now() { return std::chrono::steady_clock::now(); }
 
   // Everything stays in use until the keys are read again. As after an outage,
@@ -426,6 +440,8 @@
   std::uint64_t m_version = 0;
   std::optional<TimePoint> m_era_began_at;
   std::unique_ptr<Timer> m_expiry_timer;
+  bool m_is_holder = false;
+  std::unique_ptr<Timer> m_role_timer;
 };
 
 }  // namespace
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -57,8 +57,9 @@
   virtual ~RelayControl() = default;
 
   virtual void Start() = 0;
-  /// Sets the timings of store calls for a holder or a standby; called on the
-  /// control loop.
+  /// Sets the timings of store calls for a holder or a standby, once this has
+  /// not changed for some time; called on the control loop. A daemon begins as
+  /// a standby.
   virtual void SetIsHolder(bool is_holder) = 0;
   /// Has the store asked whether what was reported of it is current; called on
   /// the control loop.
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -14,6 +14,8 @@
 #include "process/crash_reports.h"
 #include "process/holder_choice.h"
 #include "process/log.h"
+#include "process/peer_followed_store.h"
+#include "process/peer_watches.h"
 #include "process/planned_stop.h"
 #include "process/relay_control.h"
 #include "process/relay_dump.h"
@@ -21,6 +23,7 @@
 #include "process/relay_log.h"
 #include "process/relay_metrics.h"
 #include "process/stop_signal.h"
+#include "process/watch_source.h"
 
 namespace bramleyspoke {
 namespace {
@@ -97,12 +100,16 @@
     if (m_settings.operator_listen) {
       BOOST_LEAF_CHECK(Listen(*m_settings.operator_listen));
     }
-    m_store = CountStoreCalls(
-        m_adapters.open_store(*m_control_loop, m_settings.store),
-        [this](StoreCallKind kind, KeyValueStatus status) {
-          m_loop->Post(
-              [this, kind, status] { m_metrics->Observe(kind, status); });
-        });
+    m_peer_watches = std::make_unique<PeerWatches>(*m_control_loop);
+    m_store = PeerFollowedStore::Create(
+        *m_control_loop,
+        CountStoreCalls(
+            m_adapters.open_store(*m_control_loop, m_settings.store),
+            [this](StoreCallKind kind, KeyValueStatus status) {
+              m_loop->Post(
+                  [this, kind, status] { m_metrics->Observe(kind, status); });
+            }),
+        m_peers->Network(), *m_peer_watches);
     m_control = RelayControl::Create(
         *m_control_loop, *m_store, m_adapters.schema,
         RelayControlOptions{
@@ -261,6 +268,13 @@
         [this, reply = std::move(reply)] { reply(m_control->Knowledge()); });
   }
 
+  void OnWatchStore(const PeerWatch& watch,
+                    std::function<void(KeyValueChanges)> reply) override {
+    m_control_loop->Post([this, watch, reply = std::move(reply)] {
+      m_peer_watches->Watch(watch, reply);
+    });
+  }
+
   std::function<void()> OnQueryShards(
       ShardQuery query,
       std::function<void(ShardAnswer)> reply) override {
@@ -322,7 +336,8 @@
     std::map<std::string, std::size_t> by_region;
     std::vector<RelayPeer> peers;
     bool is_chosen = false;
-    for (const DaemonEntry& daemon : Holders()) {
+    const std::vector<DaemonEntry> holders = Holders();
+    for (const DaemonEntry& daemon : holders) {
       ++by_region[daemon.region];
       if (daemon.peer == m_settings.peer_listen) {
         is_chosen = true;
@@ -333,10 +348,11 @@
     by_region[m_settings.region] += is_chosen ? 0 : 1;
     // A daemon that isn't registered yet can't know whether it is a holder, so
     // it acts as one.
-    const bool is_holder = is_chosen || !IsRegistered();
-    m_front->SetHolders(std::move(by_region), is_holder);
-    m_control_loop->Post(
-        [this, is_holder] { m_control->SetIsHolder(is_holder); });
+    const bool is_registered = IsRegistered();
+    m_front->SetHolders(std::move(by_region), is_chosen || !is_registered);
+    if (is_registered) {
+      SetStoreRole(is_chosen, holders);
+    }
     m_front->SetPeers(peers);
     std::set<Endpoint> endpoints;
     for (const RelayPeer& peer : peers) {
@@ -345,6 +361,14 @@
     m_reports->SetPeers(std::move(endpoints));
   }
 
+  void SetStoreRole(bool is_holder, const std::vector<DaemonEntry>& holders) {
+    auto source = ChooseWatchSource(m_settings.peer_listen, m_daemons, holders);
+    m_control_loop->Post([this, is_holder, source = std::move(source)] {
+      m_control->SetIsHolder(is_holder);
+      m_store->SetSource(source);
+    });
+  }
+
   bool IsRegistered() const {
     return std::any_of(m_daemons.begin(), m_daemons.end(),
                        [this](const DaemonEntry& daemon) {
@@ -426,7 +450,10 @@
              {Field("in_flight", m_front->InFlight())});
     m_stop.Begin(std::chrono::steady_clock::now());
     m_callers->EndKeepAlive();
-    m_control_loop->Post([this] { m_control->BeginLeaving(); });
+    m_control_loop->Post([this] {
+      m_control->BeginLeaving();
+      m_peer_watches->BeginLeaving();
+    });
     CheckStop();
   }
 
@@ -460,7 +487,8 @@
   PlannedStop m_stop;
   std::unique_ptr<HttpServer> m_callers;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
-  std::unique_ptr<KeyValueStore> m_store;
+  std::unique_ptr<PeerWatches> m_peer_watches;
+  std::unique_ptr<PeerFollowedStore> m_store;
   std::unique_ptr<RelayControl> m_control;
   std::vector<DaemonEntry> m_daemons;
   /// Version of the newest routes; read on the peers' thread.
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -1,6 +1,7 @@
 #include "process/store_follower.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "connection/event_loop.h"
@@ -16,6 +17,25 @@
   return std::chrono::steady_clock::now();
 }
 
+void ApplyTo(std::vector<KeyValueItem>& items,
+             const std::vector<KeyValueEvent>& events) {
+  std::map<std::string, std::string> values;
+  for (KeyValueItem& item : items) {
+    values[std::move(item.key)] = std::move(item.value);
+  }
+  for (const KeyValueEvent& event : events) {
+    if (event.value) {
+      values[event.key] = *event.value;
+    } else {
+      values.erase(event.key);
+    }
+  }
+  items.clear();
+  for (auto& [key, value] : values) {
+    items.push_back({key, std::move(value)});
+  }
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(EventLoop& loop,
@@ -37,12 +57,12 @@
 void StoreFollower::ReadPage(const std::string& after) {
   if (after.empty()) {
     m_items.clear();
-    m_first_page_revision = 0;
+    m_read_revision = 0;
     m_called_at = Now();
     ++m_read;
   }
   m_store.Range(
-      kAllKeys, after,
+      kAllKeys, after, m_read_age,
       [weak = std::weak_ptr(m_self), read = m_read](KeyValuePage page) {
         if (const auto self = weak.lock()) {
           (*self)->OnPage(read, std::move(page));
@@ -50,8 +70,8 @@
       });
 }
 
-// The pages are no consistent snapshot, so changes are watched from the first
-// page's revision: changes between the pages are received again.
+// The pages are no consistent snapshot, so changes are watched from the lowest
+// of their revisions: some are received again.
 void StoreFollower::OnPage(std::uint64_t read, KeyValuePage page) {
   if (read != m_read) {
     return;
@@ -60,38 +80,53 @@
     OnFailure(page.status);
     return;
   }
-  if (m_first_page_revision == 0) {
-    m_first_page_revision = page.revision;
-  }
+  m_read_revision = m_read_revision == 0
+                        ? page.revision
+                        : std::min(m_read_revision, page.revision);
   std::move(page.items.begin(), page.items.end(), std::back_inserter(m_items));
   if (page.has_more && !m_items.empty()) {
     ReadPage(std::string(m_items.back().key));
     return;
   }
-  m_revision = m_first_page_revision;
-  const StoreCallEnd end = EndOfCall(page.status);
+  m_revision = m_read_revision;
+  m_is_from_peer = false;
+  m_is_catching_up =
+      std::exchange(m_read_age, ReadAge::kCurrent) == ReadAge::kMayBeOld;
+  if (!m_is_catching_up) {
+    ReportKeys(page.status);
+  }
+  Watch();
+}
+
+// The call shows the store at some time since it began.
+void StoreFollower::ReportKeys(KeyValueStatus status) {
+  const StoreCallEnd end = EndOfCall(status);
   OnSuccess();
   m_listener.OnKeys(m_items, end);
-  // The read shows the store at some time since it began.
   Confirm(m_called_at);
   m_items.clear();
   m_items.shrink_to_fit();
-  Watch();
+}
+
+Duration StoreFollower::NextWait() const {
+  if (m_is_catching_up) {
+    return kCatchUpWait;
+  }
+  return m_is_unavailable || m_is_probing ? kProbeWait : m_timings.watch_wait;
 }
 
 void StoreFollower::Watch() {
   m_watch = ++m_last_watch;
   m_called_at = Now();
-  const bool is_short = m_is_unavailable || m_is_probing;
-  m_store.Watch(kAllKeys, m_revision,
-                is_short ? kProbeWait : m_timings.watch_wait,
+  const Duration wait = NextWait();
+  m_store.Watch(kAllKeys, m_revision, wait,
                 [weak = std::weak_ptr(m_self),
                  watch = m_watch](const KeyValueChanges& changes) {
                   if (const auto self = weak.lock()) {
                     (*self)->OnChanges(watch, changes);
                   }
                 });
-  if (is_short) {
+  if (wait <= kProbeWait) {
     return;
   }
   if (std::exchange(m_is_check_due, false)) {
@@ -101,8 +136,11 @@
   }
 }
 
+// A peer's answers do not delay the check.
 void StoreFollower::ScheduleCheck() {
-  m_check_timer = m_loop.At(Now() + m_check_interval, [this] { Check(); });
+  const TimePoint now = Now();
+  const TimePoint due = m_confirmed_at.value_or(now) + m_check_interval;
+  m_check_timer = m_loop.At(std::max(now, due), [this] { Check(); });
 }
 
 void StoreFollower::CheckNow() {
@@ -130,36 +168,64 @@
   });
 }
 
-// The watch's response may still be on its way when the revision arrives.
+// The changes may still be on their way when the revision arrives.
 void StoreFollower::OnRevision(std::uint64_t watch,
                                TimePoint read_at,
                                const KeyValueRevision& read) {
   m_is_check_outstanding = false;
   const bool is_ok = read.status == KeyValueStatus::kOk;
   const bool is_current = is_ok && read.revision <= m_revision;
-  if (is_current) {
-    m_listener.OnStoreConfirmed(read_at);
+  if (is_current && !IsAheadOfStore(read.revision)) {
+    Confirm(read_at);
   }
-  if (m_watch == 0 || watch != m_watch) {
+  const bool is_same_watch = m_watch != 0 && watch == m_watch;
+  if (is_current || !is_ok) {
+    if (is_same_watch && is_current) {
+      ScheduleCheck();
+    } else if (is_same_watch) {
+      Probe();
+    }
     return;
   }
-  if (is_current) {
-    ScheduleCheck();
+  if (is_same_watch || m_is_from_peer) {
+    m_overdue_timer = m_loop.At(Now() + m_timings.max_watch_delay,
+                                [this, watch, revision = read.revision] {
+                                  ProbeIfBehind(watch, revision);
+                                });
+  }
+}
+
+// A new watch at the store has all changes, one at a peer may miss the same.
+void StoreFollower::ProbeIfBehind(std::uint64_t watch, std::int64_t revision) {
+  const bool is_answered = watch != m_watch && !m_is_from_peer;
+  if (m_revision >= revision || is_answered) {
     return;
   }
-  if (!is_ok) {
-    Probe();
+  WriteLog(LogLevel::kWarning, "watch_overdue",
+           {Field("revision", m_revision), Field("store_revision", revision),
+            Field("from_peer", m_is_from_peer)});
+  if (m_watch == 0) {
+    m_is_probing = true;
     return;
   }
-  m_check_timer = m_loop.At(Now() + kMaxWatchDelay,
-                            [this, watch, revision = read.revision] {
-                              if (watch == m_watch) {
-                                WriteLog(LogLevel::kWarning, "watch_overdue",
-                                         {Field("revision", m_revision),
-                                          Field("store_revision", revision)});
-                                Probe();
-                              }
-                            });
+  Probe();
+}
+
+// The store may have returned an old revision, but hardly twice for one that
+// has not changed in between. A watch at the store then shows whether it has
+// it.
+bool StoreFollower::IsAheadOfStore(std::int64_t revision) {
+  if (!m_is_from_peer || revision >= m_revision) {
+    return false;
+  }
+  if (std::exchange(m_doubted_revision, m_revision) != m_revision) {
+    return false;
+  }
+  WriteLog(LogLevel::kWarning, "peer_revision_doubted",
+           {Field("revision", m_revision), Field("store_revision", revision)});
+  m_doubted_revision = 0;
+  Probe();
+  return true;
 }
 
 void StoreFollower::Probe() {
@@ -185,9 +251,12 @@
 void StoreFollower::ReadAgain() {
   m_watch = 0;
   m_check_timer.reset();
+  m_overdue_timer.reset();
   ++m_read;
   m_revision = 0;
   m_items.clear();
+  m_is_catching_up = false;
+  m_read_age = ReadAge::kCurrent;
   m_store.CancelWatches();
   ScheduleNext(Duration::zero());
 }
@@ -201,6 +270,7 @@
   m_check_timer.reset();
   if (changes.status == KeyValueStatus::kHistoryGone) {
     m_revision = 0;
+    m_is_catching_up = false;
     ScheduleNext(Duration::zero());
     return;
   }
@@ -215,12 +285,17 @@
     return;
   }
   m_revision = std::max(m_revision, changes.revision);
+  m_is_from_peer = changes.is_from_peer;
+  if (m_is_catching_up) {
+    CatchUp(changes);
+    return;
+  }
   const StoreCallEnd end = EndOfCall(changes.status);
   OnSuccess();
   if (!changes.events.empty()) {
     m_listener.OnChanges(changes.events, end);
   }
-  if (!changes.has_more) {
+  if (!changes.has_more && !changes.is_from_peer) {
     Confirm(Now());
   }
   // A delay after a full response would only let the daemon fall behind.
@@ -228,12 +303,21 @@
   ScheduleNext(is_batch ? m_timings.batch_delay : Duration::zero());
 }
 
+void StoreFollower::CatchUp(const KeyValueChanges& changes) {
+  ApplyTo(m_items, changes.events);
+  if (!changes.has_more) {
+    m_is_catching_up = false;
+    ReportKeys(changes.status);
+  }
+  ScheduleNext(Duration::zero());
+}
+
 void StoreFollower::OnFailure(KeyValueStatus status) {
   if (!std::exchange(m_is_unavailable, true)) {
     m_listener.OnStoreUnavailable(EndOfCall(status));
   }
   const Duration delay = m_retry_delay;
-  m_retry_delay = std::min(m_retry_delay * 2, kMaxRetryDelay);
+  m_retry_delay = std::min(m_retry_delay * 2, m_timings.max_retry_delay);
   ScheduleNext(delay);
 }
 
@@ -252,7 +336,9 @@
 
 StoreCallEnd StoreFollower::EndOfCall(KeyValueStatus status) const {
   const TimePoint now = Now();
-  StoreCallEnd end{status, now - m_called_at, std::nullopt};
+  StoreCallEnd end;
+  end.status = status;
+  end.waited = now - m_called_at;
   if (m_confirmed_at) {
     end.unconfirmed = now - *m_confirmed_at;
   }
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -47,23 +47,27 @@
 
 /// Follows all keys of the store: reads them, then watches for changes.
 ///
-/// A watch that is not answered looks like one without changes. While one
-/// waits, the store's revision is therefore read over another connection; if
-/// the store has changed and the watch is not answered, a short one replaces
-/// it.
+/// A watch that is not answered looks like one without changes, and one that a
+/// peer answers may be behind the store. The store's revision is therefore read
+/// over another connection whenever the store has not shown for some time that
+/// what is known is current. If the store has changed and that does not arrive,
+/// a short watch replaces the outstanding one.
+///
+/// The first read of all keys may be old. It is reported together with what has
+/// changed since, which a short watch brings.
 class StoreFollower {
  public:
   /// Wait of a watch that probes whether the store answers at all. It is short,
   /// as a store that recovers may never answer the watches it received before.
   static constexpr Duration kProbeWait = std::chrono::milliseconds(200);
-  /// Time in which a watch is answered after a read has shown a change.
-  static constexpr Duration kMaxWatchDelay = std::chrono::milliseconds(200);
+  /// Wait of a watch that brings what has changed since an old read.
+  static constexpr Duration kCatchUpWait = std::chrono::milliseconds(1);
   /// Reads of the revision per apply bound; the rest of an interval is left for
   /// timeouts and for the read of the change.
   static constexpr int kChecksPerApplyBound = 2;
-  /// Delay before a retry, doubled with each failure up to the longest.
+  /// Delay before the first retry, doubled with each failure up to the longest
+  /// of the timings.
   static constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
-  static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
 
   /// `apply_bound` is the time within which a change of the store has to be
   /// reported.
@@ -91,6 +95,8 @@
  private:
   void ReadPage(const std::string& after);
   void OnPage(std::uint64_t read, KeyValuePage page);
+  void ReportKeys(KeyValueStatus status);
+  Duration NextWait() const;
   void Watch();
   void BeginProbe();
   void ScheduleCheck();
@@ -98,7 +104,10 @@
   void OnRevision(std::uint64_t watch,
                   TimePoint read_at,
                   const KeyValueRevision& read);
+  void ProbeIfBehind(std::uint64_t watch, std::int64_t revision);
+  bool IsAheadOfStore(std::int64_t revision);
   void OnChanges(std::uint64_t watch, const KeyValueChanges& changes);
+  void CatchUp(const KeyValueChanges& changes);
   void OnFailure(KeyValueStatus status);
   void OnSuccess();
   void Confirm(TimePoint at);
@@ -112,9 +121,12 @@
   std::vector<KeyValueItem> m_items;
   /// Revision to watch from; 0 until all keys were read.
   std::int64_t m_revision = 0;
-  /// Revision of the first page of the current read; 0 before that page.
-  std::int64_t m_first_page_revision = 0;
-  StoreTimings m_timings = kHolderTimings;
+  /// Lowest revision of the pages of the current read; 0 before the first.
+  std::int64_t m_read_revision = 0;
+  ReadAge m_read_age = ReadAge::kMayBeOld;
+  /// Whether `m_items` is from an old read and not reported yet.
+  bool m_is_catching_up = false;
+  StoreTimings m_timings = kStandbyTimings;
   Duration m_retry_delay = kMinRetryDelay;
   bool m_is_unavailable = false;
   /// When the last call began.
@@ -127,12 +139,19 @@
   std::uint64_t m_watch = 0;
   std::uint64_t m_last_watch = 0;
   bool m_is_probing = false;
+  /// Whether a peer gave the latest changes.
+  bool m_is_from_peer = false;
+  /// Revision given by a peer for which the store has shown an older one; 0:
+  /// none.
+  std::int64_t m_doubted_revision = 0;
   bool m_is_check_outstanding = false;
   /// Whether the next watch is checked as soon as it is sent.
   bool m_is_check_due = false;
   std::unique_ptr<Timer> m_timer;
   /// Next check of the outstanding watch.
   std::unique_ptr<Timer> m_check_timer;
+  /// When the changes that a check has shown must have arrived.
+  std::unique_ptr<Timer> m_overdue_timer;
   std::shared_ptr<StoreFollower*> m_self;
 };
 
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -21,6 +21,7 @@
 
 constexpr Duration kShortTimeout = std::chrono::milliseconds(300);
 constexpr Duration kLongTimeout = std::chrono::seconds(30);
+constexpr std::uint64_t kWatchedEra = 5;
 
 MemberUpdate MakeMember(std::uint16_t port) {
   MemberUpdate member;
@@ -100,6 +101,18 @@
     reply(std::vector<std::string>(hashes.size(), std::string("\0x", 2)));
   }
 
+  void OnWatchStore(const PeerWatch& watch,
+                    std::function<void(KeyValueChanges)> reply) override {
+    KeyValueChanges changes;
+    changes.status = watch.era == kWatchedEra ? KeyValueStatus::kOk
+                                              : KeyValueStatus::kRefused;
+    changes.revision = watch.revision + 2;
+    changes.has_more = watch.wait == std::chrono::seconds(4);
+    changes.events = {{"written", std::string("\0value", 6)},
+                      {"removed", std::nullopt}};
+    reply(std::move(changes));
+  }
+
   void OnFetchKnowledge(std::function<void(StoreKnowledge)> reply) override {
     reply(MakeKnowledge());
   }
@@ -205,6 +218,29 @@
 
 }  // namespace
 
+TEST_CASE("a peer answers a watch of the store") {
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  const auto watch = [&](std::uint64_t era) {
+    std::promise<KeyValueChanges> answer;
+    client->Network().WatchStore(
+        server->Address(), {era, 40, std::chrono::seconds(4)}, kLongTimeout,
+        [&](KeyValueChanges changes) { answer.set_value(std::move(changes)); });
+    return answer.get_future().get();
+  };
+  const KeyValueChanges changes = watch(kWatchedEra);
+  CHECK(changes.status == KeyValueStatus::kOk);
+  CHECK(changes.revision == 42);
+  CHECK(changes.has_more);
+  REQUIRE(changes.events.size() == 2);
+  CHECK(changes.events[0].key == "written");
+  CHECK(changes.events[0].value == std::string("\0value", 6));
+  CHECK(changes.events[1].key == "removed");
+  CHECK_FALSE(changes.events[1].value);
+  CHECK(watch(kWatchedEra + 1).status == KeyValueStatus::kRefused);
+}
+
 TEST_CASE("a peer returns its knowledge from the store") {
   TestHandler handler;
   const auto server = MakePeers(handler);
--- /dev/null
+++ b/tests/process_relay_follow_test.cc
@@ -0,0 +1,141 @@
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "proxied_fleet.h"
+
+namespace bramleyspoke {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kDaemons = 9;
+// The users' bound on the time until an acknowledged version is in force.
+constexpr seconds kApplyBound{3};
+constexpr seconds kPause{5};
+
+const std::string kAdded = "/added/";
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+std::vector<std::size_t> Holders(ProxiedFleet& fleet) {
+  std::vector<std::size_t> holders;
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    if (fleet.IsHolder(i)) {
+      holders.push_back(i);
+    }
+  }
+  REQUIRE(holders.size() == 3);
+  return holders;
+}
+
+std::vector<std::size_t> Standbys(ProxiedFleet& fleet) {
+  std::vector<std::size_t> standbys;
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    if (!fleet.IsHolder(i)) {
+      standbys.push_back(i);
+    }
+  }
+  return standbys;
+}
+
+// Number of calls to the store of this kind that the daemon has made.
+int CountCalls(ProxiedFleet& fleet, std::size_t daemon, std::string_view kind) {
+  const std::string metrics = fleet.Relay(daemon).Metrics();
+  const std::string label = "kind=\"" + std::string(kind) + "\"";
+  const std::string name = "bramleyspoke_relay_store_calls_total{";
+  int calls = 0;
+  for (std::size_t at = metrics.find(name); at != std::string::npos;
+       at = metrics.find(name, at + 1)) {
+    const std::size_t end = metrics.find("} ", at);
+    if (metrics.substr(at, end - at).find(label) != std::string::npos) {
+      calls += std::stoi(metrics.substr(end + 2));
+    }
+  }
+  return calls;
+}
+
+int CountWatches(ProxiedFleet& fleet, const std::vector<std::size_t>& daemons) {
+  int watches = 0;
+  for (const std::size_t daemon : daemons) {
+    watches += CountCalls(fleet, daemon, "watch");
+  }
+  return watches;
+}
+
+// Daemons that do not serve the prefix when the bound is over.
+std::vector<std::size_t> NotServedInTime(
+    const ProxiedFleet& fleet,
+    const std::vector<std::size_t>& daemons,
+    const std::string& prefix) {
+  std::this_thread::sleep_until(Now() + Duration(kApplyBound));
+  std::vector<std::size_t> late;
+  for (const std::size_t daemon : daemons) {
+    if (fleet.Status(daemon, prefix) != 200) {
+      late.push_back(daemon);
+    }
+  }
+  return late;
+}
+
+}  // namespace
+
+TEST_CASE("standbys follow the store without watches of their own") {
+  ProxiedFleet fleet(kDaemons);
+  const auto standbys = Standbys(fleet);
+  const int before = CountWatches(fleet, standbys);
+  constexpr int kVersions = 4;
+  for (int i = 0; i < kVersions; ++i) {
+    const std::string prefix = "/added" + std::to_string(i) + "/";
+    fleet.WriteRoutes(4 + i, {prefix});
+    CHECK(NotServedInTime(fleet, standbys, prefix).empty());
+  }
+  CHECK(CountWatches(fleet, standbys) == before);
+}
+
+TEST_CASE(
+    "standbys have a new version in time although the daemons that they "
+    "follow do not pass it on") {
+  ProxiedFleet fleet(kDaemons);
+  const auto standbys = Standbys(fleet);
+  const auto holders = Holders(fleet);
+  const auto signal = [&](int number) {
+    for (const std::size_t holder : holders) {
+      fleet.Relay(holder).Signal(number);
+    }
+  };
+  SUBCASE("as they are paused") {
+    signal(SIGSTOP);
+    fleet.WriteRoutes(4, {kAdded});
+    CHECK(NotServedInTime(fleet, standbys, kAdded).empty());
+    std::this_thread::sleep_for(kPause);
+    signal(SIGCONT);
+    std::this_thread::sleep_for(kApplyBound);
+    CHECK(NotServedInTime(fleet, holders, kAdded).empty());
+  }
+  SUBCASE("as they are killed") {
+    signal(SIGKILL);
+    fleet.WriteRoutes(4, {kAdded});
+    CHECK(NotServedInTime(fleet, standbys, kAdded).empty());
+  }
+  SUBCASE("as they stop") {
+    signal(SIGTERM);
+    fleet.WriteRoutes(4, {kAdded});
+    CHECK(NotServedInTime(fleet, standbys, kAdded).empty());
+  }
+  SUBCASE("as the store has gone silent for them alone") {
+    for (const std::size_t holder : holders) {
+      fleet.Silence(holder, SilenceKind::kAcknowledged, "");
+    }
+    fleet.WriteRoutes(4, {kAdded});
+    CHECK(NotServedInTime(fleet, standbys, kAdded).empty());
+  }
+}
+
+}  // namespace bramleyspoke
--- a/tests/proxied_fleet.h
+++ b/tests/proxied_fleet.h
@@ -14,7 +14,8 @@
 namespace bramleyspoke {
 
 /// Daemons that each reach the store through a proxy, and a few leafs of one
-/// service behind proxies. Beyond three, daemons are standbys.
+/// service behind proxies. Beyond three, daemons are standbys, which follow the
+/// store through a holder.
 class ProxiedFleet {
  public:
   /// Prefix of a route that each version has.
@@ -25,6 +26,7 @@
   std::size_t Size() const { return m_relays.size(); }
   RelayProcess& Relay(std::size_t index) { return *m_relays.at(index); }
   FakePlatformStore& Store() { return m_store; }
+  bool IsHolder(std::size_t daemon) const;
   /// Number of daemons that are holders.
   std::size_t CountHolders() const;
 
--- a/tests/relay_control_test.cc
+++ b/tests/relay_control_test.cc
@@ -129,12 +129,20 @@
     return false;
   }
 
-  /// Runs timers until the keys are read, and answers the read.
+  /// Runs timers until the keys are read, and answers the read. After the first
+  /// one nothing has changed.
   void AnswerRead(std::vector<KeyValueItem> items) {
     while (store.ranges.empty()) {
       REQUIRE(loop.RunNextTimer());
     }
+    const bool is_old = store.read_ages.back() == ReadAge::kMayBeOld;
     store.AnswerRange(std::move(items));
+    if (is_old) {
+      store.AnswerWatch(KeyValueStatus::kOk);
+      while (store.watches.empty()) {
+        REQUIRE(loop.RunNextTimer());
+      }
+    }
   }
 
   ManualLoop loop;
@@ -302,4 +310,28 @@
   CHECK_FALSE(fixture.leafs[0].is_draining);
 }
 
+// While a fleet starts, each daemon is a holder until the leafs are known.
+TEST_CASE("a daemon that is a holder for a moment keeps its lease") {
+  ControlFixture fixture;
+  constexpr int kTimers = 30;
+  fixture.store.AnswerGrant(1);
+  fixture.store.AnswerPut(KeyValueStatus::kOk);
+  fixture.control->SetIsHolder(true);
+  SUBCASE("if it is a standby soon after") {
+    fixture.control->SetIsHolder(false);
+    for (int i = 0; i < kTimers; ++i) {
+      fixture.loop.RunNextTimer();
+    }
+    CHECK(fixture.store.grants.empty());
+  }
+  SUBCASE("unless it stays one") {
+    for (int i = 0; i < kTimers && fixture.store.grants.empty(); ++i) {
+      fixture.loop.RunNextTimer();
+    }
+    REQUIRE(fixture.store.grants.size() == 1);
+    CHECK(fixture.store.grants.front().time_to_live ==
+          kHolderTimings.time_to_live);
+  }
+}
+
 }  // namespace bramleyspoke
