Open connections to all leafs only once a daemon is known to be a holder

Cause: a daemon that does not find its own entry acted as a holder, and leafs were reported before daemons. At its start each standby therefore opened one or two connections to each of 1,091 leafs, and closed them a moment later.

Change: daemons are reported before leafs; the role is taken once leafs are known and the own entry is there, and stays while the entry is missing. A daemon that is not registered after two seconds (no store) acts as a holder as before.

Ruled out: fewer connections a leaf (a holder needs them; its own are 2 of the 175 that a leaf takes).

The test restarts a standby beside eight daemons: 3 connections (one a leaf) before, none after.

--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -183,8 +183,8 @@
         LogLevel::kInfo, "store_read",
         {Field("keys", items.size()), Field("leafs", m_leafs.Registry().size()),
          Field("daemons", m_daemons.size())});
-    NotifyLeafs();
     NotifyDaemons();
+    NotifyLeafs();
   }
 
   void OnChanges(const std::vector<KeyValueEvent>& events,
@@ -352,8 +352,8 @@
     for (const CrashSuspect& suspect : knowledge.suspects) {
       m_suspects.AddFromPeer(suspect);
     }
-    NotifyLeafs();
     NotifyDaemons();
+    NotifyLeafs();
   }
 
   // Returns false if the store is unavailable.
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -38,6 +38,11 @@
 constexpr double kStopBoundShare = 0.93;
 // Lower bound of the time limit for a client to send a whole request.
 constexpr std::chrono::seconds kMinRequestTimeout{10};
+// A daemon that is not registered by then, as the store is unavailable, acts as
+// a holder. Before, it opens connections to leafs only for requests: if all
+// daemons of a large fleet opened all connections at their start, the leafs
+// would reset most of them.
+constexpr std::chrono::seconds kRegistrationTime{2};
 // Routes may be out of date once the store was unreachable for this long.
 constexpr std::chrono::milliseconds kStaleAfter{1500};
 
@@ -125,6 +130,11 @@
   bool Run() override {
     m_stop_signal = StopSignal::Create(*m_loop, [this] { BeginStop(); });
     m_reload_signal = ReloadSignal::Create(*m_loop, [this] { Reload(); });
+    m_registration_timer = m_loop->At(
+        std::chrono::steady_clock::now() + Duration(kRegistrationTime), [this] {
+          m_is_holder = true;
+          UpdateHolders();
+        });
     m_control_loop->Post([this] { m_control->Start(); });
     m_control_loop->Start();
     m_peers->Start();
@@ -156,8 +166,9 @@
 
   void OnLeafs(std::vector<LeafRegistration> leafs) override {
     m_loop->Post([this, leafs = std::move(leafs)] {
-      m_has_leafs = true;
       m_front->SetLeafs(leafs);
+      m_has_leafs = true;
+      m_are_leafs_known = m_are_leafs_known || !leafs.empty();
       UpdateHolders();
     });
   }
@@ -346,13 +357,12 @@
       }
     }
     by_region[m_settings.region] += is_chosen ? 0 : 1;
-    // A daemon that isn't registered yet can't know whether it is a holder, so
-    // it acts as one.
-    const bool is_registered = IsRegistered();
-    m_front->SetHolders(std::move(by_region), is_chosen || !is_registered);
-    if (is_registered) {
+    if (m_are_leafs_known && IsRegistered()) {
+      m_is_holder = is_chosen;
+      m_registration_timer.reset();
       SetStoreRole(is_chosen, holders);
     }
+    m_front->SetHolders(std::move(by_region), m_is_holder);
     m_front->SetPeers(peers);
     std::set<Endpoint> endpoints;
     for (const RelayPeer& peer : peers) {
@@ -494,10 +504,15 @@
   /// Version of the newest routes; read on the peers' thread.
   std::atomic<std::uint64_t> m_version = 0;
   bool m_has_leafs = false;
+  /// Whether leafs are known, on which the number of holders depends.
+  bool m_are_leafs_known = false;
+  /// Stays as it is while this daemon's entry is missing.
+  bool m_is_holder = false;
   bool m_is_store_reachable = false;
   std::uint64_t m_store_era = 0;
   std::unique_ptr<StopSignal> m_stop_signal;
   std::unique_ptr<ReloadSignal> m_reload_signal;
+  std::unique_ptr<Timer> m_registration_timer;
   std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<Timer> m_stale_timer;
 };
--- a/tests/process_relay_follow_test.cc
+++ b/tests/process_relay_follow_test.cc
@@ -138,4 +138,16 @@
   }
 }
 
+TEST_CASE("a standby that starts opens no connections to leafs") {
+  ProxiedFleet fleet(kDaemons);
+  RelayProcess& standby = fleet.Relay(Standbys(fleet).front());
+  standby.Restart();
+  std::this_thread::sleep_for(seconds(4));
+  const std::string metrics = standby.Metrics();
+  CAPTURE(metrics);
+  CHECK(metrics.find(R"(what="daemons"} 9)") != std::string::npos);
+  CHECK(metrics.find(R"(what="leaf_connections_opened"} 0)") !=
+        std::string::npos);
+}
+
 }  // namespace bramleyspoke
