Tell a peer that does not know changes from one that lost the store

A source that has just started refused the watches of its peers like one that had lost the store: each peer made a short watch at the store to see whether it was available, and stayed away for ten seconds, in which it made a call with each change. Now a source says which of the two it is. If it only does not know the changes, the watch goes to the store at once, and to the source again after two seconds.

--- a/src/connection/knowledge_messages.cc
+++ b/src/connection/knowledge_messages.cc
@@ -67,6 +67,28 @@
   return keyed;
 }
 
+wire::WatchEnd ToWatchEnd(KeyValueStatus status) {
+  switch (status) {
+    case KeyValueStatus::kOk:
+      return wire::WatchEnd::CHANGES;
+    case KeyValueStatus::kHistoryGone:
+      return wire::WatchEnd::UNKNOWN_REVISION;
+    default:
+      return wire::WatchEnd::INTERRUPTED;
+  }
+}
+
+KeyValueStatus ToStatus(wire::WatchEnd end) {
+  switch (end) {
+    case wire::WatchEnd::CHANGES:
+      return KeyValueStatus::kOk;
+    case wire::WatchEnd::UNKNOWN_REVISION:
+      return KeyValueStatus::kHistoryGone;
+    default:
+      return KeyValueStatus::kRefused;
+  }
+}
+
 }  // namespace
 
 void WriteKnowledge(const StoreKnowledge& knowledge,
@@ -108,7 +130,7 @@
 
 void WriteChanges(const KeyValueChanges& changes,
                   wire::StoreChanges::Builder builder) {
-  builder.setIsKnown(changes.status == KeyValueStatus::kOk);
+  builder.setEnd(ToWatchEnd(changes.status));
   builder.setRevision(changes.revision);
   builder.setHasMore(changes.has_more);
   auto events =
@@ -125,8 +147,7 @@
 
 KeyValueChanges ReadChanges(wire::StoreChanges::Reader reader) {
   KeyValueChanges changes;
-  changes.status =
-      reader.getIsKnown() ? KeyValueStatus::kOk : KeyValueStatus::kRefused;
+  changes.status = ToStatus(reader.getEnd());
   changes.revision = reader.getRevision();
   changes.has_more = reader.getHasMore();
   for (const auto event : reader.getEvents()) {
--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -161,10 +161,17 @@
   isRemoved @2 :Bool;
 }
 
+enum WatchEnd {
+  changes @0;
+  # The peer does not know all changes after the revision.
+  unknownRevision @1;
+  # The peer no longer follows the store.
+  interrupted @2;
+}
+
 # The store's changes after a revision.
 struct StoreChanges {
-  # Whether the peer follows the store and knows all these changes.
-  isKnown @0 :Bool;
+  end @0 :WatchEnd;
   events @1 :List(StoreEvent);
   # Revision that the events lead to.
   revision @2 :Int64;
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -219,9 +219,9 @@
       std::function<void(std::optional<StoreKnowledge>)> done) {
     done(std::nullopt);
   }
-  /// `done` gets `kRefused` if the peer does not know all changes after the
-  /// revision, and `kUnknown` if the call failed or the implementation does not
-  /// support it.
+  /// `done` gets `kHistoryGone` if the peer does not know all changes after the
+  /// revision, `kRefused` if it no longer follows the store, and `kUnknown` if
+  /// the call failed or the implementation does not support it.
   virtual void WatchStore(const Endpoint& /*peer*/,
                           const PeerWatch& /*watch*/,
                           Duration /*timeout*/,
@@ -258,7 +258,7 @@
   virtual void OnWatchStore(const PeerWatch& /*watch*/,
                             std::function<void(KeyValueChanges)> reply) {
     KeyValueChanges changes;
-    changes.status = KeyValueStatus::kRefused;
+    changes.status = KeyValueStatus::kHistoryGone;
     reply(std::move(changes));
   }
   /// Returns a function that may be called from any thread. The server calls it
--- a/src/process/peer_followed_store.cc
+++ b/src/process/peer_followed_store.cc
@@ -42,26 +42,20 @@
              std::int64_t revision,
              Duration wait,
              std::function<void(KeyValueChanges)> done) override {
+    OutstandingWatch watch{prefix, revision, wait, std::move(done)};
     const bool is_paused = m_paused_until && Now() < *m_paused_until;
     if (m_source && !is_paused && wait > kMaxDirectWait) {
-      WatchAtPeer(revision, std::min(wait, kPeerWait), std::move(done));
-      return;
+      WatchAtPeer(std::move(watch));
+    } else {
+      WatchAtStore(std::move(watch));
     }
-    m_store->Watch(prefix, revision, wait,
-                   [weak = std::weak_ptr(m_self), revision,
-                    done = std::move(done)](const KeyValueChanges& changes) {
-                     if (const auto self = weak.lock()) {
-                       (*self)->PassOn(revision, changes);
-                     }
-                     done(changes);
-                   });
   }
 
   // The peer's reply, if any, is ignored.
   void CancelWatches() override {
-    if (auto done = std::exchange(m_done, nullptr)) {
-      PauseSource("cancelled");
-      done({});
+    if (const auto watch = std::exchange(m_watch_at_peer, std::nullopt)) {
+      PauseSource(kSourcePause, "cancelled");
+      watch->done({});
     }
     m_store->CancelWatches();
   }
@@ -102,39 +96,61 @@
   }
 
  private:
+  struct OutstandingWatch {
+    std::string prefix;
+    std::int64_t revision = 0;
+    Duration wait{0};
+    std::function<void(KeyValueChanges)> done;
+  };
+
+  void WatchAtStore(OutstandingWatch watch) {
+    m_store->Watch(
+        watch.prefix, watch.revision, watch.wait,
+        [weak = std::weak_ptr(m_self), revision = watch.revision,
+         done = std::move(watch.done)](const KeyValueChanges& changes) {
+          if (const auto self = weak.lock()) {
+            (*self)->PassOn(revision, changes);
+          }
+          done(changes);
+        });
+  }
+
   // Replies arrive on the peers' thread.
-  void WatchAtPeer(std::int64_t revision,
-                   Duration wait,
-                   std::function<void(KeyValueChanges)> done) {
-    m_done = std::move(done);
-    const std::uint64_t number = ++m_last_call;
+  void WatchAtPeer(OutstandingWatch watch) {
+    const Duration wait = std::min(watch.wait, kPeerWait);
+    const PeerWatch call{m_store->Era(), watch.revision, wait};
+    m_watch_at_peer = std::move(watch);
     m_peers.WatchStore(
-        *m_source, {m_store->Era(), revision, wait}, wait + kTimeoutMargin,
-        [&loop = m_loop, weak = std::weak_ptr(m_self), number,
-         revision](KeyValueChanges changes) {
-          loop.Post([weak, number, revision, changes = std::move(changes)] {
+        *m_source, call, wait + kTimeoutMargin,
+        [&loop = m_loop, weak = std::weak_ptr(m_self),
+         number = ++m_last_call](KeyValueChanges changes) {
+          loop.Post([weak, number, changes = std::move(changes)] {
             if (const auto self = weak.lock()) {
-              (*self)->OnPeerChanges(number, revision, changes);
+              (*self)->OnPeerChanges(number, changes);
             }
           });
         });
   }
 
-  void OnPeerChanges(std::uint64_t number,
-                     std::int64_t revision,
-                     KeyValueChanges changes) {
-    if (number != m_last_call || !m_done) {
+  void OnPeerChanges(std::uint64_t number, KeyValueChanges changes) {
+    if (number != m_last_call || !m_watch_at_peer) {
+      return;
+    }
+    OutstandingWatch watch = *std::exchange(m_watch_at_peer, std::nullopt);
+    if (changes.status == KeyValueStatus::kHistoryGone) {
+      PauseSource(kUnknownRevisionPause, ToString(changes.status));
+      WatchAtStore(std::move(watch));
       return;
     }
-    const auto done = std::exchange(m_done, nullptr);
-    if (changes.status != KeyValueStatus::kOk || changes.revision < revision) {
-      PauseSource(ToString(changes.status));
-      done({});
+    if (changes.status != KeyValueStatus::kOk ||
+        changes.revision < watch.revision) {
+      PauseSource(kSourcePause, ToString(changes.status));
+      watch.done({});
       return;
     }
     changes.is_from_peer = true;
-    PassOn(revision, changes);
-    done(std::move(changes));
+    PassOn(watch.revision, changes);
+    watch.done(std::move(changes));
   }
 
   // A daemon whose own watch fails no longer knows whether it has all changes.
@@ -146,11 +162,11 @@
     }
   }
 
-  void PauseSource(std::string_view reason) {
+  void PauseSource(Duration pause, std::string_view reason) {
     WriteLog(LogLevel::kInfo, "watch_source_paused",
              {Field("peer", m_source ? ToString(*m_source) : std::string()),
               Field("reason", reason)});
-    m_paused_until = Now() + kSourcePause;
+    m_paused_until = Now() + pause;
   }
 
   EventLoop& m_loop;
@@ -160,8 +176,8 @@
   std::optional<Endpoint> m_source;
   /// Until when watches go to the store although there is a source.
   std::optional<TimePoint> m_paused_until;
-  /// Callback of the outstanding watch at a peer, and its number.
-  std::function<void(KeyValueChanges)> m_done;
+  std::optional<OutstandingWatch> m_watch_at_peer;
+  /// Number of the last call to a peer.
   std::uint64_t m_last_call = 0;
   std::shared_ptr<PeerFollowedStoreImpl*> m_self;
 };
--- a/src/process/peer_followed_store.h
+++ b/src/process/peer_followed_store.h
@@ -30,6 +30,8 @@
   static constexpr Duration kTimeoutMargin = std::chrono::seconds(1);
   /// Time for which watches go to the store after a peer failed or lagged.
   static constexpr Duration kSourcePause = std::chrono::seconds(10);
+  /// The same after a peer did not know the changes, as after its start.
+  static constexpr Duration kUnknownRevisionPause = std::chrono::seconds(2);
 
   static std::unique_ptr<PeerFollowedStore> Create(
       EventLoop& loop,
--- a/src/process/peer_watches.cc
+++ b/src/process/peer_watches.cc
@@ -13,12 +13,15 @@
   return std::chrono::steady_clock::now();
 }
 
-KeyValueChanges Refusal() {
+KeyValueChanges Failure(KeyValueStatus status) {
   KeyValueChanges changes;
-  changes.status = KeyValueStatus::kRefused;
+  changes.status = status;
   return changes;
 }
 
+const KeyValueChanges kUnknownRevision = Failure(KeyValueStatus::kHistoryGone);
+const KeyValueChanges kInterrupted = Failure(KeyValueStatus::kRefused);
+
 }  // namespace
 
 PeerWatches::PeerWatches(EventLoop& loop) : m_loop(loop) {}
@@ -31,14 +34,18 @@
 }
 
 void PeerWatches::Watch(const PeerWatch& watch, Reply reply) {
-  const bool is_refused = m_is_leaving || m_history.Revision() == 0 ||
-                          watch.era != m_era || m_waiting.size() >= kMaxWatches;
-  if (is_refused) {
-    reply(Refusal());
+  if (m_is_leaving) {
+    reply(kInterrupted);
+    return;
+  }
+  const bool is_unknown = m_history.Revision() == 0 || watch.era != m_era ||
+                          m_waiting.size() >= kMaxWatches;
+  if (is_unknown) {
+    reply(kUnknownRevision);
     return;
   }
   if (!MustWait(watch.revision)) {
-    reply(m_history.Since(watch.revision).value_or(Refusal()));
+    reply(m_history.Since(watch.revision).value_or(kUnknownRevision));
     return;
   }
   m_waiting.push_back({watch.revision, Now() + std::min(watch.wait, kMaxWait),
@@ -65,7 +72,7 @@
              {Field("watches", m_waiting.size())});
   }
   for (const Waiting& waiting : std::exchange(m_waiting, {})) {
-    waiting.reply(Refusal());
+    waiting.reply(kInterrupted);
   }
 }
 
@@ -83,7 +90,7 @@
     }
   }
   for (const Waiting& waiting : ready) {
-    waiting.reply(m_history.Since(waiting.revision).value_or(Refusal()));
+    waiting.reply(m_history.Since(waiting.revision).value_or(kUnknownRevision));
   }
 }
 
--- a/src/process/peer_watches.h
+++ b/src/process/peer_watches.h
@@ -32,15 +32,15 @@
   ~PeerWatches();
 
   /// Answers a peer's watch as soon as there are changes after its revision, or
-  /// without changes after its wait. It is refused if the changes after its
-  /// revision are not known here.
+  /// without changes after its wait. It gets `kHistoryGone` if the changes
+  /// after its revision are not known here.
   void Watch(const PeerWatch& watch, Reply reply);
   /// Records the response to this daemon's own watch from `after`.
   void Append(std::uint64_t era,
               std::int64_t after,
               const KeyValueChanges& changes);
-  /// Forgets the changes and refuses the outstanding watches, as this daemon no
-  /// longer follows the store.
+  /// Forgets the changes and ends the outstanding watches with `kRefused`, as
+  /// this daemon no longer follows the store.
   void Interrupt();
   /// Refuses all watches from now on.
   void BeginLeaving();
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -105,7 +105,7 @@
                     std::function<void(KeyValueChanges)> reply) override {
     KeyValueChanges changes;
     changes.status = watch.era == kWatchedEra ? KeyValueStatus::kOk
-                                              : KeyValueStatus::kRefused;
+                                              : KeyValueStatus::kHistoryGone;
     changes.revision = watch.revision + 2;
     changes.has_more = watch.wait == std::chrono::seconds(4);
     changes.events = {{"written", std::string("\0value", 6)},
@@ -238,7 +238,7 @@
   CHECK(changes.events[0].value == std::string("\0value", 6));
   CHECK(changes.events[1].key == "removed");
   CHECK_FALSE(changes.events[1].value);
-  CHECK(watch(kWatchedEra + 1).status == KeyValueStatus::kRefused);
+  CHECK(watch(kWatchedEra + 1).status == KeyValueStatus::kHistoryGone);
 }
 
 TEST_CASE("a peer returns its knowledge from the store") {
--- a/tests/peer_followed_store_test.cc
+++ b/tests/peer_followed_store_test.cc
@@ -97,12 +97,18 @@
   SUBCASE("if it is short, as it is to show whether the store is available") {
     fixture.Watch(PeerFollowedStore::kMaxDirectWait);
   }
-  SUBCASE("after the source has refused one") {
+  SUBCASE("after the source has ended one as it no longer follows the store") {
     fixture.Watch();
     fixture.AnswerAtPeer(KeyValueStatus::kRefused, 0);
     CHECK(fixture.changes->status == KeyValueStatus::kUnknown);
     fixture.Watch();
   }
+  SUBCASE("at once if the source does not know the changes") {
+    fixture.Watch();
+    fixture.AnswerAtPeer(KeyValueStatus::kHistoryGone, 0);
+    CHECK_FALSE(fixture.changes);
+    CHECK(fixture.store->watches.front().wait == kWait);
+  }
   SUBCASE("after a call to the source has failed") {
     fixture.Watch();
     fixture.AnswerAtPeer(KeyValueStatus::kUnknown, 0);
@@ -163,7 +169,7 @@
     fixture.Watch();
     fixture.store->AnswerWatch(KeyValueStatus::kUnknown);
     watch_here();
-    CHECK(passed_on->status == KeyValueStatus::kRefused);
+    CHECK(passed_on->status == KeyValueStatus::kHistoryGone);
   }
 }
 
--- a/tests/peer_watches_test.cc
+++ b/tests/peer_watches_test.cc
@@ -84,8 +84,9 @@
   CHECK(fixture.reply->revision == 30);
 }
 
-TEST_CASE("a peer's watch is refused if changes may be missing") {
+TEST_CASE("a peer's watch ends at once if changes may be missing") {
   WatchesFixture fixture;
+  KeyValueStatus expected = KeyValueStatus::kHistoryGone;
   SUBCASE("from before the history") {
     fixture.Watch(9);
   }
@@ -100,19 +101,23 @@
     fixture.Watch(30);
     CHECK_FALSE(fixture.reply);
     fixture.watches.Interrupt();
+    expected = KeyValueStatus::kRefused;
   }
   SUBCASE("when the store begins a new era") {
     fixture.Watch(30);
     fixture.watches.Append(kEra + 1, 5, Changes(6, "c"));
+    expected = KeyValueStatus::kRefused;
   }
   SUBCASE("when this daemon stops") {
     fixture.Watch(30);
     fixture.watches.BeginLeaving();
+    expected = KeyValueStatus::kRefused;
   }
   SUBCASE("after this daemon has begun to stop") {
     fixture.watches.BeginLeaving();
     fixture.watches.Append(kEra, 30, Changes(40, "c"));
     fixture.Watch(30);
+    expected = KeyValueStatus::kRefused;
   }
   SUBCASE("if too many are waiting") {
     for (std::size_t i = 0; i < PeerWatches::kMaxWatches; ++i) {
@@ -122,7 +127,7 @@
     fixture.Watch(30);
   }
   REQUIRE(fixture.reply);
-  CHECK(fixture.reply->status == KeyValueStatus::kRefused);
+  CHECK(fixture.reply->status == expected);
 }
 
 TEST_CASE("the history of changes is bounded") {
@@ -136,7 +141,7 @@
     ++revision;
   }
   fixture.Watch(30);
-  CHECK(fixture.reply->status == KeyValueStatus::kRefused);
+  CHECK(fixture.reply->status == KeyValueStatus::kHistoryGone);
   fixture.Watch(revision - 2);
   REQUIRE(fixture.reply->status == KeyValueStatus::kOk);
   CHECK(fixture.reply->has_more);
