Read the leafs in the order in which daemons become holders

Cause: 352 daemons read 1,450 entries, 0.7 MB, at the same moment; the store's link takes two seconds for that. The twelve daemons that serve callers waited with all others: one had read the leafs 0.45 s after its start, others after 1.2 to 1.7 s, and a fan-out needs holders of all three regions.

Change: the first page of the keys names the daemons. The pages of leafs follow in the order in which daemons become holders, 15 ms apart in a region, two seconds at most (process/read_order).

Besides, changes that arrive after a check has shown them count as confirmed at that check; the next check is due later.

Ruled out: leafs of standbys from a holder's memory (fetchKnowledge; the holders are busy in just these seconds), the storm of connections (gone before, no gain).

--- a/src/process/holder_choice.cc
+++ b/src/process/holder_choice.cc
@@ -54,6 +54,11 @@
   return hash;
 }
 
+bool IsPreferredHolder(const DaemonEntry& a, const DaemonEntry& b) {
+  return std::make_pair(b.processor, AddressHash(a)) <
+         std::make_pair(a.processor, AddressHash(b));
+}
+
 // If many daemons share leafs that accept few connections, a few holders can
 // keep enough connections, and each sees enough responses of its leafs to
 // estimate their load.
@@ -71,10 +76,7 @@
     const std::size_t fleet_holders = std::min(holders, daemons.size());
     const std::size_t share =
         (fleet_holders * list.size() + daemons.size() - 1) / daemons.size();
-    std::sort(list.begin(), list.end(), [](const auto& a, const auto& b) {
-      return std::make_pair(b.processor, AddressHash(a)) <
-             std::make_pair(a.processor, AddressHash(b));
-    });
+    std::sort(list.begin(), list.end(), IsPreferredHolder);
     const std::size_t count = CountDaemonsForCapacity(share, list);
     chosen.insert(chosen.end(), list.begin(),
                   list.begin() + static_cast<std::ptrdiff_t>(count));
--- a/src/process/holder_choice.h
+++ b/src/process/holder_choice.h
@@ -22,6 +22,9 @@
 /// Hash that puts daemons in an order that is the same at each of them.
 std::uint64_t AddressHash(const DaemonEntry& daemon);
 
+/// Whether `a` becomes a holder before `b`, of the same region.
+bool IsPreferredHolder(const DaemonEntry& a, const DaemonEntry& b);
+
 /// Chooses the holders: the daemons of a large fleet that serve callers and
 /// keep connections to leafs. All daemons compute the same result.
 ///
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -13,6 +13,7 @@
 #include "process/leaf_entries.h"
 #include "process/log.h"
 #include "process/peer_routes.h"
+#include "process/read_order.h"
 #include "process/seed_reader.h"
 #include "process/store_follower.h"
 #include "version/entry_registry.h"
@@ -67,6 +68,7 @@
       : m_loop(loop),
         m_schema(schema),
         m_own_key(schema.DaemonKey(options.name)),
+        m_own_entry(options.entry),
         m_seeds(options.seeds),
         m_seed_reader(SeedReader::Create(loop, peers, options.seeds)),
         m_peer_routes(
@@ -222,6 +224,28 @@
     }
   }
 
+  // The daemons' entries come before the leafs', and are complete once a page
+  // ends with a leaf.
+  Duration DelayOfNextPage(const std::vector<KeyValueItem>& items) override {
+    if (m_schema.KindOf(items.back().key) != StoreKeyKind::kLeaf) {
+      return Duration::zero();
+    }
+    std::vector<DaemonEntry> daemons;
+    for (const KeyValueItem& item : items) {
+      if (m_schema.KindOf(item.key) != StoreKeyKind::kDaemon) {
+        continue;
+      }
+      if (const auto read =
+              Check([&] { return m_schema.ReadDaemon(item.value); });
+          read.value) {
+        daemons.push_back(*read.value);
+      }
+    }
+    const Duration delay = ChooseReadDelay(m_own_entry, daemons);
+    m_seed_reader->Postpone(delay);
+    return delay;
+  }
+
   void OnStoreConfirmed(TimePoint at) override {
     m_listener.OnStoreConfirmed(at);
   }
@@ -426,6 +450,7 @@
   EventLoop& m_loop;
   const StoreSchema& m_schema;
   std::string m_own_key;
+  DaemonEntry m_own_entry;
   std::vector<Endpoint> m_seeds;
   std::unique_ptr<SeedReader> m_seed_reader;
   PeerRoutes m_peer_routes;
--- a/src/process/seed_reader.cc
+++ b/src/process/seed_reader.cc
@@ -26,6 +26,12 @@
     }
   }
 
+  void Postpone(Duration delay) override {
+    if (m_timer) {
+      ScheduleQuery(delay + kStoreGracePeriod);
+    }
+  }
+
   void Stop() override {
     m_timer.reset();
     m_self.reset();
--- a/src/process/seed_reader.h
+++ b/src/process/seed_reader.h
@@ -30,6 +30,9 @@
 
   /// `done` is called on the loop, at most once.
   virtual void Start(std::function<void(const StoreKnowledge&)> done) = 0;
+  /// Makes no further call for `delay` and the grace period; called if the
+  /// store answers and is to be read on after that delay.
+  virtual void Postpone(Duration delay) = 0;
   /// Stops the calls for good; called once the store has answered.
   virtual void Stop() = 0;
 };
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -85,7 +85,7 @@
                         : std::min(m_read_revision, page.revision);
   std::move(page.items.begin(), page.items.end(), std::back_inserter(m_items));
   if (page.has_more && !m_items.empty()) {
-    ReadPage(std::string(m_items.back().key));
+    ReadNextPage();
     return;
   }
   m_revision = m_read_revision;
@@ -98,6 +98,20 @@
   Watch();
 }
 
+void StoreFollower::ReadNextPage() {
+  const bool may_delay =
+      m_read_age == ReadAge::kMayBeOld && !m_was_read_delayed;
+  const Duration delay =
+      may_delay ? m_listener.DelayOfNextPage(m_items) : Duration::zero();
+  if (delay == Duration::zero()) {
+    ReadPage(std::string(m_items.back().key));
+    return;
+  }
+  m_was_read_delayed = true;
+  m_timer = m_loop.At(Now() + delay,
+                      [this] { ReadPage(std::string(m_items.back().key)); });
+}
+
 // The call shows the store at some time since it began.
 void StoreFollower::ReportKeys(KeyValueStatus status) {
   const StoreCallEnd end = EndOfCall(status);
@@ -188,17 +202,23 @@
     return;
   }
   if (is_same_watch || m_is_from_peer) {
-    m_overdue_timer = m_loop.At(Now() + m_timings.max_watch_delay,
-                                [this, watch, revision = read.revision] {
-                                  ProbeIfBehind(watch, revision);
-                                });
+    m_overdue_timer =
+        m_loop.At(Now() + m_timings.max_watch_delay,
+                  [this, watch, read_at, revision = read.revision] {
+                    OnChangesDue(watch, read_at, revision);
+                  });
   }
 }
 
 // A new watch at the store has all changes, one at a peer may miss the same.
-void StoreFollower::ProbeIfBehind(std::uint64_t watch, std::int64_t revision) {
-  const bool is_answered = watch != m_watch && !m_is_from_peer;
-  if (m_revision >= revision || is_answered) {
+void StoreFollower::OnChangesDue(std::uint64_t watch,
+                                 TimePoint read_at,
+                                 std::int64_t revision) {
+  if (m_revision >= revision) {
+    Confirm(std::max(read_at, m_confirmed_at.value_or(read_at)));
+    return;
+  }
+  if (watch != m_watch && !m_is_from_peer) {
     return;
   }
   WriteLog(LogLevel::kWarning, "watch_overdue",
--- a/src/process/store_follower.h
+++ b/src/process/store_follower.h
@@ -35,6 +35,9 @@
                       const StoreCallEnd& end) = 0;
   virtual void OnChanges(const std::vector<KeyValueEvent>& events,
                          const StoreCallEnd& end) = 0;
+  /// Delay before the next page of the first read of all keys; `items` are
+  /// those read so far. Not asked again once it is not zero.
+  virtual Duration DelayOfNextPage(const std::vector<KeyValueItem>& items) = 0;
   /// The store has shown that what was reported of it was current at `at`, or
   /// some seconds before if it responded to a read of its recent revision.
   virtual void OnStoreConfirmed(TimePoint at) = 0;
@@ -95,6 +98,7 @@
  private:
   void ReadPage(const std::string& after);
   void OnPage(std::uint64_t read, KeyValuePage page);
+  void ReadNextPage();
   void ReportKeys(KeyValueStatus status);
   Duration NextWait() const;
   void Watch();
@@ -104,7 +108,9 @@
   void OnRevision(std::uint64_t watch,
                   TimePoint read_at,
                   const KeyValueRevision& read);
-  void ProbeIfBehind(std::uint64_t watch, std::int64_t revision);
+  void OnChangesDue(std::uint64_t watch,
+                    TimePoint read_at,
+                    std::int64_t revision);
   bool IsAheadOfStore(std::int64_t revision);
   void OnChanges(std::uint64_t watch, const KeyValueChanges& changes);
   void CatchUp(const KeyValueChanges& changes);
@@ -124,6 +130,7 @@
   /// Lowest revision of the pages of the current read; 0 before the first.
   std::int64_t m_read_revision = 0;
   ReadAge m_read_age = ReadAge::kMayBeOld;
+  bool m_was_read_delayed = false;
   /// Whether `m_items` is from an old read and not reported yet.
   bool m_is_catching_up = false;
   StoreTimings m_timings = kStandbyTimings;
--- a/tests/seed_reader_test.cc
+++ b/tests/seed_reader_test.cc
@@ -87,4 +87,15 @@
   }
 }
 
+TEST_CASE("seeds are queried later while the store answers") {
+  SeedFixture fixture;
+  fixture.reader->Postpone(std::chrono::seconds(2));
+  fixture.loop.RunTimersUntil(std::chrono::steady_clock::now() +
+                              SeedReader::kStoreGracePeriod +
+                              std::chrono::seconds(1));
+  CHECK(fixture.peers.queried.empty());
+  CHECK(fixture.loop.RunNextTimer());
+  CHECK(fixture.peers.queried == std::vector{kFirst});
+}
+
 }  // namespace bramleyspoke
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -35,6 +35,9 @@
                  const StoreCallEnd& /*end*/) override {
     changes += events.size();
   }
+  Duration DelayOfNextPage(const std::vector<KeyValueItem>& read) override {
+    return read.size() == 2 ? page_delay : Duration::zero();
+  }
   void OnStoreConfirmed(TimePoint /*at*/) override { ++confirmations; }
   void OnStoreUnavailable(const StoreCallEnd& end) override {
     ++outages;
@@ -67,6 +70,8 @@
   ManualLoop loop;
   HeldStore store;
   StoreFollower follower;
+  /// Delay after the second page.
+  Duration page_delay{0};
   int reads = 0;
   std::vector<std::pair<std::string, std::string>> items;
   std::size_t changes = 0;
@@ -291,6 +296,37 @@
         Items{{"key100", "new"}, {"key110", "old"}, {"key111", "new"}});
 }
 
+TEST_CASE("the listener may delay the next page of the first read") {
+  ManualLoop loop;
+  HeldStore store;
+  FollowerFixture listener;
+  listener.page_delay = std::chrono::seconds(1);
+  StoreFollower follower(loop, store, std::chrono::seconds(3), listener);
+  follower.Start();
+  loop.RunNextTimer();
+  const auto answer_page = [&] {
+    REQUIRE(store.ranges.size() == 1);
+    std::exchange(store.ranges, {})
+        .front()({KeyValueStatus::kOk, {{"key", "old"}}, true, 7});
+  };
+  answer_page();
+  answer_page();
+  CHECK(store.ranges.empty());
+  loop.RunTimersUntil(std::chrono::steady_clock::now());
+  CHECK(store.ranges.empty());
+  SUBCASE("which follows") {
+    loop.RunNextTimer();
+    CHECK(store.ranges.size() == 1);
+  }
+  SUBCASE("but not in a new era of the store") {
+    follower.ReadAgain();
+    loop.RunTimersUntil(std::chrono::steady_clock::now());
+    answer_page();
+    answer_page();
+    CHECK(store.ranges.size() == 1);
+  }
+}
+
 TEST_CASE("an old read whose changes are not known is repeated") {
   ManualLoop loop;
   HeldStore store;
@@ -352,6 +388,22 @@
   CHECK(fixture.outages == 0);
 }
 
+TEST_CASE("changes that arrive after a check has shown them confirm it") {
+  FollowerFixture fixture;
+  fixture.AnswerAsPeer(HeldStore::kRevision + 1);
+  while (fixture.store.watches.empty()) {
+    REQUIRE(fixture.loop.RunNextTimer());
+  }
+  const int before = fixture.confirmations;
+  fixture.AnswerRevision(HeldStore::kRevision + 2);
+  fixture.AnswerAsPeer(HeldStore::kRevision + 2);
+  CHECK(fixture.confirmations == before);
+  while (fixture.confirmations == before) {
+    REQUIRE(fixture.loop.RunNextTimer());
+  }
+  CHECK(fixture.store.revision_reads.empty());
+}
+
 TEST_CASE("a revision of a peer that the store does not have is doubted") {
   FollowerFixture fixture;
   fixture.AnswerAsPeer(HeldStore::kRevision + 1000);
