--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -13,6 +13,7 @@
 #include "process/counting_key_value_store.h"
 #include "process/crash_reports.h"
 #include "process/holder_choice.h"
+#include "process/holder_role.h"
 #include "process/log.h"
 #include "process/peer_followed_store.h"
 #include "process/peer_watches.h"
@@ -38,10 +39,7 @@
 constexpr double kStopBoundShare = 0.93;
 // Lower bound of the time limit for a client to send a whole request.
 constexpr std::chrono::seconds kMinRequestTimeout{10};
-// A daemon that is not registered by then, as the store is unavailable, acts as
-// a holder. Before, it opens connections to leafs only for requests: if all
-// daemons of a large fleet opened all connections at their start, the leafs
-// would reset most of them.
+// A daemon that is not registered by then is taken for one without a store.
 constexpr std::chrono::seconds kRegistrationTime{2};
 // Routes may be out of date once the store was unreachable for this long.
 constexpr std::chrono::milliseconds kStaleAfter{1500};
@@ -132,7 +130,7 @@
     m_reload_signal = ReloadSignal::Create(*m_loop, [this] { Reload(); });
     m_registration_timer = m_loop->At(
         std::chrono::steady_clock::now() + Duration(kRegistrationTime), [this] {
-          m_is_holder = true;
+          m_role.OnRegistrationOverdue();
           UpdateHolders();
         });
     m_control_loop->Post([this] { m_control->Start(); });
@@ -168,7 +166,9 @@
     m_loop->Post([this, leafs = std::move(leafs)] {
       m_front->SetLeafs(leafs);
       m_has_leafs = true;
-      m_are_leafs_known = m_are_leafs_known || !leafs.empty();
+      if (!leafs.empty()) {
+        m_role.OnLeafsKnown();
+      }
       UpdateHolders();
     });
   }
@@ -357,12 +357,11 @@
       }
     }
     by_region[m_settings.region] += is_chosen ? 0 : 1;
-    if (m_are_leafs_known && IsRegistered()) {
-      m_is_holder = is_chosen;
-      m_registration_timer.reset();
-      SetStoreRole(is_chosen, holders);
+    m_role.Update(IsRegistered(), is_chosen);
+    if (m_role.IsSettled()) {
+      SetStoreRole(holders);
     }
-    m_front->SetHolders(std::move(by_region), m_is_holder);
+    m_front->SetHolders(std::move(by_region), m_role.IsHolder());
     m_front->SetPeers(peers);
     std::set<Endpoint> endpoints;
     for (const RelayPeer& peer : peers) {
@@ -371,12 +370,13 @@
     m_reports->SetPeers(std::move(endpoints));
   }
 
-  void SetStoreRole(bool is_holder, const std::vector<DaemonEntry>& holders) {
+  void SetStoreRole(const std::vector<DaemonEntry>& holders) {
     auto source = ChooseWatchSource(m_settings.peer_listen, m_daemons, holders);
-    m_control_loop->Post([this, is_holder, source = std::move(source)] {
-      m_control->SetIsHolder(is_holder);
-      m_store->SetSource(source);
-    });
+    m_control_loop->Post(
+        [this, is_holder = m_role.IsHolder(), source = std::move(source)] {
+          m_control->SetIsHolder(is_holder);
+          m_store->SetSource(source);
+        });
   }
 
   bool IsRegistered() const {
@@ -504,10 +504,7 @@
   /// Version of the newest routes; read on the peers' thread.
   std::atomic<std::uint64_t> m_version = 0;
   bool m_has_leafs = false;
-  /// Whether leafs are known, on which the number of holders depends.
-  bool m_are_leafs_known = false;
-  /// Stays as it is while this daemon's entry is missing.
-  bool m_is_holder = false;
+  HolderRole m_role;
   bool m_is_store_reachable = false;
   std::uint64_t m_store_era = 0;
   std::unique_ptr<StopSignal> m_stop_signal;
--- a/tests/process_relay_drill_test.cc
+++ b/tests/process_relay_drill_test.cc
@@ -63,22 +63,10 @@
   std::vector<std::thread> m_threads;
 };
 
-// Sum of the daemon's counters of calls to the store.
-int CountStoreCalls(const RelayProcess& relay) {
-  const std::string metrics = relay.Metrics();
-  const std::string name = "bramleyspoke_relay_store_calls_total{";
-  int calls = 0;
-  for (std::size_t at = metrics.find(name); at != std::string::npos;
-       at = metrics.find(name, at + 1)) {
-    calls += std::stoi(metrics.substr(metrics.find("} ", at) + 2));
-  }
-  return calls;
-}
-
 std::vector<int> CountStoreCalls(ProxiedFleet& fleet) {
   std::vector<int> calls;
   for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
-    calls.push_back(CountStoreCalls(fleet.Relay(daemon)));
+    calls.push_back(fleet.Relay(daemon).CountStoreCalls());
   }
   return calls;
 }
--- a/tests/process_relay_follow_test.cc
+++ b/tests/process_relay_follow_test.cc
@@ -45,26 +45,10 @@
   return standbys;
 }
 
-// Number of calls to the store of this kind that the daemon has made.
-int CountCalls(ProxiedFleet& fleet, std::size_t daemon, std::string_view kind) {
-  const std::string metrics = fleet.Relay(daemon).Metrics();
-  const std::string label = "kind=\"" + std::string(kind) + "\"";
-  const std::string name = "bramleyspoke_relay_store_calls_total{";
-  int calls = 0;
-  for (std::size_t at = metrics.find(name); at != std::string::npos;
-       at = metrics.find(name, at + 1)) {
-    const std::size_t end = metrics.find("} ", at);
-    if (metrics.substr(at, end - at).find(label) != std::string::npos) {
-      calls += std::stoi(metrics.substr(end + 2));
-    }
-  }
-  return calls;
-}
-
 int CountWatches(ProxiedFleet& fleet, const std::vector<std::size_t>& daemons) {
   int watches = 0;
   for (const std::size_t daemon : daemons) {
-    watches += CountCalls(fleet, daemon, "watch");
+    watches += fleet.Relay(daemon).CountStoreCalls("watch");
   }
   return watches;
 }
--- a/tests/relay_process.cc
+++ b/tests/relay_process.cc
@@ -69,4 +69,20 @@
   return SendRequest({m_ip, 7380}, {"GET", "/metrics", {}, ""}).body;
 }
 
+int RelayProcess::CountStoreCalls(std::string_view kind) const {
+  const std::string metrics = Metrics();
+  const std::string name = "bramleyspoke_relay_store_calls_total{";
+  const std::string label =
+      kind.empty() ? std::string() : "kind=\"" + std::string(kind) + "\"";
+  int calls = 0;
+  for (std::size_t at = metrics.find(name); at != std::string::npos;
+       at = metrics.find(name, at + 1)) {
+    const std::size_t end = metrics.find("} ", at);
+    if (metrics.substr(at, end - at).find(label) != std::string::npos) {
+      calls += std::stoi(metrics.substr(end + 2));
+    }
+  }
+  return calls;
+}
+
 }  // namespace bramleyspoke
--- a/tests/relay_process.h
+++ b/tests/relay_process.h
@@ -39,6 +39,8 @@
   bool Serves() const { return Send("plain").status == 200; }
   std::string Log() const;
   std::string Metrics() const;
+  /// Number of the daemon's calls to the store so far; of one kind if given.
+  int CountStoreCalls(std::string_view kind = {}) const;
   /// Kills the process and starts it again.
   void Restart();
   bool IsRunning() { return m_process->IsRunning(); }
