Bound what a false answer of a peer to a watch costs

A revision from nowhere was answered by a watch at the store from that revision: a store that rejects it would have counted as unavailable for good. All keys are read again instead. Both tests fail before: a watch from the false revision in place of a read, and an endless loop's first turn.

--- a/src/process/peer_followed_store.cc
+++ b/src/process/peer_followed_store.cc
@@ -16,6 +16,13 @@
   return std::chrono::steady_clock::now();
 }
 
+// Without a newer revision, the next watch would get the same answer at once.
+bool IsUsable(const KeyValueChanges& changes, std::int64_t watched) {
+  const bool is_newer = changes.revision > watched;
+  const bool is_same = changes.revision == watched && !changes.has_more;
+  return changes.status == KeyValueStatus::kOk && (is_newer || is_same);
+}
+
 class PeerFollowedStoreImpl final : public PeerFollowedStore {
  public:
   PeerFollowedStoreImpl(EventLoop& loop,
@@ -142,8 +149,7 @@
       WatchAtStore(std::move(watch));
       return;
     }
-    if (changes.status != KeyValueStatus::kOk ||
-        changes.revision < watch.revision) {
+    if (!IsUsable(changes, watch.revision)) {
       PauseSource(kSourcePause, ToString(changes.status));
       watch.done({});
       return;
--- a/src/process/store_follower.cc
+++ b/src/process/store_follower.cc
@@ -232,8 +232,8 @@
 }
 
 // The store may have returned an old revision, but hardly twice for one that
-// has not changed in between. A watch at the store then shows whether it has
-// it.
+// has not changed in between. What the peer said before may then be false as
+// well.
 bool StoreFollower::IsAheadOfStore(std::int64_t revision) {
   if (!m_is_from_peer || revision >= m_revision) {
     return false;
@@ -244,7 +244,7 @@
   WriteLog(LogLevel::kWarning, "peer_revision_doubted",
            {Field("revision", m_revision), Field("store_revision", revision)});
   m_doubted_revision = 0;
-  Probe();
+  ReadAgain();
   return true;
 }
 
--- a/tests/peer_followed_store_test.cc
+++ b/tests/peer_followed_store_test.cc
@@ -120,6 +120,17 @@
     CHECK(fixture.changes->status == KeyValueStatus::kUnknown);
     fixture.Watch();
   }
+  SUBCASE("after the source has announced more changes and none newer") {
+    fixture.Watch();
+    KeyValueChanges answer;
+    answer.status = KeyValueStatus::kOk;
+    answer.revision = 7;
+    answer.has_more = true;
+    std::exchange(fixture.peers.watches, {}).front().done(answer);
+    fixture.loop.RunAll();
+    CHECK(fixture.changes->status == KeyValueStatus::kUnknown);
+    fixture.Watch();
+  }
   SUBCASE("after a watch at the source was cancelled") {
     fixture.Watch();
     fixture.followed->CancelWatches();
--- a/tests/store_follower_test.cc
+++ b/tests/store_follower_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
 #include <vector>
 
 #include "held_store.h"
@@ -404,20 +405,21 @@
   CHECK(fixture.store.revision_reads.empty());
 }
 
-TEST_CASE("a revision of a peer that the store does not have is doubted") {
+TEST_CASE("all keys are read again if a peer gave a revision from nowhere") {
   FollowerFixture fixture;
-  fixture.AnswerAsPeer(HeldStore::kRevision + 1000);
+  fixture.AnswerAsPeer(std::numeric_limits<std::int64_t>::max());
   fixture.AnswerRevision(HeldStore::kRevision);
   while (fixture.store.watches.empty()) {
     REQUIRE(fixture.loop.RunNextTimer());
   }
   CHECK(fixture.Wait() == kHolderTimings.watch_wait);
   fixture.AnswerRevision(HeldStore::kRevision);
-  REQUIRE(fixture.store.watches.size() == 1);
-  CHECK(fixture.Wait() == StoreFollower::kProbeWait);
-  fixture.store.AnswerWatch(KeyValueStatus::kHistoryGone);
+  CHECK(fixture.store.watches.empty());
   fixture.loop.RunNextTimer();
-  CHECK(fixture.store.ranges.size() == 1);
+  fixture.store.AnswerRange();
+  CHECK(fixture.store.read_ages.back() == ReadAge::kCurrent);
+  REQUIRE(fixture.store.watches.size() == 1);
+  CHECK(fixture.store.watches.front().revision == HeldStore::kRevision);
 }
 
 }  // namespace bramleyspoke
