Log and count a daemon's contact to the leafs as a whole

The logs could not tell a leaf that fails from a daemon that reaches none: each leaf was judged alone, and no line said when any leaf had last answered.

Nothing acts on it yet; it is a log line, a gauge and a counter.

--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -88,6 +88,11 @@
   });
 }
 
+void LeafExchanges::Probe(const Endpoint& leaf) {
+  ++m_leafs[leaf].opening;
+  OpenPooled(leaf);
+}
+
 std::size_t LeafExchanges::OpenConnections() const {
   std::size_t count = m_exchanges.size();
   for (const auto& [endpoint, leaf] : m_leafs) {
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -70,6 +70,9 @@
   /// leafs are closed.
   void SetPoolSizes(std::map<Endpoint, std::size_t> leafs);
 
+  /// Tries a connection to the leaf and reports whether it was accepted.
+  void Probe(const Endpoint& leaf);
+
   std::size_t OpenConnections() const;
   std::uint64_t Opened() const { return m_opened; }
 
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -233,6 +233,11 @@
     m_log.WriteLeafNotice(notice);
   }
 
+  void OnContactChange(const ContactChange& change) override {
+    m_metrics->Observe(change);
+    m_log.WriteContactChange(change);
+  }
+
   void OnRoutesDoubted() override {
     m_control_loop->Post([this] { m_control->CheckStore(); });
   }
@@ -434,6 +439,7 @@
     observation.is_ready = IsReady();
     observation.is_stopping = m_stop.IsStopping();
     observation.is_holder = m_front->IsHolder();
+    observation.contact = m_front->Engine().Contact();
     observation.by_state = m_front->Engine().Leafs().CountByState(
         std::chrono::steady_clock::now());
     observation.least_budget = m_front->Engine().Leafs().LeastBudget();
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -221,9 +221,13 @@
   for (const RelayDelegation& delegation : actions.delegations) {
     Delegate(delegation);
   }
+  for (const Endpoint& leaf : actions.probes) {
+    m_exchanges.Probe(leaf);
+  }
   ReportFailedAttempts();
   ReportCrashes();
   ReportLeafNotices();
+  ReportContactChanges();
   for (RelayFinish& finish : actions.finishes) {
     Finish(std::move(finish));
   }
@@ -320,6 +324,12 @@
   }
 }
 
+void RelayFront::ReportContactChanges() {
+  for (const ContactChange& change : m_engine.TakeContactChanges()) {
+    m_observer.OnContactChange(change);
+  }
+}
+
 void RelayFront::ReportCrashes() {
   for (const CrashEvidenceEvent& event : m_engine.TakeCrashEvents()) {
     m_observer.OnCrashEvidence(event);
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -58,6 +58,8 @@
   virtual void OnCrashEvidence(const CrashEvidenceEvent& event) = 0;
   /// A leaf announced something else than before.
   virtual void OnLeafNotice(const LeafNotice& notice) = 0;
+  /// This daemon doubts, has lost or has regained its contact to the leafs.
+  virtual void OnContactChange(const ContactChange& change) = 0;
   /// A request waits until the store shows whether the routes are current.
   virtual void OnRoutesDoubted() = 0;
   /// A peer that the store is available to has newer routes.
@@ -173,6 +175,7 @@
                              const RelayOutcome& outcome);
   void ReportFailedAttempts();
   void ReportLeafNotices();
+  void ReportContactChanges();
   void ReportCrashes();
   void ArmTimer();
 
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -156,6 +156,16 @@
             Field("detail", notice.detail)});
 }
 
+// Rare, and explains refusals and hand-overs of many requests.
+void RelayLog::WriteContactChange(const ContactChange& change) {
+  const bool is_lost = change.state == ContactState::kCutOff;
+  WriteLog(is_lost ? LogLevel::kWarning : LogLevel::kInfo, "leaf_contact",
+           {Field("state", ToString(change.state)),
+            Field("silence_ms", ToMilliseconds(change.silence)),
+            Field("failed_leafs", change.failed_leafs),
+            Field("probes", change.probes)});
+}
+
 bool RelayLog::ShouldWrite(LogLevel level,
                            std::string_view request_id,
                            LogPriority priority) {
--- a/src/process/relay_log.h
+++ b/src/process/relay_log.h
@@ -27,6 +27,7 @@
                           const FailedAttempt& send);
   void WriteCrashEvidence(const CrashEvidenceEvent& event);
   void WriteLeafNotice(const LeafNotice& notice);
+  void WriteContactChange(const ContactChange& change);
 
  private:
   bool ShouldWrite(LogLevel level,
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -68,6 +68,11 @@
                            .Name("bramleyspoke_relay_leaf_notices_total")
                            .Help("Changes of what leafs announce, by kind")
                            .Register(m_registry)),
+        m_contact_changes(
+            BuildCounter()
+                .Name("bramleyspoke_relay_contact_changes_total")
+                .Help("Changes of the contact to the leafs, by new state")
+                .Register(m_registry)),
         m_store_calls(BuildCounter()
                           .Name("bramleyspoke_relay_store_calls_total")
                           .Help("Calls to the platform's store by outcome")
@@ -111,6 +116,11 @@
         .Increment();
   }
 
+  void Observe(const ContactChange& change) override {
+    m_contact_changes.Add({{"state", std::string(ToString(change.state))}})
+        .Increment();
+  }
+
   void Observe(StoreCallKind kind, KeyValueStatus status) override {
     m_store_calls
         .Add({{"kind", std::string(ToString(kind))},
@@ -128,6 +138,8 @@
     }
     m_least_budget.Set(observation.least_budget);
     SetStateGauge("holder", observation.is_holder ? 1 : 0);
+    SetStateGauge("cut_off",
+                  observation.contact == ContactState::kCutOff ? 1 : 0);
     SetStateGauge("daemons", observation.daemons);
     SetStateGauge("in_flight", observation.in_flight);
     SetStateGauge("caller_connections", observation.caller_connections);
@@ -175,6 +187,7 @@
   prometheus::Family<prometheus::Counter>& m_failed_attempts;
   prometheus::Family<prometheus::Counter>& m_crash_evidence;
   prometheus::Family<prometheus::Counter>& m_leaf_notices;
+  prometheus::Family<prometheus::Counter>& m_contact_changes;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Gauge>& m_leafs;
   prometheus::Gauge& m_least_budget;
--- a/src/process/relay_metrics.h
+++ b/src/process/relay_metrics.h
@@ -30,6 +30,7 @@
   bool is_ready = false;
   bool is_stopping = false;
   bool is_holder = false;
+  ContactState contact = ContactState::kInContact;
   RelayCounters engine;
 };
 
@@ -43,6 +44,7 @@
   virtual void Observe(const FailedAttempt& send) = 0;
   virtual void Observe(const CrashEvidenceEvent& event) = 0;
   virtual void Observe(const LeafNotice& notice) = 0;
+  virtual void Observe(const ContactChange& change) = 0;
   virtual void Observe(StoreCallKind kind, KeyValueStatus status) = 0;
   /// All metrics in the Prometheus text format.
   virtual std::string Text(const RelayObservation& observation) = 0;
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -230,6 +230,26 @@
   return fewest;
 }
 
+std::vector<Endpoint> LeafTable::ChooseProbes(std::size_t count) {
+  std::map<std::string, std::vector<Endpoint>> by_domain;
+  std::size_t most = 0;
+  for (const auto& [id, leaf] : m_leafs) {
+    auto& domain = by_domain[leaf->registration.failure_domain];
+    domain.push_back(leaf->registration.address);
+    most = std::max(most, domain.size());
+  }
+  std::vector<Endpoint> probes;
+  for (std::size_t turn = 0; turn < most && probes.size() < count; ++turn) {
+    for (const auto& [name, leafs] : by_domain) {
+      if (turn < leafs.size() && probes.size() < count) {
+        probes.push_back(leafs[(m_next_probe + turn) % leafs.size()]);
+      }
+    }
+  }
+  m_next_probe += count;
+  return probes;
+}
+
 std::set<std::string> LeafTable::ServingRegions() const {
   std::map<std::string, std::size_t> services_in;
   for (const auto& [name, service] : m_services) {
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -93,6 +93,9 @@
   /// one to every leaf, without using `kConnectionReserve`. With more daemons,
   /// each would know less about the leafs.
   std::size_t HolderCount() const;
+  /// Up to `count` leafs to which a connection can be tried, of different
+  /// failure domains; others at each call.
+  std::vector<Endpoint> ChooseProbes(std::size_t count);
   /// Regions that have non-draining leafs of at least half as many services as
   /// the region with the most.
   std::set<std::string> ServingRegions() const;
@@ -129,6 +132,7 @@
   std::map<std::string, std::shared_ptr<RelayLeaf>> m_leafs;
   /// Leafs that are no longer registered, by id.
   std::map<std::string, DepartedLeaf> m_departed;
+  std::size_t m_next_probe = 0;
 };
 
 /// The leafs considered in a choice.
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -215,6 +215,8 @@
   /// Attempts and delegations to cancel, as their replies are no longer needed.
   std::vector<RelayAttemptNumber> cancellations;
   std::vector<RelayFinish> finishes;
+  /// Leafs to which a connection is to be tried.
+  std::vector<Endpoint> probes;
 };
 
 }  // namespace bramleyspoke
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -118,6 +118,9 @@
 
 RelayActions RelayEngine::OnTimer(TimePoint now) {
   m_now = now;
+  if (m_contact.NextCheck() && *m_contact.NextCheck() <= now) {
+    CheckContact();
+  }
   while (!m_timers.empty() && m_timers.begin()->first <= now) {
     const RelayNumber number = m_timers.begin()->second;
     m_timers.erase(m_timers.begin());
@@ -175,15 +178,18 @@
                                       TimePoint now) {
   m_now = now;
   m_leaf_table.OnReachable(address, is_reachable, now);
-  if (!is_reachable) {
+  if (is_reachable) {
+    m_contact.OnProof(now);
+  } else {
+    m_contact.OnFailed(address, now);
     m_crashes.OnUnreachable(address, now);
   }
   return FinishEvent();
 }
 
 std::optional<TimePoint> RelayEngine::NextTimer() const {
-  std::optional<TimePoint> next;
-  if (!m_timers.empty()) {
+  std::optional<TimePoint> next = m_contact.NextCheck();
+  if (!m_timers.empty() && (!next || m_timers.begin()->first < *next)) {
     next = m_timers.begin()->first;
   }
   if (!m_cancellations.empty() &&
@@ -211,6 +217,9 @@
       UpdateRequest(*request);
     }
   }
+  if (m_contact.TakeProbeRequest()) {
+    SendProbes();
+  }
   return std::exchange(m_actions, {});
 }
 
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "request/crash_ledger.h"
+#include "request/leaf_contact.h"
 #include "request/leaf_table.h"
 #include "request/peer_table.h"
 #include "request/relay.h"
@@ -112,6 +113,13 @@
     return m_crashes.TakeEvents();
   }
 
+  /// Whether this daemon reaches the leafs.
+  ContactState Contact() const { return m_contact.State(); }
+  /// Returns the changes of the contact to the leafs since the last call.
+  std::vector<ContactChange> TakeContactChanges() {
+    return m_contact.TakeChanges();
+  }
+
   /// Returns the changes of what leafs announce since the last call.
   std::vector<LeafNotice> TakeLeafNotices();
 
@@ -175,6 +183,11 @@
                                      const Attempt& attempt) const;
   void Retry(Request& request, std::size_t index);
 
+  // Contact to the leafs.
+  std::vector<OutstandingAttempt> OutstandingAttempts() const;
+  void CheckContact();
+  void SendProbes();
+
   // Trials of requests that may crash leafs.
   void BeginTrialIfDoubtful(Request& request);
   static void RecordUnanswered(Request& request,
@@ -224,6 +237,7 @@
 
   // Replies.
   void RecordReply(const Attempt& attempt, const LeafReply& reply);
+  void RecordContact(const Attempt& attempt, LeafReplyKind kind);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
   void RecordAnnouncement(const Attempt& attempt,
                           const LeafAnnouncement& announcement);
@@ -256,6 +270,7 @@
   LeafTable m_leaf_table;
   PeerTable m_peers;
   CrashLedger m_crashes;
+  LeafContact m_contact;
   WeightedRoundRobin m_rotation;
   std::unordered_map<RelayNumber, std::unique_ptr<Request>> m_requests;
   std::unordered_map<RelayAttemptNumber, Attempt> m_attempts;
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -35,6 +35,7 @@
   if (reply.is_connection_refused) {
     attempt.leaf->OnConnectionRefused(m_now);
   }
+  RecordContact(attempt, reply.kind);
   RecordCrashEvidence(attempt, reply.kind);
   if (reply.announcement) {
     RecordAnnouncement(attempt, *reply.announcement);
@@ -68,6 +69,27 @@
                                attempt.request_part.content});
 }
 
+void RelayEngine::RecordContact(const Attempt& attempt, LeafReplyKind kind) {
+  switch (kind) {
+    case LeafReplyKind::kSucceeded:
+    case LeafReplyKind::kFailed:
+    case LeafReplyKind::kRefused:
+    case LeafReplyKind::kOtherLeaf:
+    case LeafReplyKind::kMalformed:
+      m_contact.OnProof(m_now);
+      return;
+    case LeafReplyKind::kNotSent:
+    case LeafReplyKind::kTimedOut:
+      if (m_contact.LastProof() && *m_contact.LastProof() > attempt.sent_at) {
+        return;
+      }
+      break;
+    case LeafReplyKind::kLost:
+      break;
+  }
+  m_contact.OnFailed(attempt.leaf->registration.address, m_now);
+}
+
 void RelayEngine::RecordAnnouncement(const Attempt& attempt,
                                      const LeafAnnouncement& announcement) {
   RelayLeaf& leaf = *attempt.leaf;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -171,6 +171,7 @@
   attempt.sent_at = m_now;
   attempt.is_trial = request.is_doubtful || !part.is_next_attempt_free;
   leaf->load.OnSent(m_now);
+  m_contact.OnSent(m_now);
   leaf->rate_limit.OnSent(m_now);
   part.outstanding.push_back(number);
   part.tried.push_back(leaf);
