--- a/tests/relay_platform.cc
+++ b/tests/relay_platform.cc
@@ -51,6 +51,17 @@
 
 }  // namespace
 
+class FakePlatformStore::ViewHandler final : public HttpHandler {
+ public:
+  explicit ViewHandler(FakePlatformStore& store) : m_store(store) {}
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    m_store.Handle(std::move(exchange), true);
+  }
+
+ private:
+  FakePlatformStore& m_store;
+};
+
 FakePlatformStore::FakePlatformStore() : m_loop(EventLoop::Create()) {
   m_server =
       HttpServer::Create(*m_loop, {"127.0.0.1", 0}, HttpServerLimits(), *this)
@@ -72,6 +83,18 @@
   return count;
 }
 
+Endpoint FakePlatformStore::ServeView(
+    std::map<std::string, std::string> values) {
+  RunOn(*m_loop, [&] {
+    m_view = std::move(values);
+    m_view_handler = std::make_unique<ViewHandler>(*this);
+    m_view_server = HttpServer::Create(*m_loop, {"127.0.0.1", 0},
+                                       HttpServerLimits(), *m_view_handler)
+                        .value();
+  });
+  return m_view_server->Address();
+}
+
 void FakePlatformStore::TakeCopy() {
   RunOn(*m_loop, [&] {
     m_copied_values = m_values;
@@ -96,9 +119,12 @@
 }
 
 // Returns all keys, also to a watch; a reader ignores those it already has.
-std::string FakePlatformStore::ItemsJson(const char* list) const {
+std::string FakePlatformStore::ItemsJson(const char* list, bool is_view) const {
   json::array items;
-  for (const auto& [key, value] : m_values) {
+  for (const auto& [key, stored] : m_values) {
+    const auto other = m_view.find(key);
+    const std::string& value =
+        is_view && other != m_view.end() ? other->second : stored;
     items.push_back(json::object{{"key", key}, {"value", EncodeBase64(value)}});
   }
   return json::serialize(json::object{{"at_revision", m_revision},
@@ -121,12 +147,17 @@
     if (watch.after >= m_revision) {
       return false;
     }
-    Answer(*watch.exchange, ItemsJson("events"));
+    Answer(*watch.exchange, ItemsJson("events", watch.is_view));
     return true;
   });
 }
 
 void FakePlatformStore::Handle(std::shared_ptr<HttpExchange> exchange) {
+  Handle(std::move(exchange), false);
+}
+
+void FakePlatformStore::Handle(std::shared_ptr<HttpExchange> exchange,
+                               bool is_view) {
   if (m_is_unresponsive) {
     m_unanswered.push_back(std::move(exchange));
     return;
@@ -134,7 +165,7 @@
   const HttpRequest& request = exchange->Request();
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path == Platform::kRangePath) {
-    Answer(*exchange, ItemsJson("items"));
+    Answer(*exchange, ItemsJson("items", is_view));
   } else if (path == Platform::kWatchPath &&
              WatchedRevision(request.target) > m_revision) {
     HttpResponse gone;
@@ -143,7 +174,7 @@
     exchange->Respond(std::move(gone));
   } else if (path == Platform::kWatchPath &&
              WatchedRevision(request.target) < m_revision) {
-    Answer(*exchange, ItemsJson("events"));
+    Answer(*exchange, ItemsJson("events", is_view));
   } else if (path == Platform::kWatchPath) {
     const std::uint64_t number = ++m_last_watch;
     auto timer = m_loop->At(Now() + WatchWait(request.target), [this, number] {
@@ -153,8 +184,8 @@
                                           {"events", json::array()}}));
     });
     const std::int64_t after = WatchedRevision(request.target);
-    m_watches.emplace(number,
-                      Watch{after, std::move(exchange), std::move(timer)});
+    m_watches.emplace(
+        number, Watch{after, is_view, std::move(exchange), std::move(timer)});
   } else if (path == Platform::kTransactionPath) {
     const json::value body = json::parse(request.body);
     const json::object& row = body.at("puts").at(0).as_object();
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -32,6 +32,9 @@
   void StopAnswering() { m_is_unresponsive = true; }
   /// Answers calls again, but never those that it accepted in between.
   void AnswerAgain() { m_is_unresponsive = false; }
+  /// Serves the store at another address too, with these values in place of
+  /// the store's for their keys.
+  Endpoint ServeView(std::map<std::string, std::string> values);
   /// Keeps a copy of the contents and their revision.
   void TakeCopy();
   /// Goes back to the copy and begins a new era.
@@ -40,19 +43,27 @@
   void Handle(std::shared_ptr<HttpExchange> exchange) override;
 
  private:
+  class ViewHandler;
+
   struct Watch {
     std::int64_t after = 0;
+    bool is_view = false;
     std::shared_ptr<HttpExchange> exchange;
     std::unique_ptr<Timer> timer;
   };
 
+  void Handle(std::shared_ptr<HttpExchange> exchange, bool is_view);
   void Change(const std::string& key, const std::string& value);
   void Answer(HttpExchange& exchange, const std::string& body);
-  std::string ItemsJson(const char* list) const;
+  std::string ItemsJson(const char* list, bool is_view) const;
   void AnswerWatches();
 
   std::unique_ptr<EventLoop> m_loop;
   std::unique_ptr<HttpServer> m_server;
+  std::unique_ptr<ViewHandler> m_view_handler;
+  std::unique_ptr<HttpServer> m_view_server;
+  /// Values of the view that differ from the store's.
+  std::map<std::string, std::string> m_view;
   std::atomic<bool> m_is_unresponsive = false;
   std::map<std::string, std::string> m_values;
   std::int64_t m_revision = 1;
--- a/tests/relay_process.cc
+++ b/tests/relay_process.cc
@@ -60,6 +60,12 @@
       Callers(), {"POST", target, {{"Host", "h"}, {"Request-Id", "id"}}, body});
 }
 
+std::string RelayProcess::AddressAnswer() const {
+  return SendRequest({m_ip, 8100},
+                     {"GET", "/-/resolve?name=h&region=r&zone=z", {}, ""})
+      .body;
+}
+
 std::string RelayProcess::Log() const {
   std::ifstream stream(m_settings.string() + ".log");
   return std::string(std::istreambuf_iterator<char>(stream), {});
--- a/tests/relay_process.h
+++ b/tests/relay_process.h
@@ -37,6 +37,8 @@
   HttpResponse Send(const std::string& body,
                     const std::string& target = "/lookup") const;
   bool Serves() const { return Send("plain").status == 200; }
+  /// The daemon's answer to a caller that asks for addresses.
+  std::string AddressAnswer() const;
   std::string Log() const;
   std::string Metrics() const;
   /// Number of the daemon's calls to the store so far; of one kind if given.
--- a/tests/silent_proxy.cc
+++ b/tests/silent_proxy.cc
@@ -36,6 +36,11 @@
                        sizeof(program)) == 0);
 }
 
+void AcceptIncomingSegments(int socket) {
+  int unused = 0;
+  ::setsockopt(socket, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+}
+
 // One proxied connection.
 class Link : public std::enable_shared_from_this<Link> {
  public:
@@ -65,6 +70,18 @@
     }
   }
 
+  void DropSegments() {
+    if (m_client.is_open()) {
+      DropIncomingSegments(m_client.native_handle());
+    }
+  }
+
+  void AcceptSegments() {
+    if (m_client.is_open()) {
+      AcceptIncomingSegments(m_client.native_handle());
+    }
+  }
+
   void Close() {
     m_client.close();
     m_server.close();
@@ -190,6 +207,40 @@
     });
   }
 
+  void BeginCut(CutKind kind) override {
+    m_runner.Run([this, kind] {
+      m_address = m_acceptor.local_endpoint();
+      if (kind == CutKind::kHangs) {
+        DropIncomingSegments(m_acceptor.native_handle());
+      } else {
+        m_acceptor.close();
+      }
+      for (const auto& link : m_links) {
+        if (kind == CutKind::kHangs) {
+          link->DropSegments();
+        } else if (kind == CutKind::kResets) {
+          link->Reset();
+        }
+      }
+      return true;
+    });
+  }
+
+  void EndCut() override {
+    m_runner.Run([this] {
+      if (m_acceptor.is_open()) {
+        AcceptIncomingSegments(m_acceptor.native_handle());
+        for (const auto& link : m_links) {
+          link->AcceptSegments();
+        }
+      } else {
+        m_acceptor = tcp::acceptor(m_runner.Loop().Context(), m_address);
+        Accept();
+      }
+      return true;
+    });
+  }
+
   void RefuseAll() override {
     m_runner.Run([this] {
       m_is_refusing = true;
@@ -229,6 +280,7 @@
   tcp::endpoint m_server;
   std::vector<std::shared_ptr<Link>> m_links;
   bool m_is_refusing = false;
+  tcp::endpoint m_address;
   tcp::acceptor m_acceptor;
 };
 
--- a/tests/silent_proxy.h
+++ b/tests/silent_proxy.h
@@ -18,6 +18,16 @@
   kAcknowledged,
 };
 
+/// How the path through a proxy is cut for some time.
+enum class CutKind {
+  /// No segment of a client arrives, on open connections and new ones.
+  kHangs,
+  /// Open connections are reset, and new ones refused.
+  kResets,
+  /// Open connections live on while new ones are refused.
+  kRefusesNew,
+};
+
 /// TCP proxy on loopback whose open connections can go silent for good without
 /// a reset, while new ones work; or that closes all connections.
 class SilentProxy {
@@ -32,6 +42,9 @@
                                   std::string_view text = "") = 0;
   /// Resets all open connections at one moment.
   virtual void ResetOpen() = 0;
+  /// Cuts the path, until `EndCut`.
+  virtual void BeginCut(CutKind kind) = 0;
+  virtual void EndCut() = 0;
   /// Closes all connections, and new ones as soon as they are opened.
   virtual void RefuseAll() = 0;
   /// Serves new connections again.
