--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -194,7 +194,8 @@
       !outcome.response && outcome.failure == HttpFailure::kClosed;
   outcome.is_connection_refused = exchange.is_connection_new && is_broken;
   Leaf& leaf = m_leafs[exchange.call.leaf];
-  if (is_broken && exchange.IsConnectionAccepted(Now()) && leaf.opening == 0) {
+  if (m_is_filling && is_broken && exchange.IsConnectionAccepted(Now()) &&
+      leaf.opening == 0) {
     ++leaf.opening;
     OpenPooled(exchange.call.leaf);
   }
@@ -247,7 +248,7 @@
 void LeafExchanges::FillPool(const Endpoint& endpoint,
                              Leaf& leaf,
                              std::size_t count) {
-  while (leaf.busy + leaf.idle.size() + leaf.opening < count) {
+  while (m_is_filling && leaf.busy + leaf.idle.size() + leaf.opening < count) {
     ++leaf.opening;
     OpenPooled(endpoint);
   }
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -70,6 +70,8 @@
   /// leafs are closed.
   void SetPoolSizes(std::map<Endpoint, std::size_t> leafs);
 
+  /// Sets whether missing pooled connections are opened.
+  void SetPoolFilling(bool is_filling) { m_is_filling = is_filling; }
   /// Tries a connection to the leaf and reports whether it was accepted.
   void Probe(const Endpoint& leaf);
 
@@ -117,6 +119,7 @@
   std::map<ExchangeNumber, Exchange> m_exchanges;
   std::map<Endpoint, std::size_t> m_pool_sizes;
   std::uint64_t m_opened = 0;
+  bool m_is_filling = true;
   std::unique_ptr<Timer> m_timer;
   std::shared_ptr<LeafExchanges*> m_self;
 };
--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -58,7 +58,8 @@
   bucketDigest @10 :UInt64;
 }
 
-# Delegation of some shards of a caller's fan-out to a peer near their leafs.
+# Delegation of some shards of a caller's fan-out, or of a whole request to one
+# service, to a peer that is nearer to the leafs or that reaches them.
 struct ShardQuery {
   requestId @0 :Text;
   method @1 :Text;
@@ -81,6 +82,13 @@
   isContinuation @12 :Bool;
   # By shard, whether the querying daemon may also send it to leafs.
   bypassable @13 :List(Bool);
+  # Set if a whole request to one leaf of this service is handed over; shards is
+  # then empty.
+  service @14 :Text;
+  isIdempotent @15 :Bool;
+  # Identifies the delegation at the querying daemon, together with the request
+  # id; a continuation has its delegation's.
+  delegation @16 :UInt64;
 }
 
 # The last stall of a leaf near the peer.
@@ -113,6 +121,10 @@
   uncovered @5 :List(Uncovered);
   # Version of the peer's routes; 0 if the store is unavailable to it.
   version @6 :UInt64;
+  # Status of the leaf's response to a whole request.
+  status @7 :UInt16;
+  # Whether the peer reaches no leafs.
+  isCutOff @8 :Bool;
 }
 
 # Registration of a leaf.
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -107,12 +107,17 @@
   ForwardReply reply;
 };
 
-/// Delegation of some shards of a caller's fan-out to a peer near their leafs.
+/// Delegation of some shards of a caller's fan-out, or of a whole request to
+/// one service, to a peer that is nearer to the leafs or that reaches them.
 struct ShardQuery {
   std::string request_id;
   HttpRequest request;
   std::string route;
   std::vector<std::string> shards;
+  /// Set for a whole request; `shards` is then empty. In the answer, the
+  /// service counts as the only shard.
+  std::string service;
+  bool is_idempotent = true;
   /// By shard, whether the querying daemon may also send it to leafs.
   std::vector<bool> bypassable;
   std::uint32_t max_attempts = 1;
@@ -122,6 +127,9 @@
   Duration time_left{0};
   /// Time left until the peer should respond with the shards covered by then.
   Duration answer_time_left{0};
+  /// Identifies the delegation at the querying daemon; a continuation has its
+  /// delegation's. A request may be delegated to one peer more than once.
+  std::uint64_t delegation = 0;
   /// Whether the query is for shards that an earlier response to this request
   /// left pending; the peer then already has the request, and `request` and
   /// `route` are not set.
@@ -148,7 +156,8 @@
   Duration length{0};
 };
 
-/// Response to a `ShardQuery`: the merged records of the covered shards.
+/// Response to a `ShardQuery`: the merged records of the covered shards, or a
+/// leaf's response to a whole request.
 struct ShardAnswer {
   /// Indexes in the query's shard list of the shards that `response` covers.
   std::vector<std::size_t> covered;
@@ -159,6 +168,8 @@
   std::vector<StallNotice> stalls;
   /// Version of the peer's routes; 0 if the store is unavailable to it.
   std::uint64_t version = 0;
+  /// Whether the peer reaches no leafs.
+  bool is_cut_off = false;
 };
 
 /// Watch of the store's changes at a peer that follows the store.
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -222,6 +222,9 @@
   builder.setDeadlineMs(ToWireMilliseconds(query.time_left));
   builder.setAnswerByMs(ToWireMilliseconds(query.answer_time_left));
   builder.setIsContinuation(query.is_continuation);
+  builder.setService(query.service);
+  builder.setIsIdempotent(query.is_idempotent);
+  builder.setDelegation(query.delegation);
   auto bypassable = builder.initBypassable(query.bypassable.size());
   for (unsigned i = 0; i < bypassable.size(); ++i) {
     bypassable.set(i, query.bypassable[i]);
@@ -243,6 +246,9 @@
   query.time_left = std::chrono::milliseconds(reader.getDeadlineMs());
   query.answer_time_left = std::chrono::milliseconds(reader.getAnswerByMs());
   query.is_continuation = reader.getIsContinuation();
+  query.service = ToStd(reader.getService());
+  query.is_idempotent = reader.getIsIdempotent();
+  query.delegation = reader.getDelegation();
   for (const bool is_bypassable : reader.getBypassable()) {
     query.bypassable.push_back(is_bypassable);
   }
@@ -262,6 +268,8 @@
           answer.processing_time);
   builder.setServedInUs(static_cast<std::uint32_t>(processing_time.count()));
   builder.setVersion(answer.version);
+  builder.setStatus(static_cast<std::uint16_t>(answer.response.status));
+  builder.setIsCutOff(answer.is_cut_off);
   auto uncovered = builder.initUncovered(answer.uncovered.size());
   for (unsigned i = 0; i < uncovered.size(); ++i) {
     const UncoveredShard& shard = answer.uncovered[i];
@@ -290,6 +298,10 @@
   answer.response.body = FromData(reader.getBody());
   answer.processing_time = std::chrono::microseconds(reader.getServedInUs());
   answer.version = reader.getVersion();
+  answer.response.content_type =
+      HeaderValue(answer.response.headers, "Content-Type");
+  answer.response.status = reader.getStatus();
+  answer.is_cut_off = reader.getIsCutOff();
   for (const auto shard : reader.getUncovered()) {
     answer.uncovered.push_back(
         {shard.getPlace(), shard.getRuns(), shard.getIsPending()});
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -157,6 +157,7 @@
       arrived + route.target_latency - TimeOutsideDaemon(*exchange, route);
   m_in_flight.emplace(number, RequestInFlight{exchange,
                                               {},
+                                              0,
                                               {},
                                               std::move(head.request_id),
                                               m_table,
@@ -326,6 +327,7 @@
 
 void RelayFront::ReportContactChanges() {
   for (const ContactChange& change : m_engine.TakeContactChanges()) {
+    m_exchanges.SetPoolFilling(change.state != ContactState::kCutOff);
     m_observer.OnContactChange(change);
   }
 }
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "connection/http_server.h"
@@ -124,10 +125,15 @@
   std::size_t InFlight() const { return m_in_flight.size(); }
 
  private:
+  /// Id of a caller's request, and the delegating daemon's number for the
+  /// delegation.
+  using PeerDelegation = std::pair<std::string, std::uint64_t>;
+
   struct RequestInFlight {
     /// Null if the request came from a peer.
     std::shared_ptr<HttpExchange> exchange;
     HttpRequest peer_request;
+    std::uint64_t delegation = 0;
     std::function<void(ShardAnswer)> peer_reply;
     std::string request_id;
     std::shared_ptr<const RouteTable> table;
@@ -137,6 +143,7 @@
     std::uint64_t fingerprint = 0;
     std::uint64_t resource = 0;
 
+    PeerDelegation DelegationKey() const { return {request_id, delegation}; }
     const HttpRequest& Request() const {
       return exchange ? exchange->Request() : peer_request;
     }
@@ -193,9 +200,8 @@
   std::unique_ptr<Timer> m_hold_timer;
   bool m_is_holder = true;
   std::unordered_map<RelayNumber, RequestInFlight> m_in_flight;
-  /// Peers' requests that were answered with shards still pending, by request
-  /// id.
-  std::unordered_map<std::string, RelayNumber> m_pending_for_peers;
+  /// Peers' requests that were answered with shards still pending.
+  std::map<PeerDelegation, RelayNumber> m_pending_for_peers;
   RelayNumber m_last_number = 0;
   std::unique_ptr<Timer> m_timer;
   std::optional<TimePoint> m_timer_at;
--- a/src/process/relay_front_peers.cc
+++ b/src/process/relay_front_peers.cc
@@ -28,7 +28,13 @@
   const RelayNumber number = ++m_last_number;
   Route route;
   route.name = query.route;
-  route.shards = std::move(query.shards);
+  if (query.service.empty()) {
+    route.shards = std::move(query.shards);
+  } else {
+    route.services = {{std::move(query.service), 1}};
+    route.kind = query.is_idempotent ? RequestKind::kIdempotent
+                                     : RequestKind::kNonIdempotent;
+  }
   route.max_attempts = query.max_attempts;
   route.result_limit = query.result_limit;
   route.priority = query.priority;
@@ -48,10 +54,11 @@
   request.is_for_peer = true;
   request.bypassable = std::move(query.bypassable);
   m_in_flight.emplace(
-      number, RequestInFlight{nullptr, std::move(query.request),
-                              std::move(reply), std::move(query.request_id),
-                              table, request.route, now, request.answer_by,
-                              request.fingerprint, request.resource});
+      number,
+      RequestInFlight{nullptr, std::move(query.request), query.delegation,
+                      std::move(reply), std::move(query.request_id), table,
+                      request.route, now, request.answer_by,
+                      request.fingerprint, request.resource});
   Apply(m_engine.Submit(number, std::move(request), now));
   return MakeCancellation(number);
 }
@@ -65,7 +72,7 @@
     }
     const auto found = m_in_flight.find(number);
     if (found != m_in_flight.end() && found->second.peer_reply) {
-      m_pending_for_peers.erase(found->second.request_id);
+      m_pending_for_peers.erase(found->second.DelegationKey());
       m_in_flight.erase(found);
       Apply(m_engine.OnCallerDisconnected(number, Now()));
     }
@@ -78,7 +85,8 @@
     const ShardQuery& query,
     std::function<void(ShardAnswer)> reply) {
   const TimePoint now = Now();
-  const auto pending = m_pending_for_peers.find(query.request_id);
+  const auto pending =
+      m_pending_for_peers.find({query.request_id, query.delegation});
   if (pending == m_pending_for_peers.end() ||
       !m_engine.Continue(pending->second, now + query.time_left, now)) {
     reply(ShardAnswer());
@@ -103,13 +111,19 @@
   ShardQuery query;
   query.request_id = request.request_id;
   query.is_continuation = delegation.is_continuation;
+  query.delegation = delegation.origin;
   if (!delegation.is_continuation) {
     query.request = request.Request();
     query.route = request.route->name;
   }
-  query.shards = delegation.shards;
+  if (request.route->IsFanOut()) {
+    query.shards = delegation.shards;
+  } else {
+    query.service = delegation.shards.front();
+    query.is_idempotent = request.route->kind == RequestKind::kIdempotent;
+  }
   query.bypassable = delegation.bypassable;
-  query.max_attempts = request.route->max_attempts;
+  query.max_attempts = delegation.max_attempts;
   query.result_limit = request.route->result_limit;
   query.priority = request.route->priority;
   query.time_left = std::max(delegation.deadline - now, Duration::zero());
@@ -119,7 +133,7 @@
       delegation.peer, query,
       [this, weak = std::weak_ptr(m_self), &loop = m_loop,
        number = delegation.number, peer = delegation.peer,
-       shards = request.route->shards.size()](ShardOutcome outcome) {
+       shards = delegation.shard_count](ShardOutcome outcome) {
         loop.Post([this, weak, number, peer, shards,
                    outcome = std::move(outcome)]() mutable {
           if (weak.lock()) {
@@ -156,6 +170,7 @@
   reply.answer = std::move(outcome.answer.response);
   reply.processing_time = outcome.answer.processing_time;
   reply.stalls = std::move(outcome.answer.stalls);
+  reply.is_cut_off = outcome.answer.is_cut_off;
   const bool is_valid =
       std::all_of(reply.covered.begin(), reply.covered.end(),
                   [&](std::size_t index) { return index < shards; });
@@ -173,10 +188,10 @@
     reply(MakePeerAnswer(request, outcome));
   }
   if (outcome.is_continued) {
-    m_pending_for_peers[request.request_id] = number;
+    m_pending_for_peers[request.DelegationKey()] = number;
     return;
   }
-  m_pending_for_peers.erase(request.request_id);
+  m_pending_for_peers.erase(request.DelegationKey());
   m_in_flight.erase(number);
 }
 
@@ -185,13 +200,18 @@
   ShardAnswer answer;
   answer.covered = outcome.covered;
   answer.uncovered = outcome.uncovered;
-  if (!outcome.answers.empty()) {
+  if (!outcome.answers.empty() && !request.route->IsFanOut()) {
+    answer.response = m_protocol.MakeAnswer(outcome.answers.front());
+  } else if (!outcome.answers.empty()) {
     answer.response = m_protocol.MakeMergedAnswer(outcome.answers, 0,
                                                   request.route->result_limit);
   }
   answer.processing_time = Now() - request.arrived;
   answer.stalls = m_engine.RecentStalls(request.route->shards, Now());
   answer.version = m_table && !m_is_stale ? m_table->Version() : 0;
+  answer.is_cut_off =
+      m_engine.Contact() == ContactState::kCutOff ||
+      (m_engine.Contact() == ContactState::kDoubtful && answer.covered.empty());
   RelayEnd end;
   end.request_id = request.request_id;
   end.route = request.route;
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -99,6 +99,7 @@
        Field("time_for_answer_ms", ToMilliseconds(end.time_for_answer)),
        Field("wait_end", end.refusal ? "" : ToString(outcome.wait_end)),
        Field("sends", outcome.sends), Field("repeats", outcome.repeats),
+       Field("hand_overs", outcome.hand_overs),
        Field("missing_shards", end.missing_shards),
        Field("fingerprint", FormatFingerprint(end.fingerprint)),
        Field("resource", FormatFingerprint(end.resource)),
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -156,6 +156,7 @@
     SetStateGauge("hedges", observation.engine.hedges);
     SetStateGauge("retries", observation.engine.retries);
     SetStateGauge("delegations", observation.engine.delegations);
+    SetStateGauge("hand_overs", observation.engine.hand_overs);
     SetStateGauge("budget_refusals", observation.engine.budget_refusals);
     SetStateGauge("crash_refusals", observation.engine.crash_refusals);
     SetStateGauge("leaf_wait_refusals", observation.engine.leaf_wait_refusals);
--- a/src/request/leaf_contact.cc
+++ b/src/request/leaf_contact.cc
@@ -26,7 +26,11 @@
   }
 }
 
-void LeafContact::OnProof(TimePoint now) {
+// Connections that are open may live on while new ones are refused.
+void LeafContact::OnProof(ContactProof proof, TimePoint now) {
+  if (m_state == ContactState::kCutOff && proof == ContactProof::kAnswer) {
+    return;
+  }
   m_last_proof = now;
   if (m_state != ContactState::kInContact) {
     SetState(ContactState::kInContact, now);
@@ -87,7 +91,7 @@
                              TimePoint now) {
   for (const OutstandingAttempt& attempt : attempts) {
     const bool is_sent_since_proof =
-        !m_last_proof || attempt.sent_at > *m_last_proof;
+        !m_last_proof || attempt.sent_at >= *m_last_proof;
     const TimePoint silent_since =
         is_sent_since_proof ? attempt.sent_at : *m_last_proof;
     const Duration allowed =
--- a/src/request/leaf_contact.h
+++ b/src/request/leaf_contact.h
@@ -22,6 +22,13 @@
 
 std::string_view ToString(ContactState state);
 
+/// What shows that a leaf is in reach.
+enum class ContactProof {
+  /// An answer, perhaps on a connection that has been open for long.
+  kAnswer,
+  kNewConnection,
+};
+
 /// A change of the state; for log and metrics.
 struct ContactChange {
   ContactState state = ContactState::kInContact;
@@ -79,8 +86,9 @@
 
   /// Records that an attempt was sent to a leaf.
   void OnSent(TimePoint now);
-  /// Records that a leaf answered or accepted a connection.
-  void OnProof(TimePoint now);
+  /// Records that a leaf answered or accepted a connection. Only the latter
+  /// ends the state `kCutOff`.
+  void OnProof(ContactProof proof, TimePoint now);
   /// Records that a leaf broke a connection, accepted none or did not answer.
   void OnFailed(const Endpoint& leaf, TimePoint now);
   /// Records that connections to these leafs are being tried.
--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -146,6 +146,14 @@
   m_unreachable_until = {};
 }
 
+void LeafLoad::OnContactRestored() {
+  m_unreachable_until = {};
+  m_ejected_until = {};
+  m_failure_share = 0;
+  m_consecutive_failures = 0;
+  m_consecutive_ejections = 0;
+}
+
 void LeafLoad::NoteStall(TimePoint begin, TimePoint end) {
   m_stalls.OnStall(begin, end, m_fleet->stalls);
 }
@@ -165,7 +173,7 @@
 }
 
 bool LeafLoad::IsUsable(TimePoint now) const {
-  return now >= m_ejected_until && now >= m_unreachable_until;
+  return now >= m_ejected_until && !IsUnreachable(now);
 }
 
 Duration LeafLoad::Cost(const std::string& kind, TimePoint now) const {
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -52,8 +52,10 @@
   std::map<std::string, LatencyEstimate> m_estimates;
 };
 
-/// Statistics over all leafs.
+/// Statistics over all leafs, and what holds for all of them.
 struct FleetStatistics {
+  /// Whether this daemon reaches none of them.
+  bool is_out_of_reach = false;
   ProcessingTimeTable processing_times;
   StallPeriod stalls;
 };
@@ -97,6 +99,9 @@
   void OnShed(TimePoint now);
   void OnUnreachable(TimePoint now);
   void OnReachable();
+  /// Takes back what failed attempts said of the leaf: the daemon was the
+  /// cause.
+  void OnContactRestored();
 
   /// Records a stall that another daemon observed.
   void NoteStall(TimePoint begin, TimePoint end);
@@ -106,7 +111,9 @@
   bool IsSilent(TimePoint now) const;
   /// Whether the leaf is neither ejected nor unreachable.
   bool IsUsable(TimePoint now) const;
-  bool IsUnreachable(TimePoint now) const { return now < m_unreachable_until; }
+  bool IsUnreachable(TimePoint now) const {
+    return m_fleet->is_out_of_reach || now < m_unreachable_until;
+  }
   /// Expected time to a response, including the queue at the leaf, predicted
   /// stalls and the cost of failures.
   Duration Cost(const std::string& kind, TimePoint now) const;
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -170,11 +170,17 @@
   }
 }
 
+void LeafTable::OnContactRestored() {
+  for (const auto& [id, leaf] : m_leafs) {
+    leaf->load.OnContactRestored();
+  }
+}
+
 RelayService& LeafTable::Service(const std::string& name) {
   auto& service = m_services[name];
   if (!service) {
     service = std::make_unique<RelayService>(RelayService{
-        name, {}, RetryBudget(m_allowance, DaemonCount()), {}, {}});
+        name, {}, RetryBudget(m_allowance, DaemonCount()), {}, {}, {}});
   }
   return *service;
 }
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -48,6 +48,9 @@
   std::set<WaitingPart> waiting;
   /// When a leaf was last added or removed.
   TimePoint leafs_changed_at = {};
+  /// Until when no parts are handed over to peers, as one that reaches leafs
+  /// has just failed to get an answer.
+  TimePoint peers_failed_until = {};
 };
 
 /// All services and leafs that are named by a route or registered.
@@ -79,6 +82,13 @@
   void SetDaemons(std::map<std::string, std::size_t> by_region);
   void OnReachable(const Endpoint& address, bool is_reachable, TimePoint now);
 
+  /// Sets whether this daemon can reach any leaf.
+  void SetOutOfReach(bool is_out_of_reach) {
+    m_fleet->is_out_of_reach = is_out_of_reach;
+  }
+  /// Takes back what was concluded of leafs while the daemon was cut off.
+  void OnContactRestored();
+
   RelayService& Service(const std::string& name);
   const std::map<std::string, std::unique_ptr<RelayService>>& Services() const {
     return m_services;
--- a/src/request/peer_table.cc
+++ b/src/request/peer_table.cc
@@ -1,5 +1,6 @@
 #include "request/peer_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bramleyspoke {
@@ -8,18 +9,37 @@
 // Practically no limit: a peer runs many queries concurrently.
 constexpr std::uint32_t kPeerSlots = 1000;
 
+bool IsUsable(const PeerState& state, TimePoint now) {
+  return !state.IsCutOff(now) && state.load.IsUsable(now) &&
+         !state.load.IsSilent(now);
+}
+
 }  // namespace
 
 bool PeerLocation::Contains(const RelayPeer& peer) const {
-  return peer.region == region &&
+  return (region.empty() || peer.region == region) &&
          (failure_domain.empty() || peer.failure_domain == failure_domain);
 }
 
+bool PeerState::Update(const RelayPeer& entry) {
+  RelayPeer same = peer;
+  same.is_cut_off = entry.is_cut_off;
+  if (same != entry) {
+    return false;
+  }
+  const bool has_returned = peer.is_cut_off && !entry.is_cut_off;
+  if (has_returned) {
+    cut_off_until = {};
+  }
+  peer = entry;
+  return true;
+}
+
 void PeerTable::SetPeers(const std::vector<RelayPeer>& peers) {
   std::map<Endpoint, std::shared_ptr<PeerState>> peers_by_address;
   for (const RelayPeer& peer : peers) {
     const auto known = m_peers.find(peer.address);
-    if (known != m_peers.end() && known->second->peer == peer) {
+    if (known != m_peers.end() && known->second->Update(peer)) {
       peers_by_address.insert(*known);
     } else {
       const Duration round_trip =
@@ -32,13 +52,18 @@
   m_peers = std::move(peers_by_address);
 }
 
+bool PeerTable::IsAnyUsable(TimePoint now) const {
+  return std::any_of(m_peers.begin(), m_peers.end(), [now](const auto& entry) {
+    return IsUsable(*entry.second, now);
+  });
+}
+
 // Chooses the peer with the fewest queries in flight, in turn among equals.
 std::shared_ptr<PeerState> PeerTable::Choose(const PeerLocation& location,
                                              TimePoint now) {
   std::vector<std::shared_ptr<PeerState>> usable;
   for (const auto& [address, state] : m_peers) {
-    if (!location.Contains(state->peer) || !state->load.IsUsable(now) ||
-        state->load.IsSilent(now)) {
+    if (!location.Contains(state->peer) || !IsUsable(*state, now)) {
       continue;
     }
     if (!usable.empty() &&
--- a/src/request/peer_table.h
+++ b/src/request/peer_table.h
@@ -17,12 +17,15 @@
   Endpoint address;
   std::string region;
   std::string failure_domain;
+  /// Whether the peer has said in the store that it reaches no leafs.
+  bool is_cut_off = false;
 
   bool operator==(const RelayPeer&) const = default;
 };
 
 /// The area in which to look for a peer that is nearer to some leafs.
 struct PeerLocation {
+  /// Empty for any region.
   std::string region;
   /// Empty for anywhere in the region.
   std::string failure_domain;
@@ -36,6 +39,15 @@
 struct PeerState {
   RelayPeer peer;
   LeafLoad load;
+  /// Until when the peer gets no queries after it has answered that it reaches
+  /// no leafs.
+  TimePoint cut_off_until = {};
+
+  /// Takes the peer's new entry; false if it is another daemon's.
+  bool Update(const RelayPeer& entry);
+  bool IsCutOff(TimePoint now) const {
+    return peer.is_cut_off || now < cut_off_until;
+  }
 };
 
 /// The known peers, and the choice of one for a delegation.
@@ -48,6 +60,8 @@
   explicit PeerTable(std::string region) : m_region(std::move(region)) {}
 
   void SetPeers(const std::vector<RelayPeer>& peers);
+  /// Whether any peer gets queries.
+  bool IsAnyUsable(TimePoint now) const;
   /// A usable peer in `location`; null if there is none.
   std::shared_ptr<PeerState> Choose(const PeerLocation& location,
                                     TimePoint now);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -148,6 +148,8 @@
   std::uint32_t sends = 0;
   /// Retries and hedges.
   std::uint32_t repeats = 0;
+  /// Times that a part was handed over to a peer for lack of a leaf in reach.
+  std::uint32_t hand_overs = 0;
   WaitEnd wait_end = WaitEnd::kAllEnded;
   /// Reports of the first reportable parts; `reportable_parts` is the number of
   /// all.
@@ -164,14 +166,21 @@
   TimePoint deadline;
 };
 
-/// A delegation to be sent: shards that a peer queries at its leafs.
+/// A delegation to be sent: shards, or the service of a whole request, that a
+/// peer queries at its leafs.
 struct RelayDelegation {
   RelayNumber request = 0;
   RelayAttemptNumber number = 0;
+  /// `number`, or that of the delegation that this one continues.
+  RelayAttemptNumber origin = 0;
   Endpoint peer;
   std::vector<std::string> shards;
+  /// Number of shards; also set for a continuation, which names none.
+  std::size_t shard_count = 0;
   /// By shard, whether this daemon may also send it to leafs.
   std::vector<bool> bypassable;
+  /// Maximum number of leafs to which the peer may send each shard.
+  std::uint32_t max_attempts = 1;
   TimePoint deadline;
   /// Time by which the peer should answer.
   TimePoint answer_by;
@@ -187,6 +196,8 @@
   std::vector<std::size_t> covered;
   std::vector<UncoveredShard> uncovered;
   HttpResponse answer;
+  /// Whether the peer reaches no leafs.
+  bool is_cut_off = false;
   /// Time from the delegation's arrival at the peer to its answer.
   Duration processing_time{0};
   std::vector<StallNotice> stalls;
--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -88,6 +88,7 @@
   }
   RelayOutcome outcome;
   outcome.answers.push_back(std::move(*response));
+  outcome.covered = {0};
   Finish(request, std::move(outcome));
 }
 
@@ -228,6 +229,7 @@
   bool is_open = false;
   for (const Part& part : request.parts) {
     is_open = is_open || part.IsOpen();
+    outcome.hand_overs += part.hand_overs;
     if (part.IsReportable()) {
       ++outcome.reportable_parts;
       if (outcome.part_reports.size() < kMaxPartReports) {
--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -1,4 +1,8 @@
-// Watches whether this daemon reaches the leafs at all.
+// Watches whether this daemon reaches the leafs at all, and what follows for
+// requests in flight.
+
+#include <utility>
+#include <vector>
 
 #include "request/relay_engine.h"
 #include "request/relay_request.h"
@@ -33,4 +37,88 @@
   m_actions.probes.insert(m_actions.probes.end(), leafs.begin(), leafs.end());
 }
 
+void RelayEngine::RecordProof(ContactProof proof) {
+  m_contact.OnProof(proof, m_now);
+}
+
+// Without a peer that reaches leafs there is nothing better than to try them.
+void RelayEngine::ApplyContact() {
+  m_leaf_table.SetOutOfReach(!m_contact.IsInContact() &&
+                             m_peers.IsAnyUsable(m_now));
+  const ContactState state = m_contact.State();
+  const ContactState before = std::exchange(m_applied_contact, state);
+  if (state == before) {
+    return;
+  }
+  if (state == ContactState::kCutOff) {
+    ReleaseSilentAttempts();
+    ReleaseTrials();
+  }
+  if (before == ContactState::kCutOff) {
+    m_leaf_table.OnContactRestored();
+  }
+  if (state == ContactState::kInContact) {
+    for (const auto& [name, service] : m_leaf_table.Services()) {
+      DispatchWaiting(*service);
+    }
+  }
+}
+
+// Their connections are closed, so that nothing that is held up on the way
+// reaches a leaf after the cut.
+void RelayEngine::ReleaseSilentAttempts() {
+  std::vector<RelayAttemptNumber> silent;
+  for (const auto& [number, attempt] : m_attempts) {
+    const Duration overdue_after =
+        attempt.leaf->load.OverdueAfter(attempt.route_name);
+    const Request* request = FindRequest(attempt.request);
+    const bool may_end = request == nullptr || request->IsIdempotent();
+    if (may_end && m_now - attempt.sent_at > overdue_after) {
+      silent.push_back(number);
+    }
+  }
+  for (const RelayAttemptNumber number : silent) {
+    ReleaseAttempt(number);
+  }
+}
+
+void RelayEngine::ReleaseAttempt(RelayAttemptNumber number) {
+  const auto found = m_attempts.find(number);
+  const Attempt attempt = std::move(found->second);
+  m_attempts.erase(found);
+  attempt.leaf->load.OnEnded(m_now);
+  m_actions.cancellations.push_back(number);
+  Request* request = FindRequest(attempt.request);
+  if (request == nullptr) {
+    return;
+  }
+  Part& part = request->parts[attempt.part];
+  std::erase(part.outstanding, number);
+  if (!part.IsOpen()) {
+    return;
+  }
+  ++part.runs;
+  part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
+  MarkForUpdate(attempt.request);
+  if (request->request.is_for_peer) {
+    FailUnlessOutstanding(part);
+  } else {
+    Retry(*request, attempt.part);
+  }
+}
+
+void RelayEngine::ReleaseTrials() {
+  for (const auto& [number, request] : m_requests) {
+    const RequestPart part = request->PartAt(*request->parts.front().service);
+    if (!request->is_doubtful || m_crashes.IsDoubtful(part, m_now)) {
+      continue;
+    }
+    request->is_doubtful = false;
+    request->is_trial_lost = false;
+    request->lost_attempts = 0;
+    ReleaseHeldParts(*request);
+    MarkForUpdate(number);
+  }
+}
+
 }  // namespace bramleyspoke
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -25,6 +25,12 @@
 // How long after its end a stall is reported to peers; several queries arrive
 // within this time.
 constexpr std::chrono::milliseconds kMaxStallAge{1500};
+// How long a peer that reaches no leafs gets no queries, unless its entry says
+// before that it is in contact again.
+constexpr std::chrono::seconds kCutOffTime{1};
+// How long parts of a service are not handed over after a peer failed to get an
+// answer.
+constexpr std::chrono::seconds kPeersFailedTime{1};
 // Weight of a new sample in the smoothed round-trip time to a peer.
 constexpr double kRttSampleWeight = 0.2;
 // Delay after `answer_by` before pending shards are requested: at `answer_by`,
@@ -140,13 +146,18 @@
   const Duration reserved = peer->load.RoundTripTime() + kReturnMargin;
   delegation.deadline = request.request.deadline - reserved;
   delegation.answer_by = request.request.answer_by - reserved;
+  delegation.max_attempts = route.max_attempts;
   const Duration overdue = std::chrono::duration_cast<Duration>(
       peer->load.EstimatedLatency(route.name) * kPeerOverdueFactor);
   for (const std::size_t index : parts) {
     Part& part = request.parts[index];
     part.delegation = m_last_attempt + 1;
     part.is_next_attempt_free = false;
-    part.service->budget.OnRequest(kDelegatorBudgetShare);
+    if (!std::exchange(part.is_delegation_credited, true)) {
+      part.service->budget.OnRequest(kDelegatorBudgetShare);
+    }
+    delegation.max_attempts =
+        std::min(delegation.max_attempts, AttemptsLeft(part, route));
     part.is_peer_bypassable = AreLeafsSettled(part, route);
     delegation.bypassable.push_back(part.is_peer_bypassable);
     if (part.is_peer_bypassable) {
@@ -156,6 +167,10 @@
     delegation.shards.push_back(part.service->name);
   }
   ++m_counters.delegations;
+  delegation_state.is_hand_over = std::any_of(
+      parts.begin(), parts.end(),
+      [&](std::size_t index) { return request.parts[index].hand_overs > 0; });
+  m_counters.hand_overs += delegation_state.is_hand_over ? 1 : 0;
   SendDelegation(request, std::move(delegation_state), std::move(delegation));
 }
 
@@ -183,9 +198,14 @@
                                  DelegationState delegation_state,
                                  RelayDelegation delegation) {
   const RelayAttemptNumber number = ++m_last_attempt;
+  if (!delegation.is_continuation) {
+    delegation_state.origin = number;
+  }
   delegation.request = request.number;
   delegation.number = number;
+  delegation.origin = delegation_state.origin;
   delegation.peer = delegation_state.peer->peer.address;
+  delegation.shard_count = delegation_state.parts.size();
   delegation_state.request = request.number;
   delegation_state.route_name = request.MatchedRoute().name;
   delegation_state.sent_at = m_now;
@@ -218,6 +238,10 @@
   PeerState& peer = *delegation_state.peer;
   const Duration taken = m_now - delegation_state.sent_at;
   peer.load.OnEnded(m_now);
+  if (reply.is_cut_off) {
+    peer.cut_off_until = m_now + kCutOffTime;
+    return;
+  }
   if (reply.kind == LeafReplyKind::kSucceeded && delegation_state.continued) {
     peer.load.OnSuccess(m_now);
     return;
@@ -231,7 +255,11 @@
                                              kRttSampleWeight);
     peer.load.OnAnswered(delegation_state.route_name, taken, smoothed_rtt,
                          std::nullopt, m_now);
-    peer.load.OnSuccess(m_now);
+    if (reply.covered.empty()) {
+      peer.load.OnFailure(m_now);
+    } else {
+      peer.load.OnSuccess(m_now);
+    }
     RecordStalls(delegation_state, reply);
     return;
   }
@@ -280,6 +308,27 @@
 
 // The peer's answer is merged and cannot be split, so it replaces the answers
 // of covered parts that leafs answered directly in the meantime.
+void RelayEngine::TakePeerAnswer(Request& request,
+                                 const DelegationState& delegation_state,
+                                 DelegationReply& reply) {
+  if (reply.covered.empty()) {
+    return;
+  }
+  if (!request.MatchedRoute().IsFanOut()) {
+    Part& part = request.parts.front();
+    if (part.IsOpen()) {
+      part.answer = std::move(reply.answer);
+    }
+    return;
+  }
+  request.peer_answers.push_back(std::move(reply.answer));
+  for (const std::size_t index : reply.covered) {
+    Part& part = request.parts[delegation_state.parts.at(index)];
+    part.answer.reset();
+    part.is_covered = true;
+  }
+}
+
 void RelayEngine::ApplyDelegationReply(Request& request,
                                        const DelegationState& delegation_state,
                                        RelayAttemptNumber number,
@@ -299,27 +348,27 @@
     }
     return;
   }
-  if (!reply.covered.empty()) {
-    request.peer_answers.push_back(std::move(reply.answer));
-  }
-  for (const std::size_t index : reply.covered) {
-    Part& part = request.parts[delegation_state.parts.at(index)];
-    part.answer.reset();
-    part.is_covered = true;
-  }
+  TakePeerAnswer(request, delegation_state, reply);
   const auto original =
       delegation_state.continued
           ? delegation_state.continued
           : std::make_shared<const DelegationState>(delegation_state);
+  std::vector<std::size_t> not_run;
   for (const UncoveredShard& shard : reply.uncovered) {
-    if (shard.place < delegation_state.parts.size()) {
-      ApplyUncovered(request, original, shard);
+    if (shard.place >= delegation_state.parts.size()) {
+      continue;
+    }
+    const std::size_t index = delegation_state.parts[shard.place];
+    if (reply.is_cut_off && !shard.is_pending && shard.possible_runs == 0) {
+      not_run.push_back(index);
+    } else {
+      ApplyUncovered(request, original, shard, reply.is_cut_off);
     }
   }
+  SendNotRun(request, not_run);
   // A part that the reply does not mention is no longer known to the peer.
   for (const std::size_t index : delegated_parts) {
-    const Part& part = request.parts[index];
-    if (!part.pending && !part.retry_at && !part.waiting) {
+    if (!request.parts[index].IsInProgress()) {
       OnDelegationLost(request, index);
     }
   }
@@ -364,7 +413,8 @@
 void RelayEngine::ApplyUncovered(
     Request& request,
     const std::shared_ptr<const DelegationState>& delegation_state,
-    const UncoveredShard& shard) {
+    const UncoveredShard& shard,
+    bool is_peer_cut_off) {
   const std::size_t index = delegation_state->parts[shard.place];
   Part& part = request.parts[index];
   if (!part.IsOpen()) {
@@ -379,7 +429,10 @@
     return;
   }
   if (!shard.is_pending) {
-    RecordLostAttempts(request, shard.possible_runs);
+    if (!is_peer_cut_off) {
+      part.service->peers_failed_until = m_now + kPeersFailedTime;
+      RecordLostAttempts(request, shard.possible_runs);
+    }
     RetryIfInTime(request, index);
     return;
   }
@@ -409,7 +462,9 @@
   const bool is_in_time =
       choice.leaf && m_now + choice.leaf->load.Cost(route_name, m_now) <
                          request.request.answer_by;
-  if (is_in_time || m_now > request.request.answer_by) {
+  const bool is_out_of_reach = !choice.leaf && !choice.is_full &&
+                               !choice.wait && IsOutOfReach(*part.service);
+  if (is_in_time || is_out_of_reach || m_now > request.request.answer_by) {
     Retry(request, index);
   } else {
     part.retry_at = request.request.answer_by + kReturnMargin;
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -56,7 +56,7 @@
   DelegateParts(request);
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     Part& part = request.parts[index];
-    if (part.IsUnsent()) {
+    if (part.IsUnsent() && !MarkForHandOver(request, part)) {
       CreditRetryBudget(request, part);
       DispatchPart(request, index);
     }
@@ -179,7 +179,7 @@
   m_now = now;
   m_leaf_table.OnReachable(address, is_reachable, now);
   if (is_reachable) {
-    m_contact.OnProof(now);
+    RecordProof(ContactProof::kNewConnection);
   } else {
     m_contact.OnFailed(address, now);
     m_crashes.OnUnreachable(address, now);
@@ -210,6 +210,7 @@
 // Updating a request may start attempts and finish it, and affects no other
 // request.
 RelayActions RelayEngine::FinishEvent() {
+  ApplyContact();
   while (!m_marked_requests.empty()) {
     const RelayNumber number = *m_marked_requests.begin();
     m_marked_requests.erase(m_marked_requests.begin());
@@ -238,6 +239,7 @@
   if (FinishIfDone(request)) {
     return;
   }
+  HandOverParts(request);
   ContinuePendingDelegations(request);
   ResumeHeldParts(request);
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
@@ -251,6 +253,7 @@
       Hedge(request, index);
     }
   }
+  HandOverParts(request);
   if (!FinishIfDone(request)) {
     ScheduleTimer(request);
   }
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -25,6 +25,8 @@
   std::uint64_t hedges = 0;
   std::uint64_t retries = 0;
   std::uint64_t delegations = 0;
+  /// Delegations for lack of leafs in reach.
+  std::uint64_t hand_overs = 0;
   std::uint64_t budget_refusals = 0;
   /// Parts refused as suspected of crashing leafs.
   std::uint64_t crash_refusals = 0;
@@ -187,6 +189,31 @@
   std::vector<OutstandingAttempt> OutstandingAttempts() const;
   void CheckContact();
   void SendProbes();
+  void RecordProof(ContactProof proof);
+  /// Applies a change of the contact to leafs and requests.
+  void ApplyContact();
+  void ReleaseSilentAttempts();
+  void ReleaseAttempt(RelayAttemptNumber number);
+  /// Ends the trials of requests that lost attempts to the cut alone.
+  void ReleaseTrials();
+
+  // Hand-over of parts whose leafs are out of reach, to a peer.
+  /// Whether leafs of the service run but cannot be reached from here.
+  bool IsOutOfReach(const RelayService& service) const;
+  bool CanHandOver(const Request& request, const Part& part) const;
+  /// Marks the part for a hand-over if no leaf can be chosen for it; false if
+  /// a leaf can or a hand-over is not possible.
+  bool MarkForHandOver(const Request& request, Part& part);
+  void HandOverParts(Request& request);
+  /// Hands the delegation's open parts over to another peer.
+  void HandOverElsewhere(Request& request, RelayAttemptNumber delegation);
+  std::shared_ptr<PeerState> ChooseHandOverPeer(const std::string& region);
+  std::string RegionOfLeafs(const RelayService& service) const;
+  /// Number of further leafs that may get the part; the leafs that had it
+  /// before do not count if the service has no others.
+  std::uint32_t AttemptsLeft(const Part& part, const Route& route) const;
+  /// Sends parts that a peer did not send to any leaf.
+  void SendNotRun(Request& request, const std::vector<std::size_t>& parts);
 
   // Trials of requests that may crash leafs.
   void BeginTrialIfDoubtful(Request& request);
@@ -223,11 +250,15 @@
   void ApplyUncovered(
       Request& request,
       const std::shared_ptr<const DelegationState>& delegation_state,
-      const UncoveredShard& shard);
+      const UncoveredShard& shard,
+      bool is_peer_cut_off);
   void RecordPeerReply(const DelegationState& delegation_state,
                        const DelegationReply& reply);
   void RecordStalls(const DelegationState& delegation_state,
                     const DelegationReply& reply);
+  static void TakePeerAnswer(Request& request,
+                             const DelegationState& delegation_state,
+                             DelegationReply& reply);
   void ApplyDelegationReply(Request& request,
                             const DelegationState& delegation_state,
                             RelayAttemptNumber number,
@@ -271,6 +302,7 @@
   PeerTable m_peers;
   CrashLedger m_crashes;
   LeafContact m_contact;
+  ContactState m_applied_contact = ContactState::kInContact;
   WeightedRoundRobin m_rotation;
   std::unordered_map<RelayNumber, std::unique_ptr<Request>> m_requests;
   std::unordered_map<RelayAttemptNumber, Attempt> m_attempts;
--- /dev/null
+++ b/src/request/relay_hand_over.cc
@@ -0,0 +1,173 @@
+// Hands parts whose leafs are out of this daemon's reach over to a peer.
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "request/relay_engine.h"
+#include "request/relay_request.h"
+
+namespace bramleyspoke {
+namespace {
+
+// Peers that get a part at most: those next to a daemon that is cut off may be
+// so themselves and not know it yet.
+constexpr std::uint32_t kMaxHandOvers = 4;
+// Delay before a hand-over is considered again while the retry budget is
+// exhausted.
+constexpr Duration kBudgetRetryDelay = std::chrono::milliseconds(15);
+
+}  // namespace
+
+bool RelayEngine::IsOutOfReach(const RelayService& service) const {
+  return std::any_of(service.leafs.begin(), service.leafs.end(),
+                     [this](const auto& leaf) {
+                       return StateOf(*leaf, m_now) == LeafState::kUnreachable;
+                     });
+}
+
+// A request on trial may crash the leafs of one daemon after the other.
+bool RelayEngine::CanHandOver(const Request& request, const Part& part) const {
+  const bool may_run_again =
+      part.verdict == Verdict::kNotRun || request.IsIdempotent();
+  return may_run_again && !request.request.is_for_peer &&
+         !request.IsOnTrial() && part.hand_overs < kMaxHandOvers &&
+         part.outstanding.empty() && !part.delegation &&
+         AttemptsLeft(part, request.MatchedRoute()) > 0 &&
+         m_now >= part.service->peers_failed_until &&
+         IsOutOfReach(*part.service) && m_peers.IsAnyUsable(m_now);
+}
+
+std::uint32_t RelayEngine::AttemptsLeft(const Part& part,
+                                        const Route& route) const {
+  if (AreLeafsSettled(part, route)) {
+    return route.max_attempts;
+  }
+  return route.max_attempts - std::min(part.runs, route.max_attempts);
+}
+
+bool RelayEngine::MarkForHandOver(const Request& request, Part& part) {
+  if (!CanHandOver(request, part)) {
+    return false;
+  }
+  const LeafChoice choice =
+      ChooseLeaf(*part.service, request.MatchedRoute().name, {}, m_now);
+  part.awaits_hand_over = !choice.leaf && !choice.is_full && !choice.wait;
+  return part.awaits_hand_over;
+}
+
+void RelayEngine::HandOverParts(Request& request) {
+  std::map<std::string, std::vector<std::size_t>> by_region;
+  for (std::size_t index = 0; index < request.parts.size(); ++index) {
+    Part& part = request.parts[index];
+    if (!std::exchange(part.awaits_hand_over, false) || !part.IsOpen()) {
+      continue;
+    }
+    if (!part.is_next_attempt_free && !part.service->budget.TakeForRetry()) {
+      ++m_counters.budget_refusals;
+      part.retry_at = m_now + kBudgetRetryDelay;
+      continue;
+    }
+    by_region[RegionOfLeafs(*part.service)].push_back(index);
+  }
+  std::map<std::shared_ptr<PeerState>, std::vector<std::size_t>> by_peer;
+  for (const auto& [region, parts] : by_region) {
+    auto& peer_parts = by_peer[ChooseHandOverPeer(region)];
+    peer_parts.insert(peer_parts.end(), parts.begin(), parts.end());
+  }
+  for (const auto& [peer, parts] : by_peer) {
+    for (const std::size_t index : parts) {
+      Part& part = request.parts[index];
+      ++part.hand_overs;
+      if (!peer) {
+        FailUnlessOutstanding(part);
+      }
+    }
+    if (peer) {
+      Delegate(request, parts, peer);
+    }
+  }
+}
+
+// The peer may have sent the parts to leafs. What it still answers is not
+// used, as another peer's answer covers the same parts.
+void RelayEngine::HandOverElsewhere(Request& request,
+                                    RelayAttemptNumber delegation) {
+  const auto found = m_delegations.find(delegation);
+  if (found == m_delegations.end()) {
+    return;
+  }
+  const auto is_lost = [&](std::size_t index) {
+    const Part& part = request.parts[index];
+    return part.delegation != delegation ||
+           MayBypassPeer(part, request.MatchedRoute());
+  };
+  const std::vector<std::size_t> parts = found->second.parts;
+  if (!request.IsIdempotent() ||
+      !std::all_of(parts.begin(), parts.end(), is_lost)) {
+    return;
+  }
+  found->second.peer->load.OnEnded(m_now);
+  found->second.peer->load.OnUnreachable(m_now);
+  m_delegations.erase(found);
+  m_actions.cancellations.push_back(delegation);
+  for (const std::size_t index : parts) {
+    Part& part = request.parts[index];
+    if (part.delegation != delegation) {
+      continue;
+    }
+    part.delegation.reset();
+    part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
+    if (part.IsOpen()) {
+      Retry(request, index);
+    }
+  }
+}
+
+std::shared_ptr<PeerState> RelayEngine::ChooseHandOverPeer(
+    const std::string& region) {
+  const Locality& here = m_leaf_table.OwnLocality();
+  std::vector<PeerLocation> locations;
+  if (region == here.region) {
+    locations.push_back({here.region, here.failure_domain});
+  }
+  locations.push_back({region, ""});
+  locations.push_back({"", ""});
+  for (const PeerLocation& location : locations) {
+    if (auto peer = m_peers.Choose(location, m_now)) {
+      return peer;
+    }
+  }
+  return nullptr;
+}
+
+// This region if it has any of the leafs.
+std::string RelayEngine::RegionOfLeafs(const RelayService& service) const {
+  std::string region;
+  for (const auto& leaf : service.leafs) {
+    if (leaf->is_near) {
+      return m_leaf_table.OwnLocality().region;
+    }
+    if (!leaf->draining_since) {
+      region = m_leaf_table.RegionOf(*leaf);
+    }
+  }
+  return region;
+}
+
+void RelayEngine::SendNotRun(Request& request,
+                             const std::vector<std::size_t>& parts) {
+  for (const std::size_t index : parts) {
+    Part& part = request.parts[index];
+    part.is_next_attempt_free = part.is_next_attempt_free || part.runs == 0;
+    const bool is_retry = request.IsOnTrial() || !part.IsUnsent();
+    if (is_retry && part.IsOpen()) {
+      Retry(request, index);
+    }
+  }
+  if (!parts.empty() && !request.IsOnTrial()) {
+    SendParts(request);
+  }
+}
+
+}  // namespace bramleyspoke
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -76,7 +76,7 @@
     case LeafReplyKind::kRefused:
     case LeafReplyKind::kOtherLeaf:
     case LeafReplyKind::kMalformed:
-      m_contact.OnProof(m_now);
+      RecordProof(ContactProof::kAnswer);
       return;
     case LeafReplyKind::kNotSent:
     case LeafReplyKind::kTimedOut:
@@ -205,9 +205,13 @@
   }
   const Route& route = request.MatchedRoute();
   const bool may_have_run = part.verdict != Verdict::kNotRun;
-  if ((may_have_run && !request.IsIdempotent()) ||
-      part.runs >= route.max_attempts ||
-      part.attempts >= route.max_attempts + kMaxRefusals) {
+  const bool has_attempts_left =
+      part.runs < route.max_attempts &&
+      part.attempts < route.max_attempts + kMaxRefusals;
+  if (MarkForHandOver(request, part)) {
+    return;
+  }
+  if ((may_have_run && !request.IsIdempotent()) || !has_attempts_left) {
     FailUnlessOutstanding(part);
     return;
   }
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -45,6 +45,12 @@
   std::optional<WaitingPart> waiting;
   std::optional<TimePoint> hedge_at;
   std::optional<TimePoint> retry_at;
+  /// To be handed over to a peer, as no leaf is in reach.
+  bool awaits_hand_over = false;
+  /// Number of delegations that were made for lack of a leaf in reach.
+  std::uint32_t hand_overs = 0;
+  /// Whether this daemon's share of a delegation's retry budget was credited.
+  bool is_delegation_credited = false;
   /// Waits for the outcome of a trial of the request.
   bool is_held = false;
   Verdict verdict = Verdict::kNotRun;
@@ -58,7 +64,8 @@
   }
   /// Whether an attempt or a delegation is outstanding or will be started.
   bool IsInProgress() const {
-    return !outstanding.empty() || delegation || pending || waiting || retry_at;
+    return !outstanding.empty() || delegation || pending || waiting ||
+           retry_at || awaits_hand_over;
   }
   PartState State() const;
   std::vector<const RelayLeaf*> TriedLeafs() const;
@@ -120,12 +127,16 @@
 /// Parts of a request that were delegated to a peer.
 struct RelayEngine::DelegationState {
   RelayNumber request = 0;
+  /// Number of the delegation, or of the first one if this one continues it.
+  RelayAttemptNumber origin = 0;
   std::vector<std::size_t> parts;
   /// Services of `parts`, in the same order.
   std::vector<RelayService*> services;
   std::shared_ptr<PeerState> peer;
   std::string route_name;
   TimePoint sent_at;
+  /// Made for lack of leafs in reach here.
+  bool is_hand_over = false;
   /// The delegation that this one continues.
   std::shared_ptr<const DelegationState> continued;
 };
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -38,6 +38,10 @@
 // the verdict "not run" is true.
 bool RelayEngine::RefuseIfUnservable(Request& request) {
   const Route& route = request.MatchedRoute();
+  if (request.request.is_for_peer && !m_contact.IsInContact()) {
+    FinishRefused(request, RefusalWithoutLeafs(request));
+    return true;
+  }
   std::size_t without_leaf = 0;
   std::size_t suspect = 0;
   std::size_t most_waiting = 0;
@@ -49,7 +53,9 @@
     }
     const LeafChoice choice =
         ChooseLeaf(*part.service, route.name, {}, m_now, FirstScope(request));
-    without_leaf += choice.leaf || choice.is_full ? 0 : 1;
+    const bool is_servable = choice.leaf || choice.is_full ||
+                             (!choice.wait && CanHandOver(request, part));
+    without_leaf += is_servable ? 0 : 1;
     most_waiting = std::max(most_waiting, part.service->waiting.size());
   }
   const auto shards = static_cast<double>(request.parts.size());
@@ -138,7 +144,7 @@
   if (!choice.leaf) {
     if (choice.is_full) {
       Enqueue(request, index);
-    } else {
+    } else if (!MarkForHandOver(request, part)) {
       m_counters.leaf_wait_refusals += choice.wait ? 1 : 0;
       FailUnlessOutstanding(part);
     }
@@ -249,6 +255,10 @@
     return;
   }
   const std::size_t out = part.outstanding.size() + (part.delegation ? 1 : 0);
+  if (part.delegation && part.hand_overs > 0) {
+    HandOverElsewhere(request, *part.delegation);
+    return;
+  }
   if (out != 1 ||
       part.runs + part.outstanding.size() >=
           request.MatchedRoute().max_attempts ||
--- a/tests/leaf_contact_test.cc
+++ b/tests/leaf_contact_test.cc
@@ -17,7 +17,7 @@
 /// A contact that had an answer a second ago.
 struct WatchedContact {
   WatchedContact() {
-    contact.OnProof(now);
+    contact.OnProof(ContactProof::kAnswer, now);
     now += seconds(1);
   }
 
@@ -70,9 +70,13 @@
     fixture.Advance(seconds(2));
     CHECK(fixture.probe_requests >= 4);
     CHECK(fixture.contact.State() == ContactState::kCutOff);
-    fixture.contact.OnProof(fixture.now);
+    fixture.contact.OnProof(ContactProof::kNewConnection, fixture.now);
     CHECK(fixture.contact.State() == ContactState::kInContact);
   }
+  SUBCASE("and an answer on an old connection does not end that") {
+    fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
+    CHECK(fixture.contact.State() == ContactState::kCutOff);
+  }
 }
 
 TEST_CASE(
@@ -82,7 +86,7 @@
   fixture.Send(kLeafB);
   fixture.Advance(milliseconds(110));
   REQUIRE(fixture.contact.State() == ContactState::kDoubtful);
-  fixture.contact.OnProof(fixture.now);
+  fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
   fixture.Advance(milliseconds(100));
   CHECK(fixture.contact.State() == ContactState::kInContact);
   CHECK(fixture.probe_requests == 1);
@@ -112,16 +116,16 @@
     fixture.Send(kLeafA);
     fixture.Send(kLeafB);
     for (int answer = 0; answer < 20; ++answer) {
-      fixture.contact.OnProof(fixture.now);
+      fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
       fixture.Advance(milliseconds(40));
     }
   }
   SUBCASE("two that break connections right after an answer") {
-    fixture.contact.OnProof(fixture.now);
+    fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
     fixture.contact.OnFailed(kLeafA, fixture.now);
     fixture.contact.OnFailed(kLeafB, fixture.now);
     fixture.Advance(milliseconds(30));
-    fixture.contact.OnProof(fixture.now);
+    fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
     fixture.Advance(milliseconds(100));
   }
   CHECK(fixture.contact.IsInContact());
@@ -135,7 +139,7 @@
   fixture.Send(kLeafA);
   fixture.Send(kLeafB);
   fixture.Advance(milliseconds(10));
-  fixture.contact.OnProof(fixture.now);
+  fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
   fixture.Advance(milliseconds(450));
   CHECK(fixture.contact.IsInContact());
   fixture.Advance(milliseconds(150));
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -15,6 +15,15 @@
 
 using std::chrono::milliseconds;
 
+/// What happens to a connection that is tried to find out whether the daemon
+/// reaches the leafs.
+enum class ProbeAnswer {
+  kAccepted,
+  kRefused,
+  /// It hangs.
+  kNone,
+};
+
 /// A relay engine with simulated time, its leafs and the actions it returned.
 ///
 /// Each of the services "s0", "s1", ... is a shard; `AddLeaf` adds its leafs.
@@ -155,6 +164,9 @@
     for (RelayFinish& finish : actions.finishes) {
       outcomes[finish.request] = std::move(finish.outcome);
     }
+    for (const Endpoint& leaf : actions.probes) {
+      AnswerProbe(leaf);
+    }
   }
 
   TimePoint now{std::chrono::hours(1)};
@@ -174,6 +186,7 @@
   std::map<std::string, Duration> pauses;
   /// Leafs that say in their responses that they are leaving.
   std::set<std::string> leaving;
+  ProbeAnswer probes = ProbeAnswer::kAccepted;
   /// Service of routes without shards.
   std::string single_service = "s0";
   /// Fingerprint of subsequent requests.
@@ -183,6 +196,14 @@
   std::uint64_t resource = 0;
 
  private:
+  void AnswerProbe(const Endpoint& leaf) {
+    if (probes == ProbeAnswer::kNone) {
+      return;
+    }
+    const bool is_accepted = probes == ProbeAnswer::kAccepted;
+    CollectActions(engine.OnReachable(leaf, is_accepted, now));
+  }
+
   std::uint16_t m_next_port = 1;
 };
 
