Take no evidence of crashes from a daemon that may be cut off

Cause: an attempt without an answer whose leaf then accepts no connection counts as a crash, whoever is the cause. On a cut both hold for all leafs.

Change: if several leafs have failed and none has answered since, a leaf that accepts no connection is evidence only once another leaf has answered or accepted one; once the daemon is cut off it is none. What a later registration shows (the leaf has started again) still counts.

--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -151,7 +151,7 @@
   if (m_unanswered.size() >= kMaxUnanswered) {
     m_unanswered.erase(m_unanswered.begin());
   }
-  m_unanswered.push_back({part, leaf, now, std::nullopt, false});
+  m_unanswered.push_back({part, leaf, now, std::nullopt, false, false});
   Report(CrashEvidenceStep::kUnanswered, part, leaf->registration.id,
          Duration::zero(), now);
 }
@@ -160,7 +160,7 @@
   ConfirmCrashes(
       [&](const UnansweredAttempt& attempt) {
         return attempt.leaf->registration.address == address &&
-               !attempt.leaf_answered_at;
+               !attempt.leaf_answered_at && !attempt.is_cut_off;
       },
       now);
 }
@@ -190,6 +190,12 @@
   }
 }
 
+void CrashLedger::OnContactLost(std::optional<TimePoint> since) {
+  for (UnansweredAttempt& attempt : m_unanswered) {
+    attempt.is_cut_off = attempt.is_cut_off || !since || attempt.at >= *since;
+  }
+}
+
 void CrashLedger::OnPeerCrash(const LeafCrash& crash, TimePoint now) {
   const CrashEvidenceStep step = AddCrash(crash)
                                      ? CrashEvidenceStep::kReported
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -130,6 +130,11 @@
   /// that ended before that were no crashes, unless a later run has responded.
   void OnAnswered(const RelayLeaf& leaf, TimePoint sent, TimePoint now);
 
+  /// This daemon has reached no leaf since `since` (if ever): that it cannot
+  /// connect to the leafs of attempts that ended since then is no evidence.
+  /// That they have started again still is.
+  void OnContactLost(std::optional<TimePoint> since);
+
   /// Records a crash that a peer reported.
   void OnPeerCrash(const LeafCrash& crash, TimePoint now);
   /// The crashes observed by this daemon since the last call.
@@ -146,6 +151,8 @@
     std::optional<TimePoint> leaf_answered_at;
     /// Whether a leaf has answered the request since.
     bool is_survived = false;
+    /// Whether this daemon was cut off from the leafs when the attempt ended.
+    bool is_cut_off = false;
   };
 
   template <typename Predicate>
--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -37,8 +37,14 @@
   m_actions.probes.insert(m_actions.probes.end(), leafs.begin(), leafs.end());
 }
 
+// Leafs that were found gone meanwhile are the cause themselves.
 void RelayEngine::RecordProof(ContactProof proof) {
   m_contact.OnProof(proof, m_now);
+  if (m_contact.IsInContact()) {
+    for (const Endpoint& leaf : std::exchange(m_doubtful_losses, {})) {
+      m_crashes.OnUnreachable(leaf, m_now);
+    }
+  }
 }
 
 // Without a peer that reaches leafs there is nothing better than to try them.
@@ -51,6 +57,8 @@
     return;
   }
   if (state == ContactState::kCutOff) {
+    m_doubtful_losses.clear();
+    m_crashes.OnContactLost(m_contact.LastProof());
     ReleaseSilentAttempts();
     ReleaseTrials();
   }
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -147,7 +147,7 @@
     m_attempts.erase(found);
     RelayService& service = *attempt.service;
     attempt.leaf->load.OnEnded(now);
-    m_crashes.OnUnanswered(attempt.request_part, attempt.leaf, now);
+    RecordUnansweredAttempt(attempt);
     m_actions.cancellations.push_back(number);
     DispatchWaiting(service);
   }
@@ -182,7 +182,7 @@
     RecordProof(ContactProof::kNewConnection);
   } else {
     m_contact.OnFailed(address, now);
-    m_crashes.OnUnreachable(address, now);
+    RecordLeafLoss(address);
   }
   return FinishEvent();
 }
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -270,6 +270,9 @@
   void RecordReply(const Attempt& attempt, const LeafReply& reply);
   void RecordContact(const Attempt& attempt, LeafReplyKind kind);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
+  void RecordUnansweredAttempt(const Attempt& attempt);
+  /// Nothing listens at a leaf's address, as far as this daemon can tell.
+  void RecordLeafLoss(const Endpoint& address);
   void RecordAnnouncement(const Attempt& attempt,
                           const LeafAnnouncement& announcement);
   void AddLeafNotice(LeafNoticeKind kind, const RelayLeaf& leaf);
@@ -303,6 +306,8 @@
   CrashLedger m_crashes;
   LeafContact m_contact;
   ContactState m_applied_contact = ContactState::kInContact;
+  /// Leafs found gone while it is doubtful whether this daemon is the cause.
+  std::vector<Endpoint> m_doubtful_losses;
   WeightedRoundRobin m_rotation;
   std::unordered_map<RelayNumber, std::unique_ptr<Request>> m_requests;
   std::unordered_map<RelayAttemptNumber, Attempt> m_attempts;
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -136,7 +136,7 @@
     case LeafReplyKind::kLost:
     case LeafReplyKind::kTimedOut:
     case LeafReplyKind::kMalformed:
-      m_crashes.OnUnanswered(part, attempt.leaf, m_now);
+      RecordUnansweredAttempt(attempt);
       return;
     case LeafReplyKind::kOtherLeaf:
     case LeafReplyKind::kNotSent:
@@ -144,6 +144,21 @@
   }
 }
 
+// A daemon that is cut off has no evidence against the requests that it sent.
+void RelayEngine::RecordUnansweredAttempt(const Attempt& attempt) {
+  if (m_contact.State() != ContactState::kCutOff) {
+    m_crashes.OnUnanswered(attempt.request_part, attempt.leaf, m_now);
+  }
+}
+
+void RelayEngine::RecordLeafLoss(const Endpoint& address) {
+  if (!m_contact.IsAnyDoubt()) {
+    m_crashes.OnUnreachable(address, m_now);
+  } else if (m_contact.State() != ContactState::kCutOff) {
+    m_doubtful_losses.push_back(address);
+  }
+}
+
 void RelayEngine::ApplyReply(Request& request,
                              const Attempt& attempt,
                              LeafReply reply) {
--- a/tests/relay_hand_over_test.cc
+++ b/tests/relay_hand_over_test.cc
@@ -197,6 +197,38 @@
   }
 }
 
+TEST_CASE("a cut is no evidence against the requests that it hit") {
+  NearLeafs relay;
+  relay.fingerprint = 1;
+  relay.probes = ProbeAnswer::kRefused;
+  relay.Advance(seconds(1));
+  SUBCASE("connections are reset, and new ones refused") {
+    relay.Submit(kShards);
+    const std::vector<RelayAttempt> attempts = relay.sends;
+    for (const RelayAttempt& attempt : attempts) {
+      relay.Reply(attempt.leaf_id, LeafReplyKind::kLost);
+    }
+    for (const RelayAttempt& attempt : attempts) {
+      relay.CollectActions(
+          relay.engine.OnReachable(attempt.address, false, relay.now));
+    }
+  }
+  SUBCASE("connections hang, and new ones time out") {
+    relay.probes = ProbeAnswer::kNone;
+    relay.Submit(kShards);
+    relay.Advance(milliseconds(400));
+    for (const LeafRegistration& leaf : relay.leafs) {
+      relay.CollectActions(
+          relay.engine.OnReachable(leaf.address, false, relay.now));
+    }
+  }
+  REQUIRE(relay.engine.Contact() == ContactState::kCutOff);
+  relay.CollectActions(
+      relay.engine.OnReachable(relay.leafs.front().address, true, relay.now));
+  REQUIRE(relay.engine.Contact() == ContactState::kInContact);
+  CHECK(relay.engine.TakeCrashes().empty());
+}
+
 TEST_CASE("nothing remains of a cut once a leaf accepts a connection") {
   NearLeafs relay;
   relay.CutOff();
