Tell callers and peers of a daemon that is cut off from the leafs

What callers saw: every daemon, the one that is cut off included, kept naming it to callers, and peers kept delegating to it.

Cause: a daemon's entry in the store says where it is and nothing of whether it reaches leafs.

Change: the entry says so (cut_off), written when the daemon finds out and when a leaf has accepted a connection again. Callers get the addresses of holders in contact; if there are none, of all, as any address is then as good as another. Peers that are cut off get no delegations. A loss is told at once, and so is the first return; after a relapse within ten seconds the return has to last first, for one second up to eight. Readiness stays as it is: the daemon answers, through peers, and a restart would not mend its links. Holders stay holders: replacing them costs leafs new connections twice, and a standby that takes over may be cut off too.

Ruled out: messages to all holders, as for crash reports. Address queries are answered by standbys too, and at 5,500 daemons a failure domain of 600 that is cut off would send each holder 600 messages; the store passes 600 writes on along the trees that there are.

--- a/src/connection/knowledge_messages.cc
+++ b/src/connection/knowledge_messages.cc
@@ -49,6 +49,7 @@
   builder.setFailureDomain(keyed.daemon.failure_domain);
   builder.setRegion(keyed.daemon.region);
   builder.setProcessor(keyed.daemon.processor);
+  builder.setIsCutOff(keyed.daemon.is_cut_off);
 }
 
 std::optional<KeyedDaemon> ReadDaemon(wire::Daemon::Reader reader) {
@@ -64,6 +65,7 @@
   keyed.daemon.failure_domain = ToStd(reader.getFailureDomain());
   keyed.daemon.region = ToStd(reader.getRegion());
   keyed.daemon.processor = reader.getProcessor();
+  keyed.daemon.is_cut_off = reader.getIsCutOff();
   return keyed;
 }
 
--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -148,6 +148,8 @@
   region @4 :Text;
   # Processor capacity, in thousandths of a core.
   processor @5 :UInt32;
+  # Whether the daemon reaches no leafs.
+  isCutOff @6 :Bool;
 }
 
 # A request that is refused because it crashes leafs.
--- a/src/process/daemon_registration.cc
+++ b/src/process/daemon_registration.cc
@@ -39,6 +39,14 @@
   }
 }
 
+// A call that is outstanding is followed by another one with the new value.
+void DaemonRegistration::SetValue(std::string value) {
+  m_value = std::move(value);
+  if (m_is_registered && !m_is_unregistered && m_value != m_put_value) {
+    Put();
+  }
+}
+
 void DaemonRegistration::Restore() {
   if (m_is_registered && !m_is_unregistered) {
     WriteLog(LogLevel::kWarning, "registration_missing",
@@ -109,6 +117,7 @@
 void DaemonRegistration::Put() {
   m_is_registered = false;
   m_timer.reset();
+  m_put_value = m_value;
   m_store.Put(m_key, m_value, m_lease,
               MakeCallback<KeyValueStatus>(&DaemonRegistration::OnPut));
 }
@@ -131,6 +140,10 @@
   if (const LeaseId old = std::exchange(m_old_lease, 0); old != 0) {
     RevokeLease(old);
   }
+  if (m_value != m_put_value) {
+    Put();
+    return;
+  }
   ScheduleCall(m_timings.renew_interval, &DaemonRegistration::Renew);
 }
 
--- a/src/process/daemon_registration.h
+++ b/src/process/daemon_registration.h
@@ -35,6 +35,8 @@
   /// Sets the timings. If they differ from the current ones and the key is
   /// registered, moves it to a new lease.
   void SetTimings(const StoreTimings& timings);
+  /// Replaces the key's value.
+  void SetValue(std::string value);
   /// Writes the key again; called if the store does not have it.
   void Restore();
   /// Registers anew, without a call for the previous lease: its id may be
@@ -63,6 +65,8 @@
   KeyValueStore& m_store;
   std::string m_key;
   std::string m_value;
+  /// The value of the last put.
+  std::string m_put_value;
   std::function<void()> m_on_unanswered;
   /// In a large fleet most daemons are standbys; a holder moves to a new lease.
   StoreTimings m_timings = kStandbyTimings;
--- a/src/process/holder_choice.cc
+++ b/src/process/holder_choice.cc
@@ -1,6 +1,7 @@
 #include "process/holder_choice.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -84,6 +85,16 @@
   return chosen;
 }
 
+// Holders stay holders while they are cut off: replacing them would cost the
+// leafs new connections twice, and who replaces them may be cut off too.
+std::vector<DaemonEntry> KeepInContact(
+    const std::vector<DaemonEntry>& daemons) {
+  std::vector<DaemonEntry> kept;
+  std::copy_if(daemons.begin(), daemons.end(), std::back_inserter(kept),
+               [](const DaemonEntry& daemon) { return !daemon.is_cut_off; });
+  return kept.empty() ? daemons : kept;
+}
+
 std::vector<Endpoint> ChooseCallerAddresses(
     const std::vector<DaemonEntry>& holders,
     const std::set<std::string>& serving_regions,
--- a/src/process/holder_choice.h
+++ b/src/process/holder_choice.h
@@ -35,6 +35,10 @@
 std::vector<DaemonEntry> ChooseHolders(const std::vector<DaemonEntry>& daemons,
                                        std::size_t holders);
 
+/// The daemons that reach leafs; all of them if none does, since any address
+/// is then as good as another.
+std::vector<DaemonEntry> KeepInContact(const std::vector<DaemonEntry>& daemons);
+
 /// Returns the addresses that a caller in `caller_region` should use.
 ///
 /// A fan-out queries many leafs for one answer, so traffic between regions is
--- a/src/process/relay_control.cc
+++ b/src/process/relay_control.cc
@@ -118,6 +118,11 @@
                              [this] { ApplyTimings(); });
   }
 
+  void SetCutOff(bool is_cut_off) override {
+    m_own_entry.is_cut_off = is_cut_off;
+    m_registration.SetValue(m_schema.WriteDaemon(m_own_entry));
+  }
+
   void CheckStore() override { m_follower.CheckNow(); }
 
   void OnNewerRoutesAtPeer(const Endpoint& peer,
--- a/src/process/relay_control.h
+++ b/src/process/relay_control.h
@@ -61,6 +61,9 @@
   /// not changed for some time; called on the control loop. A daemon begins as
   /// a standby.
   virtual void SetIsHolder(bool is_holder) = 0;
+  /// Tells other daemons through the store whether this one reaches leafs;
+  /// called on the control loop.
+  virtual void SetCutOff(bool is_cut_off) = 0;
   /// Has the store asked whether what was reported of it is current; called on
   /// the control loop.
   virtual void CheckStore() = 0;
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -10,6 +10,7 @@
 #include "connection/capnp_peers.h"
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
+#include "process/contact_report.h"
 #include "process/counting_key_value_store.h"
 #include "process/crash_reports.h"
 #include "process/holder_choice.h"
@@ -236,6 +237,8 @@
   void OnContactChange(const ContactChange& change) override {
     m_metrics->Observe(change);
     m_log.WriteContactChange(change);
+    m_contact_report.OnChange(change.state, std::chrono::steady_clock::now());
+    ReportContact();
   }
 
   void OnRoutesDoubted() override {
@@ -358,7 +361,8 @@
       if (daemon.peer == m_settings.peer_listen) {
         is_chosen = true;
       } else {
-        peers.push_back({daemon.peer, daemon.region, daemon.failure_domain});
+        peers.push_back({daemon.peer, daemon.region, daemon.failure_domain,
+                         daemon.is_cut_off});
       }
     }
     by_region[m_settings.region] += is_chosen ? 0 : 1;
@@ -384,6 +388,19 @@
         });
   }
 
+  void ReportContact() {
+    const TimePoint now = std::chrono::steady_clock::now();
+    const bool is_cut_off = m_contact_report.IsCutOff(now);
+    if (std::exchange(m_is_cut_off_reported, is_cut_off) != is_cut_off) {
+      m_control_loop->Post(
+          [this, is_cut_off] { m_control->SetCutOff(is_cut_off); });
+    }
+    m_contact_timer.reset();
+    if (const auto next = m_contact_report.NextChange(now)) {
+      m_contact_timer = m_loop->At(*next, [this] { ReportContact(); });
+    }
+  }
+
   bool IsRegistered() const {
     return std::any_of(m_daemons.begin(), m_daemons.end(),
                        [this](const DaemonEntry& daemon) {
@@ -396,8 +413,15 @@
   }
 
   std::vector<Endpoint> AddressesFor(const std::string& region) const {
+    std::vector<DaemonEntry> holders = Holders();
+    for (DaemonEntry& daemon : holders) {
+      if (daemon.peer == m_settings.peer_listen) {
+        daemon.is_cut_off = m_is_cut_off_reported;
+      }
+    }
     std::vector<Endpoint> addresses = ChooseCallerAddresses(
-        Holders(), m_front->Engine().Leafs().ServingRegions(), region);
+        KeepInContact(holders), m_front->Engine().Leafs().ServingRegions(),
+        region);
     if (m_stop.IsStopping() && addresses.size() > 1) {
       std::erase(addresses, m_settings.caller_listen);
     }
@@ -511,6 +535,8 @@
   std::atomic<std::uint64_t> m_version = 0;
   bool m_has_leafs = false;
   HolderRole m_role;
+  ContactReport m_contact_report;
+  bool m_is_cut_off_reported = false;
   bool m_is_store_reachable = false;
   std::uint64_t m_store_era = 0;
   std::unique_ptr<StopSignal> m_stop_signal;
@@ -518,6 +544,7 @@
   std::unique_ptr<Timer> m_registration_timer;
   std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<Timer> m_stale_timer;
+  std::unique_ptr<Timer> m_contact_timer;
 };
 
 }  // namespace
--- a/src/version/daemon_entry.h
+++ b/src/version/daemon_entry.h
@@ -18,6 +18,8 @@
   /// Processing capacity: share of a core times its relative speed, in
   /// thousandths.
   std::uint32_t processor = 1000;
+  /// Whether the daemon reaches no leafs: it hands requests over to others.
+  bool is_cut_off = false;
 
   bool operator==(const DaemonEntry&) const = default;
 };
--- a/tests/daemon_registration_test.cc
+++ b/tests/daemon_registration_test.cc
@@ -107,6 +107,31 @@
   CHECK_FALSE(fixture.loop.RunNextTimer());
 }
 
+TEST_CASE("a value that changes is written, also while a call is outstanding") {
+  RegistrationFixture fixture;
+  SUBCASE("when idle") {
+    fixture.registration.SetValue("other");
+  }
+  SUBCASE("while a put is outstanding") {
+    fixture.registration.Restore();
+    REQUIRE(fixture.store.puts.size() == 1);
+    fixture.registration.SetValue("other");
+    CHECK(fixture.store.puts.size() == 1);
+    fixture.store.AnswerPut(KeyValueStatus::kOk);
+  }
+  SUBCASE("twice, of which the first is outstanding") {
+    fixture.registration.SetValue("first");
+    fixture.registration.SetValue("other");
+    fixture.store.AnswerPut(KeyValueStatus::kOk);
+  }
+  REQUIRE(fixture.store.puts.size() == 1);
+  CHECK(fixture.store.last_put_value == "other");
+  fixture.store.AnswerPut(KeyValueStatus::kOk);
+  CHECK(fixture.store.puts.empty());
+  fixture.registration.SetValue("other");
+  CHECK(fixture.store.puts.empty());
+}
+
 TEST_CASE("a renewal without an answer is reported") {
   RegistrationFixture fixture;
   fixture.loop.RunNextTimer();
--- a/tests/held_store.h
+++ b/tests/held_store.h
@@ -63,10 +63,11 @@
     revoked.push_back(lease);
   }
   void Put(const std::string& key,
-           const std::string& /*value*/,
+           const std::string& value,
            LeaseId /*lease*/,
            StatusCallback done) override {
     put_keys.push_back(key);
+    last_put_value = value;
     puts.push_back(std::move(done));
   }
 
@@ -104,6 +105,7 @@
   std::vector<StatusCallback> puts;
   /// Keys of all puts so far.
   std::vector<std::string> put_keys;
+  std::string last_put_value;
   std::vector<LeaseId> revoked;
 };
 
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -266,6 +266,39 @@
   CHECK(choose("r2", 1).size() == 3);
 }
 
+TEST_CASE("callers are not directed to daemons that are cut off from leafs") {
+  std::vector<DaemonEntry> daemons;
+  for (std::uint16_t port = 1; port <= 6; ++port) {
+    const bool is_first_region = port <= 3;
+    daemons.push_back({{"10.0.0.1", port},
+                       {"10.0.0.2", port},
+                       is_first_region ? "d1" : "d2",
+                       is_first_region ? "r1" : "r2",
+                       1000});
+  }
+  const auto addresses = [&] {
+    return ChooseCallerAddresses(KeepInContact(daemons), {"r1", "r2"}, "r1");
+  };
+  REQUIRE(addresses().size() == 3);
+  SUBCASE("one of their region") {
+    daemons[0].is_cut_off = true;
+    CHECK(addresses().size() == 2);
+  }
+  SUBCASE("all of their region") {
+    for (int i = 0; i < 3; ++i) {
+      daemons[i].is_cut_off = true;
+    }
+    CHECK(addresses().size() == 3);
+    CHECK(addresses().front() == daemons[3].address);
+  }
+  SUBCASE("unless all are") {
+    for (DaemonEntry& daemon : daemons) {
+      daemon.is_cut_off = true;
+    }
+    CHECK(addresses().size() == 3);
+  }
+}
+
 TEST_CASE("with VMs of several sizes the largest ones serve callers") {
   std::vector<DaemonEntry> daemons;
   for (std::uint16_t port = 1; port <= 29; ++port) {
--- a/tests/store_entries_test.cc
+++ b/tests/store_entries_test.cc
@@ -108,6 +108,9 @@
   const StoreEntries entries;
   const DaemonEntry daemon{{"10.0.0.1", 1}, {"10.0.0.1", 2}, "d", "r"};
   CHECK(entries.ReadDaemon(entries.WriteDaemon(daemon)).value() == daemon);
+  DaemonEntry cut_off = daemon;
+  cut_off.is_cut_off = true;
+  CHECK(entries.ReadDaemon(entries.WriteDaemon(cut_off)).value() == cut_off);
   const std::string key = entries.DaemonKey("n");
   CHECK(entries.KindOf(key) == StoreKeyKind::kDaemon);
   CHECK(entries.NameOf(key) == "n");
