Find out that new connections are refused although old ones are answered

Cause: an answer on an old connection proved the daemon's contact, so for seconds it was in contact with some leafs and not with others, and its peers delegated shards to it that it could not send. A peer that fails to reach a service kept parts of that service from all peers for a second.

Change: LeafContact keeps connections apart from answers. If several leafs accept no connection, connections to those that have answered last are tried; if they refuse too, the daemon is cut off, whatever old connections say. Leafs that refuse while others accept are at fault themselves and raise no doubt again. A peer that reaches no leaf of a service is passed over for this service alone, and the next one asked.

--- a/src/request/leaf_contact.h
+++ b/src/request/leaf_contact.h
@@ -22,13 +22,6 @@
 
 std::string_view ToString(ContactState state);
 
-/// What shows that a leaf is in reach.
-enum class ContactProof {
-  /// An answer, perhaps on a connection that has been open for long.
-  kAnswer,
-  kNewConnection,
-};
-
 /// A change of the state; for log and metrics.
 struct ContactChange {
   ContactState state = ContactState::kInContact;
@@ -50,13 +43,14 @@
 
 /// Decides whether this daemon itself has lost its links to the leafs.
 ///
-/// If leafs of several addresses fail for one daemon and none answers, the
-/// daemon is the likelier cause. Connections to other leafs then decide: one
-/// that is accepted shows that the daemon is in contact.
+/// If several leafs fail for one daemon, and none answers or none accepts a
+/// connection, the daemon is the likelier cause. Connections to leafs that have
+/// answered last then decide: one that is accepted shows that the daemon is in
+/// contact.
 class LeafContact {
  public:
-  /// Number of leafs that must fail, without an answer of any other, before
-  /// the daemon doubts its contact.
+  /// Number of leafs that must fail, without one that does not, before the
+  /// daemon doubts its contact.
   static constexpr std::size_t kMinFailedLeafs = 2;
   /// Answers arrive more often than this while there is traffic.
   static constexpr Duration kMinSilence = std::chrono::milliseconds(50);
@@ -76,21 +70,25 @@
 
   ContactState State() const { return m_state; }
   bool IsInContact() const { return m_state == ContactState::kInContact; }
-  /// Whether several leafs have failed since the last proof, so that the cause
-  /// may be this daemon.
+  /// Whether several leafs have failed since the last sign of one, so that the
+  /// cause may be this daemon.
   bool IsAnyDoubt() const {
-    return !IsInContact() || m_failed.size() >= kMinFailedLeafs;
+    return !IsInContact() || m_probing || m_failed.size() >= kMinFailedLeafs;
   }
   /// When a leaf last answered or accepted a connection.
-  std::optional<TimePoint> LastProof() const { return m_last_proof; }
+  std::optional<TimePoint> LastSign() const { return m_last_sign; }
 
   /// Records that an attempt was sent to a leaf.
   void OnSent(TimePoint now);
-  /// Records that a leaf answered or accepted a connection. Only the latter
-  /// ends the state `kCutOff`.
-  void OnProof(ContactProof proof, TimePoint now);
-  /// Records that a leaf broke a connection, accepted none or did not answer.
+  /// Records that a leaf answered, perhaps on a connection that was open
+  /// before a cut.
+  void OnAnswered(TimePoint now);
+  /// Records that a leaf accepted a connection.
+  void OnConnected(const Endpoint& leaf, TimePoint now);
+  /// Records that a leaf broke a connection or did not answer.
   void OnFailed(const Endpoint& leaf, TimePoint now);
+  /// Records that a leaf accepted no connection.
+  void OnConnectFailed(const Endpoint& leaf, TimePoint now);
   /// Records that connections to these leafs are being tried.
   void OnProbesSent(const std::vector<Endpoint>& leafs);
   /// To be called at `NextCheck` with all attempts that have not ended.
@@ -101,25 +99,38 @@
   /// Whether connections to some leafs should be tried now; true once for each
   /// occasion.
   bool TakeProbeRequest();
+  /// Number of times that probes were requested since one was accepted.
+  std::size_t ProbeRound() const { return m_probe_round; }
   /// The changes of the state since the last call.
   std::vector<ContactChange> TakeChanges();
 
  private:
+  void OnSign(TimePoint now);
   void AddOverdue(const std::vector<OutstandingAttempt>& attempts,
                   TimePoint now);
   void DoubtIfFailing(TimePoint now);
+  void BeginProbing(TimePoint now);
+  void EndProbing();
   bool HaveAllProbesFailed() const;
+  void CheckProbes(TimePoint now);
   void SetState(ContactState state, TimePoint now);
 
   ContactState m_state = ContactState::kInContact;
-  std::optional<TimePoint> m_last_proof;
-  /// Leafs that have failed since the last proof.
+  std::optional<TimePoint> m_last_sign;
+  /// Leafs that have failed since the last sign of one.
   std::set<Endpoint> m_failed;
+  /// Leafs that have accepted no connection since one did.
+  std::set<Endpoint> m_unconnectable;
+  /// Leafs that accepted no connection while others did.
+  std::set<Endpoint> m_at_fault;
   std::set<Endpoint> m_probed;
+  bool m_probing = false;
+  bool m_wants_probes = false;
+  std::size_t m_probe_round = 0;
+  TimePoint m_probing_since;
+  TimePoint m_probes_due;
   /// Since when the daemon has been able to see answers without a pause.
   TimePoint m_observing_since;
-  TimePoint m_probes_due;
-  bool m_wants_probes = false;
   std::optional<TimePoint> m_check_at;
   std::vector<ContactChange> m_changes;
 };
--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -97,6 +97,7 @@
       std::max(latency - m_round_trip, kMinProcessingTime);
   ObserveStall(kind, processing_time, now);
   m_last_activity = now;
+  m_last_answer = now;
   m_fleet->processing_times.Record(kind, processing_time, now);
   m_processing_times.try_emplace(kind, m_fleet->processing_times.Median(kind))
       .first->second.Record(processing_time, now);
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -107,6 +107,8 @@
   void NoteStall(TimePoint begin, TimePoint end);
   const StallPredictor& Stalls() const { return m_stalls; }
 
+  /// When the leaf last answered; the clock's origin if it has not.
+  TimePoint LastAnswer() const { return m_last_answer; }
   std::uint32_t InFlight() const { return m_in_flight; }
   bool IsSilent(TimePoint now) const;
   /// Whether the leaf is neither ejected nor unreachable.
@@ -146,6 +148,7 @@
   /// Time of the last response, or when the first of the attempts in flight was
   /// sent.
   TimePoint m_last_activity;
+  TimePoint m_last_answer;
   /// Number of requests from other daemons, as of `m_reported_at`.
   double m_other_requests = 0;
   TimePoint m_reported_at;
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -236,23 +236,30 @@
   return fewest;
 }
 
-std::vector<Endpoint> LeafTable::ChooseProbes(std::size_t count) {
-  std::map<std::string, std::vector<Endpoint>> by_domain;
+std::vector<Endpoint> LeafTable::ChooseProbes(std::size_t count,
+                                              std::size_t round) const {
+  std::map<std::string, std::vector<const RelayLeaf*>> by_domain;
   std::size_t most = 0;
   for (const auto& [id, leaf] : m_leafs) {
     auto& domain = by_domain[leaf->registration.failure_domain];
-    domain.push_back(leaf->registration.address);
+    domain.push_back(leaf.get());
     most = std::max(most, domain.size());
   }
+  for (auto& [name, leafs] : by_domain) {
+    std::stable_sort(leafs.begin(), leafs.end(),
+                     [](const RelayLeaf* a, const RelayLeaf* b) {
+                       return a->load.LastAnswer() > b->load.LastAnswer();
+                     });
+  }
   std::vector<Endpoint> probes;
-  for (std::size_t turn = 0; turn < most && probes.size() < count; ++turn) {
+  for (std::size_t turn = 0; turn < most; ++turn) {
     for (const auto& [name, leafs] : by_domain) {
       if (turn < leafs.size() && probes.size() < count) {
-        probes.push_back(leafs[(m_next_probe + turn) % leafs.size()]);
+        const std::size_t index = (round * count + turn) % leafs.size();
+        probes.push_back(leafs[index]->registration.address);
       }
     }
   }
-  m_next_probe += count;
   return probes;
 }
 
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -104,8 +104,9 @@
   /// each would know less about the leafs.
   std::size_t HolderCount() const;
   /// Up to `count` leafs to which a connection can be tried, of different
-  /// failure domains; others at each call.
-  std::vector<Endpoint> ChooseProbes(std::size_t count);
+  /// failure domains: in the first round those that answered last, then others.
+  std::vector<Endpoint> ChooseProbes(std::size_t count,
+                                     std::size_t round) const;
   /// Regions that have non-draining leafs of at least half as many services as
   /// the region with the most.
   std::set<std::string> ServingRegions() const;
@@ -142,7 +143,6 @@
   std::map<std::string, std::shared_ptr<RelayLeaf>> m_leafs;
   /// Leafs that are no longer registered, by id.
   std::map<std::string, DepartedLeaf> m_departed;
-  std::size_t m_next_probe = 0;
 };
 
 /// The leafs considered in a choice.
--- a/src/request/peer_table.cc
+++ b/src/request/peer_table.cc
@@ -35,6 +35,11 @@
   return true;
 }
 
+bool PeerState::Reaches(const std::string& service, TimePoint now) const {
+  const auto found = unreachable_services.find(service);
+  return found == unreachable_services.end() || now >= found->second;
+}
+
 void PeerTable::SetPeers(const std::vector<RelayPeer>& peers) {
   std::map<Endpoint, std::shared_ptr<PeerState>> peers_by_address;
   for (const RelayPeer& peer : peers) {
@@ -60,10 +65,12 @@
 
 // Chooses the peer with the fewest queries in flight, in turn among equals.
 std::shared_ptr<PeerState> PeerTable::Choose(const PeerLocation& location,
-                                             TimePoint now) {
+                                             TimePoint now,
+                                             const std::string& service) {
   std::vector<std::shared_ptr<PeerState>> usable;
   for (const auto& [address, state] : m_peers) {
-    if (!location.Contains(state->peer) || !IsUsable(*state, now)) {
+    if (!location.Contains(state->peer) || !IsUsable(*state, now) ||
+        !state->Reaches(service, now)) {
       continue;
     }
     if (!usable.empty() &&
--- a/src/request/peer_table.h
+++ b/src/request/peer_table.h
@@ -42,9 +42,13 @@
   /// Until when the peer gets no queries after it has answered that it reaches
   /// no leafs.
   TimePoint cut_off_until = {};
+  /// Services of which the peer reached no leaf, and until when it gets no
+  /// parts of them handed over.
+  std::map<std::string, TimePoint> unreachable_services = {};
 
   /// Takes the peer's new entry; false if it is another daemon's.
   bool Update(const RelayPeer& entry);
+  bool Reaches(const std::string& service, TimePoint now) const;
   bool IsCutOff(TimePoint now) const {
     return peer.is_cut_off || now < cut_off_until;
   }
@@ -62,9 +66,11 @@
   void SetPeers(const std::vector<RelayPeer>& peers);
   /// Whether any peer gets queries.
   bool IsAnyUsable(TimePoint now) const;
-  /// A usable peer in `location`; null if there is none.
+  /// A usable peer in `location`, which reaches `service` if one is given; null
+  /// if there is none.
   std::shared_ptr<PeerState> Choose(const PeerLocation& location,
-                                    TimePoint now);
+                                    TimePoint now,
+                                    const std::string& service = {});
 
  private:
   std::string m_region;
--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -32,18 +32,19 @@
 }
 
 void RelayEngine::SendProbes() {
-  const std::vector<Endpoint> leafs = m_leaf_table.ChooseProbes(kProbes);
+  const std::vector<Endpoint> leafs =
+      m_leaf_table.ChooseProbes(kProbes, m_contact.ProbeRound());
   m_contact.OnProbesSent(leafs);
   m_actions.probes.insert(m_actions.probes.end(), leafs.begin(), leafs.end());
 }
 
 // Leafs that were found gone meanwhile are the cause themselves.
-void RelayEngine::RecordProof(ContactProof proof) {
-  m_contact.OnProof(proof, m_now);
-  if (m_contact.IsInContact()) {
-    for (const Endpoint& leaf : std::exchange(m_doubtful_losses, {})) {
-      m_crashes.OnUnreachable(leaf, m_now);
-    }
+void RelayEngine::ConfirmLeafLosses() {
+  if (m_contact.IsAnyDoubt()) {
+    return;
+  }
+  for (const Endpoint& leaf : std::exchange(m_doubtful_losses, {})) {
+    m_crashes.OnUnreachable(leaf, m_now);
   }
 }
 
@@ -58,7 +59,7 @@
   }
   if (state == ContactState::kCutOff) {
     m_doubtful_losses.clear();
-    m_crashes.OnContactLost(m_contact.LastProof());
+    m_crashes.OnContactLost(m_contact.LastSign());
     ReleaseSilentAttempts();
     ReleaseTrials();
   }
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -28,9 +28,9 @@
 // How long a peer that reaches no leafs gets no queries, unless its entry says
 // before that it is in contact again.
 constexpr std::chrono::seconds kCutOffTime{1};
-// How long parts of a service are not handed over after a peer failed to get an
-// answer.
-constexpr std::chrono::seconds kPeersFailedTime{1};
+// How long a peer gets no parts of a service handed over after it reached none
+// of the service's leafs.
+constexpr std::chrono::seconds kServiceUnreachableTime{1};
 // Weight of a new sample in the smoothed round-trip time to a peer.
 constexpr double kRttSampleWeight = 0.2;
 // Delay after `answer_by` before pending shards are requested: at `answer_by`,
@@ -359,7 +359,13 @@
       continue;
     }
     const std::size_t index = delegation_state.parts[shard.place];
-    if (reply.is_cut_off && !shard.is_pending && shard.possible_runs == 0) {
+    const bool is_not_run = !shard.is_pending && shard.possible_runs == 0;
+    if (is_not_run && delegation_state.is_hand_over && !reply.is_cut_off) {
+      delegation_state.peer
+          ->unreachable_services[request.parts[index].service->name] =
+          m_now + kServiceUnreachableTime;
+    }
+    if (is_not_run && (reply.is_cut_off || delegation_state.is_hand_over)) {
       not_run.push_back(index);
     } else {
       ApplyUncovered(request, original, shard, reply.is_cut_off);
@@ -430,7 +436,6 @@
   }
   if (!shard.is_pending) {
     if (!is_peer_cut_off) {
-      part.service->peers_failed_until = m_now + kPeersFailedTime;
       RecordLostAttempts(request, shard.possible_runs);
     }
     RetryIfInTime(request, index);
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -94,7 +94,11 @@
   if (found == m_attempts.end()) {
     return false;
   }
-  const LeafState state = StateOf(*found->second.leaf, now);
+  return IsWanted(*found->second.leaf, now);
+}
+
+bool RelayEngine::IsWanted(const RelayLeaf& leaf, TimePoint now) {
+  const LeafState state = StateOf(leaf, now);
   return state != LeafState::kPaused && state != LeafState::kDrained &&
          state != LeafState::kGone;
 }
@@ -179,9 +183,10 @@
   m_now = now;
   m_leaf_table.OnReachable(address, is_reachable, now);
   if (is_reachable) {
-    RecordProof(ContactProof::kNewConnection);
+    m_contact.OnConnected(address, now);
+    ConfirmLeafLosses();
   } else {
-    m_contact.OnFailed(address, now);
+    m_contact.OnConnectFailed(address, now);
     RecordLeafLoss(address);
   }
   return FinishEvent();
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -140,6 +140,9 @@
   struct Request;
   struct Attempt;
   struct DelegationState;
+  /// Indexes of the parts that each peer gets.
+  using HandOvers =
+      std::map<std::shared_ptr<PeerState>, std::vector<std::size_t>>;
 
   // Event handling.
   /// Updates the marked requests and returns the event's actions.
@@ -189,7 +192,8 @@
   std::vector<OutstandingAttempt> OutstandingAttempts() const;
   void CheckContact();
   void SendProbes();
-  void RecordProof(ContactProof proof);
+  /// A leaf has answered or accepted a connection.
+  void ConfirmLeafLosses();
   /// Applies a change of the contact to leafs and requests.
   void ApplyContact();
   void ReleaseSilentAttempts();
@@ -207,7 +211,10 @@
   void HandOverParts(Request& request);
   /// Hands the delegation's open parts over to another peer.
   void HandOverElsewhere(Request& request, RelayAttemptNumber delegation);
-  std::shared_ptr<PeerState> ChooseHandOverPeer(const std::string& region);
+  /// Null if no peer reaches the service. `chosen` has the peers that get other
+  /// parts of the request.
+  std::shared_ptr<PeerState> ChooseHandOverPeer(const RelayService& service,
+                                                const HandOvers& chosen);
   std::string RegionOfLeafs(const RelayService& service) const;
   /// Number of further leafs that may get the part; the leafs that had it
   /// before do not count if the service has no others.
@@ -267,6 +274,8 @@
   void RetryIfInTime(Request& request, std::size_t index);
 
   // Replies.
+  /// Whether the leaf takes an attempt for which a connection is ready.
+  static bool IsWanted(const RelayLeaf& leaf, TimePoint now);
   void RecordReply(const Attempt& attempt, const LeafReply& reply);
   void RecordContact(const Attempt& attempt, LeafReplyKind kind);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
--- a/src/request/relay_hand_over.cc
+++ b/src/request/relay_hand_over.cc
@@ -13,6 +13,8 @@
 // Peers that get a part at most: those next to a daemon that is cut off may be
 // so themselves and not know it yet.
 constexpr std::uint32_t kMaxHandOvers = 4;
+// How long parts of a service are not handed over after no peer reached it.
+constexpr std::chrono::seconds kPeersFailedTime{1};
 // Delay before a hand-over is considered again while the retry budget is
 // exhausted.
 constexpr Duration kBudgetRetryDelay = std::chrono::milliseconds(15);
@@ -57,7 +59,7 @@
 }
 
 void RelayEngine::HandOverParts(Request& request) {
-  std::map<std::string, std::vector<std::size_t>> by_region;
+  HandOvers by_peer;
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     Part& part = request.parts[index];
     if (!std::exchange(part.awaits_hand_over, false) || !part.IsOpen()) {
@@ -68,24 +70,16 @@
       part.retry_at = m_now + kBudgetRetryDelay;
       continue;
     }
-    by_region[RegionOfLeafs(*part.service)].push_back(index);
-  }
-  std::map<std::shared_ptr<PeerState>, std::vector<std::size_t>> by_peer;
-  for (const auto& [region, parts] : by_region) {
-    auto& peer_parts = by_peer[ChooseHandOverPeer(region)];
-    peer_parts.insert(peer_parts.end(), parts.begin(), parts.end());
+    ++part.hand_overs;
+    if (const auto peer = ChooseHandOverPeer(*part.service, by_peer)) {
+      by_peer[peer].push_back(index);
+    } else {
+      part.service->peers_failed_until = m_now + kPeersFailedTime;
+      FailUnlessOutstanding(part);
+    }
   }
   for (const auto& [peer, parts] : by_peer) {
-    for (const std::size_t index : parts) {
-      Part& part = request.parts[index];
-      ++part.hand_overs;
-      if (!peer) {
-        FailUnlessOutstanding(part);
-      }
-    }
-    if (peer) {
-      Delegate(request, parts, peer);
-    }
+    Delegate(request, parts, peer);
   }
 }
 
@@ -124,9 +118,12 @@
   }
 }
 
+// Parts of one request go to as few peers as possible.
 std::shared_ptr<PeerState> RelayEngine::ChooseHandOverPeer(
-    const std::string& region) {
+    const RelayService& service,
+    const HandOvers& chosen) {
   const Locality& here = m_leaf_table.OwnLocality();
+  const std::string region = RegionOfLeafs(service);
   std::vector<PeerLocation> locations;
   if (region == here.region) {
     locations.push_back({here.region, here.failure_domain});
@@ -134,7 +131,12 @@
   locations.push_back({region, ""});
   locations.push_back({"", ""});
   for (const PeerLocation& location : locations) {
-    if (auto peer = m_peers.Choose(location, m_now)) {
+    for (const auto& [peer, parts] : chosen) {
+      if (location.Contains(peer->peer) && peer->Reaches(service.name, m_now)) {
+        return peer;
+      }
+    }
+    if (auto peer = m_peers.Choose(location, m_now, service.name)) {
       return peer;
     }
   }
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -70,24 +70,32 @@
 }
 
 void RelayEngine::RecordContact(const Attempt& attempt, LeafReplyKind kind) {
+  const Endpoint& leaf = attempt.leaf->registration.address;
+  const bool has_sign_since =
+      m_contact.LastSign() && *m_contact.LastSign() > attempt.sent_at;
   switch (kind) {
     case LeafReplyKind::kSucceeded:
     case LeafReplyKind::kFailed:
     case LeafReplyKind::kRefused:
     case LeafReplyKind::kOtherLeaf:
     case LeafReplyKind::kMalformed:
-      RecordProof(ContactProof::kAnswer);
+      m_contact.OnAnswered(m_now);
+      ConfirmLeafLosses();
+      return;
+    case LeafReplyKind::kLost:
+      m_contact.OnFailed(leaf, m_now);
       return;
     case LeafReplyKind::kNotSent:
+      if (IsWanted(*attempt.leaf, m_now)) {
+        m_contact.OnConnectFailed(leaf, m_now);
+      }
+      return;
     case LeafReplyKind::kTimedOut:
-      if (m_contact.LastProof() && *m_contact.LastProof() > attempt.sent_at) {
-        return;
+      if (!has_sign_since) {
+        m_contact.OnFailed(leaf, m_now);
       }
-      break;
-    case LeafReplyKind::kLost:
-      break;
+      return;
   }
-  m_contact.OnFailed(attempt.leaf->registration.address, m_now);
 }
 
 void RelayEngine::RecordAnnouncement(const Attempt& attempt,
--- a/tests/leaf_contact_test.cc
+++ b/tests/leaf_contact_test.cc
@@ -17,7 +17,7 @@
 /// A contact that had an answer a second ago.
 struct WatchedContact {
   WatchedContact() {
-    contact.OnProof(ContactProof::kAnswer, now);
+    contact.OnAnswered(now);
     now += seconds(1);
   }
 
@@ -70,11 +70,11 @@
     fixture.Advance(seconds(2));
     CHECK(fixture.probe_requests >= 4);
     CHECK(fixture.contact.State() == ContactState::kCutOff);
-    fixture.contact.OnProof(ContactProof::kNewConnection, fixture.now);
+    fixture.contact.OnConnected(kLeafC, fixture.now);
     CHECK(fixture.contact.State() == ContactState::kInContact);
   }
   SUBCASE("and an answer on an old connection does not end that") {
-    fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
+    fixture.contact.OnAnswered(fixture.now);
     CHECK(fixture.contact.State() == ContactState::kCutOff);
   }
 }
@@ -86,7 +86,7 @@
   fixture.Send(kLeafB);
   fixture.Advance(milliseconds(110));
   REQUIRE(fixture.contact.State() == ContactState::kDoubtful);
-  fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
+  fixture.contact.OnAnswered(fixture.now);
   fixture.Advance(milliseconds(100));
   CHECK(fixture.contact.State() == ContactState::kInContact);
   CHECK(fixture.probe_requests == 1);
@@ -94,18 +94,52 @@
 
 TEST_CASE("leafs that refuse connections are found out without waiting") {
   WatchedContact fixture;
-  fixture.contact.OnFailed(kLeafA, fixture.now);
+  fixture.contact.OnConnectFailed(kLeafA, fixture.now);
   CHECK(fixture.contact.IsInContact());
-  fixture.contact.OnFailed(kLeafB, fixture.now);
+  fixture.contact.OnConnectFailed(kLeafB, fixture.now);
   CHECK(fixture.contact.State() == ContactState::kDoubtful);
   REQUIRE(fixture.contact.TakeProbeRequest());
   fixture.contact.OnProbesSent({kLeafA, kLeafC});
-  fixture.contact.OnFailed(kLeafA, fixture.now);
+  fixture.contact.OnConnectFailed(kLeafA, fixture.now);
   CHECK(fixture.contact.State() == ContactState::kDoubtful);
-  fixture.contact.OnFailed(kLeafC, fixture.now);
+  fixture.contact.OnConnectFailed(kLeafC, fixture.now);
   CHECK(fixture.contact.State() == ContactState::kCutOff);
 }
 
+TEST_CASE(
+    "a daemon whose new connections are refused is cut off though old ones "
+    "are answered") {
+  WatchedContact fixture;
+  fixture.contact.OnAnswered(fixture.now);
+  fixture.contact.OnConnectFailed(kLeafA, fixture.now);
+  fixture.contact.OnAnswered(fixture.now);
+  fixture.contact.OnConnectFailed(kLeafB, fixture.now);
+  CHECK(fixture.contact.IsInContact());
+  REQUIRE(fixture.contact.TakeProbeRequest());
+  fixture.contact.OnProbesSent({kLeafC});
+  SUBCASE("once the leafs that answer refuse one too") {
+    fixture.contact.OnAnswered(fixture.now);
+    fixture.contact.OnConnectFailed(kLeafC, fixture.now);
+    CHECK(fixture.contact.State() == ContactState::kCutOff);
+  }
+  SUBCASE("but not if these connections have no outcome") {
+    fixture.contact.OnAnswered(fixture.now);
+    fixture.Advance(milliseconds(300));
+    CHECK(fixture.contact.IsInContact());
+  }
+  SUBCASE("nor if one is accepted: the leafs are at fault themselves") {
+    fixture.contact.OnConnected(kLeafC, fixture.now);
+    CHECK(fixture.contact.IsInContact());
+    for (int retry = 0; retry < 10; ++retry) {
+      fixture.contact.OnAnswered(fixture.now);
+      fixture.contact.OnConnectFailed(kLeafA, fixture.now);
+      fixture.contact.OnConnectFailed(kLeafB, fixture.now);
+      fixture.Advance(milliseconds(20));
+    }
+    CHECK(fixture.probe_requests == 0);
+  }
+}
+
 TEST_CASE("leafs that fail while others answer cast no doubt on the daemon") {
   WatchedContact fixture;
   SUBCASE("one alone") {
@@ -116,16 +150,16 @@
     fixture.Send(kLeafA);
     fixture.Send(kLeafB);
     for (int answer = 0; answer < 20; ++answer) {
-      fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
+      fixture.contact.OnAnswered(fixture.now);
       fixture.Advance(milliseconds(40));
     }
   }
   SUBCASE("two that break connections right after an answer") {
-    fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
+    fixture.contact.OnAnswered(fixture.now);
     fixture.contact.OnFailed(kLeafA, fixture.now);
     fixture.contact.OnFailed(kLeafB, fixture.now);
     fixture.Advance(milliseconds(30));
-    fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
+    fixture.contact.OnAnswered(fixture.now);
     fixture.Advance(milliseconds(100));
   }
   CHECK(fixture.contact.IsInContact());
@@ -139,7 +173,7 @@
   fixture.Send(kLeafA);
   fixture.Send(kLeafB);
   fixture.Advance(milliseconds(10));
-  fixture.contact.OnProof(ContactProof::kAnswer, fixture.now);
+  fixture.contact.OnAnswered(fixture.now);
   fixture.Advance(milliseconds(450));
   CHECK(fixture.contact.IsInContact());
   fixture.Advance(milliseconds(150));
--- a/tests/relay_hand_over_test.cc
+++ b/tests/relay_hand_over_test.cc
@@ -190,11 +190,22 @@
   const RelayDelegation delegation = relay.TakeDelegation();
   CHECK(delegation.shards == std::vector<std::string>{"s2"});
   CHECK(relay.sends.size() == kShards - 1);
-  SUBCASE("and not again for a moment if the peer gets no answer either") {
+  SUBCASE("and to another peer if the first one can't reach them either") {
     relay.ReplyFromPeer(delegation, {}, {{0, 0, false}});
+    const RelayDelegation other = relay.TakeDelegation();
+    CHECK(other.peer == relay.far_peer.address);
+    relay.Submit(kShards);
+    CHECK(relay.TakeDelegation().peer == relay.far_peer.address);
+
+    // And not again for a moment if no peer can.
+    relay.ReplyFromPeer(other, {}, {{0, 0, false}});
     relay.Submit(kShards);
     CHECK(relay.delegations.empty());
   }
+  SUBCASE("and again if a leaf of the peer did not answer") {
+    relay.ReplyFromPeer(delegation, {}, {{0, 1, false}});
+    CHECK(relay.TakeDelegation().peer == relay.near_peer.address);
+  }
 }
 
 TEST_CASE("a cut is no evidence against the requests that it hit") {
