Do not charge shards that reached no leaf to the retry budget

Cause: a shard that came back from a peer counted as retried, also when the peer said that no leaf may have run it. Peers that are cut off in part send many such shards back, and use up the budget of the daemon that asked them.

Change: such a shard's next attempt is its first.

Evidence: the new case fails without it (a request is not sent to a leaf, the budget being empty) and passes with it.

--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -428,6 +428,8 @@
   }
   // A continuation's answer counts the leafs of the first answer again.
   part.runs = std::max(part.runs, shard.possible_runs);
+  // What reached no leaf was no attempt.
+  part.is_next_attempt_free = part.is_next_attempt_free || part.runs == 0;
   if (shard.possible_runs > 0) {
     part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
   }
--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -109,6 +109,20 @@
   CHECK(fixture.Outcome(fixture.last_number).refusal.has_value());
 }
 
+// Its retry budget would be used up for nothing.
+TEST_CASE("a shard that reached no leaf of a peer is no retry") {
+  FarShards fixture(RetryAllowance{0, 0});
+  for (int request = 0; request < 10; ++request) {
+    fixture.Submit(4);
+    REQUIRE(fixture.delegations.size() == 1);
+    fixture.ReplyFromPeer({1, 2, 3}, {{0, 0, false}});
+    REQUIRE(fixture.sends.size() == 1);
+    fixture.Reply(fixture.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+    fixture.delegations.clear();
+  }
+  CHECK(fixture.engine.Counters().retries == 0);
+}
+
 TEST_CASE("a shard that a peer leaves out twice is queued once") {
   FarShards fixture;
   fixture.Submit(4);
