Hand what was sent into a cut over without a retry budget

Cause: attempts in flight when the cut is found out were handed over as retries, and 4 tokens a service are used up by the second request. A slow request that was not overdue yet at that moment kept waiting at its leaf until its deadline (4.0 s, for one to one leaf).

Change: an attempt sent since the last sign of any leaf has hardly arrived, so the next one is no repeat for the leafs. Attempts are given up as they become overdue, for as long as the cut lasts.

Evidence: both cases of relay_hand_over_test fail without it ('0 == 10' delegations; not released) and pass with it.

--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -29,6 +29,9 @@
 
 void RelayEngine::CheckContact() {
   m_contact.Check(OutstandingAttempts(), m_now);
+  if (m_contact.State() == ContactState::kCutOff) {
+    ReleaseSilentAttempts();
+  }
 }
 
 void RelayEngine::SendProbes() {
@@ -108,6 +111,11 @@
   }
   ++part.runs;
   part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
+  // What was sent since the last sign of a leaf has hardly arrived anywhere, so
+  // the next attempt adds no load.
+  const bool is_sent_into_cut =
+      !m_contact.LastSign() || attempt.sent_at >= *m_contact.LastSign();
+  part.is_next_attempt_free = part.is_next_attempt_free || is_sent_into_cut;
   MarkForUpdate(attempt.request);
   if (request->request.is_for_peer) {
     FailUnlessOutstanding(part);
