Leave what was handed over with peers that are all slow

Cause: a peer overdue with what was handed over to it counted as unreachable for 1.2 s. When five of nine daemons hand everything over at once the other four are slow, and after a moment none was left.

Change: an overdue peer is passed over for 250 ms, and only if another one is prompt; otherwise the wait goes on. If no peer is prompt, one that reaches leafs gets the parts all the same; leafs are tried only if no peer reaches any.

The new case relay_hand_over_test 'peers that are all slow ...' has the decision.

--- a/src/request/peer_table.cc
+++ b/src/request/peer_table.cc
@@ -9,9 +9,16 @@
 // Practically no limit: a peer runs many queries concurrently.
 constexpr std::uint32_t kPeerSlots = 1000;
 
-bool IsUsable(const PeerState& state, TimePoint now) {
-  return !state.IsCutOff(now) && state.load.IsUsable(now) &&
-         !state.load.IsSilent(now);
+bool IsInContact(const PeerState& state, TimePoint now) {
+  return !state.IsCutOff(now) && !state.load.IsUnreachable(now);
+}
+
+bool Passes(PeerFilter filter, const PeerState& state, TimePoint now) {
+  const bool is_prompt = state.load.IsUsable(now) &&
+                         !state.load.IsSilent(now) &&
+                         now >= state.overdue_until;
+  return IsInContact(state, now) &&
+         (is_prompt || filter == PeerFilter::kInContact);
 }
 
 }  // namespace
@@ -57,19 +64,20 @@
   m_peers = std::move(peers_by_address);
 }
 
-bool PeerTable::IsAnyUsable(TimePoint now) const {
+bool PeerTable::IsAnyInContact(TimePoint now) const {
   return std::any_of(m_peers.begin(), m_peers.end(), [now](const auto& entry) {
-    return IsUsable(*entry.second, now);
+    return IsInContact(*entry.second, now);
   });
 }
 
 // Chooses the peer with the fewest queries in flight, in turn among equals.
 std::shared_ptr<PeerState> PeerTable::Choose(const PeerLocation& location,
                                              TimePoint now,
-                                             const std::string& service) {
+                                             const std::string& service,
+                                             PeerFilter filter) {
   std::vector<std::shared_ptr<PeerState>> usable;
   for (const auto& [address, state] : m_peers) {
-    if (!location.Contains(state->peer) || !IsUsable(*state, now) ||
+    if (!location.Contains(state->peer) || !Passes(filter, *state, now) ||
         !state->Reaches(service, now)) {
       continue;
     }
--- a/src/request/peer_table.h
+++ b/src/request/peer_table.h
@@ -42,6 +42,8 @@
   /// Until when the peer gets no queries after it has answered that it reaches
   /// no leafs.
   TimePoint cut_off_until = {};
+  /// Until when an overdue peer gets no parts that another one could get.
+  TimePoint overdue_until = {};
   /// Services of which the peer reached no leaf, and until when it gets no
   /// parts of them handed over.
   std::map<std::string, TimePoint> unreachable_services = {};
@@ -54,6 +56,14 @@
   }
 };
 
+/// The peers considered in a choice.
+enum class PeerFilter {
+  /// Those that answer promptly.
+  kPrompt,
+  /// All that reach leafs, as far as is known.
+  kInContact,
+};
+
 /// The known peers, and the choice of one for a delegation.
 class PeerTable {
  public:
@@ -64,13 +74,14 @@
   explicit PeerTable(std::string region) : m_region(std::move(region)) {}
 
   void SetPeers(const std::vector<RelayPeer>& peers);
-  /// Whether any peer gets queries.
-  bool IsAnyUsable(TimePoint now) const;
-  /// A usable peer in `location`, which reaches `service` if one is given; null
-  /// if there is none.
+  /// Whether any peer can be reached and reaches leafs, as far as is known.
+  bool IsAnyInContact(TimePoint now) const;
+  /// A peer in `location`, which reaches `service` if one is given; null if
+  /// there is none.
   std::shared_ptr<PeerState> Choose(const PeerLocation& location,
                                     TimePoint now,
-                                    const std::string& service = {});
+                                    const std::string& service = {},
+                                    PeerFilter filter = PeerFilter::kPrompt);
 
  private:
   std::string m_region;
--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -54,7 +54,7 @@
 // Without a peer that reaches leafs there is nothing better than to try them.
 void RelayEngine::ApplyContact() {
   m_leaf_table.SetOutOfReach(!m_contact.IsInContact() &&
-                             m_peers.IsAnyUsable(m_now));
+                             m_peers.IsAnyInContact(m_now));
   const ContactState state = m_contact.State();
   const ContactState before = std::exchange(m_applied_contact, state);
   if (state == before) {
--- a/src/request/relay_hand_over.cc
+++ b/src/request/relay_hand_over.cc
@@ -15,6 +15,9 @@
 constexpr std::uint32_t kMaxHandOvers = 4;
 // How long parts of a service are not handed over after no peer reached it.
 constexpr std::chrono::seconds kPeersFailedTime{1};
+// How long an overdue peer is passed over: what one that is cut off takes to
+// find out.
+constexpr std::chrono::milliseconds kOverdueTime{250};
 // Delay before a hand-over is considered again while the retry budget is
 // exhausted.
 constexpr Duration kBudgetRetryDelay = std::chrono::milliseconds(15);
@@ -37,7 +40,7 @@
          part.outstanding.empty() && !part.delegation &&
          AttemptsLeft(part, request.MatchedRoute()) > 0 &&
          m_now >= part.service->peers_failed_until &&
-         IsOutOfReach(*part.service) && m_peers.IsAnyUsable(m_now);
+         IsOutOfReach(*part.service) && m_peers.IsAnyInContact(m_now);
 }
 
 std::uint32_t RelayEngine::AttemptsLeft(const Part& part,
@@ -84,7 +87,8 @@
 }
 
 // The peer may have sent the parts to leafs. What it still answers is not
-// used, as another peer's answer covers the same parts.
+// used, as another peer's answer covers the same parts. Without another peer
+// that is prompt, the wait goes on: all are slow.
 void RelayEngine::HandOverElsewhere(Request& request,
                                     RelayAttemptNumber delegation) {
   const auto found = m_delegations.find(delegation);
@@ -101,8 +105,12 @@
       !std::all_of(parts.begin(), parts.end(), is_lost)) {
     return;
   }
-  found->second.peer->load.OnEnded(m_now);
-  found->second.peer->load.OnUnreachable(m_now);
+  PeerState& peer = *found->second.peer;
+  peer.overdue_until = m_now + kOverdueTime;
+  if (!m_peers.Choose({"", ""}, m_now)) {
+    return;
+  }
+  peer.load.OnEnded(m_now);
   m_delegations.erase(found);
   m_actions.cancellations.push_back(delegation);
   for (const std::size_t index : parts) {
@@ -140,7 +148,7 @@
       return peer;
     }
   }
-  return nullptr;
+  return m_peers.Choose({"", ""}, m_now, service.name, PeerFilter::kInContact);
 }
 
 // This region if it has any of the leafs.
--- a/tests/relay_hand_over_test.cc
+++ b/tests/relay_hand_over_test.cc
@@ -191,6 +191,21 @@
   CHECK(relay.TakeDelegation().peer == relay.far_peer.address);
 }
 
+// When most daemons are cut off, the others get all requests.
+TEST_CASE("peers that are all slow keep what was handed over to them") {
+  NearLeafs relay;
+  relay.CutOff();
+  relay.Submit(kShards);
+  relay.Advance(milliseconds(300));
+  CHECK(relay.delegations.size() == 2);
+  const RelayNumber number = relay.Submit(kShards);
+  relay.Advance(milliseconds(300));
+  CHECK(relay.delegations.size() == 3);
+  CHECK(relay.sends.empty());
+  relay.ReplyFromPeer(relay.delegations.back(), {0, 1, 2, 3});
+  CHECK(relay.Outcome(number).missing_shards == 0);
+}
+
 TEST_CASE("a daemon that is cut off refuses the queries of peers at once") {
   NearLeafs relay;
   relay.CutOff();
