Close silent connections to leafs together, not one by one

What callers saw: after connections to leafs had gone silent without a reset, each leaf's was found by a request that waited on it until its deadline; the first request after the users' bound of 4 s could be the third.

That no leaf answers although all accept new connections says that the open ones are silent.

Change: if two leafs have owed an answer for half a second and none has answered since, connections to some are tried; if one is accepted, unused connections opened before are closed and overdue attempts given up.

Ruled out: closing them at the first doubt, after 100 ms: leafs stall for that long, and each false doubt would open all connections anew.

Evidence: the test now also has callers that wait 60 ms between requests.

--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -88,6 +88,13 @@
   });
 }
 
+void LeafExchanges::CloseUnusedBefore(TimePoint time) {
+  for (auto& [endpoint, leaf] : m_leafs) {
+    std::erase_if(leaf.idle,
+                  [time](const Idle& idle) { return idle.opened_at < time; });
+  }
+}
+
 void LeafExchanges::Probe(const Endpoint& leaf) {
   ++m_leafs[leaf].opening;
   OpenPooled(leaf);
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -72,6 +72,8 @@
 
   /// Sets whether missing pooled connections are opened.
   void SetPoolFilling(bool is_filling) { m_is_filling = is_filling; }
+  /// Closes unused connections that were opened before `time`.
+  void CloseUnusedBefore(TimePoint time);
   /// Tries a connection to the leaf and reports whether it was accepted.
   void Probe(const Endpoint& leaf);
 
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -241,6 +241,10 @@
     ReportContact();
   }
 
+  void OnConnectionsSilent() override {
+    WriteLog(LogLevel::kWarning, "leaf_connections_silent", {});
+  }
+
   void OnRoutesDoubted() override {
     m_control_loop->Post([this] { m_control->CheckStore(); });
   }
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -216,6 +216,10 @@
     m_exchanges.Cancel(number);
     m_peer_calls.erase(number);
   }
+  if (actions.close_unused_before) {
+    m_observer.OnConnectionsSilent();
+    m_exchanges.CloseUnusedBefore(*actions.close_unused_before);
+  }
   for (const RelayAttempt& send : actions.sends) {
     Send(send);
   }
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -61,6 +61,8 @@
   virtual void OnLeafNotice(const LeafNotice& notice) = 0;
   /// This daemon doubts, has lost or has regained its contact to the leafs.
   virtual void OnContactChange(const ContactChange& change) = 0;
+  /// Open connections to leafs have gone silent and are closed.
+  virtual void OnConnectionsSilent() = 0;
   /// A request waits until the store shows whether the routes are current.
   virtual void OnRoutesDoubted() = 0;
   /// A peer that the store is available to has newer routes.
--- a/src/request/leaf_contact.cc
+++ b/src/request/leaf_contact.cc
@@ -60,8 +60,8 @@
     m_unconnectable.insert(leaf);
   }
   OnFailed(leaf, now);
-  if (m_unconnectable.size() >= kMinFailedLeafs && !m_probing) {
-    BeginProbing(now);
+  if (m_unconnectable.size() >= kMinFailedLeafs) {
+    RequestProbes(now);
   }
   if (m_state != ContactState::kCutOff && HaveAllProbesFailed()) {
     SetState(ContactState::kCutOff, now);
@@ -69,6 +69,12 @@
   }
 }
 
+void LeafContact::RequestProbes(TimePoint now) {
+  if (!m_probing) {
+    BeginProbing(now);
+  }
+}
+
 void LeafContact::BeginProbing(TimePoint now) {
   m_probing = true;
   m_wants_probes = true;
@@ -168,9 +174,7 @@
     return;
   }
   SetState(ContactState::kDoubtful, now);
-  if (!m_probing) {
-    BeginProbing(now);
-  }
+  RequestProbes(now);
 }
 
 bool LeafContact::TakeProbeRequest() {
--- a/src/request/leaf_contact.h
+++ b/src/request/leaf_contact.h
@@ -96,6 +96,10 @@
   /// Empty while there is nothing to check.
   std::optional<TimePoint> NextCheck() const { return m_check_at; }
 
+  /// Has connections tried, unless some are being tried.
+  void RequestProbes(TimePoint now);
+  /// Since when this process has run without a pause, as far as checks tell.
+  TimePoint ObservingSince() const { return m_observing_since; }
   /// Whether connections to some leafs should be tried now; true once for each
   /// occasion.
   bool TakeProbeRequest();
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -226,6 +226,9 @@
   /// Attempts and delegations to cancel, as their replies are no longer needed.
   std::vector<RelayAttemptNumber> cancellations;
   std::vector<RelayFinish> finishes;
+  /// Set if unused connections that were opened before this time are to be
+  /// closed, before anything is sent.
+  std::optional<TimePoint> close_unused_before;
   /// Leafs to which a connection is to be tried.
   std::vector<Endpoint> probes;
 };
--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -1,6 +1,7 @@
 // Watches whether this daemon reaches the leafs at all, and what follows for
 // requests in flight.
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -28,7 +29,18 @@
 }
 
 void RelayEngine::CheckContact() {
-  m_contact.Check(OutstandingAttempts(), m_now);
+  const std::vector<OutstandingAttempt> attempts = OutstandingAttempts();
+  m_contact.Check(attempts, m_now);
+  for (const OutstandingAttempt& attempt : attempts) {
+    const TimePoint waiting_since =
+        std::max(attempt.sent_at, m_contact.ObservingSince());
+    if (m_now - waiting_since > attempt.overdue_at - attempt.sent_at) {
+      m_silent_connections.OnSilent(attempt.leaf, waiting_since);
+    }
+  }
+  if (m_silent_connections.IsSuspected(m_now)) {
+    m_contact.RequestProbes(m_now);
+  }
   if (m_contact.State() == ContactState::kCutOff) {
     ReleaseSilentAttempts();
   }
@@ -51,6 +63,15 @@
   }
 }
 
+void RelayEngine::CloseSilentConnections() {
+  if (!m_silent_connections.IsSuspected(m_now)) {
+    return;
+  }
+  m_actions.close_unused_before = m_silent_connections.Since();
+  m_silent_connections.Clear();
+  ReleaseSilentAttempts();
+}
+
 // Without a peer that reaches leafs there is nothing better than to try them.
 void RelayEngine::ApplyContact() {
   m_leaf_table.SetOutOfReach(!m_contact.IsInContact() &&
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -185,6 +185,7 @@
   if (is_reachable) {
     m_contact.OnConnected(address, now);
     ConfirmLeafLosses();
+    CloseSilentConnections();
   } else {
     m_contact.OnConnectFailed(address, now);
     RecordLeafLoss(address);
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -15,6 +15,7 @@
 #include "request/leaf_table.h"
 #include "request/peer_table.h"
 #include "request/relay.h"
+#include "request/silent_connections.h"
 #include "request/weighted_round_robin.h"
 
 namespace bramleyspoke {
@@ -197,6 +198,9 @@
   /// Applies a change of the contact to leafs and requests.
   void ApplyContact();
   void ReleaseSilentAttempts();
+  /// Closes open connections if they have gone silent while leafs accept new
+  /// ones.
+  void CloseSilentConnections();
   void ReleaseAttempt(RelayAttemptNumber number);
   /// Ends the trials of requests that lost attempts to the cut alone.
   void ReleaseTrials();
@@ -314,6 +318,7 @@
   PeerTable m_peers;
   CrashLedger m_crashes;
   LeafContact m_contact;
+  SilentConnections m_silent_connections;
   ContactState m_applied_contact = ContactState::kInContact;
   /// Leafs found gone while it is doubtful whether this daemon is the cause.
   std::vector<Endpoint> m_doubtful_losses;
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -80,6 +80,7 @@
     case LeafReplyKind::kOtherLeaf:
     case LeafReplyKind::kMalformed:
       m_contact.OnAnswered(m_now);
+      m_silent_connections.OnAnswered(m_now);
       ConfirmLeafLosses();
       return;
     case LeafReplyKind::kLost:
@@ -91,6 +92,7 @@
       }
       return;
     case LeafReplyKind::kTimedOut:
+      m_silent_connections.OnSilent(leaf, attempt.sent_at);
       if (!has_sign_since) {
         m_contact.OnFailed(leaf, m_now);
       }
--- a/tests/process_relay_leaf_silence_test.cc
+++ b/tests/process_relay_leaf_silence_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <thread>
+
 #include "proxied_fleet.h"
 
 namespace bramleyspoke {
@@ -24,11 +26,18 @@
   SUBCASE("whose data is not acknowledged") {
     silence = SilenceKind::kUnacknowledged;
   }
+  // With these, the second silent connection is met later.
+  Duration between_requests{0};
+  SUBCASE("requests follow at once") {}
+  SUBCASE("requests follow after a moment") {
+    between_requests = std::chrono::milliseconds(60);
+  }
   ProxiedFleet fleet(1);
   fleet.SilenceLeafs(silence);
   const TimePoint due = Now() + Duration(kStableWindow);
   while (Now() < due) {
     fleet.Status(0, ProxiedFleet::kBasePrefix);
+    std::this_thread::sleep_for(between_requests);
   }
   for (int probe = 0; probe < kProbes; ++probe) {
     CHECK(fleet.Status(0, ProxiedFleet::kBasePrefix) == 200);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -164,6 +164,9 @@
     for (RelayFinish& finish : actions.finishes) {
       outcomes[finish.request] = std::move(finish.outcome);
     }
+    if (actions.close_unused_before) {
+      closed_before = actions.close_unused_before;
+    }
     for (const Endpoint& leaf : actions.probes) {
       AnswerProbe(leaf);
     }
@@ -177,6 +180,9 @@
   std::vector<RelayDelegation> delegations;
   std::vector<RelayAttemptNumber> cancellations;
   std::map<RelayNumber, RelayOutcome> outcomes;
+  /// Time before which connections were to have been opened when unused ones
+  /// were last closed.
+  std::optional<TimePoint> closed_before;
   RelayNumber last_number = 0;
   bool is_for_peer = false;
   std::vector<bool> bypassable;
--- /dev/null
+++ b/tests/silent_connections_test.cc
@@ -0,0 +1,76 @@
+#include "request/silent_connections.h"
+
+#include <doctest/doctest.h>
+
+#include "relay_fixture.h"
+
+namespace bramleyspoke {
+namespace {
+
+using std::chrono::seconds;
+
+const Endpoint kLeafA{"127.0.0.1", 1};
+const Endpoint kLeafB{"127.0.0.1", 2};
+
+}  // namespace
+
+TEST_CASE("connections are suspect once several leafs were silent for long") {
+  const TimePoint start{std::chrono::hours(1)};
+  SilentConnections connections;
+  connections.OnSilent(kLeafA, start);
+  connections.OnSilent(kLeafA, start + milliseconds(100));
+  CHECK_FALSE(connections.IsSuspected(start + seconds(2)));
+  connections.OnSilent(kLeafB, start + milliseconds(200));
+  CHECK_FALSE(connections.IsSuspected(start + milliseconds(400)));
+  CHECK(connections.IsSuspected(start + milliseconds(500)));
+  CHECK(connections.Since() == start);
+  SUBCASE("unless a leaf answers meanwhile") {
+    connections.OnAnswered(start + milliseconds(450));
+    connections.OnSilent(kLeafA, start + milliseconds(300));
+    connections.OnSilent(kLeafB, start + milliseconds(300));
+    CHECK_FALSE(connections.IsSuspected(start + seconds(2)));
+  }
+}
+
+TEST_CASE("requests do not wait on silent connections one after the other") {
+  RelayFixture relay;
+  for (const char* leaf : {"a", "b", "c"}) {
+    relay.AddLeaf("s0", leaf);
+  }
+  relay.Submit(0, RequestKind::kIdempotent, 1);
+  relay.Advance(milliseconds(20));
+  relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+  relay.Advance(seconds(1));
+
+  // No leaf answers on a connection that is open, and all accept new ones.
+  constexpr std::size_t kRequests = 6;
+  for (std::size_t request = 0; request < kRequests; ++request) {
+    relay.Submit(0, RequestKind::kIdempotent, 1);
+  }
+  REQUIRE(relay.sends.size() == kRequests);
+  const TimePoint sent_at = relay.now;
+  relay.Advance(milliseconds(700));
+  REQUIRE(relay.closed_before.has_value());
+  CHECK(*relay.closed_before == sent_at);
+  CHECK(relay.cancellations.size() == kRequests);
+  CHECK(relay.engine.Contact() == ContactState::kInContact);
+}
+
+TEST_CASE("leafs that stall for a moment keep their connections") {
+  RelayFixture relay;
+  for (const char* leaf : {"a", "b", "c"}) {
+    relay.AddLeaf("s0", leaf);
+  }
+  for (int turn = 0; turn < 10; ++turn) {
+    relay.Submit(0, RequestKind::kIdempotent, 1);
+    relay.Submit(0, RequestKind::kIdempotent, 1);
+    relay.Advance(milliseconds(300));
+    while (!relay.sends.empty()) {
+      relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kSucceeded);
+    }
+    relay.Advance(seconds(1));
+  }
+  CHECK_FALSE(relay.closed_before.has_value());
+}
+
+}  // namespace bramleyspoke
