--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -10,7 +10,7 @@
 #include "connection/capnp_peers.h"
 #include "connection/event_loop.h"
 #include "connection/http_server.h"
-#include "process/contact_report.h"
+#include "process/contact_notifier.h"
 #include "process/counting_key_value_store.h"
 #include "process/crash_reports.h"
 #include "process/holder_choice.h"
@@ -71,9 +71,12 @@
         m_loop(EventLoop::Create()),
         m_control_loop(EventLoop::Create()),
         m_metrics(RelayMetrics::Create()),
-        m_stop(
-            PlannedStopOptions{Scale(settings.stop_bound, kKeepServingShare),
-                               Scale(settings.stop_bound, kStopBoundShare)}) {}
+        m_stop(PlannedStopOptions{Scale(settings.stop_bound, kKeepServingShare),
+                                  Scale(settings.stop_bound, kStopBoundShare)}),
+        m_contact_notifier(*m_loop, [this](bool is_cut_off) {
+          m_control_loop->Post(
+              [this, is_cut_off] { m_control->SetCutOff(is_cut_off); });
+        }) {}
 
   ~RelayProcess() override {
     m_control_loop->Stop();
@@ -237,8 +240,7 @@
   void OnContactChange(const ContactChange& change) override {
     m_metrics->Observe(change);
     m_log.WriteContactChange(change);
-    m_contact_report.OnChange(change.state, std::chrono::steady_clock::now());
-    ReportContact();
+    m_contact_notifier.OnChange(change.state);
   }
 
   void OnConnectionsSilent() override {
@@ -392,19 +394,6 @@
         });
   }
 
-  void ReportContact() {
-    const TimePoint now = std::chrono::steady_clock::now();
-    const bool is_cut_off = m_contact_report.IsCutOff(now);
-    if (std::exchange(m_is_cut_off_reported, is_cut_off) != is_cut_off) {
-      m_control_loop->Post(
-          [this, is_cut_off] { m_control->SetCutOff(is_cut_off); });
-    }
-    m_contact_timer.reset();
-    if (const auto next = m_contact_report.NextChange(now)) {
-      m_contact_timer = m_loop->At(*next, [this] { ReportContact(); });
-    }
-  }
-
   bool IsRegistered() const {
     return std::any_of(m_daemons.begin(), m_daemons.end(),
                        [this](const DaemonEntry& daemon) {
@@ -420,7 +409,7 @@
     std::vector<DaemonEntry> holders = Holders();
     for (DaemonEntry& daemon : holders) {
       if (daemon.peer == m_settings.peer_listen) {
-        daemon.is_cut_off = m_is_cut_off_reported;
+        daemon.is_cut_off = m_contact_notifier.IsCutOff();
       }
     }
     std::vector<Endpoint> addresses = ChooseCallerAddresses(
@@ -539,8 +528,7 @@
   std::atomic<std::uint64_t> m_version = 0;
   bool m_has_leafs = false;
   HolderRole m_role;
-  ContactReport m_contact_report;
-  bool m_is_cut_off_reported = false;
+  ContactNotifier m_contact_notifier;
   bool m_is_store_reachable = false;
   std::uint64_t m_store_era = 0;
   std::unique_ptr<StopSignal> m_stop_signal;
@@ -548,7 +536,6 @@
   std::unique_ptr<Timer> m_registration_timer;
   std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<Timer> m_stale_timer;
-  std::unique_ptr<Timer> m_contact_timer;
 };
 
 }  // namespace
--- a/src/tool/explanation.cc
+++ b/src/tool/explanation.cc
@@ -119,6 +119,12 @@
                                                ", a peer queried for shards of "
                                                "its region: "
                                          : "";
+  if (record.Integer("hand_overs") > 0) {
+    causes.push_back(
+        std::to_string(record.Integer("hand_overs")) +
+        " times, a part was handed over to a peer, as none of its "
+        "leafs was in reach; see the daemon's leaf_contact lines.");
+  }
   if (record.Integer("missing_shards") > 0) {
     causes.push_back(prefix + DescribeMissingShards(record));
   }
--- a/tests/explanation_test.cc
+++ b/tests/explanation_test.cc
@@ -90,6 +90,22 @@
             "Ended with status 504, deadline_passed (may_have_run). ") == 0);
 }
 
+TEST_CASE("a request that was handed over to a peer is explained") {
+  const auto explanation = ExplainRequest(
+      ReadRecords("a " +
+                  LogLine("50.000", R"("event":"leaf_contact",)"
+                                    R"("state":"cut_off")") +
+                  "a " +
+                  LogLine("55.600",
+                          R"("event":"request_end","request_id":"r1",)"
+                          R"("status":200,"hand_overs":4)")),
+      "r1");
+  REQUIRE(explanation.context.size() == 1);
+  CHECK(explanation.context.front().event == "leaf_contact");
+  REQUIRE(explanation.causes.size() == 2);
+  CHECK(explanation.causes.back().find("4 times, a part was handed over") == 0);
+}
+
 TEST_CASE("records of several daemons are ordered by time") {
   const auto explanation = ExplainRequest(
       ReadRecords(
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -59,9 +59,13 @@
   leaf.is_draining = true;
   leaf.cold_remaining = std::chrono::milliseconds(1500);
   knowledge.leafs = {leaf};
-  knowledge.daemons = {
-      {"key",
-       {{"127.0.1.1", 8104}, {"127.0.1.1", 8106}, "domain", "region", 250}}};
+  knowledge.daemons = {{"key",
+                        {{"127.0.1.1", 8104},
+                         {"127.0.1.1", 8106},
+                         "domain",
+                         "region",
+                         250,
+                         true}}};
   knowledge.suspects = {{42, ""}, {43, "service"}};
   return knowledge;
 }
@@ -125,6 +129,9 @@
     answer.covered = {1};
     answer.uncovered = {{0, 2, true}};
     answer.version = 12;
+    answer.response.status = 404;
+    answer.response.headers = {{"Content-Type", "text/csv"}};
+    answer.is_cut_off = true;
     reply(std::move(answer));
     return [] {};
   }
@@ -299,6 +306,9 @@
   query.route = "sweep";
   query.shards = {"s0", "s1"};
   query.bypassable = {true, false};
+  query.service = "one";
+  query.is_idempotent = false;
+  query.delegation = 7;
   query.max_attempts = 2;
   query.time_left = std::chrono::milliseconds(1900);
   std::promise<ShardOutcome> done;
@@ -312,6 +322,9 @@
   CHECK(outcome.answer.uncovered.front().possible_runs == 2);
   CHECK(outcome.answer.uncovered.front().is_pending);
   CHECK(outcome.answer.version == 12);
+  CHECK(outcome.answer.response.status == 404);
+  CHECK(outcome.answer.response.content_type == "text/csv");
+  CHECK(outcome.answer.is_cut_off);
   const ShardQuery& received = handler.Query();
   CHECK(received.request_id == query.request_id);
   CHECK(received.request.target == query.request.target);
@@ -319,6 +332,9 @@
   CHECK(received.shards == query.shards);
   CHECK(received.bypassable == query.bypassable);
   CHECK(received.max_attempts == query.max_attempts);
+  CHECK(received.service == "one");
+  CHECK_FALSE(received.is_idempotent);
+  CHECK(received.delegation == 7);
   CHECK(received.time_left == query.time_left);
 }
 
