Look at attempts only after a moment without a sign of the leafs

The check of the contact built a list of all attempts each 50 ms, 23,200 attempts a second at the target's size. While leafs answer, nothing in it can matter. No decision changes; the tests of the contact pass.

--- a/src/request/leaf_contact.cc
+++ b/src/request/leaf_contact.cc
@@ -108,9 +108,14 @@
                      });
 }
 
+bool LeafContact::HasRecentSign(TimePoint now) const {
+  return IsInContact() && m_last_sign && now - *m_last_sign < kMinSilence;
+}
+
 // Time in which the process did not run says nothing about the leafs, so a
 // doubt begins again after it.
 void LeafContact::Check(const std::vector<OutstandingAttempt>& attempts,
+                        bool is_any_outstanding,
                         TimePoint now) {
   const bool was_paused = m_check_at && now - *m_check_at > kMaxCheckDelay;
   m_check_at.reset();
@@ -124,7 +129,7 @@
   if (m_probing && now >= m_probes_due) {
     CheckProbes(now);
   }
-  if (!attempts.empty() || IsAnyDoubt()) {
+  if (is_any_outstanding || IsAnyDoubt()) {
     m_check_at = now + kCheckInterval;
   }
 }
@@ -170,7 +175,7 @@
   if (!m_check_at) {
     m_check_at = now + kCheckInterval;
   }
-  if (m_last_sign && now - *m_last_sign < kMinSilence) {
+  if (HasRecentSign(now)) {
     return;
   }
   SetState(ContactState::kDoubtful, now);
--- a/src/request/leaf_contact.h
+++ b/src/request/leaf_contact.h
@@ -91,8 +91,14 @@
   void OnConnectFailed(const Endpoint& leaf, TimePoint now);
   /// Records that connections to these leafs are being tried.
   void OnProbesSent(const std::vector<Endpoint>& leafs);
-  /// To be called at `NextCheck` with all attempts that have not ended.
-  void Check(const std::vector<OutstandingAttempt>& attempts, TimePoint now);
+  /// Whether a leaf has answered or accepted a connection so recently that a
+  /// check need not look at attempts.
+  bool HasRecentSign(TimePoint now) const;
+  /// To be called at `NextCheck`, with all attempts that have not ended or,
+  /// after a recent sign, with none. `is_any_outstanding`: there are some.
+  void Check(const std::vector<OutstandingAttempt>& attempts,
+             bool is_any_outstanding,
+             TimePoint now);
   /// Empty while there is nothing to check.
   std::optional<TimePoint> NextCheck() const { return m_check_at; }
 
--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -29,8 +29,12 @@
 }
 
 void RelayEngine::CheckContact() {
+  if (m_contact.HasRecentSign(m_now)) {
+    m_contact.Check({}, !m_attempts.empty(), m_now);
+    return;
+  }
   const std::vector<OutstandingAttempt> attempts = OutstandingAttempts();
-  m_contact.Check(attempts, m_now);
+  m_contact.Check(attempts, !attempts.empty(), m_now);
   for (const OutstandingAttempt& attempt : attempts) {
     const TimePoint waiting_since =
         std::max(attempt.sent_at, m_contact.ObservingSince());
--- a/tests/leaf_contact_test.cc
+++ b/tests/leaf_contact_test.cc
@@ -33,7 +33,7 @@
     for (const TimePoint end = now + duration; now < end;) {
       now += milliseconds(10);
       if (contact.NextCheck() && *contact.NextCheck() <= now) {
-        contact.Check(attempts, now);
+        contact.Check(attempts, !attempts.empty(), now);
       }
       if (contact.TakeProbeRequest()) {
         ++probe_requests;
