--- a/src/request/leaf_contact.cc
+++ b/src/request/leaf_contact.cc
@@ -8,6 +8,10 @@
 namespace bramleyspoke {
 namespace {
 
+// Leafs known to be at fault beyond which all are forgotten; those that still
+// are cost connections to others once more.
+constexpr std::size_t kMaxAtFault = 1000;
+
 constexpr EnumNames<ContactState, 3> kNames{{{
     {ContactState::kInContact, "in_contact"},
     {ContactState::kDoubtful, "doubtful"},
@@ -34,6 +38,9 @@
 }
 
 void LeafContact::OnConnected(const Endpoint& leaf, TimePoint now) {
+  if (m_at_fault.size() > kMaxAtFault) {
+    m_at_fault.clear();
+  }
   m_at_fault.insert(m_unconnectable.begin(), m_unconnectable.end());
   m_at_fault.erase(leaf);
   m_unconnectable.clear();
--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -124,6 +124,7 @@
   const Attempt attempt = std::move(found->second);
   m_attempts.erase(found);
   attempt.leaf->load.OnEnded(m_now);
+  RecordUnansweredAttempt(attempt);
   m_actions.cancellations.push_back(number);
   Request* request = FindRequest(attempt.request);
   if (request == nullptr) {
@@ -142,7 +143,7 @@
       !m_contact.LastSign() || attempt.sent_at >= *m_contact.LastSign();
   part.is_next_attempt_free = part.is_next_attempt_free || is_sent_into_cut;
   MarkForUpdate(attempt.request);
-  if (request->request.is_for_peer) {
+  if (request->request.is_for_peer && !m_contact.IsInContact()) {
     FailUnlessOutstanding(part);
   } else {
     Retry(*request, attempt.part);
--- a/tests/silent_connections_test.cc
+++ b/tests/silent_connections_test.cc
@@ -56,6 +56,40 @@
   CHECK(relay.engine.Contact() == ContactState::kInContact);
 }
 
+// They may have crashed.
+TEST_CASE("leafs that are gone after their silence count as crashed") {
+  RelayFixture relay;
+  for (const char* leaf : {"a", "b", "c", "d"}) {
+    relay.AddLeaf("s0", leaf);
+  }
+  relay.fingerprint = 1;
+  for (std::size_t request = 0; request < 6; ++request) {
+    relay.Submit(0, RequestKind::kIdempotent, 1);
+  }
+  relay.Advance(milliseconds(700));
+  REQUIRE(relay.closed_before.has_value());
+  CHECK(relay.engine.TakeCrashes().empty());
+  const std::string silent = relay.sends.front().leaf_id;
+  relay.RemoveLeaf(silent);
+  CHECK_FALSE(relay.engine.TakeCrashes().empty());
+}
+
+TEST_CASE("a peer's shards are tried at other leafs after such a silence") {
+  RelayFixture relay;
+  for (const char* leaf : {"a", "b", "c", "d"}) {
+    relay.AddLeaf("s0", leaf);
+    relay.AddLeaf("s1", std::string(leaf) + "1");
+  }
+  relay.is_for_peer = true;
+  for (std::size_t request = 0; request < 4; ++request) {
+    relay.Submit(2, RequestKind::kIdempotent, 3);
+  }
+  const std::size_t sent = relay.sends.size();
+  relay.Advance(milliseconds(700));
+  REQUIRE(relay.closed_before.has_value());
+  CHECK(relay.sends.size() > sent);
+}
+
 TEST_CASE("leafs that stall for a moment keep their connections") {
   RelayFixture relay;
   for (const char* leaf : {"a", "b", "c"}) {
