--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -193,10 +193,11 @@
   std::vector<OutstandingAttempt> OutstandingAttempts() const;
   void CheckContact();
   void SendProbes();
-  /// A leaf has answered or accepted a connection.
+  /// Takes leafs that were found gone during a doubt as lost, if it has ended.
   void ConfirmLeafLosses();
   /// Applies a change of the contact to leafs and requests.
   void ApplyContact();
+  /// Gives up attempts that are overdue, except non-idempotent ones.
   void ReleaseSilentAttempts();
   /// Closes open connections if they have gone silent while leafs accept new
   /// ones.
