Count a lost leaf as a crash only once another connection is accepted

What callers saw: nothing yet; a request that was in flight when a daemon lost its links was counted as one that crashes leafs, and three such counts refuse it everywhere. Ruled out: waiting for any later answer, as answers on old connections arrive during a cut. Change: a loss that would confirm a crash has connections to leafs tried, and counts once one is accepted; failures of connections begun before the return say nothing of leafs.

--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -263,9 +263,10 @@
 
 void LeafExchanges::OpenPooled(const Endpoint& endpoint) {
   ++m_opened;
-  HttpConnection::Open(m_loop, endpoint, Now() + Duration(kConnectTimeout),
-                       [this, weak = std::weak_ptr(m_self),
-                        endpoint](std::unique_ptr<HttpConnection> connection) {
+  const TimePoint began = Now();
+  HttpConnection::Open(m_loop, endpoint, began + Duration(kConnectTimeout),
+                       [this, weak = std::weak_ptr(m_self), endpoint,
+                        began](std::unique_ptr<HttpConnection> connection) {
                          if (!weak.lock()) {
                            return;
                          }
@@ -278,7 +279,7 @@
                                Idle{std::move(connection),
                                     Now() + Duration(kDefaultIdleTime), Now()});
                          }
-                         m_on_reachable(endpoint, is_reachable);
+                         m_on_reachable(endpoint, is_reachable, began);
                        });
 }
 
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -51,11 +51,14 @@
   static constexpr Duration kInitialRetryDelay = std::chrono::seconds(1);
   static constexpr Duration kMaxRetryDelay = std::chrono::seconds(8);
 
-  using ReachabilityCallback = std::function<void(const Endpoint&, bool)>;
-
-  /// `on_reachable` is called when opening a pooled connection has ended, with
-  /// whether it succeeded. If a connection that the leaf had accepted breaks,
-  /// another one is opened at once, as the leaf may have crashed.
+  /// Called with the leaf, whether it accepted the connection, and when the
+  /// connection was begun.
+  using ReachabilityCallback =
+      std::function<void(const Endpoint&, bool, TimePoint)>;
+
+  /// `on_reachable` is called when opening a pooled connection has ended. If a
+  /// connection that the leaf had accepted breaks, another one is opened at
+  /// once, as the leaf may have crashed.
   LeafExchanges(EventLoop& loop,
                 HttpResponseLimits limits,
                 ReachabilityCallback on_reachable);
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -29,11 +29,12 @@
       m_protocol(protocol),
       m_observer(observer),
       m_engine(locality, repeats),
-      m_exchanges(loop,
-                  leaf_responses,
-                  [this](const Endpoint& leaf, bool is_reachable) {
-                    Apply(m_engine.OnReachable(leaf, is_reachable, Now()));
-                  }),
+      m_exchanges(
+          loop,
+          leaf_responses,
+          [this](const Endpoint& leaf, bool is_reachable, TimePoint tried_at) {
+            Apply(m_engine.OnReachable(leaf, is_reachable, Now(), tried_at));
+          }),
       m_peers(peers),
       m_self(std::make_shared<RelayFront*>(this)) {}
 
--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -159,12 +159,24 @@
 void CrashLedger::OnUnreachable(const Endpoint& address, TimePoint now) {
   ConfirmCrashes(
       [&](const UnansweredAttempt& attempt) {
-        return attempt.leaf->registration.address == address &&
-               !attempt.leaf_answered_at && !attempt.is_cut_off;
+        return IsCrashIfLost(attempt, address);
       },
       now);
 }
 
+bool CrashLedger::IsAwaitingOutcome(const Endpoint& address) const {
+  return std::any_of(m_unanswered.begin(), m_unanswered.end(),
+                     [&](const UnansweredAttempt& attempt) {
+                       return IsCrashIfLost(attempt, address);
+                     });
+}
+
+bool CrashLedger::IsCrashIfLost(const UnansweredAttempt& attempt,
+                                const Endpoint& address) {
+  return attempt.leaf->registration.address == address &&
+         !attempt.leaf_answered_at && !attempt.is_cut_off;
+}
+
 // A leaf that restarts under its id may respond before its new registration
 // arrives; its responses are then taken for those of the earlier run.
 void CrashLedger::OnLeafsChanged(TimePoint now) {
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -124,6 +124,9 @@
                     TimePoint now);
   /// Records that nothing listens at the leaf's address.
   void OnUnreachable(const Endpoint& address, TimePoint now);
+  /// Whether a loss of this leaf would be taken as the crash of an unanswered
+  /// attempt.
+  bool IsAwaitingOutcome(const Endpoint& address) const;
   /// To be called after leafs were added or removed.
   void OnLeafsChanged(TimePoint now);
   /// Records that the leaf responded to an attempt sent at `sent`: attempts
@@ -165,6 +168,8 @@
   bool IsSuspectResource(const RequestPart& part, TimePoint now) const;
   void AddSuspect(const CrashSuspect& suspect, TimePoint now);
   void DropExpired(TimePoint now);
+  static bool IsCrashIfLost(const UnansweredAttempt& attempt,
+                            const Endpoint& address);
   static bool IsExpired(const UnansweredAttempt& attempt, TimePoint now);
   void Report(CrashEvidenceStep step,
               const RequestPart& part,
--- a/src/request/leaf_contact.cc
+++ b/src/request/leaf_contact.cc
@@ -50,6 +50,9 @@
 
 void LeafContact::OnSign(TimePoint now) {
   m_last_sign = now;
+  if (m_state == ContactState::kCutOff) {
+    m_returned_at = now;
+  }
   if (m_state != ContactState::kInContact) {
     SetState(ContactState::kInContact, now);
   }
--- a/src/request/leaf_contact.h
+++ b/src/request/leaf_contact.h
@@ -75,6 +75,11 @@
   bool IsAnyDoubt() const {
     return !IsInContact() || m_probing || m_failed.size() >= kMinFailedLeafs;
   }
+  /// Whether the daemon was still cut off at `time`: what failed that was begun
+  /// then says nothing about the leafs.
+  bool IsBeforeReturn(TimePoint time) const {
+    return m_returned_at && time < *m_returned_at;
+  }
   /// When a leaf last answered or accepted a connection.
   std::optional<TimePoint> LastSign() const { return m_last_sign; }
 
@@ -127,6 +132,8 @@
 
   ContactState m_state = ContactState::kInContact;
   std::optional<TimePoint> m_last_sign;
+  /// When the daemon was last found to be no longer cut off.
+  std::optional<TimePoint> m_returned_at;
   /// Leafs that have failed since the last sign of one.
   std::set<Endpoint> m_failed;
   /// Leafs that have accepted no connection since one did.
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -93,6 +93,7 @@
   const std::map<std::string, std::unique_ptr<RelayService>>& Services() const {
     return m_services;
   }
+  std::size_t LeafCount() const { return m_leafs.size(); }
   std::map<LeafState, std::size_t> CountByState(TimePoint now) const;
   /// The lowest number of tokens in any service's retry budget; 0 without
   /// services.
--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -31,6 +31,7 @@
 void RelayEngine::CheckContact() {
   if (m_contact.HasRecentSign(m_now)) {
     m_contact.Check({}, !m_attempts.empty(), m_now);
+    ConfirmLeafLosses();
     return;
   }
   const std::vector<OutstandingAttempt> attempts = OutstandingAttempts();
@@ -45,6 +46,7 @@
   if (m_silent_connections.IsSuspected(m_now)) {
     m_contact.RequestProbes(m_now);
   }
+  ConfirmLeafLosses();
   if (m_contact.State() == ContactState::kCutOff) {
     ReleaseSilentAttempts();
   }
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -179,8 +179,12 @@
 
 RelayActions RelayEngine::OnReachable(const Endpoint& address,
                                       bool is_reachable,
-                                      TimePoint now) {
+                                      TimePoint now,
+                                      std::optional<TimePoint> tried_at) {
   m_now = now;
+  if (!is_reachable && m_contact.IsBeforeReturn(tried_at.value_or(now))) {
+    return FinishEvent();
+  }
   m_leaf_table.OnReachable(address, is_reachable, now);
   if (is_reachable) {
     m_contact.OnConnected(address, now);
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -88,9 +88,12 @@
   RelayActions SetTable(std::shared_ptr<const RouteTable> table, TimePoint now);
   RelayActions SetLeafs(const std::vector<LeafRegistration>& leafs,
                         TimePoint now);
+  /// A connection to a leaf was accepted or not. `tried_at` is when it was
+  /// begun; `now` if empty.
   RelayActions OnReachable(const Endpoint& address,
                            bool is_reachable,
-                           TimePoint now);
+                           TimePoint now,
+                           std::optional<TimePoint> tried_at = std::nullopt);
   /// Sets the number of daemons by region, this daemon included.
   void SetDaemons(std::map<std::string, std::size_t> by_region) {
     m_leaf_table.SetDaemons(std::move(by_region));
@@ -285,7 +288,8 @@
   void RecordContact(const Attempt& attempt, LeafReplyKind kind);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
   void RecordUnansweredAttempt(const Attempt& attempt);
-  /// Nothing listens at a leaf's address, as far as this daemon can tell.
+  /// Nothing listens at a leaf's address, as far as this daemon can tell, which
+  /// may be at fault itself.
   void RecordLeafLoss(const Endpoint& address);
   void RecordAnnouncement(const Attempt& attempt,
                           const LeafAnnouncement& announcement);
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -161,12 +161,18 @@
   }
 }
 
+// A cut breaks one connection before another leaf fails. A loss that would be
+// evidence of a crash counts only once a leaf has accepted a connection that
+// was tried after it; with one leaf there is none to try.
 void RelayEngine::RecordLeafLoss(const Endpoint& address) {
-  if (!m_contact.IsAnyDoubt()) {
-    m_crashes.OnUnreachable(address, m_now);
-  } else if (m_contact.State() != ContactState::kCutOff) {
-    m_doubtful_losses.push_back(address);
+  if (m_contact.State() == ContactState::kCutOff) {
+    return;
+  }
+  m_doubtful_losses.push_back(address);
+  if (m_crashes.IsAwaitingOutcome(address) && m_leaf_table.LeafCount() > 1) {
+    m_contact.RequestProbes(m_now);
   }
+  ConfirmLeafLosses();
 }
 
 void RelayEngine::ApplyReply(Request& request,
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -143,8 +143,8 @@
   loop.Run([&] {
     HttpResponseLimits limits;
     limits.budget = budget;
-    exchanges = std::make_unique<LeafExchanges>(loop.Loop(), limits,
-                                                [](const Endpoint&, bool) {});
+    exchanges = std::make_unique<LeafExchanges>(
+        loop.Loop(), limits, [](const Endpoint&, bool, TimePoint) {});
     return 0;
   });
   std::uint64_t number = 0;
--- a/tests/leaf_exchanges_test.cc
+++ b/tests/leaf_exchanges_test.cc
@@ -29,9 +29,11 @@
  public:
   LeafFixture()
       : m_loop(EventLoop::Create()),
-        m_exchanges(*m_loop, {}, [this](const Endpoint&, bool is_reachable) {
-          ++(is_reachable ? m_reachable : m_unreachable);
-        }) {
+        m_exchanges(*m_loop,
+                    {},
+                    [this](const Endpoint&, bool is_reachable, TimePoint) {
+                      ++(is_reachable ? m_reachable : m_unreachable);
+                    }) {
     leaf.RestartAfter(kRestartDelay, [] {});
     m_loop->Post([this] { m_exchanges.SetPoolSizes({{kLeaf, kPoolSize}}); });
     m_loop->Start();
