Let a leaf that refuses requests get only what others cannot take

Cause: one leaf of each shard refuses 0.6 of what arrives. It has few requests, answers at once and reports little load, so its cost was the lowest; a refusal ejected it for 10 to 80 ms and left no trace in the cost. The retries that followed used the budget up. Change: the share of refused attempts (OutcomeShare, decays in 5 s without attempts) is part of a leaf's cost, as that of failures was.

--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -26,7 +26,9 @@
 // when checked against a predicted stall.
 constexpr double kStallLookaheadFactor = 1.5;
 constexpr double kFailureWeight = 0.15;
-constexpr double kFailureDecaySeconds = 2;
+constexpr Duration kFailureDecayTime = std::chrono::seconds(2);
+constexpr double kShedWeight = 0.3;
+constexpr Duration kShedDecayTime = std::chrono::seconds(5);
 
 constexpr std::uint32_t kFailuresToEject = 4;
 constexpr Duration kInitialEjection = std::chrono::milliseconds(400);
@@ -75,6 +77,15 @@
   return found == m_estimates.end() ? kInitialEstimate : found->second.Median();
 }
 
+LeafLoad::LeafLoad(std::uint32_t slots,
+                   Duration round_trip,
+                   std::shared_ptr<FleetStatistics> fleet)
+    : m_slots(slots),
+      m_round_trip(round_trip),
+      m_fleet(std::move(fleet)),
+      m_failures(kFailureWeight, kFailureDecayTime),
+      m_sheds(kShedWeight, kShedDecayTime) {}
+
 void LeafLoad::OnSent(TimePoint now) {
   if (m_in_flight++ == 0) {
     m_last_activity = now;
@@ -91,6 +102,7 @@
                           const std::optional<ReportedLoad>& load,
                           TimePoint now) {
   m_consecutive_sheds = 0;
+  m_sheds.Record(false, now);
   m_unreachable_until = {};
   m_round_trip = round_trip.value_or(m_round_trip);
   const Duration processing_time =
@@ -112,15 +124,11 @@
 void LeafLoad::OnSuccess(TimePoint now) {
   m_consecutive_failures = 0;
   m_consecutive_ejections = 0;
-  m_failure_share *= DecayFactor(m_failed_at, now, kFailureDecaySeconds);
-  m_failure_share *= 1 - kFailureWeight;
-  m_failed_at = now;
+  m_failures.Record(false, now);
 }
 
 void LeafLoad::OnFailure(TimePoint now) {
-  m_failure_share *= DecayFactor(m_failed_at, now, kFailureDecaySeconds);
-  m_failure_share += (1 - m_failure_share) * kFailureWeight;
-  m_failed_at = now;
+  m_failures.Record(true, now);
   if (++m_consecutive_failures < kFailuresToEject) {
     return;
   }
@@ -137,6 +145,7 @@
   m_ejected_until =
       std::max(m_ejected_until, now + kInitialShedEjection * (1U << doublings));
   ++m_consecutive_sheds;
+  m_sheds.Record(true, now);
 }
 
 void LeafLoad::OnUnreachable(TimePoint now) {
@@ -150,7 +159,8 @@
 void LeafLoad::OnContactRestored() {
   m_unreachable_until = {};
   m_ejected_until = {};
-  m_failure_share = 0;
+  m_failures.Reset();
+  m_sheds.Reset();
   m_consecutive_failures = 0;
   m_consecutive_ejections = 0;
 }
@@ -184,9 +194,8 @@
   const double queue =
       std::max(0.0, Occupancy(now) + 1 - static_cast<double>(m_slots));
   Duration cost = m_round_trip + expected + Scale(median, queue / m_slots);
-  cost += Scale(
-      kFailureCost,
-      m_failure_share * DecayFactor(m_failed_at, now, kFailureDecaySeconds));
+  cost += Scale(kFailureCost, m_failures.At(now));
+  cost += Scale(kShedCost, m_sheds.At(now));
   const Duration predicted_delay = PredictedDelay(expected, now);
   return cost + (IsSilent(now) ? std::max(kSilentCost, predicted_delay)
                                : predicted_delay);
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "request/outcome_share.h"
 #include "request/stall_predictor.h"
 
 namespace bramleyspoke {
@@ -76,12 +77,15 @@
   static constexpr Duration kSilentCost = std::chrono::milliseconds(150);
   /// Cost of a failed request, weighted by the leaf's share of failures.
   static constexpr Duration kFailureCost = std::chrono::milliseconds(200);
+  /// Cost of an attempt that the leaf refuses for lack of capacity, weighted by
+  /// its share. Retries are limited, and so a leaf that refuses is to get only
+  /// what the others cannot take: this is longer than a queue or a stall there.
+  static constexpr Duration kShedCost = std::chrono::milliseconds(800);
 
   /// `round_trip` is the round-trip time assumed until one is measured.
   LeafLoad(std::uint32_t slots,
            Duration round_trip,
-           std::shared_ptr<FleetStatistics> fleet)
-      : m_slots(slots), m_round_trip(round_trip), m_fleet(std::move(fleet)) {}
+           std::shared_ptr<FleetStatistics> fleet);
 
   void OnSent(TimePoint now);
   /// Records the end of an attempt, whatever its outcome.
@@ -94,8 +98,10 @@
                   TimePoint now);
   void OnSuccess(TimePoint now);
   void OnFailure(TimePoint now);
-  /// Records that the leaf refused an attempt for lack of capacity: it is
-  /// ejected for a short time.
+  /// Records that the leaf refused an attempt for lack of capacity. It is
+  /// ejected for a short time and costs more until it accepts attempts again: a
+  /// leaf that refuses has few requests and answers at once, and would seem the
+  /// best one.
   void OnShed(TimePoint now);
   void OnUnreachable(TimePoint now);
   void OnReachable();
@@ -152,8 +158,8 @@
   /// Number of requests from other daemons, as of `m_reported_at`.
   double m_other_requests = 0;
   TimePoint m_reported_at;
-  double m_failure_share = 0;
-  TimePoint m_failed_at;
+  OutcomeShare m_failures;
+  OutcomeShare m_sheds;
   std::uint32_t m_consecutive_failures = 0;
   std::uint32_t m_consecutive_ejections = 0;
   std::uint32_t m_consecutive_sheds = 0;
