Learn of slow leafs from their last three answers

Cause: a leaf's median moved by 3% an answer, and the recent latency beside it was capped at four times itself and forgotten in 1.5 s. Change: LeafSlowness, the lowest of the last three answers as a multiple of other leafs' times and without the queue that the leaf reports; it decays in 3 s. It replaces the recent latency.

--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -6,14 +6,8 @@
 namespace bramleyspoke {
 namespace {
 
-// Weight of a new sample, and the limit of a sample as a multiple of the
-// estimate, so that one stall does not make a leaf look slow for long.
-constexpr double kRecentWeight = 0.2;
-constexpr double kMaxSampleFactor = 4;
 // Relative step of the running median per sample.
 constexpr double kMedianStep = 0.03;
-// Time until the recent latency has lost most of its weight.
-constexpr double kRecentDecaySeconds = 1.5;
 // Time until most of the reported requests of other daemons have finished or
 // been replaced.
 constexpr double kReportDecaySeconds = 0.3;
@@ -50,31 +44,21 @@
 
 }  // namespace
 
-void LatencyEstimate::Record(Duration latency, TimePoint now) {
+void LatencyMedian::Record(Duration latency) {
   const double step =
       latency > m_median ? 1 + kMedianStep : 1 / (1 + kMedianStep);
-  const Duration recent = Expected(now);
-  const Duration capped = std::min(latency, Scale(recent, kMaxSampleFactor));
-  m_recent = recent + Scale(capped - recent, kRecentWeight);
   m_median = Scale(m_median, step);
-  m_recorded_at = now;
-}
-
-Duration LatencyEstimate::Expected(TimePoint now) const {
-  return m_median + Scale(m_recent - m_median,
-                          DecayFactor(m_recorded_at, now, kRecentDecaySeconds));
 }
 
 void ProcessingTimeTable::Record(const std::string& kind,
-                                 Duration processing_time,
-                                 TimePoint now) {
-  m_estimates.try_emplace(kind, processing_time)
-      .first->second.Record(processing_time, now);
+                                 Duration processing_time) {
+  m_medians.try_emplace(kind, processing_time)
+      .first->second.Record(processing_time);
 }
 
 Duration ProcessingTimeTable::Median(const std::string& kind) const {
-  const auto found = m_estimates.find(kind);
-  return found == m_estimates.end() ? kInitialEstimate : found->second.Median();
+  const auto found = m_medians.find(kind);
+  return found == m_medians.end() ? kInitialEstimate : found->second.Value();
 }
 
 LeafLoad::LeafLoad(std::uint32_t slots,
@@ -110,9 +94,9 @@
   ObserveStall(kind, processing_time, now);
   m_last_activity = now;
   m_last_answer = now;
-  m_fleet->processing_times.Record(kind, processing_time, now);
+  RecordSpeed(kind, processing_time, load, now);
   m_processing_times.try_emplace(kind, m_fleet->processing_times.Median(kind))
-      .first->second.Record(processing_time, now);
+      .first->second.Record(processing_time);
   if (load) {
     const double all = static_cast<double>(load->running) + load->waiting;
     m_other_requests = std::max(0.0, all - static_cast<double>(m_in_flight));
@@ -121,6 +105,22 @@
   }
 }
 
+// The requests that wait at the leaf now stand for those that this one waited
+// behind, and are not part of the leaf's speed.
+void LeafLoad::RecordSpeed(const std::string& kind,
+                           Duration processing_time,
+                           const std::optional<ReportedLoad>& load,
+                           TimePoint now) {
+  const double turns = load ? 1 + static_cast<double>(load->waiting) /
+                                      std::max<std::uint32_t>(load->slots, 1)
+                            : 1;
+  const Duration service_time = Scale(processing_time, 1 / turns);
+  m_fleet->processing_times.Record(kind, service_time);
+  m_slowness.Record(
+      Seconds(service_time) / Seconds(m_fleet->processing_times.Median(kind)),
+      now);
+}
+
 void LeafLoad::OnSuccess(TimePoint now) {
   m_consecutive_failures = 0;
   m_consecutive_ejections = 0;
@@ -176,8 +176,8 @@
   Duration longest = m_processing_times.empty()
                          ? ProcessingTimeTable::kInitialEstimate
                          : kMinProcessingTime;
-  for (const auto& [kind, estimate] : m_processing_times) {
-    longest = std::max(longest, estimate.Median());
+  for (const auto& [kind, median] : m_processing_times) {
+    longest = std::max(longest, median.Value());
   }
   return now - m_last_activity >
          m_round_trip + Scale(longest, kSilentFactor) + kSilentMargin;
@@ -188,25 +188,21 @@
 }
 
 Duration LeafLoad::Cost(const std::string& kind, TimePoint now) const {
-  const LatencyEstimate* estimate = FindEstimate(kind);
-  const Duration median = MedianProcessingTime(kind);
-  const Duration expected = estimate ? estimate->Expected(now) : median;
+  const Duration service_time = ServiceTime(kind, now);
   const double queue =
       std::max(0.0, Occupancy(now) + 1 - static_cast<double>(m_slots));
-  Duration cost = m_round_trip + expected + Scale(median, queue / m_slots);
+  Duration cost = m_round_trip + Scale(service_time, 1 + queue / m_slots);
   cost += Scale(kFailureCost, m_failures.At(now));
   cost += Scale(kShedCost, m_sheds.At(now));
-  const Duration predicted_delay = PredictedDelay(expected, now);
+  const Duration predicted_delay = PredictedDelay(service_time, now);
   return cost + (IsSilent(now) ? std::max(kSilentCost, predicted_delay)
                                : predicted_delay);
 }
 
 Duration LeafLoad::PredictedStallDelay(const std::string& kind,
                                        TimePoint now) const {
-  const LatencyEstimate* estimate = FindEstimate(kind);
-  const Duration expected =
-      estimate ? estimate->Expected(now) : MedianProcessingTime(kind);
-  return IsSilent(now) ? Duration::zero() : PredictedDelay(expected, now);
+  return IsSilent(now) ? Duration::zero()
+                       : PredictedDelay(ServiceTime(kind, now), now);
 }
 
 // A stall also delays requests that are still running when it begins.
@@ -246,8 +242,14 @@
 }
 
 Duration LeafLoad::MedianProcessingTime(const std::string& kind) const {
-  const LatencyEstimate* estimate = FindEstimate(kind);
-  return estimate ? estimate->Median() : m_fleet->processing_times.Median(kind);
+  const auto found = m_processing_times.find(kind);
+  return found == m_processing_times.end()
+             ? m_fleet->processing_times.Median(kind)
+             : found->second.Value();
+}
+
+Duration LeafLoad::ServiceTime(const std::string& kind, TimePoint now) const {
+  return Scale(m_fleet->processing_times.Median(kind), m_slowness.At(now));
 }
 
 double LeafLoad::Occupancy(TimePoint now) const {
@@ -255,9 +257,4 @@
                            DecayFactor(m_reported_at, now, kReportDecaySeconds);
 }
 
-const LatencyEstimate* LeafLoad::FindEstimate(const std::string& kind) const {
-  const auto found = m_processing_times.find(kind);
-  return found == m_processing_times.end() ? nullptr : &found->second;
-}
-
 }  // namespace bramleyspoke
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "request/leaf_slowness.h"
 #include "request/outcome_share.h"
 #include "request/stall_predictor.h"
 
@@ -20,23 +21,16 @@
   std::uint32_t slots = 0;
 };
 
-/// Estimated latency of one kind of request.
-class LatencyEstimate {
+/// Running median of the latency of one kind of request; adapts slowly.
+class LatencyMedian {
  public:
-  explicit LatencyEstimate(Duration initial)
-      : m_median(initial), m_recent(initial) {}
+  explicit LatencyMedian(Duration initial) : m_median(initial) {}
 
-  void Record(Duration latency, TimePoint now);
-  /// Running median, which adapts slowly.
-  Duration Median() const { return m_median; }
-  /// Expected latency at `now`: the recent latency, which decays to the median
-  /// with age.
-  Duration Expected(TimePoint now) const;
+  void Record(Duration latency);
+  Duration Value() const { return m_median; }
 
  private:
   Duration m_median;
-  Duration m_recent;
-  TimePoint m_recorded_at;
 };
 
 /// Estimated processing time of each kind of request over all leafs. Assumed
@@ -46,11 +40,11 @@
   /// Estimate before the first response of a kind.
   static constexpr Duration kInitialEstimate = std::chrono::milliseconds(20);
 
-  void Record(const std::string& kind, Duration processing_time, TimePoint now);
+  void Record(const std::string& kind, Duration processing_time);
   Duration Median(const std::string& kind) const;
 
  private:
-  std::map<std::string, LatencyEstimate> m_estimates;
+  std::map<std::string, LatencyMedian> m_medians;
 };
 
 /// Statistics over all leafs, and what holds for all of them.
@@ -137,8 +131,14 @@
   double Occupancy(TimePoint now) const;
 
  private:
-  const LatencyEstimate* FindEstimate(const std::string& kind) const;
   Duration MedianProcessingTime(const std::string& kind) const;
+  /// Expected processing time without waiting for other requests.
+  Duration ServiceTime(const std::string& kind, TimePoint now) const;
+  /// Records a processing time as a multiple of other leafs'.
+  void RecordSpeed(const std::string& kind,
+                   Duration processing_time,
+                   const std::optional<ReportedLoad>& load,
+                   TimePoint now);
   void ObserveStall(const std::string& kind,
                     Duration processing_time,
                     TimePoint now);
@@ -149,7 +149,8 @@
   std::shared_ptr<FleetStatistics> m_fleet;
   StallPredictor m_stalls;
   /// Processing times by kind, without the round-trip time.
-  std::map<std::string, LatencyEstimate> m_processing_times;
+  std::map<std::string, LatencyMedian> m_processing_times;
+  LeafSlowness m_slowness;
   std::uint32_t m_in_flight = 0;
   /// Time of the last response, or when the first of the attempts in flight was
   /// sent.
