Let the queue at a leaf excuse slowness only, never make the leaf fast

Cause: the processing time was divided by the turns that the reported queue stands for. The queue is that at the response, and a request that came before the others did not wait behind them: its leaf seemed three times as fast. Ruled out: leaving the queue out of the estimate (leaf_slowness_test, 'waiting behind other requests is no slowness', fails). Change: the division may bring the multiple down to the usual time, not below. Test: relay_limits_test, unchanged; failed before, passes.

--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -106,7 +106,8 @@
 }
 
 // The requests that wait at the leaf now stand for those that this one waited
-// behind, and are not part of the leaf's speed.
+// behind. They may explain that it took longer than usual, but others may have
+// arrived after it: they do not make the leaf faster than usual.
 void LeafLoad::RecordSpeed(const std::string& kind,
                            Duration processing_time,
                            const std::optional<ReportedLoad>& load,
@@ -114,11 +115,12 @@
   const double turns = load ? 1 + static_cast<double>(load->waiting) /
                                       std::max<std::uint32_t>(load->slots, 1)
                             : 1;
-  const Duration service_time = Scale(processing_time, 1 / turns);
-  m_fleet->processing_times.Record(kind, service_time);
-  m_slowness.Record(
-      Seconds(service_time) / Seconds(m_fleet->processing_times.Median(kind)),
-      now);
+  const Duration usual = m_fleet->processing_times.Median(kind);
+  const double multiple = Seconds(processing_time) / Seconds(usual);
+  const double own_multiple =
+      std::min(multiple, std::max(1.0, multiple / turns));
+  m_fleet->processing_times.Record(kind, Scale(processing_time, 1 / turns));
+  m_slowness.Record(own_multiple, now);
 }
 
 void LeafLoad::OnSuccess(TimePoint now) {
