Count no refusal that carries a pause as a lack of capacity

What callers saw: nothing yet; a leaf that had asked for a pause stayed nearly unused for up to 30 s after it. Cause: since a refusal raises the leaf's cost for seconds; the one that carries the pause did so as well, though the pause says by itself when requests may return. Change: such a refusal is left to the pause.

--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -52,7 +52,10 @@
       load.OnFailure(m_now);
       break;
     case LeafReplyKind::kRefused:
-      load.OnShed(m_now);
+      // A pause that the leaf asks for says by itself when requests may return.
+      if (!reply.announcement || !reply.announcement->pause) {
+        load.OnShed(m_now);
+      }
       break;
     case LeafReplyKind::kOtherLeaf:
     case LeafReplyKind::kNotSent:
--- a/tests/relay_pause_test.cc
+++ b/tests/relay_pause_test.cc
@@ -69,6 +69,41 @@
   CHECK(relay.ArrivalsUntil(relay.asked_at + 2 * kPause) > 0);
 }
 
+// The refusal that carries the pause was also counted as one for lack of
+// capacity, which kept the leaf expensive for many seconds after the pause.
+TEST_CASE("a leaf gets its part of the load again once its pause has ended") {
+  constexpr int kAtOnce = 6;
+  // A leaf returns gradually.
+  constexpr int kRoundsOfReturn = 10;
+  RelayFixture relay;
+  relay.AddLeaf("s0", "a");
+  relay.AddLeaf("s0", "b");
+  std::map<std::string, int> arrivals;
+  const auto play = [&](int rounds) {
+    arrivals.clear();
+    for (int round = 0; round < rounds; ++round) {
+      for (int request = 0; request < kAtOnce; ++request) {
+        relay.Submit(0);
+      }
+      relay.Advance(milliseconds(20));
+      for (const RelayAttempt& send : std::exchange(relay.sends, {})) {
+        ++arrivals[send.leaf_id];
+        const bool is_paused = relay.pauses.contains(send.leaf_id);
+        relay.ReplyTo(send, is_paused ? LeafReplyKind::kRefused
+                                      : LeafReplyKind::kSucceeded);
+      }
+    }
+  };
+  play(kRoundsOfReturn);
+  relay.pauses = {{"a", kPause}};
+  play(1);
+  relay.pauses.clear();
+  relay.Advance(kPause + LeafPause::kMaxSpread);
+  play(kRoundsOfReturn);
+  play(kRoundsOfReturn);
+  CHECK(arrivals["a"] > arrivals["b"] / 2);
+}
+
 TEST_CASE("hedges and retries spare a leaf that asked for a pause") {
   PausedLeaf relay;
   relay.Submit(0);
