Play load patterns with one command, beside the best that the leafs allow

Beside it stands the credit that full knowledge of work, stalls and faults allows (shard_bound), so that each gap has a size.

--- a/bench/cases.cc
+++ b/bench/cases.cc
@@ -9,6 +9,7 @@
 #include "fault_cases.h"
 #include "manifest_spread.h"
 #include "policy_cases.h"
+#include "relay_load_case.h"
 #include "soak.h"
 
 namespace bramleyspoke::Harness {
@@ -48,6 +49,8 @@
        RunEngineCost},
       {"control_cost", "cost of the control code alone, up to the target size",
        RunControlCost},
+      {"relay_load", "the relay under slow, refusing and failing leafs",
+       RunRelayLoad},
       {"soak", "random faults; runs only if named", RunSoak, true},
   };
   return kCases;
--- a/bench/model_leaf.cc
+++ b/bench/model_leaf.cc
@@ -5,6 +5,14 @@
 
 namespace bramleyspoke::Harness {
 
+// The mean of a lognormal distribution is above its median.
+Duration WorkTime::Sample(std::mt19937_64& random) const {
+  std::lognormal_distribution<double> factor(-spread * spread / 2, spread);
+  const bool is_tail = std::bernoulli_distribution(tail_share)(random);
+  return std::chrono::duration_cast<Duration>(
+      mean * (factor(random) * (is_tail ? tail_factor : 1)));
+}
+
 void EventQueue::At(TimePoint time, std::function<void()> event) {
   m_events.emplace(Event{std::max(time, m_now), ++m_last_sequence},
                    std::move(event));
@@ -19,6 +27,42 @@
   m_now = std::max(m_now, end);
 }
 
+StallSchedule::StallSchedule(const LeafCapacity& capacity,
+                             TimePoint begin,
+                             double phase)
+    : m_stall(capacity.stall),
+      m_period(capacity.stall_period),
+      m_first(begin + std::chrono::duration_cast<Duration>(m_period * phase)) {}
+
+TimePoint StallSchedule::Next(TimePoint time) const {
+  if (m_stall == Duration::zero()) {
+    return TimePoint::max();
+  }
+  const Duration since = time - m_first;
+  const std::int64_t periods =
+      since < Duration::zero() ? 0 : since / m_period + 1;
+  return m_first + m_period * periods;
+}
+
+TimePoint StallSchedule::After(TimePoint time) const {
+  if (m_stall == Duration::zero()) {
+    return time;
+  }
+  const TimePoint last = Next(time) - m_period;
+  return std::max(time, last + m_stall);
+}
+
+TimePoint StallSchedule::EndOf(TimePoint from, Duration work) const {
+  TimePoint time = After(from);
+  TimePoint stall = Next(time);
+  while (work > stall - time) {
+    work -= stall - time;
+    time = stall + m_stall;
+    stall = Next(time);
+  }
+  return time + work;
+}
+
 ModelLeaf::ModelLeaf(EventQueue& events,
                      const LeafCapacity& capacity,
                      std::vector<LeafFault> faults,
@@ -27,11 +71,10 @@
       m_capacity(capacity),
       m_faults(std::move(faults)),
       m_begin(events.Now()),
-      m_random(seed) {
-  std::uniform_real_distribution<double> phase(0, 1);
-  m_phase = std::chrono::duration_cast<Duration>(m_capacity.stall_period *
-                                                 phase(m_random));
-}
+      m_random(seed),
+      m_stalls(capacity,
+               m_begin,
+               std::uniform_real_distribution<double>(0, 1)(m_random)) {}
 
 double ModelLeaf::StrengthOf(LeafFaultKind kind) const {
   const Duration time = m_events.Now() - m_begin;
@@ -61,7 +104,7 @@
     work.done(LeafReplyKind::kRefused, Load());
     return;
   }
-  m_events.At(AfterStall(work.deadline),
+  m_events.At(m_stalls.After(work.deadline),
               [this, key = work.key] { Expire(key); });
   m_waiting.push_back(std::move(work));
   StartNext();
@@ -69,7 +112,7 @@
 
 void ModelLeaf::StartNext() {
   const TimePoint now = m_events.Now();
-  const TimePoint ready = AfterStall(now);
+  const TimePoint ready = m_stalls.After(now);
   if (ready > now) {
     if (!std::exchange(m_is_start_due, true)) {
       m_events.At(ready, [this] {
@@ -91,7 +134,7 @@
   const bool fails = IsHit(StrengthOf(LeafFaultKind::kErrors));
   const auto duration =
       std::chrono::duration_cast<Duration>(work.work * (fails ? 0.1 : factor));
-  const TimePoint end = EndOf(duration);
+  const TimePoint end = m_stalls.EndOf(m_events.Now(), duration);
   const std::uint64_t key = work.key;
   const std::uint64_t run = ++m_last_run;
   m_running[key] = {std::move(work), run};
@@ -138,33 +181,4 @@
   }
 }
 
-TimePoint ModelLeaf::NextStall(TimePoint time) const {
-  if (m_capacity.stall == Duration::zero()) {
-    return TimePoint::max();
-  }
-  const Duration since = time - m_begin - m_phase;
-  const std::int64_t periods =
-      since < Duration::zero() ? 0 : since / m_capacity.stall_period + 1;
-  return m_begin + m_phase + m_capacity.stall_period * periods;
-}
-
-TimePoint ModelLeaf::AfterStall(TimePoint time) const {
-  if (m_capacity.stall == Duration::zero()) {
-    return time;
-  }
-  const TimePoint last = NextStall(time) - m_capacity.stall_period;
-  return std::max(time, last + m_capacity.stall);
-}
-
-TimePoint ModelLeaf::EndOf(Duration work) const {
-  TimePoint time = AfterStall(m_events.Now());
-  TimePoint stall = NextStall(time);
-  while (work > stall - time) {
-    work -= stall - time;
-    time = stall + m_capacity.stall;
-    stall = NextStall(time);
-  }
-  return time + work;
-}
-
 }  // namespace bramleyspoke::Harness
--- a/bench/model_leaf.h
+++ b/bench/model_leaf.h
@@ -22,6 +22,8 @@
   /// Share of requests that take `tail_factor` times as long.
   double tail_share = 0.01;
   double tail_factor = 5;
+
+  Duration Sample(std::mt19937_64& random) const;
 };
 
 struct LeafCapacity {
@@ -34,6 +36,25 @@
   Duration stall_period = std::chrono::seconds(7);
 };
 
+/// The stalls of one leaf.
+class StallSchedule {
+ public:
+  /// `phase`, from 0 to 1, is the part of a period before the first stall.
+  StallSchedule(const LeafCapacity& capacity, TimePoint begin, double phase);
+
+  /// When work begun at `from` ends.
+  TimePoint EndOf(TimePoint from, Duration work) const;
+  /// End of the stall at `time`; `time` if there is none.
+  TimePoint After(TimePoint time) const;
+
+ private:
+  TimePoint Next(TimePoint time) const;
+
+  Duration m_stall;
+  Duration m_period;
+  TimePoint m_first;
+};
+
 enum class LeafFaultKind {
   /// Work takes `strength` times as long.
   kSlow,
@@ -106,18 +127,14 @@
   void Start(LeafWork work);
   void Finish(std::uint64_t key, std::uint64_t run, LeafReplyKind kind);
   void Expire(std::uint64_t key);
-  TimePoint EndOf(Duration work) const;
-  /// End of the stall at `time`; `time` if there is none.
-  TimePoint AfterStall(TimePoint time) const;
-  TimePoint NextStall(TimePoint time) const;
   ReportedLoad Load() const;
 
   EventQueue& m_events;
   LeafCapacity m_capacity;
   std::vector<LeafFault> m_faults;
   TimePoint m_begin;
-  Duration m_phase{0};
   std::mt19937_64 m_random;
+  StallSchedule m_stalls;
   std::deque<LeafWork> m_waiting;
   std::map<std::uint64_t, Running> m_running;
   std::uint64_t m_last_run = 0;
--- a/bench/relay_load.h
+++ b/bench/relay_load.h
@@ -61,6 +61,10 @@
   std::vector<LoadBurst> bursts;
   Duration length = std::chrono::seconds(20);
   std::uint64_t seed = 1;
+
+  /// Factor of the request rates at a time since the begin.
+  double RateFactor(Duration time) const;
+  std::vector<LeafFault> FaultsOf(std::size_t shard, std::size_t leaf) const;
 };
 
 /// What became of the requests of a class, or of all, in a span of time.
