Tell leafs when a part is due, and learn of slow ones from what they give up

Cause: a part kept its place at a leaf until its caller's deadline, five times as long as it was of use, and those behind it came too late as well. Change: RelayAttempt::leaf_deadline, for idempotent fan-outs the time at which the answer is due. What a leaf gives up then is no failure and no refusal for lack of capacity, but counts as slowness that the reported queue does not explain.

--- a/bench/model_daemon.cc
+++ b/bench/model_daemon.cc
@@ -146,7 +146,7 @@
   LeafWork work;
   work.key = KeyOf(attempt.number);
   work.work = m_fleet.SampleWork(load_class);
-  work.deadline = attempt.deadline;
+  work.deadline = attempt.leaf_deadline;
   work.done = [this, number = attempt.number, leaf, delay](
                   LeafReplyKind kind, const ReportedLoad& load) {
     if (kind == LeafReplyKind::kRefused) {
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -245,7 +245,7 @@
   if (found == m_in_flight.end()) {
     return;
   }
-  const Duration left = send.deadline - Now();
+  const Duration left = send.leaf_deadline - Now();
   HttpRequest request = m_protocol.MakeLeafRequest(
       found->second.Request(), send.leaf_id,
       std::max<Duration>(left, std::chrono::milliseconds(1)));
--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -38,6 +38,14 @@
   return std::chrono::duration_cast<Duration>(duration * factor);
 }
 
+// Number of requests that each slot has to process until one that joins the
+// reported queue has ended.
+double TurnsOf(const std::optional<ReportedLoad>& load) {
+  return load ? 1 + static_cast<double>(load->waiting) /
+                        std::max<std::uint32_t>(load->slots, 1)
+              : 1;
+}
+
 double DecayFactor(TimePoint since, TimePoint now, double seconds) {
   return std::exp(-Seconds(now - since) / seconds);
 }
@@ -98,13 +106,32 @@
   m_processing_times.try_emplace(kind, m_fleet->processing_times.Median(kind))
       .first->second.Record(processing_time);
   if (load) {
-    const double all = static_cast<double>(load->running) + load->waiting;
-    m_other_requests = std::max(0.0, all - static_cast<double>(m_in_flight));
-    m_reported_at = now;
-    m_slots = std::max<std::uint32_t>(load->slots, 1);
+    RecordLoad(*load, now);
   }
 }
 
+// It may have been given up while it waited, so only what the reported queue
+// does not explain is slowness.
+void LeafLoad::OnExpired(const std::string& kind,
+                         Duration latency,
+                         const std::optional<ReportedLoad>& load,
+                         TimePoint now) {
+  m_last_activity = now;
+  const double multiple = Seconds(latency - m_round_trip) /
+                          Seconds(m_fleet->processing_times.Median(kind));
+  m_slowness.RecordAtLeast(std::max(1.0, multiple / TurnsOf(load)), now);
+  if (load) {
+    RecordLoad(*load, now);
+  }
+}
+
+void LeafLoad::RecordLoad(const ReportedLoad& load, TimePoint now) {
+  const double all = static_cast<double>(load.running) + load.waiting;
+  m_other_requests = std::max(0.0, all - static_cast<double>(m_in_flight));
+  m_reported_at = now;
+  m_slots = std::max<std::uint32_t>(load.slots, 1);
+}
+
 // The requests that wait at the leaf now stand for those that this one waited
 // behind. They may explain that it took longer than usual, but others may have
 // arrived after it: they do not make the leaf faster than usual.
@@ -112,9 +139,7 @@
                            Duration processing_time,
                            const std::optional<ReportedLoad>& load,
                            TimePoint now) {
-  const double turns = load ? 1 + static_cast<double>(load->waiting) /
-                                      std::max<std::uint32_t>(load->slots, 1)
-                            : 1;
+  const double turns = TurnsOf(load);
   const Duration usual = m_fleet->processing_times.Median(kind);
   const double multiple = Seconds(processing_time) / Seconds(usual);
   const double own_multiple =
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -90,6 +90,11 @@
                   std::optional<Duration> round_trip,
                   const std::optional<ReportedLoad>& load,
                   TimePoint now);
+  /// Records that the leaf gave an attempt up at its deadline, after `latency`.
+  void OnExpired(const std::string& kind,
+                 Duration latency,
+                 const std::optional<ReportedLoad>& load,
+                 TimePoint now);
   void OnSuccess(TimePoint now);
   void OnFailure(TimePoint now);
   /// Records that the leaf refused an attempt for lack of capacity. It is
@@ -139,6 +144,7 @@
                    Duration processing_time,
                    const std::optional<ReportedLoad>& load,
                    TimePoint now);
+  void RecordLoad(const ReportedLoad& load, TimePoint now);
   void ObserveStall(const std::string& kind,
                     Duration processing_time,
                     TimePoint now);
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -164,6 +164,8 @@
   std::string leaf_id;
   Endpoint address;
   TimePoint deadline;
+  /// When the leaf is to give the attempt up; `deadline` or earlier.
+  TimePoint leaf_deadline;
 };
 
 /// A delegation to be sent: shards, or the service of a whole request, that a
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -182,6 +182,8 @@
   void StartAttempt(Request& request,
                     std::size_t index,
                     const std::shared_ptr<RelayLeaf>& leaf);
+  /// When a leaf is to give up an attempt that is sent now.
+  TimePoint LeafDeadline(const Request& request) const;
   void Enqueue(Request& request, std::size_t index);
   void Dequeue(Request& request, std::size_t index);
   void DispatchWaiting(RelayService& service);
@@ -285,6 +287,8 @@
   /// Whether the leaf takes an attempt for which a connection is ready.
   static bool IsWanted(const RelayLeaf& leaf, TimePoint now);
   void RecordReply(const Attempt& attempt, const LeafReply& reply);
+  bool HasExpired(const Attempt& attempt, LeafReplyKind kind) const;
+  void AddFailedAttempt(const Attempt& attempt, LeafReplyKind kind);
   void RecordContact(const Attempt& attempt, LeafReplyKind kind);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
   void RecordUnansweredAttempt(const Attempt& attempt);
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -40,6 +40,11 @@
   if (reply.announcement) {
     RecordAnnouncement(attempt, *reply.announcement);
   }
+  if (HasExpired(attempt, reply.kind)) {
+    load.OnExpired(attempt.route_name, taken, reply.load, m_now);
+    AddFailedAttempt(attempt, reply.kind);
+    return;
+  }
   switch (reply.kind) {
     case LeafReplyKind::kSucceeded:
       load.OnAnswered(attempt.route_name, taken, reply.round_trip, reply.load,
@@ -67,9 +72,22 @@
       load.OnFailure(m_now);
       break;
   }
-  m_failed_attempts.push_back({attempt.request, attempt.leaf->registration.id,
-                               attempt.service->name, reply.kind, taken,
-                               attempt.request_part.content});
+  AddFailedAttempt(attempt, reply.kind);
+}
+
+// The reply says that the leaf gave the attempt up at its deadline, running or
+// not; this is no failure of the leaf and no lack of capacity for others.
+bool RelayEngine::HasExpired(const Attempt& attempt, LeafReplyKind kind) const {
+  const bool is_given_up =
+      kind == LeafReplyKind::kRefused || kind == LeafReplyKind::kFailed;
+  return is_given_up &&
+         m_now + attempt.leaf->load.RoundTripTime() >= attempt.leaf_deadline;
+}
+
+void RelayEngine::AddFailedAttempt(const Attempt& attempt, LeafReplyKind kind) {
+  m_failed_attempts.push_back(
+      {attempt.request, attempt.leaf->registration.id, attempt.service->name,
+       kind, m_now - attempt.sent_at, attempt.request_part.content});
 }
 
 void RelayEngine::RecordContact(const Attempt& attempt, LeafReplyKind kind) {
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -119,6 +119,8 @@
   RequestPart request_part;
   std::string route_name;
   TimePoint sent_at;
+  /// When the leaf gives the attempt up.
+  TimePoint leaf_deadline;
   /// The request was doubtful, or the part had been sent before, here or by a
   /// peer.
   bool is_trial = false;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -175,6 +175,7 @@
   attempt.request_part = request.PartAt(*part.service);
   attempt.route_name = request.MatchedRoute().name;
   attempt.sent_at = m_now;
+  attempt.leaf_deadline = LeafDeadline(request);
   attempt.is_trial = request.is_doubtful || !part.is_next_attempt_free;
   leaf->load.OnSent(m_now);
   m_contact.OnSent(m_now);
@@ -186,10 +187,21 @@
   ++request.attempts;
   ++m_counters.sends;
   part.hedge_at = HedgeTime(request, part, attempt);
-  m_attempts.emplace(number, std::move(attempt));
   m_actions.sends.push_back({request.number, number, leaf->registration.id,
                              leaf->registration.address,
-                             request.request.deadline});
+                             request.request.deadline, attempt.leaf_deadline});
+  m_attempts.emplace(number, std::move(attempt));
+}
+
+// A part that is answered after the answer is due is of use only if the request
+// lacks coverage then. If work queues up, leafs that went on with such parts
+// would answer all later ones too late as well.
+TimePoint RelayEngine::LeafDeadline(const Request& request) const {
+  const RelayRequest& asked = request.request;
+  const bool is_bounded = request.MatchedRoute().IsFanOut() &&
+                          request.IsIdempotent() && m_now < asked.answer_by;
+  return is_bounded ? std::min(asked.deadline, asked.answer_by)
+                    : asked.deadline;
 }
 
 // A part has at most one entry in the queue: an outdated one would count
--- a/tests/leaf_slowness_test.cc
+++ b/tests/leaf_slowness_test.cc
@@ -85,6 +85,16 @@
   CHECK(leafs.sound.Cost("kind", leafs.now) < 2 * kUsualTime);
 }
 
+// A slow leaf that gives parts up at their deadline never answers any.
+TEST_CASE("a leaf that gives its requests up at their deadline is slow") {
+  Leafs leafs;
+  for (int count = 0; count < 3; ++count) {
+    leafs.slow.OnExpired("kind", kSlowTime, ReportedLoad{2, 0, 2}, leafs.now);
+  }
+  leafs.now += seconds(1);
+  CHECK(leafs.slow.Cost("kind", leafs.now) > kSlowTime / 2);
+}
+
 TEST_CASE("waiting behind other requests is no slowness") {
   Leafs leafs;
   ReportedLoad load;
--- a/tests/relay_load_test.cc
+++ b/tests/relay_load_test.cc
@@ -41,4 +41,15 @@
   }
 }
 
+// Leafs went on with parts that had missed their time, and so were late for
+// those that waited behind them.
+TEST_CASE("leafs spend little time on parts that come too late") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    RelayLoad load = WithFault(MakeSoundLoad(), LeafFaultKind::kSlow, 7, 20);
+    load.seed = seed;
+    CAPTURE(seed);
+    CHECK(Replay(load).Between(kPatternBegin, kPatternEnd).MeanCredit() > 0.7);
+  }
+}
+
 }  // namespace bramleyspoke::Harness
