Count a failure at a leaf as dear as it is: its work and a retry

Cause: a failure weighed 200 ms at a leaf's share of failures, less than the queue of its sibling, so that failing leafs kept their part of the load and used the retries up. Change: kFailureCost 400 ms.

--- a/bench/load_patterns.cc
+++ b/bench/load_patterns.cc
@@ -66,6 +66,7 @@
       {"slow 7, 20 shards", with(LeafFaultKind::kSlow, 7, 20)},
       {"shed 0.6, 20 shards", with(LeafFaultKind::kShed, 0.6, 20)},
       {"errors 0.4, 6 shards", with(LeafFaultKind::kErrors, 0.4, 6)},
+      {"errors 0.4, 20 shards", with(LeafFaultKind::kErrors, 0.4, 20)},
       {"burst 2", WithBurst(sound, 2)},
       {"burst 1.6, slow 7, 6 shards",
        WithBurst(with(LeafFaultKind::kSlow, 7, 6), 1.6)},
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -69,8 +69,9 @@
   static constexpr Duration kSilentMargin = std::chrono::milliseconds(5);
   /// Expected remaining time of the stall of a silent leaf.
   static constexpr Duration kSilentCost = std::chrono::milliseconds(150);
-  /// Cost of a failed request, weighted by the leaf's share of failures.
-  static constexpr Duration kFailureCost = std::chrono::milliseconds(200);
+  /// Cost of a failed request, weighted by the leaf's share of failures: the
+  /// time until it fails, and a retry.
+  static constexpr Duration kFailureCost = std::chrono::milliseconds(400);
   /// Cost of an attempt that the leaf refuses for lack of capacity, weighted by
   /// its share. Retries are limited, and so a leaf that refuses is to get only
   /// what the others cannot take: this is longer than a queue or a stall there.
