Try a leaf that refused a connection again soon

Cause: connections of before the restart still count at a leaf, and one beyond its limit is refused as if nothing listened there. Such a leaf was left alone for 1,200 ms. Change: 100 ms at first, doubled with each failure up to 1,200 ms. Test: relay_leaf_evidence_test, 'a leaf that refuses a connection is tried again soon'; fails with 1,200 ms (CHECK(relay.IsSentTo("a"))).

--- a/src/request/leaf_load.cc
+++ b/src/request/leaf_load.cc
@@ -28,7 +28,11 @@
 constexpr Duration kInitialEjection = std::chrono::milliseconds(400);
 constexpr std::uint32_t kMaxDoublings = 3;
 constexpr Duration kInitialShedEjection = std::chrono::milliseconds(10);
-constexpr Duration kUnreachableTime = std::chrono::milliseconds(1200);
+// A leaf at its connection limit refuses a connection like one that has ended,
+// but may accept another one soon. Doubled with each failure up to the maximum.
+constexpr Duration kInitialUnreachableTime = std::chrono::milliseconds(100);
+constexpr std::uint32_t kMaxUnreachableDoublings = 4;
+constexpr Duration kMaxUnreachableTime = std::chrono::milliseconds(1200);
 
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -95,7 +99,7 @@
                           TimePoint now) {
   m_consecutive_sheds = 0;
   m_sheds.Record(false, now);
-  m_unreachable_until = {};
+  OnReachable();
   m_round_trip = round_trip.value_or(m_round_trip);
   const Duration processing_time =
       std::max(latency - m_round_trip, kMinProcessingTime);
@@ -176,15 +180,24 @@
 }
 
 void LeafLoad::OnUnreachable(TimePoint now) {
-  m_unreachable_until = now + kUnreachableTime;
+  if (now < m_unreachable_until) {
+    return;
+  }
+  const std::uint32_t doublings =
+      std::min(m_consecutive_unreachable, kMaxUnreachableDoublings);
+  m_unreachable_until =
+      now + std::min(kMaxUnreachableTime,
+                     kInitialUnreachableTime * (1U << doublings));
+  ++m_consecutive_unreachable;
 }
 
 void LeafLoad::OnReachable() {
+  m_consecutive_unreachable = 0;
   m_unreachable_until = {};
 }
 
 void LeafLoad::OnContactRestored() {
-  m_unreachable_until = {};
+  OnReachable();
   m_ejected_until = {};
   m_failures.Reset();
   m_sheds.Reset();
--- a/src/request/leaf_load.h
+++ b/src/request/leaf_load.h
@@ -172,6 +172,7 @@
   std::uint32_t m_consecutive_ejections = 0;
   std::uint32_t m_consecutive_sheds = 0;
   TimePoint m_ejected_until;
+  std::uint32_t m_consecutive_unreachable = 0;
   TimePoint m_unreachable_until;
 };
 
