Conclude nothing from a timeout that left a leaf no time to answer

Cause: requests that had waited for the restart arrived with some milliseconds left, went to all shards and timed out: 35 attempts in half a second, each counted as a failure and a silent leaf. Ruled out: a cut; connections were accepted in the same milliseconds (leaf_contact lines). Change: a timeout counts only if the attempt was out for as long as is overdue at that leaf.

--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -288,6 +288,7 @@
   static bool IsWanted(const RelayLeaf& leaf, TimePoint now);
   void RecordReply(const Attempt& attempt, const LeafReply& reply);
   bool HasExpired(const Attempt& attempt, LeafReplyKind kind) const;
+  bool HadTimeToAnswer(const Attempt& attempt) const;
   void AddFailedAttempt(const Attempt& attempt, LeafReplyKind kind);
   void RecordContact(const Attempt& attempt, LeafReplyKind kind);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -66,8 +66,12 @@
     case LeafReplyKind::kNotSent:
       load.OnUnreachable(m_now);
       break;
-    case LeafReplyKind::kLost:
     case LeafReplyKind::kTimedOut:
+      if (HadTimeToAnswer(attempt)) {
+        load.OnFailure(m_now);
+      }
+      break;
+    case LeafReplyKind::kLost:
     case LeafReplyKind::kMalformed:
       load.OnFailure(m_now);
       break;
@@ -84,6 +88,13 @@
          m_now + attempt.leaf->load.RoundTripTime() >= attempt.leaf_deadline;
 }
 
+// A request that arrives shortly before its deadline says nothing about leafs
+// that do not answer it.
+bool RelayEngine::HadTimeToAnswer(const Attempt& attempt) const {
+  return m_now - attempt.sent_at >=
+         attempt.leaf->load.OverdueAfter(attempt.route_name);
+}
+
 void RelayEngine::AddFailedAttempt(const Attempt& attempt, LeafReplyKind kind) {
   m_failed_attempts.push_back(
       {attempt.request, attempt.leaf->registration.id, attempt.service->name,
@@ -113,6 +124,9 @@
       }
       return;
     case LeafReplyKind::kTimedOut:
+      if (!HadTimeToAnswer(attempt)) {
+        return;
+      }
       m_silent_connections.OnSilent(leaf, attempt.sent_at);
       if (!has_sign_since) {
         m_contact.OnFailed(leaf, m_now);
--- a/tests/relay_leaf_evidence_test.cc
+++ b/tests/relay_leaf_evidence_test.cc
@@ -4,6 +4,23 @@
 
 namespace bramleyspoke {
 
+TEST_CASE("a timeout just after an attempt was sent is no failure of a leaf") {
+  RelayFixture relay;
+  relay.AddLeaf("s0", "a");
+  relay.AddLeaf("s0", "b");
+  constexpr int kRequests = 20;
+  for (int request = 0; request < kRequests; ++request) {
+    relay.Submit(0, RequestKind::kNonIdempotent);
+    REQUIRE(relay.sends.size() == 1);
+    relay.Advance(milliseconds(2));
+    relay.Reply(relay.sends.front().leaf_id, LeafReplyKind::kTimedOut);
+  }
+  CHECK(relay.engine.Contact() == ContactState::kInContact);
+  for (const auto& leaf : relay.engine.Leafs().Services().at("s0")->leafs) {
+    CHECK(leaf->load.Cost("route", relay.now) < milliseconds(100));
+  }
+}
+
 // A leaf at its connection limit was left alone for more than a second.
 TEST_CASE("a leaf that refuses a connection is tried again soon") {
   RelayFixture relay;
