Move what a daemon concludes from the other daemons out of relay_daemon

RelayHolders has the holders, the own role and the addresses for callers, apart from I/O and with a test of its own; RelayPeerHandler the calls of peers that a relay does not answer. No change of behaviour: process_relay_test and process_relay_drill_test pass.

--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <set>
 #include <utility>
 
 #include "base/problems.h"
@@ -13,8 +12,6 @@
 #include "process/contact_notifier.h"
 #include "process/counting_key_value_store.h"
 #include "process/crash_reports.h"
-#include "process/holder_choice.h"
-#include "process/holder_role.h"
 #include "process/log.h"
 #include "process/peer_followed_store.h"
 #include "process/peer_watches.h"
@@ -22,10 +19,11 @@
 #include "process/relay_control.h"
 #include "process/relay_dump.h"
 #include "process/relay_front.h"
+#include "process/relay_holders.h"
 #include "process/relay_log.h"
 #include "process/relay_metrics.h"
+#include "process/relay_peer_handler.h"
 #include "process/stop_signal.h"
-#include "process/watch_source.h"
 
 namespace bramleyspoke {
 namespace {
@@ -56,10 +54,15 @@
   return limits;
 }
 
+DaemonEntry OwnEntry(const RelaySettings& settings) {
+  return {settings.caller_listen, settings.peer_listen, settings.failure_domain,
+          settings.region, settings.processor};
+}
+
 class RelayProcess final : public RelayDaemon,
                            public RelayControlListener,
                            public RelayObserver,
-                           public PeerHandler,
+                           public RelayPeerHandler,
                            public HttpHandler {
  public:
   RelayProcess(const RelaySettings& settings,
@@ -73,6 +76,7 @@
         m_metrics(RelayMetrics::Create()),
         m_stop(PlannedStopOptions{Scale(settings.stop_bound, kKeepServingShare),
                                   Scale(settings.stop_bound, kStopBoundShare)}),
+        m_holders(OwnEntry(settings)),
         m_contact_notifier(*m_loop, [this](bool is_cut_off) {
           m_control_loop->Post(
               [this, is_cut_off] { m_control->SetCutOff(is_cut_off); });
@@ -119,12 +123,8 @@
         m_peers->Network(), *m_peer_watches);
     m_control = RelayControl::Create(
         *m_control_loop, *m_store, m_adapters.schema,
-        RelayControlOptions{
-            m_settings.name,
-            DaemonEntry{m_settings.caller_listen, m_settings.peer_listen,
-                        m_settings.failure_domain, m_settings.region,
-                        m_settings.processor},
-            m_settings.apply_bound, OtherSeeds()},
+        RelayControlOptions{m_settings.name, OwnEntry(m_settings),
+                            m_settings.apply_bound, OtherSeeds()},
         m_peers->Network(), *this);
     return {};
   }
@@ -134,7 +134,7 @@
     m_reload_signal = ReloadSignal::Create(*m_loop, [this] { Reload(); });
     m_registration_timer = m_loop->At(
         std::chrono::steady_clock::now() + Duration(kRegistrationTime), [this] {
-          m_role.OnRegistrationOverdue();
+          m_holders.Role().OnRegistrationOverdue();
           UpdateHolders();
         });
     m_control_loop->Post([this] { m_control->Start(); });
@@ -171,7 +171,7 @@
       m_front->SetLeafs(leafs);
       m_has_leafs = true;
       if (!leafs.empty()) {
-        m_role.OnLeafsKnown();
+        m_holders.Role().OnLeafsKnown();
       }
       UpdateHolders();
     });
@@ -179,7 +179,7 @@
 
   void OnDaemons(std::vector<DaemonEntry> daemons) override {
     m_loop->Post([this, daemons = std::move(daemons)] {
-      m_daemons = daemons;
+      m_holders.SetDaemons(daemons);
       UpdateHolders();
     });
   }
@@ -263,9 +263,7 @@
         [this, suspect] { m_control->AddCrashSuspect(suspect); });
   }
 
-  // PeerHandler, on the peers' thread. A relaying daemon serves shard queries
-  // and fetches of store contents, and receives crash evidence. Indirect pings,
-  // forwards and part fetches get no response.
+  // PeerHandler, on the peers' thread. Gossip carries crash evidence.
 
   void OnGossip(GossipMessage message,
                 std::function<void(GossipMessage)> reply) override {
@@ -279,15 +277,6 @@
     answer.generation = m_version;
     reply(std::move(answer));
   }
-  void OnPingVia(const Endpoint& /*target*/,
-                 std::function<void(bool)> /*reply*/) override {}
-  void OnForward(std::string /*body*/,
-                 Duration /*time_left*/,
-                 std::function<void(ForwardReply)> /*reply*/) override {}
-  void OnFetchParts(
-      std::vector<std::string> /*hashes*/,
-      std::function<void(std::vector<std::string>)> /*reply*/) override {}
-
   void OnFetchKnowledge(std::function<void(StoreKnowledge)> reply) override {
     m_control_loop->Post(
         [this, reply = std::move(reply)] { reply(m_control->Knowledge()); });
@@ -350,55 +339,27 @@
     return seeds;
   }
 
-  std::vector<DaemonEntry> Holders() const {
-    return ChooseHolders(m_daemons, m_front->Engine().Leafs().HolderCount());
+  std::size_t HolderCount() const {
+    return m_front->Engine().Leafs().HolderCount();
   }
 
-  // Only holders receive callers' requests and peers' queries, so only they
-  // share the leafs' connections and the retry budget. The counts by region
-  // always include this daemon.
   void UpdateHolders() {
-    std::map<std::string, std::size_t> by_region;
-    std::vector<RelayPeer> peers;
-    bool is_chosen = false;
-    const std::vector<DaemonEntry> holders = Holders();
-    for (const DaemonEntry& daemon : holders) {
-      ++by_region[daemon.region];
-      if (daemon.peer == m_settings.peer_listen) {
-        is_chosen = true;
-      } else {
-        peers.push_back({daemon.peer, daemon.region, daemon.failure_domain,
-                         daemon.is_cut_off});
-      }
+    RelayHolders::Fleet fleet = m_holders.Update(HolderCount());
+    if (m_holders.Role().IsSettled()) {
+      SetStoreRole(fleet);
     }
-    by_region[m_settings.region] += is_chosen ? 0 : 1;
-    m_role.Update(IsRegistered(), is_chosen);
-    if (m_role.IsSettled()) {
-      SetStoreRole(holders);
-    }
-    m_front->SetHolders(std::move(by_region), m_role.IsHolder());
-    m_front->SetPeers(peers);
-    std::set<Endpoint> endpoints;
-    for (const RelayPeer& peer : peers) {
-      endpoints.insert(peer.address);
-    }
-    m_reports->SetPeers(std::move(endpoints));
+    m_reports->SetPeers(fleet.PeerAddresses());
+    m_front->SetHolders(std::move(fleet.by_region),
+                        m_holders.Role().IsHolder());
+    m_front->SetPeers(fleet.peers);
   }
 
-  void SetStoreRole(const std::vector<DaemonEntry>& holders) {
-    auto source = ChooseWatchSource(m_settings.peer_listen, m_daemons, holders);
-    m_control_loop->Post(
-        [this, is_holder = m_role.IsHolder(), source = std::move(source)] {
-          m_control->SetIsHolder(is_holder);
-          m_store->SetSource(source);
-        });
-  }
-
-  bool IsRegistered() const {
-    return std::any_of(m_daemons.begin(), m_daemons.end(),
-                       [this](const DaemonEntry& daemon) {
-                         return daemon.peer == m_settings.peer_listen;
-                       });
+  void SetStoreRole(const RelayHolders::Fleet& fleet) {
+    m_control_loop->Post([this, is_holder = m_holders.Role().IsHolder(),
+                          source = m_holders.WatchSourceIn(fleet)] {
+      m_control->SetIsHolder(is_holder);
+      m_store->SetSource(source);
+    });
   }
 
   bool IsReady() const {
@@ -406,22 +367,9 @@
   }
 
   std::vector<Endpoint> AddressesFor(const std::string& region) const {
-    std::vector<DaemonEntry> holders = Holders();
-    for (DaemonEntry& daemon : holders) {
-      if (daemon.peer == m_settings.peer_listen) {
-        daemon.is_cut_off = m_contact_notifier.IsCutOff();
-      }
-    }
-    std::vector<Endpoint> addresses = ChooseCallerAddresses(
-        KeepInContact(holders), m_front->Engine().Leafs().ServingRegions(),
-        region);
-    if (m_stop.IsStopping() && addresses.size() > 1) {
-      std::erase(addresses, m_settings.caller_listen);
-    }
-    if (addresses.empty() && IsReady()) {
-      addresses.push_back(m_settings.caller_listen);
-    }
-    return addresses;
+    return m_holders.AddressesFor(
+        region, HolderCount(), m_front->Engine().Leafs().ServingRegions(),
+        {m_contact_notifier.IsCutOff(), m_stop.IsStopping(), IsReady()});
   }
 
   HttpResponse MakeOperatorAnswer(std::string_view target) {
@@ -430,9 +378,9 @@
       response.content_type = "text/plain; version=0.0.4";
       response.body = m_metrics->Text(Observation());
     } else if (target == "/dump") {
-      response.body = MakeRelayDump(m_settings.name, Observation(), m_daemons,
-                                    m_front->Engine().Leafs(),
-                                    std::chrono::steady_clock::now());
+      response.body = MakeRelayDump(
+          m_settings.name, Observation(), m_holders.Daemons(),
+          m_front->Engine().Leafs(), std::chrono::steady_clock::now());
     } else {
       response.status = 404;
       response.body = "{}";
@@ -443,7 +391,7 @@
   RelayObservation Observation() const {
     RelayObservation observation;
     observation.version = m_front->Table() ? m_front->Table()->Version() : 0;
-    observation.daemons = m_daemons.size();
+    observation.daemons = m_holders.Daemons().size();
     observation.in_flight = m_front->InFlight();
     observation.caller_connections = m_callers->ConnectionCount();
     observation.leaf_connections = m_front->Exchanges().OpenConnections();
@@ -523,11 +471,10 @@
   std::unique_ptr<PeerWatches> m_peer_watches;
   std::unique_ptr<PeerFollowedStore> m_store;
   std::unique_ptr<RelayControl> m_control;
-  std::vector<DaemonEntry> m_daemons;
   /// Version of the newest routes; read on the peers' thread.
   std::atomic<std::uint64_t> m_version = 0;
   bool m_has_leafs = false;
-  HolderRole m_role;
+  RelayHolders m_holders;
   ContactNotifier m_contact_notifier;
   bool m_is_store_reachable = false;
   std::uint64_t m_store_era = 0;
