End late fan-outs at once if there is no retry left for them

What callers saw: requests that lacked shards were held to their deadline (504 at 1,450 ms of 1,500), each of their shards asking for a retry every 15 ms. Cause: a part that the retry budget refused was considered again until the deadline, also when the answer was overdue; and at the peer that a shard was delegated to as well. Ruled out: giving up while the answer is still in time, as tokens come with each request. Change: a fan-out whose answer is overdue does not wait for the budget; what it lacks is given up, and if that is too much its caller is told. Slow leafs that have the part already are still waited for. Test: relay_load_test, 'a request that cannot be answered ends soon after it was due': 1.494 s for less than 1 s before (also with the first half of the change, without the peer's), passes.

--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -156,6 +156,7 @@
     return false;
   }
   request->continuation_deadline.reset();
+  request->is_continuation = true;
   request->request.deadline = deadline;
   request->request.answer_by = deadline;
   MarkForUpdate(number);
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -93,6 +93,8 @@
   std::optional<TimePoint> timer;
   /// Set while a peer that got an incomplete answer may send a continuation.
   std::optional<TimePoint> continuation_deadline;
+  /// Whether the peer has asked for what its first answer left pending.
+  bool is_continuation = false;
 
   const Route& MatchedRoute() const { return *request.route; }
   RequestPart PartAt(const RelayService& service) const {
@@ -105,6 +107,14 @@
   bool AwaitsFirstAnswer() const;
   /// Whether it must be sent to one leaf at a time.
   bool IsOnTrial() const { return is_doubtful && !IsAnsweredByAnyLeaf(); }
+  /// Whether the answer of a fan-out is overdue. Such a request does not wait
+  /// for the retry budget, which is for those that are still in time: its
+  /// caller is told at once.
+  bool IsLate(TimePoint now) const {
+    const bool is_due =
+        request.is_for_peer ? is_continuation : now >= request.answer_by;
+    return MatchedRoute().IsFanOut() && is_due;
+  }
   bool IsIdempotent() const {
     return MatchedRoute().kind == RequestKind::kIdempotent;
   }
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -168,7 +168,11 @@
   }
   if (!part.is_next_attempt_free && !part.service->budget.TakeForRetry()) {
     ++m_counters.budget_refusals;
-    part.retry_at = m_now + kBudgetRetryDelay;
+    if (request.IsLate(m_now)) {
+      FailUnlessOutstanding(part);
+    } else {
+      part.retry_at = m_now + kBudgetRetryDelay;
+    }
     return;
   }
   if (!part.is_next_attempt_free) {
