Tell in the log what requests wait for when a planned stop begins and ends

Change: `stop_begun`, `stop_finishing` and `stopped` have the open connections and the requests that wait, are at leafs, and are at peers (RequestStages).

--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -145,8 +145,7 @@
               Field("callers", ToString(m_settings.caller_listen)),
               Field("region", m_settings.region)});
     m_loop->Run();
-    WriteLog(LogLevel::kInfo, "stopped",
-             {Field("cut_off", m_stop.HasInterruptedRequests())});
+    WriteStopLine("stopped");
     return !m_stop.HasInterruptedRequests();
   }
 
@@ -427,9 +426,8 @@
     if (m_stop.IsStopping()) {
       return;
     }
-    WriteLog(LogLevel::kInfo, "stop_begun",
-             {Field("in_flight", m_front->InFlight())});
     m_stop.Begin(std::chrono::steady_clock::now());
+    WriteStopLine("stop_begun");
     m_callers->EndKeepAlive();
     m_control_loop->Post([this] {
       m_control->BeginLeaving();
@@ -438,6 +436,19 @@
     CheckStop();
   }
 
+  // Requests that were only read, held or half answered are in the difference
+  // between the connections and the requests.
+  void WriteStopLine(std::string_view event) {
+    const RequestStages stages = m_front->Engine().Stages();
+    WriteLog(
+        LogLevel::kInfo, event,
+        {Field("connections", m_callers->ConnectionCount()),
+         Field("in_flight", m_front->InFlight()),
+         Field("waiting", stages.waiting), Field("at_leafs", stages.at_leafs),
+         Field("at_peers", stages.at_peers),
+         Field("cut_off", m_stop.HasInterruptedRequests())});
+  }
+
   void CheckStop() {
     const TimePoint now = std::chrono::steady_clock::now();
     const std::size_t left = m_callers->ConnectionCount() + m_front->InFlight();
@@ -448,6 +459,7 @@
       return;
     }
     if (step == StopStep::kFinishing && before != step) {
+      WriteStopLine("stop_finishing");
       m_callers->BeginShutdown();
     }
     m_stop_timer =
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -234,6 +234,32 @@
   return std::exchange(m_actions, {});
 }
 
+bool RelayEngine::Request::IsAtLeaf() const {
+  return std::any_of(parts.begin(), parts.end(), [](const Part& part) {
+    return !part.outstanding.empty();
+  });
+}
+
+bool RelayEngine::Request::IsAtPeer() const {
+  return std::any_of(parts.begin(), parts.end(), [](const Part& part) {
+    return part.delegation || part.pending;
+  });
+}
+
+RequestStages RelayEngine::Stages() const {
+  RequestStages stages;
+  for (const auto& [number, request] : m_requests) {
+    if (request->IsAtLeaf()) {
+      ++stages.at_leafs;
+    } else if (request->IsAtPeer()) {
+      ++stages.at_peers;
+    } else {
+      ++stages.waiting;
+    }
+  }
+  return stages;
+}
+
 RelayEngine::Request* RelayEngine::FindRequest(RelayNumber number) {
   const auto found = m_requests.find(number);
   return found == m_requests.end() ? nullptr : found->second.get();
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -15,6 +15,7 @@
 #include "request/leaf_table.h"
 #include "request/peer_table.h"
 #include "request/relay.h"
+#include "request/request_stages.h"
 #include "request/silent_connections.h"
 #include "request/weighted_round_robin.h"
 
@@ -135,6 +136,7 @@
   const LeafTable& Leafs() const { return m_leaf_table; }
   const RelayCounters& Counters() const { return m_counters; }
   std::size_t InFlight() const { return m_requests.size(); }
+  RequestStages Stages() const;
   /// Recent stalls of these shards' leafs in this daemon's own region.
   std::vector<StallNotice> RecentStalls(const std::vector<std::string>& shards,
                                         TimePoint now);
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -101,6 +101,8 @@
     return {request.fingerprint, service.name, request.resource};
   }
   bool IsAnsweredByAnyLeaf() const;
+  bool IsAtLeaf() const;
+  bool IsAtPeer() const;
   bool IsInProgress() const;
   /// Whether several leafs are at work on it and none has answered, so that it
   /// must not be hedged.
