Answer every request before the end of a planned stop

What callers saw: at the end of a daemon's planned stop, requests that had waited in it for seconds were closed without an answer. Cause: a planned stop ended at its bound, whatever was in flight; nothing bounded what waits by the end of the process. Ruled out: the queue for full leafs as the only cause (nothing was at a leaf); a reply that was made but not sent (`in_flight` and `waiting` are equal). Change: the engine is told when every request must be answered (0.93 of the grace period); the process ends at 0.97 of it, once the answers are sent. Each request's deadline moves there, with the reason shutting_down and a true verdict: "not run" if no leaf had it, open if one has. What waits for the retry budget is refused at once, what waits for a leaf as soon as no leaf could answer it in time. Attempts tell leafs the earlier deadline, so that a leaf's "not executed" arrives before the end. Requests that are held for lack of a route are refused at the end. A stop that is resumed late (a frozen VM) skips no step. Conclusion: a request that has been read is answered before the process ends, as its times end before the process does.

--- a/src/process/daemon.cc
+++ b/src/process/daemon.cc
@@ -97,7 +97,7 @@
         m_platform_loop(EventLoop::Create()),
         m_gateway(*m_front_loop),
         m_stop(PlannedStopOptions{settings.stop.keep_serving,
-                                  settings.stop.bound}) {}
+                                  settings.stop.bound, settings.stop.bound}) {}
 
   ~DaemonProcess() override {
     if (m_control) {
--- a/src/process/planned_stop.cc
+++ b/src/process/planned_stop.cc
@@ -19,8 +19,12 @@
     m_step = StopStep::kFinishing;
     return m_step;
   }
+  if (m_step == StopStep::kFinishing && taken >= m_options.answer_all) {
+    m_step = StopStep::kSending;
+    return m_step;
+  }
   const bool is_over = taken >= m_options.bound;
-  if (is_over || (m_step == StopStep::kFinishing && remaining == 0)) {
+  if (is_over || (m_step != StopStep::kLeaving && remaining == 0)) {
     m_has_cut_off = remaining > 0;
     m_step = StopStep::kDone;
   }
--- a/src/process/planned_stop.h
+++ b/src/process/planned_stop.h
@@ -16,6 +16,8 @@
   kLeaving,
   /// Accepts no new connections; finishes the requests in flight.
   kFinishing,
+  /// Every request has been answered or refused; sends what is not sent yet.
+  kSending,
   /// No connection or request remains, or the bound has passed.
   kDone,
 };
@@ -23,6 +25,8 @@
 struct PlannedStopOptions {
   /// Duration of `kLeaving`; longer than callers use an address answer.
   Duration keep_serving = Duration::zero();
+  /// Time from the start of the stop by which every request is answered.
+  Duration answer_all = Duration::zero();
   /// Maximum time from the start of the stop to `kDone`.
   Duration bound = Duration::zero();
 };
@@ -36,6 +40,8 @@
   /// Advances to the next step if it is due, and returns the current step.
   /// `remaining` is the number of open connections and requests in flight.
   StopStep Update(std::size_t remaining, TimePoint now);
+  /// When every request is answered; set once the stop has begun.
+  TimePoint AnswerAllBy() const { return m_begun_at + m_options.answer_all; }
   StopStep Step() const { return m_step; }
   bool IsStopping() const { return m_step != StopStep::kServing; }
   /// Whether requests were cut off at the bound.
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -33,9 +33,12 @@
 // Share of the planned stop's bound in which new requests are still served, as
 // callers keep using an address for some time.
 constexpr double kKeepServingShare = 0.55;
-// Share of the planned stop's bound after which the stop ends; the rest is left
-// for the process to exit.
-constexpr double kStopBoundShare = 0.93;
+// Share of the planned stop's bound after which every request is answered, if
+// need be without the leaf's answer.
+constexpr double kAnswerAllShare = 0.93;
+// Share of the planned stop's bound after which the stop ends, whether all
+// answers were sent or not; the rest is left for the process to exit.
+constexpr double kStopBoundShare = 0.97;
 // Lower bound of the time limit for a client to send a whole request.
 constexpr std::chrono::seconds kMinRequestTimeout{10};
 // A daemon that is not registered by then is taken for one without a store.
@@ -75,6 +78,7 @@
         m_control_loop(EventLoop::Create()),
         m_metrics(RelayMetrics::Create()),
         m_stop(PlannedStopOptions{Scale(settings.stop_bound, kKeepServingShare),
+                                  Scale(settings.stop_bound, kAnswerAllShare),
                                   Scale(settings.stop_bound, kStopBoundShare)}),
         m_holders(OwnEntry(settings)),
         m_contact_notifier(*m_loop, [this](bool is_cut_off) {
@@ -428,6 +432,7 @@
     }
     m_stop.Begin(std::chrono::steady_clock::now());
     WriteStopLine("stop_begun");
+    m_front->BeginStop(m_stop.AnswerAllBy());
     m_callers->EndKeepAlive();
     m_control_loop->Post([this] {
       m_control->BeginLeaving();
@@ -462,6 +467,10 @@
       WriteStopLine("stop_finishing");
       m_callers->BeginShutdown();
     }
+    if (step == StopStep::kSending && before != step) {
+      WriteStopLine("stop_sending");
+      m_front->RefuseHeld();
+    }
     m_stop_timer =
         m_loop->At(now + Duration(kStopCheckInterval), [this] { CheckStop(); });
   }
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -93,13 +93,26 @@
 }
 
 void RelayFront::RefuseExpired() {
-  for (const UnroutedRequest& held : m_unrouted.TakeExpired(Now())) {
-    RefuseNotReady(*held.exchange,
-                   m_protocol.ReadHead(held.exchange->Request()));
-  }
+  RefuseNotReady(m_unrouted.TakeExpired(Now()));
   ArmHoldTimer();
 }
 
+void RelayFront::RefuseHeld() {
+  RefuseNotReady(m_unrouted.TakeAll());
+  ArmHoldTimer();
+}
+
+void RelayFront::RefuseNotReady(const std::vector<UnroutedRequest>& held) {
+  for (const UnroutedRequest& request : held) {
+    RefuseNotReady(*request.exchange,
+                   m_protocol.ReadHead(request.exchange->Request()));
+  }
+}
+
+void RelayFront::BeginStop(TimePoint answer_all_by) {
+  Apply(m_engine.BeginStop(answer_all_by, Now()));
+}
+
 void RelayFront::AnswerNoRoute(HttpExchange& exchange, const CallerHead& head) {
   HttpResponse response = m_protocol.MakeNoRoute();
   RelayEnd end;
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -100,6 +100,11 @@
   /// Serves a peer's query; returns a function that cancels it.
   std::function<void()> ServePeer(ShardQuery query,
                                   std::function<void(ShardAnswer)> reply);
+  /// Begins a planned stop: every request is answered by `answer_all_by`,
+  /// except those that are held for lack of a route.
+  void BeginStop(TimePoint answer_all_by);
+  /// Refuses the requests that are held for lack of a route.
+  void RefuseHeld();
   /// Cancels all calls to peers.
   void CancelPeerCalls() { m_peer_calls.clear(); }
 
@@ -162,6 +167,7 @@
   void Hold(UnroutedRequest request);
   void ArmHoldTimer();
   void RefuseExpired();
+  void RefuseNotReady(const std::vector<UnroutedRequest>& held);
   void RefuseNotReady(HttpExchange& exchange, const CallerHead& head);
   void AnswerNoRoute(HttpExchange& exchange, const CallerHead& head);
   void Refuse(HttpExchange& exchange,
--- a/src/process/unrouted_requests.cc
+++ b/src/process/unrouted_requests.cc
@@ -51,6 +51,10 @@
   });
 }
 
+std::vector<UnroutedRequest> UnroutedRequests::TakeAll() {
+  return std::exchange(m_held, {});
+}
+
 std::optional<TimePoint> UnroutedRequests::NextExpiry() const {
   if (m_held.empty()) {
     return std::nullopt;
--- a/src/process/unrouted_requests.h
+++ b/src/process/unrouted_requests.h
@@ -41,6 +41,8 @@
   std::vector<UnroutedRequest> TakeConfirmed();
   /// Removes and returns the requests that were held for the maximum time.
   std::vector<UnroutedRequest> TakeExpired(TimePoint now);
+  /// Removes and returns all requests.
+  std::vector<UnroutedRequest> TakeAll();
   /// When the next request has been held for the maximum time; empty if none is
   /// held.
   std::optional<TimePoint> NextExpiry() const;
--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -25,8 +25,7 @@
       return true;
     }
     if (m_now >= request.request.deadline) {
-      FinishRefused(request, {RefusalReason::kDeadlinePassed,
-                              VerdictOfParts(request), std::nullopt});
+      FinishRefused(request, DeadlineRefusal(request));
       return true;
     }
     return false;
@@ -57,8 +56,7 @@
       break;
   }
   if (m_now >= request.request.deadline) {
-    FinishRefused(request, {RefusalReason::kDeadlinePassed,
-                            VerdictOfParts(request), kUnavailableRetryAfter});
+    FinishRefused(request, DeadlineRefusal(request));
   } else if (IsTrialLost(request)) {
     FinishRefused(request, {RefusalReason::kCrashSuspect,
                             VerdictOfParts(request), kUnavailableRetryAfter});
@@ -159,6 +157,7 @@
   request->is_continuation = true;
   request->request.deadline = deadline;
   request->request.answer_by = deadline;
+  LimitToStop(*request);
   MarkForUpdate(number);
   return true;
 }
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -30,6 +30,7 @@
   Request& request = *owned;
   request.number = number;
   request.request = std::move(submitted);
+  LimitToStop(request);
   const Route& route = request.MatchedRoute();
   if (route.IsFanOut()) {
     for (const std::string& shard : route.shards) {
@@ -275,6 +276,7 @@
   if (FinishIfDone(request)) {
     return;
   }
+  EndWaitingParts(request);
   HandOverParts(request);
   ContinuePendingDelegations(request);
   ResumeHeldParts(request);
@@ -317,6 +319,9 @@
     if (part.retry_at) {
       consider(*part.retry_at);
     }
+    if (part.IsWaiting()) {
+      consider(LatestSend(request, part).value_or(next));
+    }
   }
   if (request.timer == next) {
     return;
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -87,6 +87,10 @@
   bool Continue(RelayNumber number, TimePoint deadline, TimePoint now);
   RelayActions OnCallerDisconnected(RelayNumber number, TimePoint now);
   RelayActions OnTimer(TimePoint now);
+  /// Begins a planned stop: every request, also a later one, is answered by
+  /// `answer_all_by`. One that waits for a leaf is refused as soon as none
+  /// could answer it by then, and one that waits for the retry budget at once.
+  RelayActions BeginStop(TimePoint answer_all_by, TimePoint now);
 
   RelayActions SetTable(std::shared_ptr<const RouteTable> table, TimePoint now);
   RelayActions SetLeafs(const std::vector<LeafRegistration>& leafs,
@@ -308,6 +312,20 @@
   /// Marks the part as failed unless an attempt of it is outstanding.
   void FailUnlessOutstanding(Part& part);
 
+  // Planned stop.
+  /// Moves the request's times before the end of a planned stop.
+  void LimitToStop(Request& request) const;
+  bool IsLimitedByStop(const Request& request) const;
+  /// Latest time at which an attempt for a part is likely answered before the
+  /// end of a planned stop; empty without one, and if no leaf is available.
+  std::optional<TimePoint> LatestSend(const Request& request,
+                                      const Part& part) const;
+  /// Whether a planned stop ends before an attempt would be answered.
+  bool IsTooLateToSend(const Request& request, const Part& part) const;
+  /// Ends the parts that wait, if it is too late to send them.
+  void EndWaitingParts(Request& request);
+  RelayRefusal DeadlineRefusal(const Request& request) const;
+
   // Completion.
   /// Returns true if the request has ended and was erased.
   bool FinishIfDone(Request& request);
@@ -349,6 +367,9 @@
   RelayAttemptNumber m_last_attempt = 0;
   std::uint64_t m_last_sequence = 0;
 
+  /// Set once a planned stop has begun.
+  std::optional<TimePoint> m_answer_all_by;
+
   // State of the event being handled.
   TimePoint m_now;
   RelayActions m_actions;
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -64,9 +64,12 @@
   }
   /// Whether an attempt or a delegation is outstanding or will be started.
   bool IsInProgress() const {
-    return !outstanding.empty() || delegation || pending || waiting ||
-           retry_at || awaits_hand_over;
+    return IsSent() || IsWaiting() || awaits_hand_over;
   }
+  /// Whether an attempt or a delegation is outstanding.
+  bool IsSent() const { return !outstanding.empty() || delegation || pending; }
+  /// Whether it waits for a leaf or for the retry budget.
+  bool IsWaiting() const { return waiting || retry_at; }
   PartState State() const;
   std::vector<const RelayLeaf*> TriedLeafs() const;
   /// Whether the part was not answered, or needed more than one attempt.
@@ -90,6 +93,8 @@
   bool is_doubtful = false;
   /// Whether a trial has ended without an answer.
   bool is_trial_lost = false;
+  /// Whether a part was not sent because of a planned stop.
+  bool is_ended_by_stop = false;
   std::optional<TimePoint> timer;
   /// Set while a peer that got an incomplete answer may send a continuation.
   std::optional<TimePoint> continuation_deadline;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -13,6 +13,9 @@
 constexpr Duration kBudgetRetryDelay = std::chrono::milliseconds(15);
 // Estimated number of requests at a leaf at and above which it gets no hedge.
 constexpr double kMaxHedgeOccupancy = 4;
+// Time for the reply of a leaf that gave an attempt up to arrive before a
+// planned stop ends: it says whether the request has run.
+constexpr Duration kGiveUpReplyTime = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -100,6 +103,10 @@
 // meanwhile would be refused in its place, and its caller would wait for
 // longer.
 RelayRefusal RelayEngine::RefusalWithoutLeafs(const Request& request) const {
+  if (request.is_ended_by_stop) {
+    return {RefusalReason::kShuttingDown, VerdictOfParts(request),
+            kOverloadedRetryAfter};
+  }
   std::optional<LeafWait> first;
   for (const Part& part : request.parts) {
     const LeafChoice choice =
@@ -153,6 +160,11 @@
     FailUnlessOutstanding(part);
     return;
   }
+  if (IsTooLateToSend(request, part)) {
+    request.is_ended_by_stop = true;
+    FailUnlessOutstanding(part);
+    return;
+  }
   if (!AdmitAttempt(request, part)) {
     return;
   }
@@ -168,7 +180,10 @@
   }
   if (!part.is_next_attempt_free && !part.service->budget.TakeForRetry()) {
     ++m_counters.budget_refusals;
-    if (request.IsLate(m_now)) {
+    if (IsLimitedByStop(request)) {
+      request.is_ended_by_stop = true;
+      FailUnlessOutstanding(part);
+    } else if (request.IsLate(m_now)) {
       FailUnlessOutstanding(part);
     } else {
       part.retry_at = m_now + kBudgetRetryDelay;
@@ -220,8 +235,11 @@
   const RelayRequest& asked = request.request;
   const bool is_bounded = request.MatchedRoute().IsFanOut() &&
                           request.IsIdempotent() && m_now < asked.answer_by;
-  return is_bounded ? std::min(asked.deadline, asked.answer_by)
-                    : asked.deadline;
+  const TimePoint latest =
+      is_bounded ? std::min(asked.deadline, asked.answer_by) : asked.deadline;
+  return IsLimitedByStop(request)
+             ? std::min(latest, asked.deadline - kGiveUpReplyTime)
+             : latest;
 }
 
 // A part has at most one entry in the queue: an outdated one would count
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -7,10 +7,11 @@
 
 constexpr TimePoint kStart{};
 constexpr std::chrono::seconds kKeepServing{12};
+constexpr std::chrono::seconds kAnswerAll{58};
 constexpr std::chrono::seconds kBound{60};
 
 PlannedStop MakeStop() {
-  PlannedStop stop(PlannedStopOptions{kKeepServing, kBound});
+  PlannedStop stop(PlannedStopOptions{kKeepServing, kAnswerAll, kBound});
   CHECK(stop.Update(3, kStart) == StopStep::kServing);
   stop.Begin(kStart);
   return stop;
@@ -30,7 +31,11 @@
 TEST_CASE("a planned stop waits for requests in flight, up to its bound") {
   PlannedStop stop = MakeStop();
   CHECK(stop.Update(1, kStart + kKeepServing) == StopStep::kFinishing);
-  CHECK(stop.Update(1, kStart + kBound - Duration(1)) == StopStep::kFinishing);
+  CHECK(stop.Update(1, kStart + kAnswerAll - Duration(1)) ==
+        StopStep::kFinishing);
+  CHECK(stop.AnswerAllBy() == kStart + kAnswerAll);
+  CHECK(stop.Update(1, kStart + kAnswerAll) == StopStep::kSending);
+  CHECK(stop.Update(1, kStart + kBound - Duration(1)) == StopStep::kSending);
 
   SUBCASE("the last request ends in time") {
     CHECK(stop.Update(0, kStart + kBound - Duration(1)) == StopStep::kDone);
@@ -42,6 +47,15 @@
   }
 }
 
+// A daemon that was frozen still answers what it holds.
+TEST_CASE("a planned stop that is resumed after its bound skips no step") {
+  PlannedStop stop = MakeStop();
+  const TimePoint late = kStart + 2 * kBound;
+  CHECK(stop.Update(1, late) == StopStep::kFinishing);
+  CHECK(stop.Update(1, late) == StopStep::kSending);
+  CHECK(stop.Update(1, late) == StopStep::kDone);
+}
+
 TEST_CASE("a second stop request does not restart the stop") {
   PlannedStop stop = MakeStop();
   CHECK(stop.Update(0, kStart + kKeepServing) == StopStep::kFinishing);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -48,7 +48,7 @@
     leaf.service = service;
     leaf.address = {"127.0.0.1", m_next_port++};
     leaf.failure_domain = domain;
-    leaf.slots = 2;
+    leaf.slots = slots;
     leaf.is_draining = is_draining;
     leafs.push_back(leaf);
     CollectActions(engine.SetLeafs(leafs, now));
@@ -184,6 +184,8 @@
   /// were last closed.
   std::optional<TimePoint> closed_before;
   RelayNumber last_number = 0;
+  /// Slots of leafs that are added.
+  std::uint32_t slots = 2;
   /// Time until the deadline of subsequent requests.
   Duration time_left = milliseconds(2000);
   bool is_for_peer = false;
--- a/tests/relay_platform.cc
+++ b/tests/relay_platform.cc
@@ -276,7 +276,13 @@
   m_arrivals.push_back(
       {Now(), request.body, m_started_at_ms, m_is_leaving, m_request_rate,
        is_paused ? std::optional(m_paused_until) : std::nullopt});
-  exchange->Respond(MakeAnswer(request));
+  if (m_work == Duration::zero()) {
+    exchange->Respond(MakeAnswer(request));
+    return;
+  }
+  m_answer_timers.push_back(m_loop->At(Now() + m_work, [this, exchange] {
+    exchange->Respond(MakeAnswer(exchange->Request()));
+  }));
 }
 
 HttpResponse FakePlatformLeaf::MakeAnswer(const HttpRequest& request) {
@@ -292,6 +298,10 @@
   if (m_is_leaving) {
     response.headers.push_back({std::string(Platform::kLeaving), "1"});
   }
+  if (m_is_full) {
+    response.status = 503;
+    response.headers.push_back({std::string(Platform::kNotRun), "1"});
+  }
   if (Now() < m_paused_until) {
     const std::chrono::duration<double> left = m_paused_until - Now();
     response.status = 503;
@@ -314,6 +324,14 @@
   RunOn(*m_loop, [&] { m_paused_until = Now() + pause; });
 }
 
+void FakePlatformLeaf::WorkFor(Duration work) {
+  RunOn(*m_loop, [&] { m_work = work; });
+}
+
+void FakePlatformLeaf::RefuseAll() {
+  RunOn(*m_loop, [&] { m_is_full = true; });
+}
+
 void FakePlatformLeaf::StartNewRun() {
   RunOn(*m_loop, [&] {
     BeginRun();
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -117,6 +117,10 @@
   void SayLeaving();
   /// Refuses all requests for this long, with the time that is left.
   void AskForPause(Duration pause);
+  /// Answers each request from now on after this time.
+  void WorkFor(Duration work);
+  /// Refuses all requests from now on, as a leaf that is full.
+  void RefuseAll();
   /// Begins a new run, which announces nothing.
   void StartNewRun();
   /// All requests so far, in order.
@@ -141,6 +145,9 @@
   bool m_is_leaving = false;
   TimePoint m_paused_until;
   std::vector<LeafArrival> m_arrivals;
+  Duration m_work{0};
+  bool m_is_full = false;
+  std::vector<std::unique_ptr<Timer>> m_answer_timers;
   Duration m_restart_delay{0};
   std::function<void()> m_on_start;
   std::unique_ptr<Timer> m_restart_timer;
--- a/tests/relay_process.h
+++ b/tests/relay_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <filesystem>
 #include <memory>
 #include <string>
@@ -21,11 +22,14 @@
 /// loopback address.
 class RelayProcess {
  public:
+  static constexpr std::chrono::milliseconds kDefaultStopBound{1000};
+
   /// `seeds` is the list of peers in the settings' JSON, without brackets.
   RelayProcess(std::string ip,
                const Endpoint& store,
                const std::string& seeds,
-               const DaemonLocation& location = {});
+               const DaemonLocation& location = {},
+               std::chrono::milliseconds stop_bound = kDefaultStopBound);
   ~RelayProcess();
 
   Endpoint Callers() const { return {m_ip, 8104}; }
@@ -47,6 +51,10 @@
   void Restart();
   bool IsRunning() { return m_process->IsRunning(); }
   void Signal(int signal) { m_process->Signal(signal); }
+  /// Whether the process ends within `timeout`.
+  bool WaitForEnd(Duration timeout) {
+    return m_process->Wait(timeout).has_value();
+  }
 
  private:
   void Start();
