Accept no request in a planned stop for whose work no time is left

Cause: three shares of the grace period were set apart from each other. Requests were accepted until 0.55 of it and answered until 0.93, which left 2.28 s of 6 s for work and queues that take longer (1.25 s of work, twice in a queue), and nothing compared what a leaf would take with the time left. A request whose bytes came even later on an open connection was passed on at any time. Change: PlannedStopOptions::Within() has all times of a stop in one place: a daemon accepts until 0.5 of the grace period, answers all at 0.93, ends by 0.97. Later requests, of callers and of peers, are refused at once with "not run" and Retry-After 0, as other daemons serve them; callers of the others still get the addresses of these, and a daemon alone no longer names itself once it refuses. Related paths mended with it: an idle connection is not closed if a request has just arrived on it, and a request that has arrived in part when all others are answered gets a 503 instead of a closed connection. Conclusion: what is accepted has the time for its work.

--- a/src/connection/http_refusal.cc
+++ b/src/connection/http_refusal.cc
@@ -4,11 +4,16 @@
 
 namespace bramleyspoke::Detail {
 
-HttpResponse MakeUnreadableRequestRefusal(int status, std::string_view detail) {
+HttpResponse MakeUnreadRequestRefusal(int status,
+                                      RefusalReason reason,
+                                      std::string_view detail) {
   HttpResponse response;
   response.status = status;
-  response.body = R"({"verdict":"not_run","reason":"bad_request","detail":")" +
-                  std::string(detail) + "\"}\n";
+  response.body = R"({"verdict":"not_run","reason":")";
+  response.body += ToString(reason);
+  response.body += R"(","detail":")";
+  response.body += detail;
+  response.body += "\"}\n";
   return response;
 }
 
--- a/src/connection/http_refusal.h
+++ b/src/connection/http_refusal.h
@@ -2,11 +2,14 @@
 
 #include <string_view>
 
+#include "base/refusal.h"
 #include "connection/http_message.h"
 
 namespace bramleyspoke::Detail {
 
-/// Response to a request that could not be read and so was not run.
-HttpResponse MakeUnreadableRequestRefusal(int status, std::string_view detail);
+/// Response to a request that was not read completely and so was not run.
+HttpResponse MakeUnreadRequestRefusal(int status,
+                                      RefusalReason reason,
+                                      std::string_view detail);
 
 }  // namespace bramleyspoke::Detail
--- a/src/connection/http_server.cc
+++ b/src/connection/http_server.cc
@@ -51,6 +51,13 @@
     }
   }
 
+  void RefuseUnread() override {
+    const auto sessions = m_state->sessions;
+    for (const auto& [id, session] : sessions) {
+      session->RefuseIfUnread();
+    }
+  }
+
   void AbortAll() override {
     const auto sessions = m_state->sessions;
     for (const auto& [id, session] : sessions) {
--- a/src/connection/http_server.h
+++ b/src/connection/http_server.h
@@ -78,8 +78,11 @@
   /// "Connection: close".
   virtual void EndKeepAlive() = 0;
   /// Stops listening and closes idle connections; others are closed after their
-  /// response, which carries "Connection: close".
+  /// response, which carries "Connection: close". A connection on which a
+  /// request has begun to arrive is not idle.
   virtual void BeginShutdown() = 0;
+  /// Refuses the requests that have arrived only in part.
+  virtual void RefuseUnread() = 0;
   /// Closes all connections without a response.
   virtual void AbortAll() = 0;
   /// Number of open connections; on the loop's thread.
--- a/src/connection/http_session.cc
+++ b/src/connection/http_session.cc
@@ -58,9 +58,21 @@
         when, [self = shared_from_this()] { self->ReadFirstByte(); });
   }
 
+  // Posted behind the handler of bytes that were just read: a request that has
+  // arrived is answered. Bytes that the socket still holds are read at once.
   void CloseIfIdle() override {
-    if (m_is_idle) {
-      Close();
+    asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+      beast::error_code ignored;
+      if (self->m_is_idle && self->m_stream.socket().available(ignored) == 0) {
+        self->Close();
+      }
+    });
+  }
+
+  void RefuseIfUnread() override {
+    if (m_request_timer) {
+      m_read_end = ReadEnd::kShutDown;
+      m_stream.cancel();
     }
   }
 
@@ -181,7 +193,7 @@
         std::chrono::steady_clock::now() + m_state->limits.request_timeout;
     m_request_timer = m_state->loop.At(when, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
-        self->m_is_request_timed_out = true;
+        self->m_read_end = ReadEnd::kTimedOut;
         self->m_stream.cancel();
       }
     });
@@ -191,9 +203,9 @@
 
   // Closes the connection after the response, since the start of the next
   // request is unknown.
-  void Refuse(int status, std::string_view detail) {
+  void Refuse(int status, RefusalReason reason, std::string_view detail) {
     m_keep_alive = false;
-    Write(MakeUnreadableRequestRefusal(status, detail));
+    Write(MakeUnreadRequestRefusal(status, reason, detail));
   }
 
   void OnWritten(beast::error_code error) {
@@ -265,6 +277,13 @@
     }
   }
 
+  /// How the reading of a request ended.
+  enum class ReadEnd {
+    kArrived,
+    kTimedOut,
+    kShutDown,
+  };
+
   static constexpr std::size_t kReadSize = std::size_t{16} * 1024;
 
   std::shared_ptr<HttpServerState> m_state;
@@ -278,7 +297,7 @@
   std::function<void()> m_on_disconnect;
   std::unique_ptr<Timer> m_accept_timer;
   std::unique_ptr<Timer> m_request_timer;
-  bool m_is_request_timed_out = false;
+  ReadEnd m_read_end = ReadEnd::kArrived;
   bool m_keep_alive = true;
   bool m_is_idle = false;
   bool m_is_closed = false;
@@ -356,8 +375,13 @@
   if (m_is_closed) {
     return;
   }
-  if (error && m_is_request_timed_out) {
-    Refuse(408, "the request took too long to arrive");
+  if (error && m_read_end == ReadEnd::kTimedOut) {
+    Refuse(408, RefusalReason::kBadRequest,
+           "the request took too long to arrive");
+    return;
+  }
+  if (error && m_read_end == ReadEnd::kShutDown) {
+    Refuse(503, RefusalReason::kShuttingDown, "the server is shutting down");
     return;
   }
   if (error == http::error::end_of_stream || error == beast::error::timeout ||
@@ -371,7 +395,8 @@
     const bool is_too_large = error == http::error::body_limit ||
                               error == http::error::header_limit ||
                               error == http::error::buffer_overflow;
-    Refuse(is_too_large ? 413 : 400, error.message());
+    Refuse(is_too_large ? 413 : 400, RefusalReason::kBadRequest,
+           error.message());
     return;
   }
   m_stream.expires_never();
--- a/src/connection/http_session.h
+++ b/src/connection/http_session.h
@@ -35,6 +35,8 @@
   virtual void Start() = 0;
   /// Closes the connection unless a request is being read or handled.
   virtual void CloseIfIdle() = 0;
+  /// Refuses the request that is being read, if any.
+  virtual void RefuseIfUnread() = 0;
   /// Closes the connection and removes it from the server's sessions.
   virtual void Close() = 0;
 };
--- a/src/process/planned_stop.cc
+++ b/src/process/planned_stop.cc
@@ -1,6 +1,30 @@
 #include "process/planned_stop.h"
 
 namespace bramleyspoke {
+namespace {
+
+// Shares of the grace period. A request that is accepted last has the time
+// between the first two for its leaf's work. The third leaves time to send the
+// last answers, and the rest is for the process to exit.
+constexpr double kKeepServingShare = 0.5;
+constexpr double kAnswerAllShare = 0.93;
+constexpr double kBoundShare = 0.97;
+
+Duration Scale(Duration duration, double factor) {
+  return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
+}  // namespace
+
+PlannedStopOptions PlannedStopOptions::Within(Duration grace) {
+  return {Scale(grace, kKeepServingShare), Scale(grace, kAnswerAllShare),
+          Scale(grace, kBoundShare)};
+}
+
+StopSchedule PlannedStop::Schedule() const {
+  return {m_begun_at + m_options.keep_serving,
+          m_begun_at + m_options.answer_all};
+}
 
 void PlannedStop::Begin(TimePoint now) {
   if (m_step != StopStep::kServing) {
--- a/src/process/planned_stop.h
+++ b/src/process/planned_stop.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "request/stop_schedule.h"
 
 namespace bramleyspoke {
 
@@ -29,6 +30,9 @@
   Duration answer_all = Duration::zero();
   /// Maximum time from the start of the stop to `kDone`.
   Duration bound = Duration::zero();
+
+  /// Times for a process that is killed after `grace`.
+  static PlannedStopOptions Within(Duration grace);
 };
 
 /// State machine of a planned stop.
@@ -40,10 +44,12 @@
   /// Advances to the next step if it is due, and returns the current step.
   /// `remaining` is the number of open connections and requests in flight.
   StopStep Update(std::size_t remaining, TimePoint now);
-  /// When every request is answered; set once the stop has begun.
-  TimePoint AnswerAllBy() const { return m_begun_at + m_options.answer_all; }
+  /// To be called once the stop has begun.
+  StopSchedule Schedule() const;
   StopStep Step() const { return m_step; }
   bool IsStopping() const { return m_step != StopStep::kServing; }
+  /// Whether new requests are served.
+  bool AcceptsRequests() const { return m_step <= StopStep::kLeaving; }
   /// Whether requests were cut off at the bound.
   bool HasInterruptedRequests() const { return m_has_cut_off; }
 
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -30,15 +30,6 @@
 
 // Interval at which a planned stop checks for remaining work.
 constexpr std::chrono::milliseconds kStopCheckInterval{50};
-// Share of the planned stop's bound in which new requests are still served, as
-// callers keep using an address for some time.
-constexpr double kKeepServingShare = 0.55;
-// Share of the planned stop's bound after which every request is answered, if
-// need be without the leaf's answer.
-constexpr double kAnswerAllShare = 0.93;
-// Share of the planned stop's bound after which the stop ends, whether all
-// answers were sent or not; the rest is left for the process to exit.
-constexpr double kStopBoundShare = 0.97;
 // Lower bound of the time limit for a client to send a whole request.
 constexpr std::chrono::seconds kMinRequestTimeout{10};
 // A daemon that is not registered by then is taken for one without a store.
@@ -46,10 +37,6 @@
 // Routes may be out of date once the store was unreachable for this long.
 constexpr std::chrono::milliseconds kStaleAfter{1500};
 
-Duration Scale(Duration duration, double factor) {
-  return std::chrono::duration_cast<Duration>(duration * factor);
-}
-
 HttpResponseLimits LimitsOf(const LeafResponseSizes& sizes) {
   HttpResponseLimits limits;
   limits.body_bytes = sizes.max_each;
@@ -77,9 +64,7 @@
         m_loop(EventLoop::Create()),
         m_control_loop(EventLoop::Create()),
         m_metrics(RelayMetrics::Create()),
-        m_stop(PlannedStopOptions{Scale(settings.stop_bound, kKeepServingShare),
-                                  Scale(settings.stop_bound, kAnswerAllShare),
-                                  Scale(settings.stop_bound, kStopBoundShare)}),
+        m_stop(PlannedStopOptions::Within(settings.stop_bound)),
         m_holders(OwnEntry(settings)),
         m_contact_notifier(*m_loop, [this](bool is_cut_off) {
           m_control_loop->Post(
@@ -372,7 +357,8 @@
   std::vector<Endpoint> AddressesFor(const std::string& region) const {
     return m_holders.AddressesFor(
         region, HolderCount(), m_front->Engine().Leafs().ServingRegions(),
-        {m_contact_notifier.IsCutOff(), m_stop.IsStopping(), IsReady()});
+        {m_contact_notifier.IsCutOff(), m_stop.IsStopping(),
+         m_stop.AcceptsRequests(), IsReady()});
   }
 
   HttpResponse MakeOperatorAnswer(std::string_view target) {
@@ -432,7 +418,7 @@
     }
     m_stop.Begin(std::chrono::steady_clock::now());
     WriteStopLine("stop_begun");
-    m_front->BeginStop(m_stop.AnswerAllBy());
+    m_front->BeginStop(m_stop.Schedule());
     m_callers->EndKeepAlive();
     m_control_loop->Post([this] {
       m_control->BeginLeaving();
@@ -470,6 +456,7 @@
     if (step == StopStep::kSending && before != step) {
       WriteStopLine("stop_sending");
       m_front->RefuseHeld();
+      m_callers->RefuseUnread();
     }
     m_stop_timer =
         m_loop->At(now + Duration(kStopCheckInterval), [this] { CheckStop(); });
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -47,6 +47,10 @@
 
 void RelayFront::Handle(std::shared_ptr<HttpExchange> exchange) {
   CallerHead head = m_protocol.ReadHead(exchange->Request());
+  if (m_stop && Now() >= m_stop->accept_until) {
+    RefuseStopping(*exchange, head);
+    return;
+  }
   const Route* route = FindRoute(head);
   if (route != nullptr) {
     Submit(Now(), std::move(exchange), std::move(head), *route);
@@ -109,8 +113,9 @@
   }
 }
 
-void RelayFront::BeginStop(TimePoint answer_all_by) {
-  Apply(m_engine.BeginStop(answer_all_by, Now()));
+void RelayFront::BeginStop(const StopSchedule& schedule) {
+  m_stop = schedule;
+  Apply(m_engine.BeginStop(schedule, Now()));
 }
 
 void RelayFront::AnswerNoRoute(HttpExchange& exchange, const CallerHead& head) {
@@ -130,6 +135,14 @@
          {RefusalReason::kNotReady, Verdict::kNotRun, kNoRoutesRetryAfter});
 }
 
+// Its connection may have been idle until now, or its body long in coming.
+void RelayFront::RefuseStopping(HttpExchange& exchange,
+                                const CallerHead& head) {
+  Refuse(exchange, head,
+         {RefusalReason::kShuttingDown, Verdict::kNotRun,
+          RelayEngine::kStoppingRetryAfter});
+}
+
 std::optional<Duration> RelayFront::RoutesUnconfirmed(TimePoint now) const {
   const auto at = m_unrouted.ConfirmedAt();
   return at ? std::optional<Duration>(now - *at) : std::nullopt;
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -100,9 +100,9 @@
   /// Serves a peer's query; returns a function that cancels it.
   std::function<void()> ServePeer(ShardQuery query,
                                   std::function<void(ShardAnswer)> reply);
-  /// Begins a planned stop: every request is answered by `answer_all_by`,
-  /// except those that are held for lack of a route.
-  void BeginStop(TimePoint answer_all_by);
+  /// Begins a planned stop: new requests are refused and others answered at the
+  /// times of `schedule`, except those that are held for lack of a route.
+  void BeginStop(const StopSchedule& schedule);
   /// Refuses the requests that are held for lack of a route.
   void RefuseHeld();
   /// Cancels all calls to peers.
@@ -169,6 +169,7 @@
   void RefuseExpired();
   void RefuseNotReady(const std::vector<UnroutedRequest>& held);
   void RefuseNotReady(HttpExchange& exchange, const CallerHead& head);
+  void RefuseStopping(HttpExchange& exchange, const CallerHead& head);
   void AnswerNoRoute(HttpExchange& exchange, const CallerHead& head);
   void Refuse(HttpExchange& exchange,
               const CallerHead& head,
@@ -204,6 +205,8 @@
       m_peer_calls;
   std::shared_ptr<const RouteTable> m_table;
   bool m_is_stale = false;
+  /// Set once a planned stop has begun.
+  std::optional<StopSchedule> m_stop;
   UnroutedRequests m_unrouted;
   std::unique_ptr<Timer> m_hold_timer;
   bool m_is_holder = true;
--- a/src/process/relay_holders.cc
+++ b/src/process/relay_holders.cc
@@ -36,7 +36,8 @@
   return ChooseWatchSource(m_self.peer, m_daemons, fleet.holders);
 }
 
-// A daemon that stops leaves its own address out, unless there is no other.
+// A daemon that stops leaves its own address out, unless there is no other and
+// it still serves new requests.
 std::vector<Endpoint> RelayHolders::AddressesFor(
     const std::string& caller_region,
     std::size_t holder_count,
@@ -50,7 +51,7 @@
   }
   std::vector<Endpoint> addresses = ChooseCallerAddresses(
       KeepInContact(holders), serving_regions, caller_region);
-  if (own.is_stopping && addresses.size() > 1) {
+  if (!own.accepts_requests || (own.is_stopping && addresses.size() > 1)) {
     std::erase(addresses, m_self.address);
   }
   if (addresses.empty() && own.is_ready) {
--- a/src/process/relay_holders.h
+++ b/src/process/relay_holders.h
@@ -34,6 +34,8 @@
   struct OwnState {
     bool is_cut_off = false;
     bool is_stopping = false;
+    /// Whether new requests are served, also while the daemon stops.
+    bool accepts_requests = true;
     bool is_ready = false;
   };
 
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -17,6 +17,7 @@
 #include "request/relay.h"
 #include "request/request_stages.h"
 #include "request/silent_connections.h"
+#include "request/stop_schedule.h"
 #include "request/weighted_round_robin.h"
 
 namespace bramleyspoke {
@@ -63,6 +64,9 @@
       std::chrono::milliseconds(150);
   static constexpr Duration kUnavailableRetryAfter =
       std::chrono::milliseconds(500);
+  /// `retry_after` of requests that arrive too late in a planned stop: other
+  /// daemons serve them now.
+  static constexpr Duration kStoppingRetryAfter = Duration::zero();
 
   RelayEngine(const Locality& locality, const RetryAllowance& allowance);
   ~RelayEngine();
@@ -87,10 +91,12 @@
   bool Continue(RelayNumber number, TimePoint deadline, TimePoint now);
   RelayActions OnCallerDisconnected(RelayNumber number, TimePoint now);
   RelayActions OnTimer(TimePoint now);
-  /// Begins a planned stop: every request, also a later one, is answered by
-  /// `answer_all_by`. One that waits for a leaf is refused as soon as none
-  /// could answer it by then, and one that waits for the retry budget at once.
-  RelayActions BeginStop(TimePoint answer_all_by, TimePoint now);
+  /// Begins a planned stop: new requests are refused from
+  /// `schedule.accept_until` on, and every request is answered by
+  /// `schedule.answer_all_by`. One that waits for a leaf is refused as soon as
+  /// none could answer it by then, and one that waits for the retry budget at
+  /// once.
+  RelayActions BeginStop(const StopSchedule& schedule, TimePoint now);
 
   RelayActions SetTable(std::shared_ptr<const RouteTable> table, TimePoint now);
   RelayActions SetLeafs(const std::vector<LeafRegistration>& leafs,
@@ -316,6 +322,10 @@
   /// Moves the request's times before the end of a planned stop.
   void LimitToStop(Request& request) const;
   bool IsLimitedByStop(const Request& request) const;
+  /// Whether a planned stop no longer accepts new requests.
+  bool IsPastAcceptance() const {
+    return m_stop && m_now >= m_stop->accept_until;
+  }
   /// Latest time at which an attempt for a part is likely answered before the
   /// end of a planned stop; empty without one, and if no leaf is available.
   std::optional<TimePoint> LatestSend(const Request& request,
@@ -368,7 +378,7 @@
   std::uint64_t m_last_sequence = 0;
 
   /// Set once a planned stop has begun.
-  std::optional<TimePoint> m_answer_all_by;
+  std::optional<StopSchedule> m_stop;
 
   // State of the event being handled.
   TimePoint m_now;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -42,6 +42,11 @@
 // the verdict "not run" is true.
 bool RelayEngine::RefuseIfUnservable(Request& request) {
   const Route& route = request.MatchedRoute();
+  if (IsPastAcceptance()) {
+    FinishRefused(request, {RefusalReason::kShuttingDown, Verdict::kNotRun,
+                            kStoppingRetryAfter});
+    return true;
+  }
   if (request.request.is_for_peer && !m_contact.IsInContact()) {
     FinishRefused(request, RefusalWithoutLeafs(request));
     return true;
--- a/src/request/relay_stop.cc
+++ b/src/request/relay_stop.cc
@@ -21,9 +21,10 @@
 // refused with the verdict "not run", and what a leaf still has gets an answer
 // that leaves the outcome open. Both are better than a closed connection, from
 // which a caller cannot tell whether its request was read.
-RelayActions RelayEngine::BeginStop(TimePoint answer_all_by, TimePoint now) {
+RelayActions RelayEngine::BeginStop(const StopSchedule& schedule,
+                                    TimePoint now) {
   m_now = now;
-  m_answer_all_by = answer_all_by;
+  m_stop = schedule;
   for (const auto& [number, request] : m_requests) {
     LimitToStop(*request);
     MarkForUpdate(number);
@@ -32,16 +33,16 @@
 }
 
 void RelayEngine::LimitToStop(Request& request) const {
-  if (!m_answer_all_by) {
+  if (!m_stop) {
     return;
   }
   RelayRequest& asked = request.request;
-  asked.deadline = std::min(asked.deadline, *m_answer_all_by);
-  asked.answer_by = std::min(asked.answer_by, *m_answer_all_by);
+  asked.deadline = std::min(asked.deadline, m_stop->answer_all_by);
+  asked.answer_by = std::min(asked.answer_by, m_stop->answer_all_by);
 }
 
 bool RelayEngine::IsLimitedByStop(const Request& request) const {
-  return m_answer_all_by && request.request.deadline == *m_answer_all_by;
+  return m_stop && request.request.deadline == m_stop->answer_all_by;
 }
 
 std::optional<TimePoint> RelayEngine::LatestSend(const Request& request,
@@ -60,7 +61,7 @@
   if (!shortest) {
     return std::nullopt;
   }
-  return *m_answer_all_by -
+  return m_stop->answer_all_by -
          std::chrono::duration_cast<Duration>(*shortest * kLatencyMargin);
 }
 
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -5,6 +5,8 @@
 namespace bramleyspoke {
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr TimePoint kStart{};
 constexpr std::chrono::seconds kKeepServing{12};
 constexpr std::chrono::seconds kAnswerAll{58};
@@ -33,7 +35,8 @@
   CHECK(stop.Update(1, kStart + kKeepServing) == StopStep::kFinishing);
   CHECK(stop.Update(1, kStart + kAnswerAll - Duration(1)) ==
         StopStep::kFinishing);
-  CHECK(stop.AnswerAllBy() == kStart + kAnswerAll);
+  CHECK(stop.Schedule().accept_until == kStart + kKeepServing);
+  CHECK(stop.Schedule().answer_all_by == kStart + kAnswerAll);
   CHECK(stop.Update(1, kStart + kAnswerAll) == StopStep::kSending);
   CHECK(stop.Update(1, kStart + kBound - Duration(1)) == StopStep::kSending);
 
@@ -47,6 +50,24 @@
   }
 }
 
+// Guards against accepting requests for whose work there is no time left.
+TEST_CASE("a planned stop leaves accepted requests nearly half of its time") {
+  for (const Duration grace : {Duration(1s), Duration(6s), Duration(30s)}) {
+    const auto options = PlannedStopOptions::Within(grace);
+    CHECK(options.keep_serving <= grace / 2);
+    CHECK(options.answer_all - options.keep_serving >= grace * 0.4);
+    CHECK(options.answer_all < options.bound);
+    CHECK(options.bound < grace);
+  }
+}
+
+TEST_CASE("a planned stop accepts requests until it is to finish") {
+  PlannedStop stop = MakeStop();
+  CHECK(stop.AcceptsRequests());
+  stop.Update(1, kStart + kKeepServing);
+  CHECK_FALSE(stop.AcceptsRequests());
+}
+
 // A daemon that was frozen still answers what it holds.
 TEST_CASE("a planned stop that is resumed after its bound skips no step") {
   PlannedStop stop = MakeStop();
--- a/tests/process_relay_stop_test.cc
+++ b/tests/process_relay_stop_test.cc
@@ -92,4 +92,34 @@
   CHECK(stopped.relay->WaitForEnd(kStopBound));
 }
 
+// Guards against cutting off requests that were accepted late in a stop.
+TEST_CASE("a stopped relay accepts nothing for which it has no time") {
+  constexpr milliseconds kLongWork{2 * kStopBound};
+  StoppedRelay stopped;
+  stopped.leaf.WorkFor(kLongWork);
+  const std::size_t arrivals_before = stopped.leaf.Arrivals().size();
+  stopped.relay->Signal(SIGTERM);
+  const TimePoint signalled = std::chrono::steady_clock::now();
+  std::this_thread::sleep_until(signalled + kStopBound * 52 / 100);
+  stopped.Send(1);
+  stopped.WaitForCallers();
+  CHECK(stopped.leaf.Arrivals().size() == arrivals_before);
+  CHECK(stopped.relay->WaitForEnd(kStopBound));
+}
+
+TEST_CASE("a stopped relay answers what a leaf still works on at the end") {
+  constexpr milliseconds kLongWork{2 * kStopBound};
+  StoppedRelay stopped;
+  stopped.leaf.WorkFor(kLongWork);
+  const std::size_t arrivals_before = stopped.leaf.Arrivals().size();
+  stopped.Send(3);
+  REQUIRE(WaitUntil(
+      [&] { return stopped.leaf.Arrivals().size() == arrivals_before + 3; },
+      kEventTimeout));
+  stopped.relay->Signal(SIGTERM);
+  stopped.WaitForCallers();
+  CHECK_MESSAGE(stopped.Count(502) == 3, stopped.relay->Log());
+  CHECK(stopped.relay->WaitForEnd(kStopBound));
+}
+
 }  // namespace bramleyspoke
--- a/tests/relay_holders_test.cc
+++ b/tests/relay_holders_test.cc
@@ -62,6 +62,14 @@
     CHECK_FALSE(HasAddress(addresses(), self));
     CHECK(HasAddress(addresses(), other));
   }
+  SUBCASE("the own one during a planned stop if there is no other") {
+    holders.SetDaemons({self});
+    own.is_stopping = true;
+    CHECK(HasAddress(addresses(), self));
+    own.accepts_requests = false;
+    own.is_ready = false;
+    CHECK(addresses().empty());
+  }
   SUBCASE("not the own one while it is cut off from the leafs") {
     holders.SetDaemons({self, other});
     own.is_cut_off = true;
--- a/tests/relay_stop_test.cc
+++ b/tests/relay_stop_test.cc
@@ -11,6 +11,7 @@
 
 using std::chrono::seconds;
 
+constexpr seconds kAcceptTime{3};
 constexpr seconds kStopTime{5};
 constexpr seconds kLongDeadline{15};
 constexpr RetryAllowance kNoRetries{0, 0};
@@ -28,7 +29,9 @@
     AddLeaf("s0", "a");
   }
 
-  void BeginStop() { CollectActions(engine.BeginStop(now + kStopTime, now)); }
+  void BeginStop() {
+    CollectActions(engine.BeginStop({now + kAcceptTime, now + kStopTime}, now));
+  }
 
   /// A request that its leaf refused, which waits for the retry budget.
   RelayNumber SubmitForBudget() {
@@ -116,6 +119,27 @@
   CHECK(relay.sends.empty());
 }
 
+// Guards against cutting off requests that were accepted late in a stop.
+TEST_CASE("a planned stop refuses new requests at once when it is late") {
+  StoppingRelay relay;
+  relay.BeginStop();
+  relay.Advance(kAcceptTime - milliseconds(1));
+  relay.Submit(0);
+  CHECK(relay.sends.size() == 1);
+  relay.Advance(milliseconds(1));
+  SUBCASE("of callers") {
+    relay.CheckNotRun(relay.Submit(0));
+  }
+  SUBCASE("of peers, which send them elsewhere") {
+    relay.is_for_peer = true;
+    const RelayNumber number = relay.Submit(1);
+    relay.CheckNotRun(number);
+    REQUIRE(relay.Outcome(number).uncovered.size() == 1);
+    CHECK_FALSE(relay.Outcome(number).uncovered.front().is_pending);
+  }
+  CHECK(relay.sends.size() == 1);
+}
+
 TEST_CASE("a planned stop dispatches what waits while there is time") {
   StoppingRelay relay;
   const RelayNumber number = relay.SubmitForLeaf();
