Send the replies to peers that were made before a stop

A daemon that had delegated shards, or handed a whole request over, to one that stops would take its answer as lost if it was made in the last moment: a request that may run once then got 502 though a leaf had answered it. Cause: CapnpPeers::Stop() destroyed the server in the same turn of the loop in which posted replies were only handed to their calls; writing them comes in later turns. Ruled out: one last turn of the loop (kj::evalLast): 2 or 3 of 8 replies were sent then, as kj gathers writes in a last turn of its own. Change: the peers' loop goes on for 20 ms after the stop was asked for. Conclusion: an answer that was made reaches the peer unless its connection is blocked.

--- a/src/connection/capnp_peers.cc
+++ b/src/connection/capnp_peers.cc
@@ -14,6 +14,9 @@
 namespace bramleyspoke {
 namespace {
 
+// Time for replies to peers that were made before a stop to be sent.
+constexpr Duration kReplySendTime = std::chrono::milliseconds(20);
+
 // Cancellation state of a call; used only on the kj thread.
 struct CancelState {
   kj::Own<kj::PromiseFulfiller<void>> fulfiller;
@@ -144,7 +147,7 @@
   }
 
   void Stop() override {
-    m_thread.Stop([this] {
+    m_thread.Stop(kReplySendTime, [this] {
       m_server.reset();
       m_client.reset();
     });
--- a/src/connection/kj_thread.cc
+++ b/src/connection/kj_thread.cc
@@ -8,6 +8,8 @@
 #include <future>
 #include <utility>
 
+#include "connection/peer_messages.h"
+
 namespace bramleyspoke {
 namespace {
 
@@ -58,7 +60,7 @@
 }
 
 KjThread::~KjThread() {
-  Stop([] {});
+  Stop(Duration::zero(), [] {});
 }
 
 void KjThread::Loop() {
@@ -75,13 +77,19 @@
   done.get_future().wait();
 }
 
-void KjThread::Stop(std::function<void()> cleanup) {
+void KjThread::Stop(Duration delay, std::function<void()> cleanup) {
   if (!m_thread.joinable()) {
     return;
   }
-  m_queue->Post([this, cleanup = std::move(cleanup)] {
-    cleanup();
-    m_is_stopping = true;
+  m_queue->Post([this, delay, cleanup = std::move(cleanup)] {
+    m_io->provider->getTimer()
+        .afterDelay(ToKj(delay))
+        .then([this, cleanup] {
+          cleanup();
+          m_is_stopping = true;
+          m_queue->Post([] {});
+        })
+        .detach([](kj::Exception&& /*the timer does not fail*/) {});
   });
   m_thread.join();
 }
--- a/src/connection/kj_thread.h
+++ b/src/connection/kj_thread.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <thread>
 
+#include "base/time.h"
 #include "connection/kj_queue.h"
 
 namespace bramleyspoke {
@@ -22,8 +23,9 @@
   /// Runs `call` on the thread and waits until it returns. Must not be called
   /// on the thread itself.
   void Run(std::function<void()> call);
-  /// Runs `cleanup` on the thread, ends the loop and joins the thread.
-  void Stop(std::function<void()> cleanup);
+  /// Serves the loop for `delay`, then runs `cleanup` on the thread, ends the
+  /// loop and joins the thread.
+  void Stop(Duration delay, std::function<void()> cleanup);
 
   std::shared_ptr<KjQueue> Queue() const { return m_queue; }
   /// May be called only on the thread itself.
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -462,6 +462,29 @@
   }
 }
 
+// Guards against losing the answer to a peer that was made as the stop ended.
+TEST_CASE("a reply that was made before the peer stops reaches its call") {
+  constexpr int kCalls = 8;
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  std::vector<std::promise<ForwardOutcome>> outcomes(kCalls);
+  for (std::promise<ForwardOutcome>& outcome : outcomes) {
+    client->Network().Forward(server->Address(), "hold", kLongTimeout,
+                              [&outcome](ForwardOutcome result) {
+                                outcome.set_value(std::move(result));
+                              });
+  }
+  while (handler.held < kCalls) {
+    std::this_thread::yield();
+  }
+  handler.ReplyToHeld();
+  server->Stop();
+  for (std::promise<ForwardOutcome>& outcome : outcomes) {
+    CHECK(outcome.get_future().get().result == ForwardResult::kReplied);
+  }
+}
+
 TEST_CASE("a call in flight is reported as lost when the peer stops") {
   TestHandler handler;
   const auto server = MakePeers(handler);
