Answer every request before the end of the manifest daemon's planned stop

Cause: DaemonProcess ended its loop at the bound, whatever was in flight. Change: requests that arrive during the stop get a deadline before its end; at 95% of the time between the end of acceptance and the bound, what is left is answered with shutting_down and its verdict, and requests that arrived in part are refused. Ruled out elsewhere: a reload changes the log level only and ends no request; a leaf that is emptied refuses or hands over what waits (relay_leaving_test).

--- a/src/process/daemon.cc
+++ b/src/process/daemon.cc
@@ -36,6 +36,10 @@
 // Interval at which a planned stop checks for open connections and requests.
 constexpr std::chrono::milliseconds kStopCheckInterval{20};
 
+// Share of the time between the end of acceptance and the end of a planned stop
+// that is reserved for sending the last answers.
+constexpr double kSendingShare = 0.05;
+
 // Start time in milliseconds since the epoch, so that each process at an
 // address has a greater number than the one before.
 std::uint64_t MakeIncarnation() {
@@ -70,6 +74,12 @@
   return limits;
 }
 
+PlannedStopOptions MakeStopOptions(const StopSettings& settings) {
+  const auto sending = std::chrono::duration_cast<Duration>(
+      (settings.bound - settings.keep_serving) * kSendingShare);
+  return {settings.keep_serving, settings.bound - sending, settings.bound};
+}
+
 json::array MembersJson(const RoutingTable& table) {
   json::array members;
   for (const DaemonAddress& member : table.members) {
@@ -96,8 +106,7 @@
         m_front_loop(EventLoop::Create()),
         m_platform_loop(EventLoop::Create()),
         m_gateway(*m_front_loop),
-        m_stop(PlannedStopOptions{settings.stop.keep_serving,
-                                  settings.stop.bound, settings.stop.bound}) {}
+        m_stop(MakeStopOptions(settings.stop)) {}
 
   ~DaemonProcess() override {
     if (m_control) {
@@ -212,7 +221,7 @@
     }
     WriteLog(LogLevel::kInfo, "stop_begun", {});
     m_stop.Begin(m_clock.Now());
-    m_router->BeginLeaving();
+    m_router->BeginLeaving(m_stop.Schedule().answer_all_by);
     m_control->BeginLeaving();
     CheckStop();
   }
@@ -340,6 +349,10 @@
     if (step == StopStep::kFinishing && before != step) {
       m_server->BeginShutdown();
     }
+    if (step == StopStep::kSending && before != step) {
+      m_router->EndAll();
+      m_server->RefuseUnread();
+    }
     m_stop_timer = m_front_loop->At(m_clock.Now() + kStopCheckInterval,
                                     [this] { CheckStop(); });
   }
--- a/src/process/search_router.cc
+++ b/src/process/search_router.cc
@@ -62,6 +62,8 @@
   /// The forwarding daemon has decided that the request runs.
   bool is_run_decided_by_peer = false;
   bool is_running_here = false;
+  /// Another daemon has it, or has had it.
+  bool is_forwarded = false;
 };
 
 SearchRouter::SearchRouter(RouterContext context)
@@ -133,18 +135,29 @@
   if (found == m_table->services.end()) {
     return answer;
   }
-  const bool is_usable = !m_is_leaving && m_table->is_confirmed;
+  const bool is_usable = !m_answer_all_by && m_table->is_confirmed;
   for (const DaemonAddress& holder : found->second->holders) {
     if (is_usable || holder.peer != m_context.self.peer) {
       answer.entries.push_back(holder);
     }
   }
-  if (answer.entries.empty() && !m_is_leaving) {
+  if (answer.entries.empty() && !m_answer_all_by) {
     answer.entries.push_back(m_context.self);
   }
   return answer;
 }
 
+// The deadline of a request that began before the stop may be after its end.
+void SearchRouter::EndAll() {
+  const std::map<QueryNumber, PendingPtr> pending = m_pending;
+  for (const auto& [query, request] : pending) {
+    const bool may_have_run = request->is_running_here || request->is_forwarded;
+    Refuse(request, RefusalReason::kShuttingDown,
+           may_have_run ? Verdict::kMayHaveRun : request->verdict,
+           "the daemon stops");
+  }
+}
+
 void SearchRouter::SetTable(std::shared_ptr<const RoutingTable> table) {
   m_table = std::move(table);
   m_limits.SetCallers(m_table->callers);
@@ -196,6 +209,8 @@
   }
   pending.deadline =
       pending.start + search.time_left.value_or(spec.default_deadline);
+  pending.deadline =
+      std::min(pending.deadline, m_answer_all_by.value_or(pending.deadline));
   return m_limits.Admit(spec.service_class, search.caller);
 }
 
@@ -283,6 +298,7 @@
     return;
   }
   const Duration left = pending->deadline - m_context.clock.Now();
+  pending->is_forwarded = true;
   CallerSearch search = pending->search;
   search.time_left = WithoutResponseTransitTime(left);
   m_context.peers.Forward(
@@ -359,6 +375,7 @@
            "no holder of the service can be reached");
     return;
   }
+  pending->is_forwarded = true;
   const Endpoint holder = pending->holders.back().peer;
   pending->holders.pop_back();
   // Leaves time for a retry at another holder if this one hangs.
@@ -409,6 +426,7 @@
   const bool is_temporary = reason == RefusalReason::kNotReady ||
                             reason == RefusalReason::kOverloaded ||
                             reason == RefusalReason::kHolderUnreachable ||
+                            reason == RefusalReason::kShuttingDown ||
                             reason == RefusalReason::kDeadlinePassed;
   if (is_temporary) {
     refusal.retry_after = kRetryAfter;
--- a/src/process/search_router.h
+++ b/src/process/search_router.h
@@ -80,8 +80,13 @@
 
   void SetTable(std::shared_ptr<const RoutingTable> table);
   const RoutingTable& Table() const { return *m_table; }
-  /// Omits this daemon from address answers; requests are still served.
-  void BeginLeaving() { m_is_leaving = true; }
+  /// Omits this daemon from address answers. Requests are still served, with a
+  /// deadline of `answer_all_by` at the latest.
+  void BeginLeaving(TimePoint answer_all_by) {
+    m_answer_all_by = answer_all_by;
+  }
+  /// Ends all requests with what is known of them.
+  void EndAll();
   std::size_t InFlight() const { return m_limits.InFlight(); }
   std::size_t RememberedIds() const { return m_ids.size(); }
 
@@ -117,7 +122,8 @@
   // Requests that arrived while another one with their id runs, by id.
   std::map<std::string, std::vector<PendingPtr>> m_duplicates;
   QueryNumber m_last_query = 0;
-  bool m_is_leaving = false;
+  /// Set once a planned stop has begun.
+  std::optional<TimePoint> m_answer_all_by;
 };
 
 }  // namespace bramleyspoke
--- a/tests/search_router_test.cc
+++ b/tests/search_router_test.cc
@@ -305,7 +305,7 @@
   fixture.AddService(kLookup, true, {Daemon(1), Daemon(2)});
   SUBCASE("when it stops") {
     fixture.SetTable();
-    fixture.router.BeginLeaving();
+    fixture.router.BeginLeaving(fixture.clock.Now());
   }
   SUBCASE("when its generation is not confirmed") {
     fixture.table.is_confirmed = false;
@@ -316,6 +316,45 @@
   CHECK(answer.entries[0] == Daemon(2));
 }
 
+// Guards against closing requests in flight unanswered at a planned stop's end.
+TEST_CASE("a router that ends all requests says whether they may have run") {
+  RouterFixture fixture;
+  SUBCASE("a request that runs here") {
+    fixture.Search(kLookup);
+    REQUIRE(fixture.executor.runs.size() == 1);
+  }
+  SUBCASE("a request that another daemon has") {
+    fixture.AddService(kLookup, true, {Daemon(2)});
+    fixture.SetTable();
+    fixture.Search(kLookup);
+    REQUIRE(fixture.peers.calls.size() == 1);
+  }
+  SUBCASE("a resend of a request that runs here") {
+    const std::string id = MakeRequestId(Daemon(1), "x");
+    fixture.Search(kBooking, id);
+    fixture.Search(kBooking, id);
+  }
+  CHECK(fixture.replies.empty());
+  fixture.router.EndAll();
+  REQUIRE_FALSE(fixture.replies.empty());
+  for (const CallerReply& reply : fixture.replies) {
+    CHECK(reply.verdict == Verdict::kMayHaveRun);
+    CHECK(reply.reason == RefusalReason::kShuttingDown);
+  }
+  CHECK(fixture.router.InFlight() == 0);
+}
+
+TEST_CASE("a request in a planned stop has no time after the stop's end") {
+  RouterFixture fixture;
+  fixture.AddService(kLookup, true, {Daemon(2)});
+  fixture.SetTable();
+  constexpr std::chrono::milliseconds kLeft{100};
+  fixture.router.BeginLeaving(fixture.clock.Now() + kLeft);
+  fixture.Search(kLookup);
+  REQUIRE(fixture.peers.calls.size() == 1);
+  CHECK(fixture.peers.calls.front().timeout <= kLeft);
+}
+
 TEST_CASE("a disconnected caller cancels idempotent queries only") {
   RouterFixture fixture;
   fixture.router.OnCallerDisconnected(fixture.Search(kLookup));
