--- a/tests/store_entries_test.cc
+++ b/tests/store_entries_test.cc
@@ -76,6 +76,75 @@
   }
 }
 
+// Guards against an odd entry of another writer that ends a daemon, or that it
+// takes for a leaf with other figures.
+TEST_CASE("a registration that is no credible leaf's is rejected") {
+  const StoreEntries entries;
+  std::string name = "i-1";
+  std::string value = kLeaf;
+  const auto replace = [&](const std::string& from, const std::string& to) {
+    value = Replaced(kLeaf, from, to);
+  };
+  constexpr std::size_t kDepth = 100'000;
+  SUBCASE("nested deeply") {
+    value = std::string(kDepth, '[') + std::string(kDepth, ']');
+  }
+  SUBCASE("with a field that is nested deeply") {
+    replace("\"seq\":4",
+            "\"seq\":" + std::string(kDepth, '[') + std::string(kDepth, ']'));
+  }
+  SUBCASE("with objects nested deeply, without an end") {
+    for (std::size_t level = 0; level < kDepth; ++level) {
+      value += "{\"a\":";
+    }
+  }
+  SUBCASE("with a port out of range") {
+    replace(":80", ":65536");
+  }
+  SUBCASE("with a port of 0") {
+    replace(":80", ":0");
+  }
+  SUBCASE("with a negative port") {
+    replace(":80", ":-1");
+  }
+  SUBCASE("with a port over 64 bits") {
+    replace(":80", ":99999999999999999999999");
+  }
+  SUBCASE("with more slots than 32 bits hold") {
+    replace("\"slots\":2", "\"slots\":4294967296");
+  }
+  SUBCASE("with as many slots as 32 bits hold") {
+    replace("\"slots\":2", "\"slots\":4294967295");
+  }
+  SUBCASE("with more slots than 64 bits hold") {
+    replace("\"slots\":2", "\"slots\":99999999999999999999999");
+  }
+  SUBCASE("with a number beyond all doubles") {
+    replace("\"slots\":2", "\"slots\":1e999");
+  }
+  SUBCASE("with a time beyond all durations") {
+    replace("\"cold_remaining_ms\":0", "\"cold_remaining_ms\":1e300");
+  }
+  SUBCASE("with a negative time") {
+    replace("\"cold_remaining_ms\":0", "\"cold_remaining_ms\":-1");
+  }
+  SUBCASE("with a start time beyond 64 bits") {
+    replace("\"born\":17", "\"born\":1e300");
+  }
+  SUBCASE("of bytes that are no text") {
+    value = std::string("\x00\xff\xfe{", 4);
+  }
+  SUBCASE("of text that is no UTF-8") {
+    replace("\"z\"", "\"\xc3\x28\"");
+  }
+  SUBCASE("of nothing") {
+    value = "";
+  }
+  const auto read = Check([&] { return entries.ReadLeaf(name, value); });
+  CHECK_FALSE(read.value);
+  CHECK_FALSE(ToString(read.problems).empty());
+}
+
 TEST_CASE("routes are read with their targets") {
   const StoreEntries entries;
   const auto table = entries.ReadRoutes(kRoutes).value();
