--- a/tests/store_entries_test.cc
+++ b/tests/store_entries_test.cc
@@ -131,6 +131,15 @@
   SUBCASE("with a start time beyond 64 bits") {
     replace("\"born\":17", "\"born\":1e300");
   }
+  SUBCASE("under an id that would add a header to requests") {
+    name = "i-1\r\nRequest-Id: other";
+  }
+  SUBCASE("under an id with a space") {
+    name = "i 1";
+  }
+  SUBCASE("under no id") {
+    name = "";
+  }
   SUBCASE("of bytes that are no text") {
     value = std::string("\x00\xff\xfe{", 4);
   }
