--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -51,6 +51,21 @@
   std::unique_ptr<HttpServer> m_server;
 };
 
+/// Answers all calls with one page.
+class PageHandler final : public HttpHandler {
+ public:
+  explicit PageHandler(std::string page) : m_page(std::move(page)) {}
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    HttpResponse response;
+    response.body = m_page;
+    exchange->Respond(std::move(response));
+  }
+
+ private:
+  std::string m_page;
+};
+
 struct EraCalls {
   std::vector<KeyValueStatus> statuses;
   /// Era after each change, and the number of calls that had ended before it.
@@ -228,4 +243,36 @@
   });
 }
 
+// Guards against a key of another writer that hides all others.
+TEST_CASE("a page is read past a key that is no UTF-8") {
+  LoopRunner server_loop;
+  PageHandler handler(R"({"at_revision":7,"has_more":false,"items":[)"
+                      "{\"key\":\"servers/\xc3\x28\",\"value\":\"YQ==\"},"
+                      R"({"key":"servers/i-1","value":"YQ=="}]})");
+  auto server = server_loop.Run([&] {
+    return HttpServer::Create(server_loop.Loop(), {"127.0.0.1", 0},
+                              HttpServerLimits(), handler)
+        .value();
+  });
+  LoopRunner runner;
+  auto client = runner.Run([&] {
+    return Platform::StoreClient::Create(runner.Loop(), server->Address());
+  });
+  const auto page =
+      runner.Await<KeyValuePage>([&](std::function<void(KeyValuePage)> done) {
+        client->Range("", "", ReadAge::kCurrent, std::move(done));
+      });
+  CHECK(page.status == KeyValueStatus::kOk);
+  REQUIRE(page.items.size() == 2);
+  CHECK(page.items.back().key == "servers/i-1");
+  runner.Run([&] {
+    client.reset();
+    return true;
+  });
+  server_loop.Run([&] {
+    server.reset();
+    return true;
+  });
+}
+
 }  // namespace bramleyspoke
