Move the planned stop of a relaying daemon to a class of its own

Measured: relay_stop_test, process_relay_stop_test, process_relay_test and planned_stop_test pass as before (24 cases).

--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -15,7 +15,6 @@
 #include "process/log.h"
 #include "process/peer_followed_store.h"
 #include "process/peer_watches.h"
-#include "process/planned_stop.h"
 #include "process/relay_control.h"
 #include "process/relay_dump.h"
 #include "process/relay_front.h"
@@ -23,13 +22,12 @@
 #include "process/relay_log.h"
 #include "process/relay_metrics.h"
 #include "process/relay_peer_handler.h"
+#include "process/relay_stop.h"
 #include "process/stop_signal.h"
 
 namespace bramleyspoke {
 namespace {
 
-// Interval at which a planned stop checks for remaining work.
-constexpr std::chrono::milliseconds kStopCheckInterval{50};
 // Lower bound of the time limit for a client to send a whole request.
 constexpr std::chrono::seconds kMinRequestTimeout{10};
 // A daemon that is not registered by then is taken for one without a store.
@@ -64,7 +62,6 @@
         m_loop(EventLoop::Create()),
         m_control_loop(EventLoop::Create()),
         m_metrics(RelayMetrics::Create()),
-        m_stop(PlannedStopOptions::Within(settings.stop_bound)),
         m_holders(OwnEntry(settings)),
         m_contact_notifier(*m_loop, [this](bool is_cut_off) {
           m_control_loop->Post(
@@ -95,6 +92,8 @@
     BOOST_LEAF_ASSIGN(m_callers,
                       HttpServer::Create(*m_loop, m_settings.caller_listen,
                                          HttpServerLimits{}, *m_front));
+    m_stop = std::make_unique<RelayStop>(*m_loop, m_settings.stop_bound,
+                                         *m_callers, *m_front);
     BOOST_LEAF_CHECK(Listen(m_settings.readiness_listen));
     BOOST_LEAF_CHECK(Listen(m_settings.address_listen));
     if (m_settings.operator_listen) {
@@ -134,8 +133,7 @@
               Field("callers", ToString(m_settings.caller_listen)),
               Field("region", m_settings.region)});
     m_loop->Run();
-    WriteStopLine("stopped");
-    return !m_stop.HasInterruptedRequests();
+    return m_stop->ReportEnd();
   }
 
   // RelayControlListener, on the control loop.
@@ -351,14 +349,14 @@
   }
 
   bool IsReady() const {
-    return m_front->Table() != nullptr && m_has_leafs && !m_stop.IsStopping();
+    return m_front->Table() != nullptr && m_has_leafs && !m_stop->IsStopping();
   }
 
   std::vector<Endpoint> AddressesFor(const std::string& region) const {
     return m_holders.AddressesFor(
         region, HolderCount(), m_front->Engine().Leafs().ServingRegions(),
-        {m_contact_notifier.IsCutOff(), m_stop.IsStopping(),
-         m_stop.AcceptsRequests(), IsReady()});
+        {m_contact_notifier.IsCutOff(), m_stop->IsStopping(),
+         m_stop->AcceptsRequests(), IsReady()});
   }
 
   HttpResponse MakeOperatorAnswer(std::string_view target) {
@@ -391,7 +389,7 @@
         m_front->RoutesUnconfirmed(std::chrono::steady_clock::now())
             .value_or(Duration::zero());
     observation.is_ready = IsReady();
-    observation.is_stopping = m_stop.IsStopping();
+    observation.is_stopping = m_stop->IsStopping();
     observation.is_holder = m_front->IsHolder();
     observation.contact = m_front->Engine().Contact();
     observation.by_state = m_front->Engine().Leafs().CountByState(
@@ -413,53 +411,14 @@
   }
 
   void BeginStop() {
-    if (m_stop.IsStopping()) {
+    if (m_stop->IsStopping()) {
       return;
     }
-    m_stop.Begin(std::chrono::steady_clock::now());
-    WriteStopLine("stop_begun");
-    m_front->BeginStop(m_stop.Schedule());
-    m_callers->EndKeepAlive();
+    m_stop->Begin();
     m_control_loop->Post([this] {
       m_control->BeginLeaving();
       m_peer_watches->BeginLeaving();
     });
-    CheckStop();
-  }
-
-  // Requests that were only read, held or half answered are in the difference
-  // between the connections and the requests.
-  void WriteStopLine(std::string_view event) {
-    const RequestStages stages = m_front->Engine().Stages();
-    WriteLog(
-        LogLevel::kInfo, event,
-        {Field("connections", m_callers->ConnectionCount()),
-         Field("in_flight", m_front->InFlight()),
-         Field("waiting", stages.waiting), Field("at_leafs", stages.at_leafs),
-         Field("at_peers", stages.at_peers),
-         Field("cut_off", m_stop.HasInterruptedRequests())});
-  }
-
-  void CheckStop() {
-    const TimePoint now = std::chrono::steady_clock::now();
-    const std::size_t left = m_callers->ConnectionCount() + m_front->InFlight();
-    const StopStep before = m_stop.Step();
-    const StopStep step = m_stop.Update(left, now);
-    if (step == StopStep::kDone) {
-      m_loop->Stop();
-      return;
-    }
-    if (step == StopStep::kFinishing && before != step) {
-      WriteStopLine("stop_finishing");
-      m_callers->BeginShutdown();
-    }
-    if (step == StopStep::kSending && before != step) {
-      WriteStopLine("stop_sending");
-      m_front->RefuseHeld();
-      m_callers->RefuseUnread();
-    }
-    m_stop_timer =
-        m_loop->At(now + Duration(kStopCheckInterval), [this] { CheckStop(); });
   }
 
   const RelaySettings m_settings;
@@ -473,8 +432,8 @@
   std::unique_ptr<RelayFront> m_front;
   std::unique_ptr<CrashReports> m_reports;
   RelayLog m_log;
-  PlannedStop m_stop;
   std::unique_ptr<HttpServer> m_callers;
+  std::unique_ptr<RelayStop> m_stop;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   std::unique_ptr<PeerWatches> m_peer_watches;
   std::unique_ptr<PeerFollowedStore> m_store;
@@ -489,7 +448,6 @@
   std::unique_ptr<StopSignal> m_stop_signal;
   std::unique_ptr<ReloadSignal> m_reload_signal;
   std::unique_ptr<Timer> m_registration_timer;
-  std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<Timer> m_stale_timer;
 };
 
