Soak planned stops under callers that keep their connections

Change: process_relay_stop_soak_test: three daemons in two regions, stopped alone and in pairs; leafs that are slow or refuse what their slots can't take; 24 callers that keep connections until they close; requests that may run once, idempotent ones and fan-outs. The stand-in's leaf has slots and a duration of work.

--- /dev/null
+++ b/tests/process_relay_stop_soak_test.cc
@@ -0,0 +1,312 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <csignal>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fleet.h"
+#include "fleet_network.h"
+#include "relay_platform.h"
+#include "relay_process.h"
+#include "soak_seed.h"
+
+namespace bramleyspoke {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Harness::WaitUntil;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using tcp = asio::ip::tcp;
+
+constexpr std::uint64_t kDefaultSeed = 5001;
+constexpr seconds kEventTimeout{30};
+constexpr seconds kLength{20};
+constexpr milliseconds kStopBound{1500};
+// A process that has not ended by then would be killed by the platform.
+constexpr milliseconds kExitSlack{300};
+constexpr std::size_t kDaemons = 3;
+constexpr std::size_t kCallers = 24;
+constexpr milliseconds kCallerDeadline{5000};
+// Time after which a request has surely been read.
+constexpr milliseconds kReadTime{500};
+
+const std::vector<std::string> kPaths{"/any/", "/once/", "/all/"};
+
+std::string Route(const std::string& path,
+                  const std::string& kind,
+                  const std::string& target) {
+  return R"({"name":")" + path + R"(","host":"h","prefix":")" + path +
+         R"(","route_kind":")" + kind +
+         R"(","timeout_ms":8000,"target_latency_ms":400,"max_attempts":2,)" +
+         target + "}";
+}
+
+std::string Service(const std::string& name) {
+  return R"({"name":")" + name +
+         R"(","health_path":"/health","connection_limit":60,"protocol":"h1",)"
+         R"("tls":false})";
+}
+
+std::string Routes() {
+  const std::string fan_out =
+      R"("result_limit":5,"min_shard_ratio":0.5,"fanout_services":["s","t"])";
+  return R"({"version":3,"routes":[)" +
+         Route("/any/", "idempotent", R"("service":"s")") + "," +
+         Route("/once/", "non_idempotent", R"("service":"s")") + "," +
+         Route("/all/", "idempotent", fan_out) + R"(],"services":[)" +
+         Service("s") + "," + Service("t") +
+         R"(],"limits":{"header_bytes":16384,"body_bytes":262144,)"
+         R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+}
+
+struct SentRequest {
+  std::string id;
+  std::string path;
+  /// 0 without an answer.
+  int status = 0;
+  Duration taken{0};
+};
+
+/// A caller's connection, kept for several requests.
+class CallerConnection {
+ public:
+  explicit CallerConnection(const Endpoint& daemon) : m_socket(m_context) {
+    boost::system::error_code error;
+    m_socket.connect({asio::ip::make_address(daemon.host), daemon.port}, error);
+    m_is_open = !error;
+  }
+
+  bool IsOpen() const { return m_is_open; }
+  /// Empty if the request could not be sent.
+  std::optional<SentRequest> Send(const std::string& id,
+                                  const std::string& path) {
+    http::request<http::string_body> request(http::verb::post, path, 11);
+    request.set(http::field::host, "h");
+    request.set("Request-Id", id);
+    request.set("Deadline-Milliseconds",
+                std::to_string(kCallerDeadline.count()));
+    request.body() = id;
+    request.prepare_payload();
+    beast::error_code error;
+    http::write(m_socket, request, error);
+    if (error) {
+      m_is_open = false;
+      return std::nullopt;
+    }
+    SentRequest sent{id, path};
+    const TimePoint begin = std::chrono::steady_clock::now();
+    http::response<http::string_body> response;
+    http::read(m_socket, m_buffer, response, error);
+    sent.taken = std::chrono::steady_clock::now() - begin;
+    m_is_open = !error && response.keep_alive();
+    sent.status = error ? 0 : static_cast<int>(response.result_int());
+    return sent;
+  }
+
+ private:
+  asio::io_context m_context;
+  tcp::socket m_socket;
+  beast::flat_buffer m_buffer;
+  bool m_is_open = false;
+};
+
+/// Daemons in two regions that are stopped and started in turn and at the same
+/// time, under the load of callers that keep their connections.
+class StopSoak {
+ public:
+  explicit StopSoak(std::uint64_t seed) : m_seed(seed), m_random(seed) {
+    m_store.Put("op/config", Routes());
+    for (std::size_t leaf = 0; leaf < m_leafs.size(); ++leaf) {
+      m_leafs[leaf]->WorkFor(milliseconds(20 + 20 * Random(30)));
+      m_leafs[leaf]->LimitSlots(3 + Random(4));
+      m_store.Put("servers/" + std::to_string(leaf),
+                  m_leafs[leaf]->Entry(leaf < 2 ? "s" : "t"));
+    }
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      m_relays.push_back(std::make_unique<RelayProcess>(
+          m_network->Caller(daemon).host, m_store.Address(), "",
+          daemon == 2 ? DaemonLocation{"y", "far"} : DaemonLocation(),
+          kStopBound));
+    }
+    for (const auto& relay : m_relays) {
+      REQUIRE(WaitUntil([&] { return IsReady(*relay); }, kEventTimeout));
+    }
+  }
+
+  void Run() {
+    std::vector<std::thread> callers;
+    for (std::size_t caller = 0; caller < kCallers; ++caller) {
+      callers.emplace_back([this, caller] { SendRequests(caller); });
+    }
+    const TimePoint end = std::chrono::steady_clock::now() + Duration(kLength);
+    while (std::chrono::steady_clock::now() < end) {
+      StopSome();
+    }
+    m_is_over = true;
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    CountRuns();
+  }
+
+  /// Requests that were read and got no answer.
+  int Lost() const {
+    return Count([this](const SentRequest& request) {
+      const bool is_read =
+          m_arrivals.contains(request.id) || request.taken > kReadTime;
+      return request.status == 0 && is_read;
+    });
+  }
+  /// Requests that were refused as not run, and ran.
+  int FalselyRefused() const {
+    return Count([this](const SentRequest& request) {
+      return request.status == 503 && request.path == "/once/" &&
+             m_runs.contains(request.id);
+    });
+  }
+  /// Requests that may run once and ran more often.
+  int RunTwice() const {
+    return Count([this](const SentRequest& request) {
+      const auto runs = m_runs.find(request.id);
+      return request.path == "/once/" && runs != m_runs.end() &&
+             runs->second > 1;
+    });
+  }
+  int Served() const {
+    return Count(
+        [](const SentRequest& request) { return request.status == 200; });
+  }
+  int Sent() const { return static_cast<int>(m_sent.size()); }
+  int Stops() const { return m_stops; }
+  /// Daemons that did not end in time.
+  int LateExits() const { return m_late_exits; }
+
+ private:
+  static bool IsReady(const RelayProcess& relay) {
+    return relay.Send("ready", "/any/").status == 200;
+  }
+  std::size_t Random(std::size_t bound) {
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+  }
+  template <typename Predicate>
+  int Count(Predicate predicate) const {
+    return static_cast<int>(
+        std::count_if(m_sent.begin(), m_sent.end(), predicate));
+  }
+
+  // One daemon, or two of them at the same time or one shortly after the other.
+  void StopSome() {
+    const std::size_t first = Random(kDaemons);
+    const std::size_t count = 1 + Random(2);
+    std::vector<std::size_t> stopped;
+    for (std::size_t i = 0; i < count; ++i) {
+      stopped.push_back((first + i) % kDaemons);
+      m_relays[stopped.back()]->Signal(SIGTERM);
+      std::this_thread::sleep_for(milliseconds(100 * Random(5)));
+    }
+    for (const std::size_t daemon : stopped) {
+      ++m_stops;
+      m_late_exits +=
+          m_relays[daemon]->WaitForEnd(kStopBound + kExitSlack) ? 0 : 1;
+      m_relays[daemon]->Restart();
+    }
+    std::this_thread::sleep_for(milliseconds(100 * (3 + Random(8))));
+  }
+
+  void SendRequests(std::size_t caller) {
+    std::mt19937_64 random(m_seed * kCallers + caller);
+    std::unique_ptr<CallerConnection> connection;
+    std::vector<SentRequest> sent;
+    for (int number = 0; !m_is_over; ++number) {
+      if (!connection || !connection->IsOpen() || random() % 4 == 0) {
+        connection = std::make_unique<CallerConnection>(
+            m_relays[random() % kDaemons]->Callers());
+      }
+      const std::string id =
+          "c" + std::to_string(caller) + "-" + std::to_string(number);
+      if (connection->IsOpen()) {
+        const auto request =
+            connection->Send(id, kPaths[random() % kPaths.size()]);
+        if (request) {
+          sent.push_back(*request);
+        }
+      }
+      std::this_thread::sleep_for(milliseconds(random() % 60));
+    }
+    const std::lock_guard lock(m_mutex);
+    m_sent.insert(m_sent.end(), sent.begin(), sent.end());
+  }
+
+  void CountRuns() {
+    for (const auto& leaf : m_leafs) {
+      for (const LeafArrival& arrival : leaf->Arrivals()) {
+        ++m_arrivals[arrival.body];
+        if (!arrival.is_refused) {
+          ++m_runs[arrival.body];
+        }
+      }
+    }
+  }
+
+  static std::vector<std::unique_ptr<FakePlatformLeaf>> MakeLeafs() {
+    std::vector<std::unique_ptr<FakePlatformLeaf>> leafs;
+    for (const char* id : {"0", "1", "2", "3"}) {
+      leafs.push_back(std::make_unique<FakePlatformLeaf>(id));
+    }
+    return leafs;
+  }
+
+  const std::uint64_t m_seed;
+  std::mt19937_64 m_random;
+  std::unique_ptr<Harness::FleetNetwork> m_network =
+      Harness::FleetNetwork::Create().value();
+  FakePlatformStore m_store;
+  std::vector<std::unique_ptr<FakePlatformLeaf>> m_leafs = MakeLeafs();
+  std::vector<std::unique_ptr<RelayProcess>> m_relays;
+  std::atomic<bool> m_is_over = false;
+  std::mutex m_mutex;
+  std::vector<SentRequest> m_sent;
+  std::map<std::string, int> m_arrivals;
+  std::map<std::string, int> m_runs;
+  int m_stops = 0;
+  int m_late_exits = 0;
+};
+
+}  // namespace
+
+// Guards against requests that end without an answer around planned stops.
+TEST_CASE("no request that was read is left unanswered by planned stops") {
+  const std::uint64_t seed = SoakSeed(kDefaultSeed);
+  StopSoak soak(seed);
+  soak.Run();
+  CAPTURE(seed);
+  CHECK(soak.Lost() == 0);
+  CHECK(soak.FalselyRefused() == 0);
+  CHECK(soak.RunTwice() == 0);
+  CHECK(soak.LateExits() == 0);
+  CHECK(soak.Served() > 100);
+  MESSAGE("seed " << seed << ": " << soak.Stops() << " stops, " << soak.Sent()
+                  << " requests, " << soak.Served() << " served, "
+                  << soak.Lost() << " lost");
+}
+
+}  // namespace bramleyspoke
--- a/tests/process_relay_stop_test.cc
+++ b/tests/process_relay_stop_test.cc
@@ -82,7 +82,7 @@
 TEST_CASE("a stopped relay answers the requests that no leaf has run") {
   constexpr std::size_t kRequests = 80;
   StoppedRelay stopped;
-  stopped.leaf.RefuseAll();
+  stopped.leaf.LimitSlots(0);
   stopped.Send(kRequests);
   REQUIRE(WaitUntil([&] { return stopped.leaf.Arrivals().size() > kRequests; },
                     kEventTimeout));
--- a/tests/relay_platform.cc
+++ b/tests/relay_platform.cc
@@ -273,14 +273,24 @@
     return;
   }
   const bool is_paused = Now() < m_paused_until;
+  const bool is_full = m_working >= m_slots;
   m_arrivals.push_back(
       {Now(), request.body, m_started_at_ms, m_is_leaving, m_request_rate,
-       is_paused ? std::optional(m_paused_until) : std::nullopt});
+       is_paused ? std::optional(m_paused_until) : std::nullopt, is_full});
+  if (is_full) {
+    HttpResponse refusal = MakeAnswer(request);
+    refusal.status = 503;
+    refusal.headers.push_back({std::string(Platform::kNotRun), "1"});
+    exchange->Respond(std::move(refusal));
+    return;
+  }
   if (m_work == Duration::zero()) {
     exchange->Respond(MakeAnswer(request));
     return;
   }
+  ++m_working;
   m_answer_timers.push_back(m_loop->At(Now() + m_work, [this, exchange] {
+    --m_working;
     exchange->Respond(MakeAnswer(exchange->Request()));
   }));
 }
@@ -298,10 +308,6 @@
   if (m_is_leaving) {
     response.headers.push_back({std::string(Platform::kLeaving), "1"});
   }
-  if (m_is_full) {
-    response.status = 503;
-    response.headers.push_back({std::string(Platform::kNotRun), "1"});
-  }
   if (Now() < m_paused_until) {
     const std::chrono::duration<double> left = m_paused_until - Now();
     response.status = 503;
@@ -328,8 +334,8 @@
   RunOn(*m_loop, [&] { m_work = work; });
 }
 
-void FakePlatformLeaf::RefuseAll() {
-  RunOn(*m_loop, [&] { m_is_full = true; });
+void FakePlatformLeaf::LimitSlots(std::size_t slots) {
+  RunOn(*m_loop, [&] { m_slots = slots; });
 }
 
 void FakePlatformLeaf::StartNewRun() {
--- a/tests/relay_platform.h
+++ b/tests/relay_platform.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -85,6 +86,8 @@
   std::optional<double> request_rate;
   /// Set if the request was refused with a pause.
   std::optional<TimePoint> paused_until;
+  /// The leaf was full and did not run the request.
+  bool is_refused = false;
 };
 
 /// Leaf that answers each request with the body `answer`, and crashes when it
@@ -119,8 +122,8 @@
   void AskForPause(Duration pause);
   /// Answers each request from now on after this time.
   void WorkFor(Duration work);
-  /// Refuses all requests from now on, as a leaf that is full.
-  void RefuseAll();
+  /// Runs at most this many requests at a time from now on, and refuses others.
+  void LimitSlots(std::size_t slots);
   /// Begins a new run, which announces nothing.
   void StartNewRun();
   /// All requests so far, in order.
@@ -146,7 +149,8 @@
   TimePoint m_paused_until;
   std::vector<LeafArrival> m_arrivals;
   Duration m_work{0};
-  bool m_is_full = false;
+  std::size_t m_slots = std::numeric_limits<std::size_t>::max();
+  std::size_t m_working = 0;
   std::vector<std::unique_ptr<Timer>> m_answer_timers;
   Duration m_restart_delay{0};
   std::function<void()> m_on_start;
