Give silent connections longer as long as closing them does not help

Cause: a daemon that has just started expects 20 ms of a request. When two leafs have been silent for half a second, open connections are taken for silent and overdue attempts are given up; the leafs drop the work. Only answers correct the estimate, and there are none, so the same happens to the next attempts, for good. Change: the time of silence doubles with each close after which no leaf has answered, up to 16 s, and is half a second again after an answer. The first close comes as early as before, so silent links are found as fast. Test: "a daemon that has just started serves requests that take long" (1.25 s and 3 s), before: "CHECK( served_late > 0 ) is NOT correct! values: CHECK( 0 > 0 )" for both.

--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -74,7 +74,7 @@
     return;
   }
   m_actions.close_unused_before = m_silent_connections.Since();
-  m_silent_connections.Clear();
+  m_silent_connections.OnClosed();
   ReleaseSilentAttempts();
 }
 
--- a/src/request/silent_connections.cc
+++ b/src/request/silent_connections.cc
@@ -7,6 +7,7 @@
 void SilentConnections::OnAnswered(TimePoint now) {
   Clear();
   m_answered_at = now;
+  m_min_silence = kMinSilence;
 }
 
 void SilentConnections::OnSilent(const Endpoint& leaf, TimePoint sent_at) {
@@ -18,7 +19,14 @@
 }
 
 bool SilentConnections::IsSuspected(TimePoint now) const {
-  return m_leafs.size() >= kMinLeafs && now - *m_since >= kMinSilence;
+  return m_leafs.size() >= kMinLeafs && now - *m_since >= m_min_silence;
+}
+
+// If new connections are silent as well, the work at the leafs may take longer
+// than this daemon has seen so far: it must not be given up again and again.
+void SilentConnections::OnClosed() {
+  Clear();
+  m_min_silence = std::min(2 * m_min_silence, kMaxMinSilence);
 }
 
 void SilentConnections::Clear() {
--- a/src/request/silent_connections.h
+++ b/src/request/silent_connections.h
@@ -20,6 +20,8 @@
   static constexpr std::size_t kMinLeafs = 2;
   /// How long they must have been silent: longer than leafs usually stall.
   static constexpr Duration kMinSilence = std::chrono::milliseconds(500);
+  /// Maximum of that time, which doubles as long as closing does not help.
+  static constexpr Duration kMaxMinSilence = std::chrono::seconds(16);
 
   void OnAnswered(TimePoint now);
   /// Records that a leaf owes the answer to an attempt that was sent at
@@ -30,12 +32,15 @@
   /// not suspect.
   TimePoint Since() const { return m_since.value_or(TimePoint()); }
   /// Begins anew, after the suspect connections were closed.
-  void Clear();
+  void OnClosed();
 
  private:
+  void Clear();
+
   std::set<Endpoint> m_leafs;
   std::optional<TimePoint> m_since;
   std::optional<TimePoint> m_answered_at;
+  Duration m_min_silence = kMinSilence;
 };
 
 }  // namespace bramleyspoke
--- a/tests/silent_connections_test.cc
+++ b/tests/silent_connections_test.cc
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <utility>
+#include <vector>
+
 #include "relay_fixture.h"
 
 namespace bramleyspoke {
@@ -32,6 +36,76 @@
   }
 }
 
+TEST_CASE("connections that are silent after a close are given longer") {
+  TimePoint now{std::chrono::hours(1)};
+  SilentConnections connections;
+  const auto is_suspected_after = [&](Duration silence) {
+    connections.OnSilent(kLeafA, now);
+    connections.OnSilent(kLeafB, now);
+    return connections.IsSuspected(now + silence);
+  };
+  REQUIRE(is_suspected_after(milliseconds(500)));
+  connections.OnClosed();
+  now += seconds(1);
+  CHECK_FALSE(is_suspected_after(milliseconds(999)));
+  CHECK(is_suspected_after(milliseconds(1000)));
+  SUBCASE("until a leaf answers") {
+    connections.OnAnswered(now);
+    now += seconds(1);
+    CHECK(is_suspected_after(milliseconds(500)));
+  }
+  SUBCASE("up to a maximum") {
+    for (int close = 0; close < 20; ++close) {
+      connections.OnClosed();
+    }
+    now += seconds(1);
+    CHECK(is_suspected_after(SilentConnections::kMaxMinSilence));
+  }
+}
+
+// Guards against requests that take long and are given up as lost for good.
+TEST_CASE("a daemon that has just started serves requests that take long") {
+  milliseconds work{1250};
+  SUBCASE("1.25 s") {}
+  SUBCASE("3 s") {
+    work = seconds(3);
+  }
+  RelayFixture relay({0.2, 10});
+  relay.time_left = seconds(15);
+  for (const char* leaf : {"a", "b", "c", "d", "e"}) {
+    relay.AddLeaf("s0", leaf);
+  }
+  std::map<RelayAttemptNumber, TimePoint> begun;
+  int served_late = 0;
+  const TimePoint start = relay.now;
+  for (int step = 0; step < 1500; ++step) {
+    if (step % 150 == 0 && step < 1000) {
+      for (int request = 0; request < 5; ++request) {
+        relay.Submit(0, RequestKind::kIdempotent, 3);
+      }
+    }
+    relay.Advance(milliseconds(10));
+    for (const RelayAttemptNumber number :
+         std::exchange(relay.cancellations, {})) {
+      std::erase_if(relay.sends, [&](const RelayAttempt& attempt) {
+        return attempt.number == number;
+      });
+    }
+    for (const RelayAttempt& attempt : std::vector(relay.sends)) {
+      const TimePoint sent_at =
+          begun.try_emplace(attempt.number, relay.now).first->second;
+      if (relay.now - sent_at >= work) {
+        std::erase_if(relay.sends, [&](const RelayAttempt& other) {
+          return other.number == attempt.number;
+        });
+        served_late += relay.now - start > seconds(8) ? 1 : 0;
+        relay.ReplyTo(attempt, LeafReplyKind::kSucceeded);
+      }
+    }
+  }
+  CHECK(served_late > 0);
+}
+
 TEST_CASE("requests do not wait on silent connections one after the other") {
   RelayFixture relay;
   for (const char* leaf : {"a", "b", "c"}) {
