Take no bytes behind an answer for the next request's answer

Cause: a faulty leaf sends a 400 without an id behind a complete answer. The bytes stayed in the connection's read buffer, the connection was used again, and since a leaf may omit the id in a 400 or 421, they counted as the next request's answer: "not executed". Ruled out: that the check for unrequested input before a request sees them (it looks at the socket, not at the buffer). Change: a connection is closed after an answer that more bytes follow. On a connection that has carried an answer, a 400 or 421 without an id belongs to no request, as the bytes may still be on their way when the next request is sent; the true answer is then found by its id. On a new connection it counts as before. The rows of "an answer is matched to its request by the request id" for a used connection are new; the matcher had no such argument before.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -120,6 +120,7 @@
   std::string host;
   bool is_open = false;
   bool is_writing = false;
+  ConnectionUse use = ConnectionUse::kFirst;
   /// Responses that were read in this call and are not the awaited one.
   int skipped_interim = 0;
   int skipped_others = 0;
@@ -157,7 +158,7 @@
 
 bool IsAwaited(const ConnectionState& state, const HttpResponse& response) {
   return response.status >= kFirstFinalStatus &&
-         (!state.matches || state.matches(response));
+         (!state.matches || state.matches(response, state.use));
 }
 
 void SkipResponse(const std::shared_ptr<ConnectionState>& state,
@@ -172,10 +173,11 @@
 }
 
 // The connection is closed after a response that arrived before the request was
-// completely written, or that followed a response to another request: later
-// responses could be matched to the wrong request.
+// completely written, that followed a response to another request, or that more
+// bytes follow: later responses could be matched to the wrong request.
 void OnResponse(const std::shared_ptr<ConnectionState>& state) {
-  const bool is_in_sync = !state->is_writing && state->skipped_others == 0;
+  const bool is_in_sync = !state->is_writing && state->skipped_others == 0 &&
+                          state->buffer.size() == 0;
   const bool keep_alive = state->parser->keep_alive() && is_in_sync;
   HttpOutcome outcome{ConvertResponse(state->parser->release()), {}};
   outcome.round_trip = RoundTripOf(state->stream.socket().native_handle());
@@ -184,6 +186,7 @@
     SkipResponse(state, *outcome.response);
     return;
   }
+  state->use = ConnectionUse::kReused;
   state->stream.expires_never();
   if (keep_alive) {
     CloseOnInput(state);
--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -56,8 +56,16 @@
   std::shared_ptr<ByteBudget> budget;
 };
 
+/// Whether a connection has carried an earlier request, to whose response later
+/// bytes may belong.
+enum class ConnectionUse {
+  kFirst,
+  kReused,
+};
+
 /// Whether a response belongs to the current request.
-using HttpResponseMatcher = std::function<bool(const HttpResponse&)>;
+using HttpResponseMatcher =
+    std::function<bool(const HttpResponse&, ConnectionUse)>;
 
 /// One client connection, which carries one request at a time; used on the
 /// loop's thread only.
--- a/src/connection/relay_protocol.h
+++ b/src/connection/relay_protocol.h
@@ -36,7 +36,8 @@
   virtual void SetTimeLeft(HttpRequest& request, Duration time_left) const = 0;
   /// Whether a leaf's response belongs to this request.
   virtual bool IsResponseTo(const std::string& request_id,
-                            const HttpResponse& response) const = 0;
+                            const HttpResponse& response,
+                            ConnectionUse use) const = 0;
   virtual LeafReply ReadReply(HttpOutcome outcome) const = 0;
 
   /// The response to the caller, from a leaf's response.
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -283,9 +283,9 @@
   call.leaf = send.address;
   call.request = std::move(request);
   call.deadline = send.deadline;
-  call.matches = [this,
-                  id = found->second.request_id](const HttpResponse& response) {
-    return m_protocol.IsResponseTo(id, response);
+  call.matches = [this, id = found->second.request_id](
+                     const HttpResponse& response, ConnectionUse use) {
+    return m_protocol.IsResponseTo(id, response, use);
   };
   call.may_send = [this, number] { return m_engine.MaySend(number, Now()); };
   call.before_send = [this, until = send.leaf_deadline](HttpRequest& request) {
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -80,7 +80,7 @@
           connection->LimitResponses(limits);
           connection->SendMatching(
               {"GET", "/", {}, ""}, deadline,
-              [](const HttpResponse& response) {
+              [](const HttpResponse& response, ConnectionUse) {
                 return HeaderValue(response.headers, "Request-Id") != "other";
               },
               done);
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -153,14 +153,22 @@
 
 TEST_CASE("an answer is matched to its request by the request id") {
   const PlatformProtocol protocol;
+  ConnectionUse use = ConnectionUse::kFirst;
   const auto belongs = [&](int status, std::vector<HttpHeader> headers) {
-    return protocol.IsResponseTo("id",
-                                 *Answer(status, std::move(headers)).response);
+    return protocol.IsResponseTo(
+        "id", *Answer(status, std::move(headers)).response, use);
   };
   CHECK(belongs(200, {{"Request-Id", "id"}}));
   CHECK_FALSE(belongs(200, {{"Request-Id", "other"}}));
   CHECK_FALSE(belongs(200, {{"Response-Stamp", "s"}}));
   CHECK(belongs(421, {}));
+  CHECK(belongs(400, {}));
+  // Guards against stray bytes behind an earlier answer that are taken as proof
+  // that a request has not run.
+  use = ConnectionUse::kReused;
+  CHECK_FALSE(belongs(421, {}));
+  CHECK_FALSE(belongs(400, {}));
+  CHECK(belongs(421, {{"Request-Id", "id"}}));
 }
 
 TEST_CASE(
