Let peers cancel the queries of callers that have left

Cause: with the library's version that the deploy file installs, the server completes a call that its client cancels unless the call allows the cancellation; queryShards() did not. Change: queryShards() allows it once its parameters are read.

--- a/src/connection/peer_service.cc
+++ b/src/connection/peer_service.cc
@@ -131,6 +131,7 @@
 kj::Promise<void> PeerService::queryShards(QueryShardsContext context) {
   ShardQuery query = ReadShardQuery(context.getParams().getQuery());
   context.releaseParams();
+  context.allowCancellation();
   std::function<void()> on_cancel;
   auto shard_answer =
       CallHandler<ShardAnswer>([&](std::function<void(ShardAnswer)> reply) {
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -125,6 +125,11 @@
       ShardQuery query,
       std::function<void(ShardAnswer)> reply) override {
     m_query = std::move(query);
+    if (m_query.request_id == "hold") {
+      m_held_query = std::move(reply);
+      ++held;
+      return [this] { ++cancelled; };
+    }
     ShardAnswer answer;
     answer.covered = {1};
     answer.uncovered = {{0, 2, true}};
@@ -148,8 +153,10 @@
   }
 
   std::atomic<int> held = 0;
+  std::atomic<int> cancelled = 0;
 
  private:
+  std::function<void(ShardAnswer)> m_held_query;
   std::vector<std::pair<std::string, std::function<void(ForwardReply)>>> m_held;
   ShardQuery m_query;
 };
@@ -423,6 +430,24 @@
   CHECK(Harness::WaitUntil(is_answered, kBound));
 }
 
+// Guards against work at a peer for callers that have left.
+TEST_CASE("a query that is cancelled is cancelled at the peer") {
+  constexpr std::chrono::milliseconds kBound{500};
+  TestHandler handler;
+  const auto server = MakePeers(handler);
+  const auto client = MakePeers(handler);
+  ShardQuery query;
+  query.request_id = "hold";
+  query.shards = {"s0"};
+  query.time_left = std::chrono::seconds(20);
+  auto call = client->Network().QueryShards(server->Address(), query,
+                                            [](const ShardOutcome&) {});
+  REQUIRE(Harness::WaitUntil([&] { return handler.held == 1; }, kLongTimeout));
+  CHECK(handler.cancelled == 0);
+  call.reset();
+  CHECK(Harness::WaitUntil([&] { return handler.cancelled == 1; }, kBound));
+}
+
 TEST_CASE("a missing reply or an oversized response fails only its own call") {
   TestHandler handler;
   const auto server = MakePeers(handler);
