Tell in the log which exchange an attempt was, and which responses are skipped

Change: send_failed has the numbers of the connection and of the exchange on it, request_end those of the exchange that answered a part after several attempts, and response_skipped names the request that a skipped response echoes; a counter by whether it echoes one. scripts' explanations name it too. No change of logic: the state of a connection to a leaf is one struct now, with its number and its exchanges. Ruled out: a line for each attempt, which is beyond the log's bound under load.

--- a/src/connection/http_client.h
+++ b/src/connection/http_client.h
@@ -9,6 +9,7 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "connection/exchange_position.h"
 #include "connection/http_message.h"
 
 namespace bramleyspoke {
@@ -43,6 +44,8 @@
   /// The connection had carried no earlier request and was closed without a
   /// response. Set by `LeafExchanges` only.
   bool is_connection_refused = false;
+  /// Set by `LeafExchanges` only.
+  ExchangePosition position = {};
 };
 
 using HttpCallback = std::function<void(HttpOutcome)>;
--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -56,7 +56,7 @@
   Leaf& state = m_leafs[exchange.call.leaf];
   ++state.busy;
   TakeIdle(state, exchange);
-  if (exchange.connection) {
+  if (exchange.connection.http) {
     Write(number, exchange);
   } else {
     OpenConnection(number);
@@ -90,8 +90,9 @@
 
 void LeafExchanges::CloseUnusedBefore(TimePoint time) {
   for (auto& [endpoint, leaf] : m_leafs) {
-    std::erase_if(leaf.idle,
-                  [time](const Idle& idle) { return idle.opened_at < time; });
+    std::erase_if(leaf.idle, [time](const Idle& idle) {
+      return idle.connection.opened_at < time;
+    });
   }
 }
 
@@ -108,24 +109,27 @@
   return count;
 }
 
-// Leaves `exchange.connection` null if no idle connection is usable.
+LeafExchanges::Connection LeafExchanges::MakeConnection(
+    std::unique_ptr<HttpConnection> http) {
+  http->LimitResponses(m_limits);
+  return {std::move(http), Now(), ++m_last_connection};
+}
+
+// Leaves `exchange.connection` empty if no idle connection is usable.
 void LeafExchanges::TakeIdle(Leaf& leaf, Exchange& exchange) {
   while (!leaf.idle.empty()) {
     Idle idle = std::move(leaf.idle.back());
     leaf.idle.pop_back();
-    if (Now() < idle.usable_until && idle.connection->IsOpen()) {
-      exchange.is_connection_new = !idle.is_used;
-      exchange.connection_opened_at = idle.opened_at;
+    if (Now() < idle.usable_until && idle.connection.http->IsOpen()) {
       exchange.connection = std::move(idle.connection);
       return;
     }
   }
-  exchange.is_connection_new = true;
 }
 
 // A leaf at its connection limit closes a new connection right away.
 bool LeafExchanges::Exchange::IsConnectionAccepted(TimePoint now) const {
-  return !is_connection_new || now - connection_opened_at >= kAcceptTime;
+  return !IsConnectionNew() || now - connection.opened_at >= kAcceptTime;
 }
 
 void LeafExchanges::OpenConnection(ExchangeNumber number) {
@@ -148,9 +152,7 @@
           OnOutcome(number, HttpOutcome{std::nullopt, HttpFailure::kConnect});
           return;
         }
-        connection->LimitResponses(m_limits);
-        found->second.connection = std::move(connection);
-        found->second.connection_opened_at = Now();
+        found->second.connection = MakeConnection(std::move(connection));
         Write(number, found->second);
       });
 }
@@ -166,24 +168,40 @@
   if (exchange.call.before_send) {
     exchange.call.before_send(exchange.call.request);
   }
-  exchange.connection->SendMatching(
+  ++exchange.connection.exchanges;
+  exchange.connection.http->SendMatching(
       std::move(exchange.call.request), exchange.call.deadline,
-      std::move(exchange.call.matches), [this, number](HttpOutcome outcome) {
+      Matcher(exchange), [this, number](HttpOutcome outcome) {
         OnOutcome(number, std::move(outcome));
       });
 }
 
+// Null if the call takes any response.
+HttpResponseMatcher LeafExchanges::Matcher(const Exchange& exchange) {
+  if (!exchange.call.matches) {
+    return nullptr;
+  }
+  return
+      [matches = exchange.call.matches, on_skipped = exchange.call.on_skipped,
+       position = exchange.Position()](const HttpResponse& response,
+                                       ConnectionUse use) {
+        const bool is_awaited = matches(response, use);
+        if (!is_awaited && on_skipped) {
+          on_skipped(response, position);
+        }
+        return is_awaited;
+      };
+}
+
 void LeafExchanges::KeepUnused(Exchange& exchange) {
   if (m_pool_sizes.contains(exchange.call.leaf)) {
-    m_leafs[exchange.call.leaf].idle.push_back(
-        Idle{std::move(exchange.connection), Now() + Duration(kDefaultIdleTime),
-             exchange.connection_opened_at, !exchange.is_connection_new});
+    m_leafs[exchange.call.leaf].idle.push_back(Idle{
+        std::move(exchange.connection), Now() + Duration(kDefaultIdleTime)});
   }
-  exchange.connection.reset();
+  exchange.connection = Connection();
 }
 
-// A failed connection is destroyed in a posted call, since this function runs
-// in the connection's callback.
+// Runs in the connection's callback, which must not destroy the connection.
 void LeafExchanges::OnOutcome(ExchangeNumber number, HttpOutcome outcome) {
   const auto found = m_exchanges.find(number);
   if (found == m_exchanges.end()) {
@@ -192,17 +210,17 @@
   Exchange exchange = std::move(found->second);
   m_exchanges.erase(found);
   --m_leafs[exchange.call.leaf].busy;
-  if (exchange.connection) {
+  const bool is_broken =
+      !outcome.response && outcome.failure == HttpFailure::kClosed;
+  outcome.position = exchange.Position();
+  outcome.is_connection_refused = exchange.IsConnectionNew() && is_broken;
+  if (exchange.connection.http) {
     if (outcome.response) {
       ReturnToPool(exchange, *outcome.response);
     } else {
-      m_loop.Post(
-          [dropped = std::shared_ptr(std::move(exchange.connection))] {});
+      DropLater(std::move(exchange.connection));
     }
   }
-  const bool is_broken =
-      !outcome.response && outcome.failure == HttpFailure::kClosed;
-  outcome.is_connection_refused = exchange.is_connection_new && is_broken;
   Leaf& leaf = m_leafs[exchange.call.leaf];
   if (m_is_filling && is_broken && exchange.IsConnectionAccepted(Now()) &&
       leaf.opening == 0) {
@@ -215,27 +233,31 @@
 void LeafExchanges::ReturnToPool(Exchange& exchange,
                                  const HttpResponse& response) {
   Leaf& leaf = m_leafs[exchange.call.leaf];
-  if (!exchange.connection->IsOpen() ||
+  if (!exchange.connection.http->IsOpen() ||
       !m_pool_sizes.contains(exchange.call.leaf)) {
-    m_loop.Post([dropped = std::shared_ptr(std::move(exchange.connection))] {});
+    DropLater(std::move(exchange.connection));
     return;
   }
   const auto usable = std::chrono::duration_cast<Duration>(
       KeepAliveTimeout(response) * kUsableIdleFraction);
-  leaf.idle.push_back(Idle{std::move(exchange.connection), Now() + usable,
-                           exchange.connection_opened_at, true});
+  leaf.idle.push_back(Idle{std::move(exchange.connection), Now() + usable});
   leaf.retry_delay = Duration::zero();
 }
 
+// Destroys the connection in a posted call.
+void LeafExchanges::DropLater(Connection connection) {
+  m_loop.Post([dropped = std::shared_ptr(std::move(connection.http))] {});
+}
+
 void LeafExchanges::Maintain() {
   const TimePoint now = Now();
   for (auto& [endpoint, leaf] : m_leafs) {
     const bool is_refused =
         std::any_of(leaf.idle.begin(), leaf.idle.end(), [](const Idle& idle) {
-          return !idle.is_used && !idle.connection->IsOpen();
+          return !idle.connection.IsUsed() && !idle.connection.http->IsOpen();
         });
     std::erase_if(leaf.idle, [&](const Idle& idle) {
-      return now >= idle.usable_until || !idle.connection->IsOpen();
+      return now >= idle.usable_until || !idle.connection.http->IsOpen();
     });
     if (is_refused) {
       DelayNextOpen(leaf, now);
@@ -267,23 +289,22 @@
 void LeafExchanges::OpenPooled(const Endpoint& endpoint) {
   ++m_opened;
   const TimePoint began = Now();
-  HttpConnection::Open(m_loop, endpoint, began + Duration(kConnectTimeout),
-                       [this, weak = std::weak_ptr(m_self), endpoint,
-                        began](std::unique_ptr<HttpConnection> connection) {
-                         if (!weak.lock()) {
-                           return;
-                         }
-                         Leaf& opened = m_leafs[endpoint];
-                         --opened.opening;
-                         const bool is_reachable = connection != nullptr;
-                         if (is_reachable && m_pool_sizes.contains(endpoint)) {
-                           connection->LimitResponses(m_limits);
-                           opened.idle.push_back(
-                               Idle{std::move(connection),
-                                    Now() + Duration(kDefaultIdleTime), Now()});
-                         }
-                         m_on_reachable(endpoint, is_reachable, began);
-                       });
+  HttpConnection::Open(
+      m_loop, endpoint, began + Duration(kConnectTimeout),
+      [this, weak = std::weak_ptr(m_self), endpoint,
+       began](std::unique_ptr<HttpConnection> connection) {
+        if (!weak.lock()) {
+          return;
+        }
+        Leaf& opened = m_leafs[endpoint];
+        --opened.opening;
+        const bool is_reachable = connection != nullptr;
+        if (is_reachable && m_pool_sizes.contains(endpoint)) {
+          opened.idle.push_back(Idle{MakeConnection(std::move(connection)),
+                                     Now() + Duration(kDefaultIdleTime)});
+        }
+        m_on_reachable(endpoint, is_reachable, began);
+      });
 }
 
 }  // namespace bramleyspoke
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -30,6 +30,8 @@
   /// Called just before the request is written, which may be long after the
   /// call was made: sets what depends on the time.
   std::function<void(HttpRequest&)> before_send;
+  /// Called with each response for which `matches` is false.
+  std::function<void(const HttpResponse&, const ExchangePosition&)> on_skipped;
   HttpCallback done;
 };
 
@@ -87,11 +89,18 @@
   std::uint64_t Opened() const { return m_opened; }
 
  private:
+  struct Connection {
+    std::unique_ptr<HttpConnection> http;
+    TimePoint opened_at;
+    std::uint64_t number = 0;
+    /// Exchanges that were begun on it.
+    std::uint64_t exchanges = 0;
+
+    bool IsUsed() const { return exchanges > 0; }
+  };
   struct Idle {
-    std::unique_ptr<HttpConnection> connection;
+    Connection connection;
     TimePoint usable_until;
-    TimePoint opened_at;
-    bool is_used = false;
   };
   struct Leaf {
     std::vector<Idle> idle;
@@ -102,19 +111,24 @@
   };
   struct Exchange {
     LeafCall call;
-    std::unique_ptr<HttpConnection> connection;
-    bool is_connection_new = false;
-    TimePoint connection_opened_at;
+    Connection connection;
 
+    ExchangePosition Position() const {
+      return {connection.number, connection.exchanges};
+    }
+    bool IsConnectionNew() const { return connection.exchanges <= 1; }
     bool IsConnectionAccepted(TimePoint now) const;
   };
 
+  Connection MakeConnection(std::unique_ptr<HttpConnection> http);
   static void TakeIdle(Leaf& leaf, Exchange& exchange);
   void OpenConnection(ExchangeNumber number);
   void Write(ExchangeNumber number, Exchange& exchange);
+  static HttpResponseMatcher Matcher(const Exchange& exchange);
   void KeepUnused(Exchange& exchange);
   void OnOutcome(ExchangeNumber number, HttpOutcome outcome);
   void ReturnToPool(Exchange& exchange, const HttpResponse& response);
+  void DropLater(Connection connection);
   void Maintain();
   static void DelayNextOpen(Leaf& leaf, TimePoint now);
   void FillPool(const Endpoint& endpoint, Leaf& leaf, std::size_t count);
@@ -127,6 +141,7 @@
   std::map<ExchangeNumber, Exchange> m_exchanges;
   std::map<Endpoint, std::size_t> m_pool_sizes;
   std::uint64_t m_opened = 0;
+  std::uint64_t m_last_connection = 0;
   bool m_is_filling = true;
   std::unique_ptr<Timer> m_timer;
   std::shared_ptr<LeafExchanges*> m_self;
--- a/src/connection/relay_protocol.h
+++ b/src/connection/relay_protocol.h
@@ -38,6 +38,8 @@
   virtual bool IsResponseTo(const std::string& request_id,
                             const HttpResponse& response,
                             ConnectionUse use) const = 0;
+  /// The request's id that a leaf's response echoes; empty if there is none.
+  virtual std::string EchoedId(const HttpResponse& response) const = 0;
   virtual LeafReply ReadReply(HttpOutcome outcome) const = 0;
 
   /// The response to the caller, from a leaf's response.
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -210,6 +210,11 @@
     m_log.WriteFailedAttempt(request_id, send);
   }
 
+  void OnResponseSkipped(const SkippedResponse& response) override {
+    m_metrics->Observe(response);
+    m_log.WriteSkippedResponse(response);
+  }
+
   // The caller may resend the request that crashed a leaf to any other holder.
   void OnLeafCrash(const LeafCrash& crash) override { m_reports->Add(crash); }
 
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -287,6 +287,12 @@
                      const HttpResponse& response, ConnectionUse use) {
     return m_protocol.IsResponseTo(id, response, use);
   };
+  call.on_skipped = [this, id = found->second.request_id, leaf = send.leaf_id](
+                        const HttpResponse& response,
+                        const ExchangePosition& position) {
+    m_observer.OnResponseSkipped(
+        {id, leaf, m_protocol.EchoedId(response), response.status, position});
+  };
   call.may_send = [this, number] { return m_engine.MaySend(number, Now()); };
   call.before_send = [this, until = send.leaf_deadline](HttpRequest& request) {
     m_protocol.SetTimeLeft(request, TimeUntil(until));
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -54,6 +54,7 @@
   virtual void OnRequestEnd(const RelayEnd& end) = 0;
   virtual void OnAttemptFailed(std::string_view request_id,
                                const FailedAttempt& send) = 0;
+  virtual void OnResponseSkipped(const SkippedResponse& response) = 0;
   /// A leaf crashed while it ran this part of a request.
   virtual void OnLeafCrash(const LeafCrash& crash) = 0;
   virtual void OnCrashEvidence(const CrashEvidenceEvent& event) = 0;
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -77,6 +77,10 @@
     }
     text += " (hedges " + std::to_string(part.hedges) + ", budget " +
             std::to_string(static_cast<int>(part.budget)) + ")";
+    if (part.answered_on.connection > 0) {
+      text += " on connection " + std::to_string(part.answered_on.connection) +
+              ", exchange " + std::to_string(part.answered_on.exchange);
+    }
   }
   return text;
 }
@@ -121,7 +125,22 @@
            {Field("request_id", request_id), Field("leaf", send.leaf_id),
             Field("service", send.service), Field("kind", ToString(send.kind)),
             Field("taken_ms", ToMilliseconds(send.taken)),
-            Field("fingerprint", FormatFingerprint(send.fingerprint))});
+            Field("fingerprint", FormatFingerprint(send.fingerprint)),
+            Field("connection", send.position.connection),
+            Field("exchange", send.position.exchange)});
+}
+
+void RelayLog::WriteSkippedResponse(const SkippedResponse& response) {
+  if (!ShouldWrite(LogLevel::kInfo, response.request_id, LogPriority::kOther)) {
+    return;
+  }
+  WriteLog(
+      LogLevel::kInfo, "response_skipped",
+      {Field("request_id", response.request_id),
+       Field("leaf", response.leaf_id), Field("echoed_id", response.echoed_id),
+       Field("status", response.status),
+       Field("connection", response.position.connection),
+       Field("exchange", response.position.exchange)});
 }
 
 // Crashes are rare and explain refusals at other daemons, so they have the
--- a/src/process/relay_log.h
+++ b/src/process/relay_log.h
@@ -25,6 +25,7 @@
   void WriteRequestEnd(const RelayEnd& end);
   void WriteFailedAttempt(std::string_view request_id,
                           const FailedAttempt& send);
+  void WriteSkippedResponse(const SkippedResponse& response);
   void WriteCrashEvidence(const CrashEvidenceEvent& event);
   void WriteLeafNotice(const LeafNotice& notice);
   void WriteContactChange(const ContactChange& change);
@@ -40,8 +41,8 @@
 
 /// One phrase per part that was not answered or needed several attempts: its
 /// state, the leaf that answered, whether it is pending at a peer, the leafs
-/// attempted (without an attempt, all leafs with their state), its hedges, and
-/// the tokens left in the retry budget.
+/// attempted (without an attempt, all leafs with their state), its hedges, the
+/// tokens left in the retry budget, and the exchange that answered it.
 std::string DescribePartReports(const std::vector<PartReport>& parts);
 
 }  // namespace bramleyspoke
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -58,6 +58,12 @@
                               .Name("bramleyspoke_relay_failed_sends_total")
                               .Help("Sendings to leafs that failed, by how")
                               .Register(m_registry)),
+        m_skipped_responses(
+            BuildCounter()
+                .Name("bramleyspoke_relay_skipped_responses_total")
+                .Help("Responses of leafs that belong to no awaited request, "
+                      "by whether they name another request or none")
+                .Register(m_registry)),
         m_crash_evidence(
             BuildCounter()
                 .Name("bramleyspoke_relay_crash_evidence_total")
@@ -106,6 +112,12 @@
         .Increment();
   }
 
+  void Observe(const SkippedResponse& response) override {
+    const bool has_id = !response.echoed_id.empty();
+    m_skipped_responses.Add({{"names", has_id ? "another" : "none"}})
+        .Increment();
+  }
+
   void Observe(const CrashEvidenceEvent& event) override {
     m_crash_evidence.Add({{"step", std::string(ToString(event.step))}})
         .Increment();
@@ -187,6 +199,7 @@
   prometheus::Histogram& m_latency;
   prometheus::Counter& m_missing;
   prometheus::Family<prometheus::Counter>& m_failed_attempts;
+  prometheus::Family<prometheus::Counter>& m_skipped_responses;
   prometheus::Family<prometheus::Counter>& m_crash_evidence;
   prometheus::Family<prometheus::Counter>& m_leaf_notices;
   prometheus::Family<prometheus::Counter>& m_contact_changes;
--- a/src/process/relay_metrics.h
+++ b/src/process/relay_metrics.h
@@ -42,6 +42,7 @@
 
   virtual void Observe(const RelayEnd& end) = 0;
   virtual void Observe(const FailedAttempt& send) = 0;
+  virtual void Observe(const SkippedResponse& response) = 0;
   virtual void Observe(const CrashEvidenceEvent& event) = 0;
   virtual void Observe(const LeafNotice& notice) = 0;
   virtual void Observe(const ContactChange& change) = 0;
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -10,6 +10,7 @@
 #include "base/refusal.h"
 #include "base/time.h"
 #include "base/verdict.h"
+#include "connection/exchange_position.h"
 #include "connection/http_message.h"
 #include "connection/peer.h"
 #include "request/leaf_load.h"
@@ -83,6 +84,7 @@
   bool is_connection_refused = false;
   /// Network round-trip time, as part of the attempt's latency, if known.
   std::optional<Duration> round_trip;
+  ExchangePosition position;
 };
 
 /// Why a request was not answered.
@@ -123,6 +125,7 @@
   /// all leafs of the service, each as "id:state".
   std::vector<std::string> leafs;
   std::string answered_by;
+  ExchangePosition answered_on;
   /// Delegated to a peer that has not answered for it yet.
   bool is_at_peer = false;
   /// Attempts that were hedges.
@@ -219,6 +222,17 @@
   Duration taken{0};
   /// Fingerprint of the request's content; 0 for a delegation.
   std::uint64_t fingerprint = 0;
+  ExchangePosition position;
+};
+
+/// A leaf's response that does not belong to the request for which one is
+/// awaited; for the log.
+struct SkippedResponse {
+  std::string request_id;
+  std::string leaf_id;
+  std::string echoed_id;
+  int status = 0;
+  ExchangePosition position;
 };
 
 /// Actions that the engine's owner carries out after an event, in this order.
--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -216,6 +216,7 @@
   }
   if (answered_by) {
     report.answered_by = answered_by->registration.id;
+    report.answered_on = answered_on;
   }
   report.hedges = hedges;
   report.budget = service->budget.Tokens();
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -266,7 +266,7 @@
   peer.load.OnUnreachable(m_now);
   m_failed_attempts.push_back({delegation_state.request,
                                ToString(peer.peer.address), "peer", reply.kind,
-                               taken, 0});
+                               taken, 0, ExchangePosition()});
 }
 
 void RelayEngine::RecordStalls(const DelegationState& delegation_state,
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -303,7 +303,7 @@
   void RecordReply(const Attempt& attempt, const LeafReply& reply);
   bool HasExpired(const Attempt& attempt, LeafReplyKind kind) const;
   bool HadTimeToAnswer(const Attempt& attempt) const;
-  void AddFailedAttempt(const Attempt& attempt, LeafReplyKind kind);
+  void AddFailedAttempt(const Attempt& attempt, const LeafReply& reply);
   void RecordContact(const Attempt& attempt, LeafReplyKind kind);
   void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
   void RecordUnansweredAttempt(const Attempt& attempt);
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -42,7 +42,7 @@
   }
   if (HasExpired(attempt, reply.kind)) {
     load.OnExpired(attempt.route_name, taken, reply.load, m_now);
-    AddFailedAttempt(attempt, reply.kind);
+    AddFailedAttempt(attempt, reply);
     return;
   }
   switch (reply.kind) {
@@ -76,7 +76,7 @@
       load.OnFailure(m_now);
       break;
   }
-  AddFailedAttempt(attempt, reply.kind);
+  AddFailedAttempt(attempt, reply);
 }
 
 // The reply says that the leaf gave the attempt up at its deadline, running or
@@ -95,10 +95,12 @@
          attempt.leaf->load.OverdueAfter(attempt.route_name);
 }
 
-void RelayEngine::AddFailedAttempt(const Attempt& attempt, LeafReplyKind kind) {
-  m_failed_attempts.push_back(
-      {attempt.request, attempt.leaf->registration.id, attempt.service->name,
-       kind, m_now - attempt.sent_at, attempt.request_part.content});
+void RelayEngine::AddFailedAttempt(const Attempt& attempt,
+                                   const LeafReply& reply) {
+  m_failed_attempts.push_back({attempt.request, attempt.leaf->registration.id,
+                               attempt.service->name, reply.kind,
+                               m_now - attempt.sent_at,
+                               attempt.request_part.content, reply.position});
 }
 
 void RelayEngine::RecordContact(const Attempt& attempt, LeafReplyKind kind) {
@@ -227,6 +229,7 @@
   if (reply.kind == LeafReplyKind::kSucceeded) {
     part.answer = std::move(reply.response);
     part.answered_by = attempt.leaf;
+    part.answered_on = reply.position;
     CancelQueuedAttempts(request, part);
     return;
   }
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -26,6 +26,7 @@
   bool is_next_attempt_free = true;
   std::optional<HttpResponse> answer;
   std::shared_ptr<RelayLeaf> answered_by;
+  ExchangePosition answered_on;
   std::uint32_t hedges = 0;
   /// A peer's answer covers it.
   bool is_covered = false;
--- a/src/tool/explanation.cc
+++ b/src/tool/explanation.cc
@@ -79,6 +79,15 @@
          Milliseconds(record.Integer("taken_ms")) + ".";
 }
 
+std::string DescribeSkippedResponse(const LogRecord& record) {
+  const std::string echoed(record.Text("echoed_id"));
+  return "Leaf " + std::string(record.Text("leaf")) +
+         " sent a response with status " +
+         std::to_string(record.Integer("status")) + " that names " +
+         (echoed.empty() ? "no request" : "request " + echoed) +
+         "; it was skipped.";
+}
+
 std::string DescribeRefusal(const LogRecord& record) {
   const std::string reason(record.Text("reason"));
   const std::string verdict(record.Text("verdict"));
@@ -142,6 +151,8 @@
   for (const LogRecord& record : request_records) {
     if (record.event == "send_failed") {
       causes.push_back(DescribeFailedAttempt(record));
+    } else if (record.event == "response_skipped") {
+      causes.push_back(DescribeSkippedResponse(record));
     } else if (record.event == "request_end" ||
                record.event == "peer_query_end") {
       DescribeEnd(record, causes);
--- a/tests/explanation_test.cc
+++ b/tests/explanation_test.cc
@@ -55,6 +55,19 @@
             "No route matched") == 0);
 }
 
+TEST_CASE("a skipped response is explained with the request that it names") {
+  const auto explanation = ExplainRequest(
+      ReadRecords("a " + LogLine("40.000",
+                                 R"("event":"response_skipped",)"
+                                 R"("request_id":"r1","leaf":"leaf-1",)"
+                                 R"("echoed_id":"r0","status":200)")),
+      "r1");
+  REQUIRE(explanation.causes.size() == 1);
+  CHECK(explanation.causes.front() ==
+        "Leaf leaf-1 sent a response with status 200 that names request r0; "
+        "it was skipped.");
+}
+
 TEST_CASE("a suspect request is explained with the crashes of all daemons") {
   const auto explanation = ExplainRequest(
       ReadRecords(
--- a/tests/relay_metrics_test.cc
+++ b/tests/relay_metrics_test.cc
@@ -57,6 +57,17 @@
   CHECK(text.find(R"(route="other",status="200"} 968)") != std::string::npos);
 }
 
+TEST_CASE("skipped responses are counted by whether they name a request") {
+  const auto metrics = RelayMetrics::Create();
+  metrics->Observe(SkippedResponse{"a", "leaf", "b", 200, {1, 2}});
+  metrics->Observe(SkippedResponse{"a", "leaf", "", 400, {1, 3}});
+  metrics->Observe(SkippedResponse{"a", "leaf", "c", 500, {1, 4}});
+  const std::string text = metrics->Text(RelayObservation());
+  const std::string name = "bramleyspoke_relay_skipped_responses_total";
+  CHECK(text.find(name + R"({names="another"} 2)") != std::string::npos);
+  CHECK(text.find(name + R"({names="none"} 1)") != std::string::npos);
+}
+
 TEST_CASE("crash evidence is counted by step") {
   const auto metrics = RelayMetrics::Create();
   CrashEvidenceEvent event;
