Send no request twice on one connection to a leaf

What callers saw: MIXED, a success although the leaf had failed; TWICE, a request that may run once, run by the same leaf again, or refused as not run while it ran. Cause (H1): an answer is matched by the id that it echoes, which is the caller's and so names the request. A leaf may answer an attempt twice. When the daemon repeated the request at that leaf on the connection of the first attempt, it took the second answer to that one for the answer of the repeat. Class: a match by a name that outlives what is matched. Change: a connection remembers the requests that it has carried until their deadlines have passed (CarriedRequests), and a repeat gets a connection that has not carried it. If all idle ones have, the oldest is closed and a new one opened, so that the leaf has no more connections than before. Nothing else that a leaf echoes differs between two attempts, and the id has to be forwarded as the caller sent it. A request without an id could be matched by any answer without one: it gets an unused connection. Ruled out: accepting an answer only after the time that the leaf needs (a guess); closing each connection on which a leaf failed or refused (most are never repeated at the same leaf).

--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -112,19 +112,28 @@
 LeafExchanges::Connection LeafExchanges::MakeConnection(
     std::unique_ptr<HttpConnection> http) {
   http->LimitResponses(m_limits);
-  return {std::move(http), Now(), ++m_last_connection};
+  return {std::move(http), Now(), ++m_last_connection, 0, CarriedRequests()};
 }
 
-// Leaves `exchange.connection` empty if no idle connection is usable.
+// Leaves `exchange.connection` empty if no idle connection is usable. If there
+// are some that have carried the request before, the one that was idle for
+// longest is closed, so that the leaf gets no more connections.
 void LeafExchanges::TakeIdle(Leaf& leaf, Exchange& exchange) {
-  while (!leaf.idle.empty()) {
-    Idle idle = std::move(leaf.idle.back());
-    leaf.idle.pop_back();
-    if (Now() < idle.usable_until && idle.connection.http->IsOpen()) {
-      exchange.connection = std::move(idle.connection);
+  for (auto idle = leaf.idle.end(); idle != leaf.idle.begin();) {
+    --idle;
+    Connection& connection = idle->connection;
+    if (Now() >= idle->usable_until || !connection.http->IsOpen()) {
+      idle = leaf.idle.erase(idle);
+    } else if (connection.carried.MayCarry(exchange.call.request_id)) {
+      exchange.connection = std::move(connection);
+      leaf.idle.erase(idle);
       return;
     }
   }
+  if (!leaf.idle.empty()) {
+    leaf.idle.erase(leaf.idle.begin());
+    ++m_replaced;
+  }
 }
 
 // A leaf at its connection limit closes a new connection right away.
@@ -169,6 +178,8 @@
     exchange.call.before_send(exchange.call.request);
   }
   ++exchange.connection.exchanges;
+  exchange.connection.carried.Add(exchange.call.request_id,
+                                  exchange.call.deadline, Now());
   exchange.connection.http->SendMatching(
       std::move(exchange.call.request), exchange.call.deadline,
       Matcher(exchange), [this, number](HttpOutcome outcome) {
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -4,10 +4,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "connection/carried_requests.h"
 #include "connection/http_client.h"
 
 namespace bramleyspoke {
@@ -21,6 +23,8 @@
 /// A request to a leaf.
 struct LeafCall {
   Endpoint leaf;
+  /// Echoed by the leaf; the same in all attempts of a request.
+  std::string request_id;
   HttpRequest request;
   TimePoint deadline;
   HttpResponseMatcher matches;
@@ -36,7 +40,7 @@
 };
 
 /// HTTP requests to leafs over pooled connections, each of which carries one
-/// request at a time.
+/// request at a time, and no request more than once.
 ///
 /// The number of requests in flight at a leaf is not limited. Used on the
 /// loop's thread only.
@@ -87,6 +91,9 @@
 
   std::size_t OpenConnections() const;
   std::uint64_t Opened() const { return m_opened; }
+  /// Connections that were closed because a request was to be repeated that
+  /// they had carried.
+  std::uint64_t Replaced() const { return m_replaced; }
 
  private:
   struct Connection {
@@ -95,6 +102,7 @@
     std::uint64_t number = 0;
     /// Exchanges that were begun on it.
     std::uint64_t exchanges = 0;
+    CarriedRequests carried;
 
     bool IsUsed() const { return exchanges > 0; }
   };
@@ -121,7 +129,7 @@
   };
 
   Connection MakeConnection(std::unique_ptr<HttpConnection> http);
-  static void TakeIdle(Leaf& leaf, Exchange& exchange);
+  void TakeIdle(Leaf& leaf, Exchange& exchange);
   void OpenConnection(ExchangeNumber number);
   void Write(ExchangeNumber number, Exchange& exchange);
   static HttpResponseMatcher Matcher(const Exchange& exchange);
@@ -141,6 +149,7 @@
   std::map<ExchangeNumber, Exchange> m_exchanges;
   std::map<Endpoint, std::size_t> m_pool_sizes;
   std::uint64_t m_opened = 0;
+  std::uint64_t m_replaced = 0;
   std::uint64_t m_last_connection = 0;
   bool m_is_filling = true;
   std::unique_ptr<Timer> m_timer;
--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -388,6 +388,7 @@
     observation.caller_connections = m_callers->ConnectionCount();
     observation.leaf_connections = m_front->Exchanges().OpenConnections();
     observation.leaf_connections_opened = m_front->Exchanges().Opened();
+    observation.leaf_connections_replaced = m_front->Exchanges().Replaced();
     observation.is_store_reachable = m_is_store_reachable;
     observation.store_era = m_store_era;
     observation.routes_unconfirmed =
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -281,6 +281,7 @@
   const RelayAttemptNumber number = send.number;
   LeafCall call;
   call.leaf = send.address;
+  call.request_id = found->second.request_id;
   call.request = std::move(request);
   call.deadline = send.deadline;
   call.matches = [this, id = found->second.request_id](
--- a/src/process/relay_metrics.cc
+++ b/src/process/relay_metrics.cc
@@ -158,6 +158,8 @@
     SetStateGauge("leaf_connections", observation.leaf_connections);
     SetStateGauge("leaf_connections_opened",
                   observation.leaf_connections_opened);
+    SetStateGauge("leaf_connections_replaced",
+                  observation.leaf_connections_replaced);
     SetStateGauge("store_reachable", observation.is_store_reachable ? 1 : 0);
     SetStateGauge("store_era", observation.store_era);
     SetStateGauge("routes_unconfirmed_ms",
--- a/src/process/relay_metrics.h
+++ b/src/process/relay_metrics.h
@@ -22,6 +22,7 @@
   std::size_t caller_connections = 0;
   std::size_t leaf_connections = 0;
   std::uint64_t leaf_connections_opened = 0;
+  std::uint64_t leaf_connections_replaced = 0;
   bool is_store_reachable = false;
   /// Time since the store last showed that the routes are current.
   Duration routes_unconfirmed{0};
--- a/tests/leaf_exchanges_test.cc
+++ b/tests/leaf_exchanges_test.cc
@@ -5,6 +5,8 @@
 #include <atomic>
 #include <future>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -47,12 +49,17 @@
     std::this_thread::sleep_for(kAcceptedAge);
   }
 
-  HttpOutcome Send(const std::string& body, bool may_send = true) {
+  /// Sends a request with this id; without one, it has an id of its own.
+  HttpOutcome Send(const std::string& body,
+                   bool may_send = true,
+                   std::optional<std::string> request_id = std::nullopt) {
     std::promise<HttpOutcome> done;
     m_loop->Post([&] {
       LeafCall call;
       call.leaf = kLeaf;
       call.request = {"POST", "/", {}, body};
+      call.request_id =
+          request_id.value_or("own-" + std::to_string(m_last_number));
       call.deadline =
           std::chrono::steady_clock::now() + Duration(kEventTimeout);
       call.may_send = [may_send] { return may_send; };
@@ -96,6 +103,11 @@
   }
 
   int Unreachable() const { return m_unreachable; }
+  std::size_t OpenConnections() {
+    std::promise<std::size_t> count;
+    m_loop->Post([&] { count.set_value(m_exchanges.OpenConnections()); });
+    return count.get_future().get();
+  }
 
   FakePlatformLeaf leaf{"leaf", kLeaf};
 
@@ -130,6 +142,30 @@
   CHECK(arrivals.front().body == "as sent");
 }
 
+// Guards against a second answer to an attempt that is taken for the answer to
+// the request's next attempt on the same connection.
+TEST_CASE("no connection carries a request twice") {
+  LeafFixture fixture;
+  fixture.WaitForPool(1);
+  std::set<std::uint64_t> connections;
+  constexpr std::size_t kAttempts = 6;
+  for (std::size_t attempt = 0; attempt < kAttempts; ++attempt) {
+    connections.insert(fixture.Send("repeated", true, "a").position.connection);
+    fixture.Send("other");
+  }
+  CHECK(connections.size() == kAttempts);
+  CHECK(fixture.OpenConnections() <= kPoolSize);
+}
+
+TEST_CASE("a request without an id gets an unused connection") {
+  LeafFixture fixture;
+  fixture.WaitForPool(1);
+  fixture.Send("other");
+  fixture.Send("other");
+  CHECK(fixture.Send("unidentified", true, "").position.exchange == 1);
+  CHECK(fixture.Send("unidentified", true, "").position.exchange == 1);
+}
+
 TEST_CASE("a request that its leaf no longer wants is not sent") {
   LeafFixture fixture;
   SUBCASE("on a pooled connection") {
