--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -227,6 +227,8 @@
   state->claim = ByteClaim(limits.budget);
   state->parser.emplace();
   state->parser->eager(true);
+  // Its length is that of a body which does not follow.
+  state->parser->skip(state->request.method() == http::verb::head);
   state->parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
   state->parser->body_limit(limits.body_bytes);
   ReadPart(state);
--- a/src/connection/http_session.cc
+++ b/src/connection/http_session.cc
@@ -99,6 +99,11 @@
     m_response = MakeHead(response);
     m_response.body() = std::move(response.body);
     m_response.prepare_payload();
+    if (m_is_head_request) {
+      // The client would take a body for the next response.
+      m_response.body().clear();
+      m_response.content_length(boost::none);
+    }
     m_stream.expires_after(m_state->limits.request_timeout);
     http::async_write(m_stream, m_response,
                       [self = shared_from_this()](auto error, std::size_t) {
@@ -300,6 +305,7 @@
   ReadEnd m_read_end = ReadEnd::kArrived;
   bool m_keep_alive = true;
   bool m_is_idle = false;
+  bool m_is_head_request = false;
   bool m_is_closed = false;
 };
 
@@ -401,6 +407,7 @@
   }
   m_stream.expires_never();
   m_keep_alive = m_parser->keep_alive();
+  m_is_head_request = m_parser->get().method() == http::verb::head;
   ++m_requests;
   m_state->handler.Handle(std::make_shared<Exchange>(
       shared_from_this(), ConvertRequest(m_parser->release())));
