Doubt a response without an id that begins before its request was written

What callers saw: nothing yet; a request could be refused as not run, or run at a second leaf, because of a 400 or 421 that the leaf sent before it had the request. Cause: a connection's first response may lack the id, since no earlier answer can be in the way. A leaf's unrequested bytes can. Change: bytes that arrive while the request is being written count like those on a connection that has carried others: only an id makes them an answer. Measured: the new case of http_stray_bytes_test (a request of 64 MB) was told kFirst before, kReused now.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -121,6 +121,8 @@
   bool is_open = false;
   bool is_writing = false;
   ConnectionUse use = ConnectionUse::kFirst;
+  /// Bytes arrived before the request was completely written.
+  bool is_early = false;
   /// Responses that were read in this call and are not the awaited one.
   int skipped_interim = 0;
   int skipped_others = 0;
@@ -156,9 +158,12 @@
 
 void ReadResponse(const std::shared_ptr<ConnectionState>& state);
 
+// A response that begins before the request was written need not be the
+// request's, even on a new connection.
 bool IsAwaited(const ConnectionState& state, const HttpResponse& response) {
+  const ConnectionUse use = state.is_early ? ConnectionUse::kReused : state.use;
   return response.status >= kFirstFinalStatus &&
-         (!state.matches || state.matches(response, state.use));
+         (!state.matches || state.matches(response, use));
 }
 
 void SkipResponse(const std::shared_ptr<ConnectionState>& state,
@@ -203,6 +208,7 @@
 // hold up other connections of the loop.
 void OnPart(const std::shared_ptr<ConnectionState>& state,
             beast::error_code error) {
+  state->is_early = state->is_early || state->is_writing;
   if (error) {
     FailCall(*state, error);
   } else if (!state->claim.GrowTo(state->buffer.size() +
@@ -265,6 +271,7 @@
     m_state->done = std::move(done);
     m_state->matches = std::move(matches);
     m_state->is_writing = true;
+    m_state->is_early = false;
     m_state->skipped_interim = 0;
     m_state->skipped_others = 0;
     m_state->request = MakeMessage(std::move(request), m_state->host);
--- a/tests/http_stray_bytes_test.cc
+++ b/tests/http_stray_bytes_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <memory>
@@ -81,6 +82,49 @@
   });
 }
 
+// Guards against a refusal without an id that the leaf sent before it read the
+// request.
+TEST_CASE("a response that begins before its request is written is doubted") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  std::thread server([&] {
+    tcp::socket socket(context);
+    acceptor.accept(socket);
+    char first = 0;
+    asio::read(socket, asio::buffer(&first, 1));
+    asio::write(socket, asio::buffer(std::string(kStray)));
+    std::string rest;
+    boost::system::error_code error;
+    asio::read_until(socket, asio::dynamic_buffer(rest), "never", error);
+  });
+  LoopRunner runner;
+  std::shared_ptr<HttpConnection> connection;
+  std::vector<ConnectionUse> uses;
+  const auto deadline = std::chrono::steady_clock::now() + Duration(kDeadline);
+  // Larger than the sockets' buffers.
+  const std::string body(std::size_t{64} * 1024 * 1024, 'x');
+  runner.Await<HttpOutcome>([&](auto done) {
+    HttpConnection::Open(
+        runner.Loop(), {"127.0.0.1", acceptor.local_endpoint().port()},
+        deadline, [&, deadline, done](std::unique_ptr<HttpConnection> opened) {
+          connection = std::move(opened);
+          connection->SendMatching(
+              {"POST", "/", {}, body}, deadline,
+              [&uses](const HttpResponse&, ConnectionUse use) {
+                uses.push_back(use);
+                return true;
+              },
+              done);
+        });
+  });
+  CHECK(uses == std::vector{ConnectionUse::kReused});
+  runner.Run([&] {
+    connection.reset();
+    return 0;
+  });
+  server.join();
+}
+
 TEST_CASE("a matcher is told whether a connection was used before") {
   const StrayBytesServer server(kAnswer);
   LoopRunner runner;
