Refuse requests without an id at once

What callers saw: a request without an id was answered with whatever answer without an id came next on the connection (MIXED), or tried at several leafs, each of which must reject it, and then refused with 503 as if it could be served later. Cause: an empty id matched an empty one; and leafs answer 400 to a request without an id, which cost retries. Change: such a request is answered 400 and not passed on. Measured: process_relay_test, before: 200 from a leaf that does not check ids; now 400 and no arrival. platform_protocol_test checks the status.

--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -175,6 +175,11 @@
                         std::shared_ptr<HttpExchange> exchange,
                         CallerHead head,
                         const Route& route) {
+  if (head.request_id.empty()) {
+    Refuse(*exchange, head,
+           {RefusalReason::kBadRequest, Verdict::kNotRun, std::nullopt});
+    return;
+  }
   const RelayNumber number = ++m_last_number;
   const Duration allowed =
       std::min(head.timeout.value_or(route.timeout), route.timeout);
--- a/tests/platform_protocol_test.cc
+++ b/tests/platform_protocol_test.cc
@@ -208,6 +208,8 @@
   CHECK(protocol.MakeRefusal(refusal).status == 502);
   refusal.reason = RefusalReason::kDeadlinePassed;
   CHECK(protocol.MakeRefusal(refusal).status == 504);
+  refusal = {RefusalReason::kBadRequest, Verdict::kNotRun, std::nullopt};
+  CHECK(protocol.MakeRefusal(refusal).status == 400);
 }
 
 TEST_CASE("a merged answer holds the greatest records and all stamps") {
--- a/tests/process_relay_test.cc
+++ b/tests/process_relay_test.cc
@@ -68,6 +68,22 @@
 
 }  // namespace
 
+// A leaf cannot answer such a request in a way that tells its answer from
+// others.
+TEST_CASE("a request without an id is refused and not passed on") {
+  FakePlatform platform;
+  const RelayProcess relay(platform.Daemon(0), platform.store.Address(), "");
+  REQUIRE(WaitUntil([&] { return relay.Serves(); }, kEventTimeout));
+  const HttpResponse response = SendRequest(
+      relay.Callers(), {"POST", "/lookup", {{"Host", "h"}}, "unidentified"});
+  CHECK(response.status == 400);
+  for (const auto& leaf : platform.leafs) {
+    for (const LeafArrival& arrival : leaf->Arrivals()) {
+      CHECK(arrival.body != "unidentified");
+    }
+  }
+}
+
 TEST_CASE(
     "a relay that starts while the store does not answer serves requests") {
   FakePlatform platform;
