Soak planned stops beside leafs that misbehave, reloads and new versions

Cause: the soak of planned stops had sound leafs only, so it could not show the users' LOST, whose requests had failed and been rejected at leafs. Change: two more leafs reject 12 of 100 requests, fail 12, are slow for 10, and answer a third a second time where the next response is expected; daemons reload their settings and new versions come beside stops. Checked in addition: no answer is the second one to another attempt. StutteringLeaf is now ScriptedLeaf, with a script of the test's.

--- a/tests/process_relay_late_answer_test.cc
+++ b/tests/process_relay_late_answer_test.cc
@@ -4,8 +4,11 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "fleet.h"
@@ -13,7 +16,7 @@
 #include "platform/wire_names.h"
 #include "relay_platform.h"
 #include "relay_process.h"
-#include "stuttering_leaf.h"
+#include "scripted_leaf.h"
 
 namespace bramleyspoke {
 namespace {
@@ -27,7 +30,9 @@
 constexpr int kCallers = 8;
 constexpr int kRequestsPerCaller = 24;
 // One in this many requests is answered twice.
-constexpr int kStutterEvery = 6;
+constexpr int kTwiceEvery = 6;
+constexpr std::string_view kAnsweredTwice = "answered twice";
+constexpr std::string_view kOwnBody = "own answer";
 
 std::string Replace(std::string text,
                     const std::string& part,
@@ -43,16 +48,29 @@
   return Replace(routes, R"("max_attempts":1)", R"("max_attempts":3)");
 }
 
+// Answers the first arrival of some requests twice, and runs all others.
+ScriptedLeaf::Script AnswerTwice(const LeafAnswer& first,
+                                 const LeafAnswer& second,
+                                 SecondAnswerTime time) {
+  return [=](const ScriptedArrival& arrival) -> LeafBehaviour {
+    if (arrival.body != kAnsweredTwice || arrival.number > 1) {
+      return {{200, false, std::string(kOwnBody)}, kWork, std::nullopt, time};
+    }
+    const Duration work = first.is_not_run ? Duration::zero() : Duration(kWork);
+    return {first, work, second, time};
+  };
+}
+
 struct CallerAnswer {
   std::string id;
   HttpResponse response;
 };
 
 /// One daemon and one leaf that answers some requests twice.
-class StutteredRelay {
+class RelayUnderTest {
  public:
-  StutteredRelay(const std::string& kind, const Stutter& stutter)
-      : m_leaf(stutter, kWork) {
+  RelayUnderTest(const std::string& kind, ScriptedLeaf::Script script)
+      : m_leaf(std::move(script)) {
     m_store.Put("op/config", Routes(kind));
     m_store.Put("servers/leaf", m_leaf.Entry("s"));
     m_relay = std::make_unique<RelayProcess>(m_network->Caller(0).host,
@@ -79,8 +97,7 @@
   /// Answers with success and another body than the leaf's own.
   int Mixed() const {
     return Count([](const CallerAnswer& answer) {
-      return answer.response.status == 200 &&
-             answer.response.body != StutteringLeaf::kOwnBody;
+      return answer.response.status == 200 && answer.response.body != kOwnBody;
     });
   }
   /// Requests that the leaf ran more than once.
@@ -100,7 +117,7 @@
       return answer.response.status == 200;
     });
   }
-  const StutteringLeaf& Leaf() const { return m_leaf; }
+  const ScriptedLeaf& Leaf() const { return m_leaf; }
   std::string Log() const { return m_relay->Log(); }
 
  private:
@@ -116,9 +133,9 @@
   void SendOne(int caller, int request) {
     const std::string id =
         "c" + std::to_string(caller) + "-" + std::to_string(request);
-    const bool is_twice = (caller + request) % kStutterEvery == 0;
-    CallerAnswer answer{id, Send(id, is_twice ? StutteringLeaf::kBody
-                                              : std::string_view("plain"))};
+    const bool is_twice = (caller + request) % kTwiceEvery == 0;
+    CallerAnswer answer{
+        id, Send(id, is_twice ? kAnsweredTwice : std::string_view("plain"))};
     const std::lock_guard lock(m_mutex);
     m_answers.push_back(std::move(answer));
   }
@@ -132,7 +149,7 @@
   std::unique_ptr<Harness::FleetNetwork> m_network =
       Harness::FleetNetwork::Create().value();
   FakePlatformStore m_store;
-  StutteringLeaf m_leaf;
+  ScriptedLeaf m_leaf;
   std::unique_ptr<RelayProcess> m_relay;
   std::mutex m_mutex;
   std::vector<CallerAnswer> m_answers;
@@ -148,9 +165,9 @@
   SUBCASE("where the next response is expected") {
     time = SecondAnswerTime::kBeforeNext;
   }
-  StutteredRelay relay(
-      "idempotent",
-      {{500, false, "failure"}, {200, false, "late answer"}, time});
+  const LeafAnswer failure{500, false, "failure"};
+  const LeafAnswer late{200, false, "late answer"};
+  RelayUnderTest relay("idempotent", AnswerTwice(failure, late, time));
   relay.Run();
   CHECK_MESSAGE(relay.Mixed() == 0, relay.Log());
   CHECK(relay.Leaf().SecondAnswers() > 0);
@@ -167,7 +184,7 @@
     time = SecondAnswerTime::kBeforeNext;
   }
   const LeafAnswer refusal{503, true, "full"};
-  StutteredRelay relay("non_idempotent", {refusal, refusal, time});
+  RelayUnderTest relay("non_idempotent", AnswerTwice(refusal, refusal, time));
   relay.Run();
   CHECK_MESSAGE(relay.RunTwice() == 0, relay.Log());
   CHECK(relay.FalselyRefused() == 0);
--- a/tests/process_relay_stop_soak_test.cc
+++ b/tests/process_relay_stop_soak_test.cc
@@ -25,6 +25,7 @@
 #include "fleet_network.h"
 #include "relay_platform.h"
 #include "relay_process.h"
+#include "scripted_leaf.h"
 #include "soak_seed.h"
 
 namespace bramleyspoke {
@@ -65,10 +66,10 @@
          R"("tls":false})";
 }
 
-std::string Routes() {
+std::string Routes(int version) {
   const std::string fan_out =
       R"("result_limit":5,"min_shard_ratio":0.5,"fanout_services":["s","t"])";
-  return R"({"version":3,"routes":[)" +
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
          Route("/any/", "idempotent", R"("service":"s")") + "," +
          Route("/once/", "non_idempotent", R"("service":"s")") + "," +
          Route("/all/", "idempotent", fan_out) + R"(],"services":[)" +
@@ -77,9 +78,48 @@
          R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 }
 
+constexpr const char* kOwnAnswer = "own answer";
+constexpr const char* kLateAnswer = "late answer";
+
+/// Draws how a leaf behaves that rejects requests, fails, is slow and answers
+/// some requests a second time, late. To be called on any thread.
+class MisbehaviourScript {
+ public:
+  explicit MisbehaviourScript(std::uint64_t seed) : m_random(seed) {}
+
+  LeafBehaviour Draw() {
+    constexpr std::uint64_t kRejectedPercent = 12;
+    constexpr std::uint64_t kFailedPercent = 12;
+    constexpr std::uint64_t kSlowPercent = 10;
+    constexpr std::uint64_t kTwicePercent = 33;
+    const std::lock_guard lock(m_mutex);
+    LeafBehaviour behaviour;
+    behaviour.answer = {200, false, kOwnAnswer};
+    behaviour.work = milliseconds(20 + m_random() % 80);
+    const std::uint64_t percent = m_random() % 100;
+    if (percent < kRejectedPercent) {
+      behaviour.answer = {503, true, "full"};
+      behaviour.work = Duration::zero();
+    } else if (percent < kRejectedPercent + kFailedPercent) {
+      behaviour.answer = {500, false, "failure"};
+    } else if (percent < kRejectedPercent + kFailedPercent + kSlowPercent) {
+      behaviour.work = milliseconds(600 + m_random() % 1200);
+    }
+    if (m_random() % 100 < kTwicePercent) {
+      behaviour.second = LeafAnswer{200, false, kLateAnswer};
+    }
+    return behaviour;
+  }
+
+ private:
+  std::mutex m_mutex;
+  std::mt19937_64 m_random;
+};
+
 struct SentRequest {
   std::string id;
   std::string path;
+  std::string body;
   /// 0 without an answer.
   int status = 0;
   Duration taken{0};
@@ -111,13 +151,14 @@
       m_is_open = false;
       return std::nullopt;
     }
-    SentRequest sent{id, path};
+    SentRequest sent{id, path, ""};
     const TimePoint begin = std::chrono::steady_clock::now();
     http::response<http::string_body> response;
     http::read(m_socket, m_buffer, response, error);
     sent.taken = std::chrono::steady_clock::now() - begin;
     m_is_open = !error && response.keep_alive();
     sent.status = error ? 0 : static_cast<int>(response.result_int());
+    sent.body = std::move(response.body());
     return sent;
   }
 
@@ -129,17 +170,22 @@
 };
 
 /// Daemons in two regions that are stopped and started in turn and at the same
-/// time, under the load of callers that keep their connections.
+/// time, some while others reload their settings or a new version of the routes
+/// comes, under the load of callers that keep their connections.
 class StopSoak {
  public:
   explicit StopSoak(std::uint64_t seed) : m_seed(seed), m_random(seed) {
-    m_store.Put("op/config", Routes());
+    m_store.Put("op/config", Routes(m_version));
     for (std::size_t leaf = 0; leaf < m_leafs.size(); ++leaf) {
       m_leafs[leaf]->WorkFor(milliseconds(20 + 20 * Random(30)));
       m_leafs[leaf]->LimitSlots(3 + Random(4));
       m_store.Put("servers/" + std::to_string(leaf),
                   m_leafs[leaf]->Entry(leaf < 2 ? "s" : "t"));
     }
+    for (std::size_t leaf = 0; leaf < m_bad_leafs.size(); ++leaf) {
+      m_store.Put("servers/bad-" + std::to_string(leaf),
+                  m_bad_leafs[leaf]->Entry(leaf == 0 ? "s" : "t"));
+    }
     for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
       m_relays.push_back(std::make_unique<RelayProcess>(
           m_network->Caller(daemon).host, m_store.Address(), "",
@@ -190,6 +236,12 @@
              runs->second > 1;
     });
   }
+  /// Answers of one leaf that are second answers to other attempts.
+  int Mixed() const {
+    return Count([](const SentRequest& request) {
+      return request.status == 200 && request.body == kLateAnswer;
+    });
+  }
   int Served() const {
     return Count(
         [](const SentRequest& request) { return request.status == 200; });
@@ -217,6 +269,12 @@
   void StopSome() {
     const std::size_t first = Random(kDaemons);
     const std::size_t count = 1 + Random(2);
+    if (Random(2) == 0) {
+      m_relays[(first + count) % kDaemons]->Signal(SIGHUP);
+    }
+    if (Random(2) == 0) {
+      m_store.Put("op/config", Routes(++m_version));
+    }
     std::vector<std::pair<std::size_t, TimePoint>> stopped;
     for (std::size_t i = 0; i < count; ++i) {
       const std::size_t daemon = (first + i) % kDaemons;
@@ -262,6 +320,12 @@
   }
 
   void CountRuns() {
+    for (const auto& leaf : m_bad_leafs) {
+      for (const SentRequest& request : m_sent) {
+        AddCount(m_arrivals, request.id, leaf->Arrivals(request.id));
+        AddCount(m_runs, request.id, leaf->Runs(request.id));
+      }
+    }
     for (const auto& leaf : m_leafs) {
       for (const LeafArrival& arrival : leaf->Arrivals()) {
         ++m_arrivals[arrival.body];
@@ -272,6 +336,23 @@
     }
   }
 
+  static void AddCount(std::map<std::string, int>& counts,
+                       const std::string& id,
+                       int count) {
+    if (count > 0) {
+      counts[id] += count;
+    }
+  }
+
+  std::vector<std::unique_ptr<ScriptedLeaf>> MakeBadLeafs() {
+    std::vector<std::unique_ptr<ScriptedLeaf>> leafs;
+    for (int leaf = 0; leaf < 2; ++leaf) {
+      leafs.push_back(std::make_unique<ScriptedLeaf>(
+          [this](const ScriptedArrival&) { return m_script.Draw(); }));
+    }
+    return leafs;
+  }
+
   static std::vector<std::unique_ptr<FakePlatformLeaf>> MakeLeafs() {
     std::vector<std::unique_ptr<FakePlatformLeaf>> leafs;
     for (const char* id : {"0", "1", "2", "3"}) {
@@ -286,12 +367,15 @@
       Harness::FleetNetwork::Create().value();
   FakePlatformStore m_store;
   std::vector<std::unique_ptr<FakePlatformLeaf>> m_leafs = MakeLeafs();
+  MisbehaviourScript m_script{m_seed};
+  std::vector<std::unique_ptr<ScriptedLeaf>> m_bad_leafs = MakeBadLeafs();
   std::vector<std::unique_ptr<RelayProcess>> m_relays;
   std::atomic<bool> m_is_over = false;
   std::mutex m_mutex;
   std::vector<SentRequest> m_sent;
   std::map<std::string, int> m_arrivals;
   std::map<std::string, int> m_runs;
+  int m_version = 3;
   int m_stops = 0;
   int m_kills = 0;
 };
@@ -307,6 +391,7 @@
   CHECK(soak.Lost() == 0);
   CHECK(soak.FalselyRefused() == 0);
   CHECK(soak.RunTwice() == 0);
+  CHECK(soak.Mixed() == 0);
   CHECK(soak.Served() > 100);
   MESSAGE("seed " << seed << ": " << soak.Stops() << " stops, " << soak.Sent()
                   << " requests, " << soak.Served() << " served, "
--- a/tests/stuttering_leaf.cc
+++ b/tests/scripted_leaf.cc
@@ -1,4 +1,4 @@
-#include "stuttering_leaf.h"
+#include "scripted_leaf.h"
 
 #include <sys/socket.h>
 
@@ -37,20 +37,19 @@
 
 }  // namespace
 
-struct StutteringLeaf::Connection {
+struct ScriptedLeaf::Connection {
   explicit Connection(asio::io_context& context) : socket(context) {}
 
   tcp::socket socket;
   std::thread thread;
 };
 
-StutteringLeaf::StutteringLeaf(Stutter stutter, Duration work)
-    : m_stutter(std::move(stutter)),
-      m_work(work),
+ScriptedLeaf::ScriptedLeaf(Script script)
+    : m_script(std::move(script)),
       m_acceptor(m_context, {asio::ip::make_address("127.0.0.1"), 0}),
       m_accepting([this] { Accept(); }) {}
 
-StutteringLeaf::~StutteringLeaf() {
+ScriptedLeaf::~ScriptedLeaf() {
   m_is_stopping = true;
   ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
   m_accepting.join();
@@ -60,11 +59,11 @@
   }
 }
 
-Endpoint StutteringLeaf::Address() const {
+Endpoint ScriptedLeaf::Address() const {
   return {"127.0.0.1", m_acceptor.local_endpoint().port()};
 }
 
-std::string StutteringLeaf::Entry(const std::string& service) const {
+std::string ScriptedLeaf::Entry(const std::string& service) const {
   return json::serialize(json::object{{"service", service},
                                       {"address", ToString(Address())},
                                       {"zone", "z"},
@@ -76,13 +75,19 @@
                                       {"born", 1}});
 }
 
-int StutteringLeaf::Runs(const std::string& request_id) const {
+int ScriptedLeaf::Runs(const std::string& request_id) const {
   const std::lock_guard lock(m_mutex);
   const auto found = m_runs.find(request_id);
   return found == m_runs.end() ? 0 : found->second;
 }
 
-void StutteringLeaf::Accept() {
+int ScriptedLeaf::Arrivals(const std::string& request_id) const {
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_arrivals.find(request_id);
+  return found == m_arrivals.end() ? 0 : found->second;
+}
+
+void ScriptedLeaf::Accept() {
   while (!m_is_stopping) {
     auto connection = std::make_unique<Connection>(m_context);
     boost::system::error_code error;
@@ -96,12 +101,22 @@
   }
 }
 
-bool StutteringLeaf::IsFirstArrival(const std::string& request_id) {
-  const std::lock_guard lock(m_mutex);
-  return ++m_arrivals[request_id] == 1;
+LeafBehaviour ScriptedLeaf::Receive(const std::string& request_id,
+                                    const std::string& body) {
+  ScriptedArrival arrival{request_id, body, 0};
+  {
+    const std::lock_guard lock(m_mutex);
+    arrival.number = ++m_arrivals[request_id];
+  }
+  LeafBehaviour behaviour = m_script(arrival);
+  if (!behaviour.answer.is_not_run) {
+    const std::lock_guard lock(m_mutex);
+    ++m_runs[request_id];
+  }
+  return behaviour;
 }
 
-void StutteringLeaf::Serve(Connection& connection) {
+void ScriptedLeaf::Serve(Connection& connection) {
   beast::flat_buffer buffer;
   std::string late_answer;
   boost::system::error_code error;
@@ -117,22 +132,15 @@
       late_answer.clear();
     }
     const std::string id(request[std::string(Platform::kRequestId)]);
-    const bool is_twice = request.body() == kBody && IsFirstArrival(id);
-    const LeafAnswer own{200, false, std::string(kOwnBody)};
-    const LeafAnswer& answer = is_twice ? m_stutter.first : own;
-    if (!answer.is_not_run) {
-      const std::lock_guard lock(m_mutex);
-      ++m_runs[id];
-    }
-    if (!answer.is_not_run) {
-      std::this_thread::sleep_for(m_work);
-    }
-    std::string bytes = Encode(answer, id);
-    if (is_twice && m_stutter.time == SecondAnswerTime::kWithFirst) {
+    const LeafBehaviour behaviour = Receive(id, request.body());
+    std::this_thread::sleep_for(behaviour.work);
+    std::string bytes = Encode(behaviour.answer, id);
+    if (behaviour.second &&
+        behaviour.second_time == SecondAnswerTime::kWithFirst) {
       ++m_second_answers;
-      bytes += Encode(m_stutter.second, id);
-    } else if (is_twice) {
-      late_answer = Encode(m_stutter.second, id);
+      bytes += Encode(*behaviour.second, id);
+    } else if (behaviour.second) {
+      late_answer = Encode(*behaviour.second, id);
     }
     asio::write(connection.socket, asio::buffer(bytes), error);
   }
--- a/tests/stuttering_leaf.h
+++ b/tests/scripted_leaf.h
@@ -3,10 +3,12 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -31,30 +33,43 @@
   std::string body;
 };
 
-/// How a leaf answers the first arrival of some requests.
-struct Stutter {
-  LeafAnswer first;
-  LeafAnswer second;
-  SecondAnswerTime time = SecondAnswerTime::kBeforeNext;
+/// How a leaf treats one arrival of a request.
+struct LeafBehaviour {
+  LeafAnswer answer;
+  /// Time before the answer; a leaf that does not run the request needs none.
+  Duration work{0};
+  /// Sent in addition to `answer`.
+  std::optional<LeafAnswer> second;
+  SecondAnswerTime second_time = SecondAnswerTime::kBeforeNext;
 };
 
-/// Leaf that answers the first arrival of each request whose body is `kBody`
-/// twice. It runs all other arrivals, and answers them with 200 and `kOwnBody`.
-class StutteringLeaf {
+/// An arrival of a request at a leaf.
+struct ScriptedArrival {
+  std::string request_id;
+  std::string body;
+  /// From 1, among those of this request at this leaf.
+  int number = 0;
+};
+
+/// Leaf whose answers are written by a test, byte by byte.
+class ScriptedLeaf {
  public:
-  static constexpr std::string_view kBody = "stutter";
-  static constexpr std::string_view kOwnBody = "own answer";
+  /// Called on the threads of the leaf's connections.
+  using Script = std::function<LeafBehaviour(const ScriptedArrival&)>;
 
-  StutteringLeaf(Stutter stutter, Duration work);
-  ~StutteringLeaf();
+  explicit ScriptedLeaf(Script script);
+  ~ScriptedLeaf();
 
   /// The leaf's entry in the store.
   std::string Entry(const std::string& service) const;
   Endpoint Address() const;
   /// How often the leaf has begun to run the request.
   int Runs(const std::string& request_id) const;
+  /// How often the request has reached the leaf.
+  int Arrivals(const std::string& request_id) const;
   /// Second answers sent so far.
   int SecondAnswers() const { return m_second_answers; }
+  /// Connections accepted so far.
   int Connections() const { return m_connection_count; }
 
  private:
@@ -62,11 +77,9 @@
 
   void Accept();
   void Serve(Connection& connection);
-  /// Whether the answer is to be given twice.
-  bool IsFirstArrival(const std::string& request_id);
+  LeafBehaviour Receive(const std::string& request_id, const std::string& body);
 
-  const Stutter m_stutter;
-  const Duration m_work;
+  const Script m_script;
   boost::asio::io_context m_context;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::atomic<bool> m_is_stopping = false;
