End one request, not the process, if a handler throws

Cause: HTTP can't express such a request to a leaf, the message refuses it with an exception, and no loop caught one. Class: bad input that costs a process. Change: the loops of callers, leafs and the store go on after a handler that throws and log it with its place; the server answers 500 for its request; a request that can't be encoded is 'not sent'; TRACE with a body is refused with 400 at once. The peers' loop caught exceptions without a log line. Not covered: the control actor, whose exceptions end the actor (CAF's default).

--- a/src/connection/event_loop.cc
+++ b/src/connection/event_loop.cc
@@ -7,6 +7,8 @@
 #include <thread>
 #include <utility>
 
+#include "connection/guarded_call.h"
+
 namespace bramleyspoke {
 namespace {
 
@@ -49,16 +51,22 @@
   }
 
   void Start() override {
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] { RunHandlers(); });
   }
 
-  void Run() override { m_context.run(); }
+  void Run() override { RunHandlers(); }
 
   void Stop() override { StopThread(); }
 
   asio::io_context& Context() override { return m_context; }
 
  private:
+  // An exception leaves the context, which goes on with the next handler.
+  void RunHandlers() {
+    while (!RunGuarded("event loop", [this] { m_context.run(); })) {
+    }
+  }
+
   void StopThread() {
     m_context.stop();
     if (m_thread.joinable()) {
--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -21,6 +21,7 @@
 
 #include "connection/byte_budget.h"
 #include "connection/event_loop.h"
+#include "connection/guarded_call.h"
 #include "connection/socket_options.h"
 
 namespace bramleyspoke {
@@ -268,13 +269,19 @@
       done(HttpOutcome{std::nullopt, HttpFailure::kConnect});
       return;
     }
+    const bool is_encoded = RunGuarded("request to a server", [&] {
+      m_state->request = MakeMessage(std::move(request), m_state->host);
+    });
+    if (!is_encoded) {
+      done(HttpOutcome{std::nullopt, HttpFailure::kConnect});
+      return;
+    }
     m_state->done = std::move(done);
     m_state->matches = std::move(matches);
     m_state->is_writing = true;
     m_state->is_early = false;
     m_state->skipped_interim = 0;
     m_state->skipped_others = 0;
-    m_state->request = MakeMessage(std::move(request), m_state->host);
     m_state->stream.socket().cancel();
     m_state->stream.expires_at(deadline);
     http::async_write(m_state->stream, m_state->request,
--- a/src/connection/http_session.cc
+++ b/src/connection/http_session.cc
@@ -20,6 +20,7 @@
 #include <utility>
 
 #include "connection/event_loop.h"
+#include "connection/guarded_call.h"
 #include "connection/http_refusal.h"
 #include "connection/socket_options.h"
 
@@ -376,6 +377,14 @@
   return request;
 }
 
+using Parser = http::request_parser<http::string_body>;
+
+// Such a request cannot be passed on.
+bool IsTraceWithBody(const Parser& parser) {
+  return parser.get().method() == http::verb::trace &&
+         !parser.get().body().empty();
+}
+
 void Session::OnRequest(beast::error_code error) {
   m_request_timer.reset();
   if (m_is_closed) {
@@ -405,12 +414,24 @@
            error.message());
     return;
   }
+  if (IsTraceWithBody(*m_parser)) {
+    Refuse(400, RefusalReason::kBadRequest, "TRACE with a body");
+    return;
+  }
   m_stream.expires_never();
   m_keep_alive = m_parser->keep_alive();
   m_is_head_request = m_parser->get().method() == http::verb::head;
   ++m_requests;
-  m_state->handler.Handle(std::make_shared<Exchange>(
-      shared_from_this(), ConvertRequest(m_parser->release())));
+  const auto exchange = std::make_shared<Exchange>(
+      shared_from_this(), ConvertRequest(m_parser->release()));
+  const std::string place =
+      exchange->Request().method + " " + exchange->Request().target;
+  if (!RunGuarded(place, [&] { m_state->handler.Handle(exchange); })) {
+    HttpResponse response;
+    response.status = 500;
+    response.body = "internal error\n";
+    exchange->Respond(std::move(response));
+  }
 }
 
 }  // namespace
--- a/src/connection/kj_queue.cc
+++ b/src/connection/kj_queue.cc
@@ -4,22 +4,11 @@
 #include <unistd.h>
 
 #include <cstdint>
-#include <exception>
 #include <utility>
 
-namespace bramleyspoke {
-namespace {
+#include "connection/guarded_call.h"
 
-// An exception in one call must not end the loop, which serves all the others.
-void RunIgnoringExceptions(const std::function<void()>& call) {
-  try {
-    call();
-  } catch (const std::exception&) {
-    return;
-  }
-}
-
-}  // namespace
+namespace bramleyspoke {
 
 KjQueue::KjQueue() : m_wake_fd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
 
@@ -50,7 +39,7 @@
     calls.swap(m_calls);
   }
   for (const std::function<void()>& call : calls) {
-    RunIgnoringExceptions(call);
+    RunGuarded("peer calls", call);
   }
 }
 
