Refuse requests with an unknown transfer coding, and read nothing of their bodies

Cause: a coding whose last is not chunked left the request without a body for the parser, so its bytes were the next request's. Class: input whose end is not known. Change: any transfer coding but a single 'chunked' is answered 501, and the connection is closed. Measured: a case of http_guard_test with four forms; before, the inner request was served and the connection stayed open (the case ran into its 60 s). It passes now.

--- a/src/connection/http_session.cc
+++ b/src/connection/http_session.cc
@@ -379,6 +379,15 @@
 
 using Parser = http::request_parser<http::string_body>;
 
+// Without a known coding, the end of the body is unknown: its bytes could be
+// taken for the next request.
+bool HasUnknownCoding(const Parser& parser) {
+  const auto codings = parser.get().equal_range(http::field::transfer_encoding);
+  return codings.first != codings.second &&
+         (std::next(codings.first) != codings.second ||
+          !beast::iequals(codings.first->value(), "chunked"));
+}
+
 // Such a request cannot be passed on.
 bool IsTraceWithBody(const Parser& parser) {
   return parser.get().method() == http::verb::trace &&
@@ -414,6 +423,10 @@
            error.message());
     return;
   }
+  if (HasUnknownCoding(*m_parser)) {
+    Refuse(501, RefusalReason::kBadRequest, "unknown transfer coding");
+    return;
+  }
   if (IsTraceWithBody(*m_parser)) {
     Refuse(400, RefusalReason::kBadRequest, "TRACE with a body");
     return;
--- a/tests/http_guard_test.cc
+++ b/tests/http_guard_test.cc
@@ -112,4 +112,31 @@
   CHECK(server.Handler().Requests() == 0);
 }
 
+// Guards against a body whose bytes are read as another request.
+TEST_CASE("a request with an unknown transfer coding is refused whole") {
+  const GuardedServer server;
+  std::string coding;
+  SUBCASE("unknown") {
+    coding = "gzip";
+  }
+  SUBCASE("unknown before chunked") {
+    coding = "gzip, chunked";
+  }
+  SUBCASE("unknown after chunked") {
+    coding = "chunked, identity";
+  }
+  SUBCASE("in two fields") {
+    coding = "gzip\r\nTransfer-Encoding: chunked";
+  }
+  const std::string inner = "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string received = server.SendBytes(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding +
+      "\r\n\r\n" + inner);
+  const bool is_refused = received.rfind("HTTP/1.1 501", 0) == 0 ||
+                          received.rfind("HTTP/1.1 400", 0) == 0;
+  CHECK_MESSAGE(is_refused, received);
+  CHECK(received.find("200") == std::string::npos);
+  CHECK(server.Handler().Requests() == 0);
+}
+
 }  // namespace bramleyspoke
