Bound the connections that repeats cost in the test of late answers

Cause: connections to leafs are few; the fix of the incident must not cost more of them. Change: the test checks that the leaf gets no more connections than the callers need and one for each repeated request, and prints the count.

--- a/tests/process_relay_late_answer_test.cc
+++ b/tests/process_relay_late_answer_test.cc
@@ -31,6 +31,9 @@
 constexpr int kRequestsPerCaller = 24;
 // One in this many requests is answered twice.
 constexpr int kTwiceEvery = 6;
+// Connections that the daemon needs without repeats: those in use at one time,
+// and as many that it keeps open.
+constexpr int kMaxOwnConnections = 2 * kCallers;
 constexpr std::string_view kAnsweredTwice = "answered twice";
 constexpr std::string_view kOwnBody = "own answer";
 
@@ -118,6 +121,12 @@
     });
   }
   const ScriptedLeaf& Leaf() const { return m_leaf; }
+  /// Requests that were repeated at the leaf.
+  int Repeated() const {
+    return Count([this](const CallerAnswer& answer) {
+      return m_leaf.Arrivals(answer.id) > 1;
+    });
+  }
   std::string Log() const { return m_relay->Log(); }
 
  private:
@@ -171,6 +180,9 @@
   relay.Run();
   CHECK_MESSAGE(relay.Mixed() == 0, relay.Log());
   CHECK(relay.Leaf().SecondAnswers() > 0);
+  CHECK(relay.Leaf().Connections() <= kMaxOwnConnections + relay.Repeated());
+  MESSAGE(relay.Leaf().Connections()
+          << " connections for " << relay.Repeated() << " repeated requests");
   CHECK(relay.Served() == kCallers * kRequestsPerCaller);
 }
 
@@ -189,6 +201,9 @@
   CHECK_MESSAGE(relay.RunTwice() == 0, relay.Log());
   CHECK(relay.FalselyRefused() == 0);
   CHECK(relay.Leaf().SecondAnswers() > 0);
+  CHECK(relay.Leaf().Connections() <= kMaxOwnConnections + relay.Repeated());
+  MESSAGE(relay.Leaf().Connections()
+          << " connections for " << relay.Repeated() << " repeated requests");
   CHECK(relay.Served() == kCallers * kRequestsPerCaller);
 }
 
