Reproduce a stray refusal that was there before its request and is believed

Found in the review of: a write that ends at once, as nearly all do, ends before the bytes that were in the socket are read, and these then count as an answer.

--- a/tests/http_stray_bytes_test.cc
+++ b/tests/http_stray_bytes_test.cc
@@ -125,6 +125,47 @@
   server.join();
 }
 
+// Guards against a refusal without an id that was there before the request was
+// written, though the write took no time.
+TEST_CASE("a response that was there before its request is doubted") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  std::thread server([&] {
+    tcp::socket socket(context);
+    acceptor.accept(socket);
+    asio::write(socket, asio::buffer(std::string(kStray)));
+    std::string rest;
+    boost::system::error_code error;
+    asio::read_until(socket, asio::dynamic_buffer(rest), "never", error);
+  });
+  LoopRunner runner;
+  std::shared_ptr<HttpConnection> connection;
+  std::vector<ConnectionUse> uses;
+  const auto deadline = std::chrono::steady_clock::now() + Duration(kDeadline);
+  runner.Await<HttpOutcome>([&](auto done) {
+    HttpConnection::Open(
+        runner.Loop(), {"127.0.0.1", acceptor.local_endpoint().port()},
+        deadline, [&, deadline, done](std::unique_ptr<HttpConnection> opened) {
+          // The process is held up between the connect and the write.
+          std::this_thread::sleep_for(std::chrono::milliseconds(100));
+          connection = std::move(opened);
+          connection->SendMatching(
+              {"POST", "/", {}, "body"}, deadline,
+              [&uses](const HttpResponse&, ConnectionUse use) {
+                uses.push_back(use);
+                return true;
+              },
+              done);
+        });
+  });
+  CHECK(uses == std::vector{ConnectionUse::kReused});
+  runner.Run([&] {
+    connection.reset();
+    return 0;
+  });
+  server.join();
+}
+
 TEST_CASE("a matcher is told whether a connection was used before") {
   const StrayBytesServer server(kAnswer);
   LoopRunner runner;
