Use no connection again that has carried HEAD

Cause: an answer to HEAD and one to another method are read in different ways, and the bytes of a late second answer don't say to which of them they belong. Change: a connection is closed after a response to HEAD.

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -178,12 +178,17 @@
   ReadResponse(state);
 }
 
+bool IsHead(const ConnectionState& state) {
+  return state.request.method() == http::verb::head;
+}
+
 // The connection is closed after a response that arrived before the request was
 // completely written, that followed a response to another request, or that more
-// bytes follow: later responses could be matched to the wrong request.
+// bytes follow: later responses could be matched to the wrong request. So it is
+// after a response to HEAD, as a second one would seem to have a body.
 void OnResponse(const std::shared_ptr<ConnectionState>& state) {
   const bool is_in_sync = !state->is_writing && state->skipped_others == 0 &&
-                          state->buffer.size() == 0;
+                          state->buffer.size() == 0 && !IsHead(*state);
   const bool keep_alive = state->parser->keep_alive() && is_in_sync;
   HttpOutcome outcome{ConvertResponse(state->parser->release()), {}};
   outcome.round_trip = RoundTripOf(state->stream.socket().native_handle());
@@ -235,7 +240,7 @@
   state->parser.emplace();
   state->parser->eager(true);
   // Its length is that of a body which does not follow.
-  state->parser->skip(state->request.method() == http::verb::head);
+  state->parser->skip(IsHead(*state));
   state->parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
   state->parser->body_limit(limits.body_bytes);
   ReadPart(state);
