Doubt a response whose bytes were there before its request was written

What callers saw: nothing yet; a request that may run once could be refused as not run, or be run at a second leaf, because of a 400 or 421 without an id that a leaf sent on a new connection before the request. TakeIdle checks for such bytes, the send on a connection that was just opened doesn't. Cause: took bytes for early if they were read while the write was pending. A write that ends at once ends before the first read does. Change: the socket is looked at before the write. Measured: the case of http_stray_bytes_test was told kFirst before, kReused now; the http_*, leaf_exchanges and platform_protocol tests pass (38 cases).

--- a/src/connection/http_client.cc
+++ b/src/connection/http_client.cc
@@ -284,7 +284,8 @@
     m_state->done = std::move(done);
     m_state->matches = std::move(matches);
     m_state->is_writing = true;
-    m_state->is_early = false;
+    // What is read after the write may have been there before it.
+    m_state->is_early = !IsOpenWithoutInput(m_state->stream);
     m_state->skipped_interim = 0;
     m_state->skipped_others = 0;
     m_state->stream.socket().cancel();
