Reproduce a late put that stays in a daemon's entry

A daemon that lost the answer to its entry 'cut off' and wrote 'in contact' then is registered as cut off, and peers hand it nothing, until its state changes again.

--- a/tests/relay_control_test.cc
+++ b/tests/relay_control_test.cc
@@ -310,6 +310,39 @@
   CHECK_FALSE(fixture.leafs[0].is_draining);
 }
 
+// Guards against an entry that stays as an earlier put left it, which the store
+// executed after a later one.
+TEST_CASE("a put that is executed late does not stay in the daemon's entry") {
+  ControlFixture fixture;
+  const std::string key = fixture.schema.DaemonKey("self");
+  fixture.store.AnswerGrant(1);
+  const std::string in_contact = fixture.store.last_put_value;
+  fixture.store.AnswerPut(KeyValueStatus::kOk);
+  fixture.AnswerRead({{key, in_contact}});
+  fixture.control->SetCutOff(true);
+  const std::string cut_off = fixture.store.last_put_value;
+  REQUIRE(cut_off != in_contact);
+  fixture.store.AnswerPut(KeyValueStatus::kUnknown);
+  fixture.control->SetCutOff(false);
+  while (fixture.store.puts.empty()) {
+    REQUIRE(fixture.loop.RunNextTimer());
+  }
+  REQUIRE(fixture.store.last_put_value == in_contact);
+  fixture.store.AnswerPut(KeyValueStatus::kOk);
+  fixture.AnswerWatch({KeyValueStatus::kOk, {{key, in_contact}}, 8});
+  CHECK(fixture.store.puts.empty());
+
+  SUBCASE("if a watch shows it") {
+    fixture.AnswerWatch({KeyValueStatus::kOk, {{key, cut_off}}, 9});
+  }
+  SUBCASE("if a read shows it") {
+    fixture.AnswerWatch({KeyValueStatus::kHistoryGone, {}, 0});
+    fixture.AnswerRead({{key, cut_off}});
+  }
+  REQUIRE(fixture.store.puts.size() == 1);
+  CHECK(fixture.store.last_put_value == in_contact);
+}
+
 // While a fleet starts, each daemon is a holder until the leafs are known.
 TEST_CASE("a daemon that is a holder for a moment keeps its lease") {
   ControlFixture fixture;
