Reproduce a repeat that is given up at a leaf that takes no new connections

What callers see: 502 instead of a success or a refusal, for a request that may run once and that no leaf has run. A leaf that is full, as one that has just refused is, may accept no more connections and resets it: the request counts as possibly run.

--- a/tests/scripted_leaf.cc
+++ b/tests/scripted_leaf.cc
@@ -95,6 +95,10 @@
     if (error) {
       return;
     }
+    if (m_is_refusing) {
+      connection->socket.set_option(asio::socket_base::linger(true, 0), error);
+      continue;
+    }
     ++m_connection_count;
     Connection& accepted = *m_connections.emplace_back(std::move(connection));
     accepted.thread = std::thread([this, &accepted] { Serve(accepted); });
--- a/tests/scripted_leaf.h
+++ b/tests/scripted_leaf.h
@@ -67,6 +67,9 @@
   int Runs(const std::string& request_id) const;
   /// How often the request has reached the leaf.
   int Arrivals(const std::string& request_id) const;
+  /// Sets whether connections are reset as soon as they are accepted, as by a
+  /// leaf at its connection limit.
+  void RefuseConnections(bool is_refusing) { m_is_refusing = is_refusing; }
   /// Second answers sent so far.
   int SecondAnswers() const { return m_second_answers; }
   /// Connections accepted so far.
@@ -83,6 +86,7 @@
   boost::asio::io_context m_context;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::atomic<bool> m_is_stopping = false;
+  std::atomic<bool> m_is_refusing = false;
   std::atomic<int> m_second_answers = 0;
   std::atomic<int> m_connection_count = 0;
   mutable std::mutex m_mutex;
