Write a repeat to a replacing connection only once the leaf has not refused it

Change: a connection that replaces ones which have carried the request stays unused for 20 ms; if the leaf has closed it by then, the request counts as not sent.

--- a/src/connection/leaf_exchanges.cc
+++ b/src/connection/leaf_exchanges.cc
@@ -132,6 +132,7 @@
   }
   if (!leaf.idle.empty()) {
     leaf.idle.erase(leaf.idle.begin());
+    exchange.is_replacing = true;
     ++m_replaced;
   }
 }
@@ -146,24 +147,42 @@
   const TimePoint deadline =
       std::min(exchange.call.deadline, Now() + Duration(kConnectTimeout));
   ++m_opened;
-  HttpConnection::Open(
-      m_loop, exchange.call.leaf, deadline,
-      [this, weak = std::weak_ptr(m_self),
-       number](std::unique_ptr<HttpConnection> connection) {
-        if (!weak.lock()) {
-          return;
-        }
-        const auto found = m_exchanges.find(number);
-        if (found == m_exchanges.end()) {
-          return;
-        }
-        if (!connection) {
-          OnOutcome(number, HttpOutcome{std::nullopt, HttpFailure::kConnect});
-          return;
-        }
-        found->second.connection = MakeConnection(std::move(connection));
-        Write(number, found->second);
-      });
+  HttpConnection::Open(m_loop, exchange.call.leaf, deadline,
+                       [this, weak = std::weak_ptr(m_self),
+                        number](std::unique_ptr<HttpConnection> connection) {
+                         if (weak.lock()) {
+                           OnOpened(number, std::move(connection));
+                         }
+                       });
+}
+
+void LeafExchanges::OnOpened(ExchangeNumber number,
+                             std::unique_ptr<HttpConnection> http) {
+  const auto found = m_exchanges.find(number);
+  if (found == m_exchanges.end()) {
+    return;
+  }
+  if (!http) {
+    OnOutcome(number, HttpOutcome{std::nullopt, HttpFailure::kConnect});
+    return;
+  }
+  Exchange& exchange = found->second;
+  exchange.connection = MakeConnection(std::move(http));
+  if (exchange.is_replacing) {
+    exchange.write_timer = m_loop.At(
+        Now() + kRefusalTime, [this, number] { WriteUnlessRefused(number); });
+  } else {
+    Write(number, exchange);
+  }
+}
+
+void LeafExchanges::WriteUnlessRefused(ExchangeNumber number) {
+  Exchange& exchange = m_exchanges.at(number);
+  if (exchange.connection.http->IsOpen()) {
+    Write(number, exchange);
+  } else {
+    OnOutcome(number, HttpOutcome{std::nullopt, HttpFailure::kConnect});
+  }
 }
 
 // While the connection was opened, the leaf may have asked for a pause or have
--- a/src/connection/leaf_exchanges.h
+++ b/src/connection/leaf_exchanges.h
@@ -49,6 +49,9 @@
   static constexpr Duration kConnectTimeout = std::chrono::seconds(1);
   /// Interval at which missing pooled connections are opened.
   static constexpr Duration kMaintainInterval = std::chrono::milliseconds(500);
+  /// Time for which a new connection that replaces others is unused: a leaf
+  /// that accepts no more connections closes it first, unread.
+  static constexpr Duration kRefusalTime = std::chrono::milliseconds(20);
   /// Fraction of a leaf's keep-alive timeout for which an idle connection may
   /// be used again.
   static constexpr double kUsableIdleFraction = 0.8;
@@ -120,6 +123,10 @@
   struct Exchange {
     LeafCall call;
     Connection connection;
+    /// All idle connections had carried the request.
+    bool is_replacing = false;
+    /// Set while a new connection may still be refused.
+    std::unique_ptr<Timer> write_timer;
 
     ExchangePosition Position() const {
       return {connection.number, connection.exchanges};
@@ -131,6 +138,8 @@
   Connection MakeConnection(std::unique_ptr<HttpConnection> http);
   void TakeIdle(Leaf& leaf, Exchange& exchange);
   void OpenConnection(ExchangeNumber number);
+  void OnOpened(ExchangeNumber number, std::unique_ptr<HttpConnection> http);
+  void WriteUnlessRefused(ExchangeNumber number);
   void Write(ExchangeNumber number, Exchange& exchange);
   static HttpResponseMatcher Matcher(const Exchange& exchange);
   void KeepUnused(Exchange& exchange);
