Reproduce an answer that contains a shard of two peers

What callers see: MIXED, a success whose Part-Stamps hold two signatures of one service. Found in the review of the trace of the incident MIXED, TWICE, LOST: a peer that left shards pending still has those that this daemon was itself asking for. If the daemon loses its leafs then, it hands these over to another peer, and continues the others at the first one, whose answer covers them all.

--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -40,6 +40,56 @@
 
 }  // namespace
 
+// Guards against two peers' answers that both contain a shard: one that was
+// handed over to the second peer while the first one still had it.
+TEST_CASE("a shard that two peers answer is in the answer once") {
+  FarShards fixture;
+  const RelayNumber number = fixture.Submit(4);
+  REQUIRE(fixture.delegations.size() == 1);
+  const auto reply = [&](const RelayDelegation& delegation,
+                         const std::string& name,
+                         std::vector<std::size_t> covered,
+                         std::vector<UncoveredShard> uncovered = {}) {
+    DelegationReply made;
+    made.kind = LeafReplyKind::kSucceeded;
+    made.covered = std::move(covered);
+    made.uncovered = std::move(uncovered);
+    made.answer.body = name;
+    fixture.CollectActions(fixture.engine.OnDelegationReply(
+        delegation.number, std::move(made), fixture.now));
+  };
+  // The peer is late, so that all shards are hedged.
+  while (fixture.sends.size() < 4) {
+    fixture.Advance(milliseconds(1));
+  }
+  fixture.Reply("s2-2", LeafReplyKind::kFailed);
+  const RelayDelegation first = fixture.delegations.front();
+  fixture.delegations.clear();
+  reply(first, "first", {0}, {{1, 1, true}, {2, 1, true}, {3, 1, true}});
+  // No leaf is reached from now on. Shard 2 is continued at the first peer,
+  // which still has 1 and 3 as well; these are handed over.
+  fixture.probes = ProbeAnswer::kNone;
+  for (int step = 0; step < 1000 && fixture.delegations.size() < 2; ++step) {
+    fixture.Advance(milliseconds(1));
+  }
+  REQUIRE(fixture.delegations.size() == 2);
+  const RelayDelegation continuation = fixture.delegations[0];
+  const RelayDelegation hand_over = fixture.delegations[1];
+  REQUIRE(continuation.is_continuation);
+  REQUIRE(hand_over.shards == std::vector<std::string>{"s1", "s3"});
+
+  reply(hand_over, "1 and 3", {0, 1});
+  if (!fixture.outcomes.contains(number)) {
+    reply(continuation, "1, 2 and 3", {1, 2, 3});
+  }
+  fixture.Advance(milliseconds(2500));
+  std::vector<std::string> answers;
+  for (const HttpResponse& answer : fixture.Outcome(number).answers) {
+    answers.push_back(answer.body);
+  }
+  CHECK(answers == std::vector<std::string>{"first", "1 and 3"});
+}
+
 TEST_CASE("shards of another region are requested in one delegation") {
   FarShards fixture;
   const RelayNumber number = fixture.Submit(4);
