Take no peer's answer that contains a shard of another peer's

Cause: a peer's answer covers the shards that the peer has had since the delegation, not those that it is asked for now. Class: an answer is matched by a name (the place in the delegation) that outlives what is asked for. Change: an answer with a shard that another peer's answer covers is not used, as it can't be split; its other shards count as lost at that peer. Measured: the case of relay_delegation_test failed before, passes now; relay_delegation, relay_hand_over, relay_engine, relay_cut_off_evidence and relay_stop tests pass (51 cases).

--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -306,8 +306,18 @@
   return stalls;
 }
 
+bool RelayEngine::IsAnyCoveredByOther(const Request& request,
+                                      const DelegationState& delegation_state,
+                                      const DelegationReply& reply) {
+  return std::any_of(
+      reply.covered.begin(), reply.covered.end(), [&](std::size_t index) {
+        return request.parts[delegation_state.parts.at(index)].is_covered;
+      });
+}
+
 // The peer's answer is merged and cannot be split, so it replaces the answers
-// of covered parts that leafs answered directly in the meantime.
+// of covered parts that leafs answered directly in the meantime. It is of no
+// use if it contains a part that another peer's answer contains as well.
 void RelayEngine::TakePeerAnswer(Request& request,
                                  const DelegationState& delegation_state,
                                  DelegationReply& reply) {
@@ -321,6 +331,9 @@
     }
     return;
   }
+  if (IsAnyCoveredByOther(request, delegation_state, reply)) {
+    return;
+  }
   request.peer_answers.push_back(std::move(reply.answer));
   for (const std::size_t index : reply.covered) {
     Part& part = request.parts[delegation_state.parts.at(index)];
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -287,6 +287,9 @@
                        const DelegationReply& reply);
   void RecordStalls(const DelegationState& delegation_state,
                     const DelegationReply& reply);
+  static bool IsAnyCoveredByOther(const Request& request,
+                                  const DelegationState& delegation_state,
+                                  const DelegationReply& reply);
   static void TakePeerAnswer(Request& request,
                              const DelegationState& delegation_state,
                              DelegationReply& reply);
