Send no shard that a peer may have run to leafs that are new

Cause: a daemon goes past a late or lost peer only if the shard's leafs are settled and no more than max_attempts, so that both together reach no more. That was checked when it went past the peer. When the store came back, the leafs had changed: the peer's attempt was at an old leaf, the daemon's at an old and a new one. Class: a decision that outlives the knowledge it was made on. Change: a part notes since when a peer may run it unseen; leafs that changed later don't get it. A peer declines such a shard too if its leafs changed in the time that the delegating daemon takes for settled. Once the peer has reported all attempts and this daemon made none, nothing is unseen any more. Measured: two new cases of relay_delegation_test; before, the new leaf got the shard after the peer was lost, and the peer sent the shard that it declines now.

--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -161,6 +161,7 @@
     part.is_peer_bypassable = AreLeafsSettled(part, route);
     delegation.bypassable.push_back(part.is_peer_bypassable);
     if (part.is_peer_bypassable) {
+      part.shared_since = part.shared_since.value_or(m_now);
       part.hedge_at = m_now + overdue + kPeerOverdueMargin;
     }
     delegation_state.services.push_back(part.service);
@@ -424,9 +425,12 @@
 }
 
 bool RelayEngine::CouldExceedAttempts(const Request& request,
-                                      const Part& part) {
-  return part.is_shared_with_peer &&
-         part.service->leafs.size() > request.MatchedRoute().max_attempts;
+                                      const Part& part) const {
+  if (!part.shared_since) {
+    return false;
+  }
+  return part.service->leafs.size() > request.MatchedRoute().max_attempts ||
+         part.service->leafs_changed_at > *part.shared_since;
 }
 
 void RelayEngine::ApplyUncovered(
@@ -441,6 +445,10 @@
   }
   // A continuation's answer counts the leafs of the first answer again.
   part.runs = std::max(part.runs, shard.possible_runs);
+  if (part.attempts == 0 && !shard.is_pending) {
+    // All attempts are the peer's, which has counted them.
+    part.shared_since.reset();
+  }
   // What reached no leaf was no attempt.
   part.is_next_attempt_free = part.is_next_attempt_free || part.runs == 0;
   if (shard.possible_runs > 0) {
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -185,7 +185,7 @@
   bool IsSuspect(const Request& request, const Part& part) const;
   /// Whether another attempt by this daemon could bring the leafs that the part
   /// reaches above the route's maximum.
-  static bool CouldExceedAttempts(const Request& request, const Part& part);
+  bool CouldExceedAttempts(const Request& request, const Part& part) const;
   LeafChoice SelectLeaf(const Request& request,
                         const Part& part,
                         LeafScope scope = LeafScope::kAny) const;
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -33,8 +33,10 @@
   /// Set when the part is delegated: whether this daemon may also send it to
   /// leafs.
   bool is_peer_bypassable = false;
-  /// Delegated to this daemon by one that may also send it to leafs.
-  bool is_shared_with_peer = false;
+  /// Set while this daemon and a peer may both send the part to leafs, without
+  /// knowing of each other's attempts: leafs that changed later must not get
+  /// it.
+  std::optional<TimePoint> shared_since;
   /// Set while a delegation of the part is outstanding.
   std::optional<RelayAttemptNumber> delegation;
   std::optional<HttpResponse> failure;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -23,8 +23,11 @@
   Part& part = request.parts.emplace_back();
   const std::size_t index = request.parts.size() - 1;
   part.service = &m_leaf_table.Service(service);
-  part.is_shared_with_peer = index < request.request.bypassable.size() &&
-                             request.request.bypassable[index];
+  if (index < request.request.bypassable.size() &&
+      request.request.bypassable[index]) {
+    // The delegating daemon may not know of changes for as long.
+    part.shared_since = m_now - kLeafSetSettleTime;
+  }
 }
 
 bool RelayEngine::IsSuspect(const Request& request, const Part& part) const {
--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -268,6 +268,47 @@
   CHECK(fixture.sends.empty());
 }
 
+// A day broke BUDGET when entries changed after daemons had gone past a peer:
+// the peer may have used both old leafs, and the daemon used an old and a new
+// one.
+TEST_CASE("a shard that a peer may have run reaches no leaf that is new") {
+  FarShards fixture;
+  fixture.Submit(4);
+  REQUIRE(fixture.delegations.size() == 1);
+  SUBCASE("the peer is lost") {
+    fixture.LosePeer();
+  }
+  SUBCASE("the peer is late and reports one attempt afterwards") {
+    fixture.Advance(milliseconds(150));
+    fixture.ReplyFromPeer(
+        {}, {{0, 1, false}, {1, 1, false}, {2, 1, false}, {3, 1, false}});
+  }
+  fixture.Advance(milliseconds(1));
+  REQUIRE(fixture.sends.size() == 4);
+  const auto first = fixture.sends.front();
+  const std::string shard = first.leaf_id.substr(0, first.leaf_id.find('-'));
+  fixture.AddLeaf(shard, shard + "-new", "d2");
+  fixture.RemoveLeaf(shard + "-2");
+  fixture.RemoveLeaf(shard + "-3");
+  fixture.Reply(first.leaf_id, LeafReplyKind::kLost);
+  fixture.Advance(milliseconds(200));
+  CHECK_FALSE(fixture.IsSentTo(shard + "-new"));
+}
+
+TEST_CASE("a peer declines a shard whose leafs have changed just before") {
+  RelayFixture fixture;
+  fixture.AddLeaf("s0", "old");
+  fixture.Advance(RelayEngine::kLeafSetSettleTime);
+  fixture.AddLeaf("s0", "new");
+  fixture.is_for_peer = true;
+  fixture.bypassable = {true};
+  const RelayNumber number = fixture.Submit(1);
+  CHECK(fixture.sends.empty());
+  const RelayOutcome& outcome = fixture.Outcome(number);
+  REQUIRE(outcome.uncovered.size() == 1);
+  CHECK(outcome.uncovered.front().possible_runs == 0);
+}
+
 TEST_CASE(
     "a peer with more leafs than the delegating daemon declines the shard") {
   RelayFixture fixture;
