Send a leaf that costs more a request now and then, so that its state is learned

Seen: after a leaf had ended the rate that it named, fewer than 20 of 400 requests a second reached it in 30 s (docs/incidents/logs/2026-12-05-leaf-after-rate.txt). Cause: a leaf's state is learned from its answers only, and the cheapest leaf gets all requests. A leaf without requests approaches a slowness of 1 from above, and never goes below; its sibling has the lowest of its last three samples, which noise puts at 0.97. So with one request at a time the leaf costs 3 % more until the sibling has a spike. Evidence: scratch traces of the process test on, dumps each half second, four runs of 30 s: the leaf is ready, its part of the rate is free, costs 1,008 us against 977; it gets nothing for spans of 4.5 to 16.5 s; in one run a daemon held the rate of 10 until 22 s after its end. The whole 30 s of the log were not seen again. Change: a ready leaf of the region that a daemon has sent nothing for 2 s, and 50 attempts to its siblings, gets the next first attempt that may be repeated and would be answered in time. A leaf whose part of the rate is used up is not ready, so its rate holds. Two daemons send it 28 in 29 s or more even if it costs more after each answer, so the test's 20 in 30 s no longer rest on noise. Measured: relay_neglected_leaf_test before: 6 checks failed (rate's end not learned, no request after a slow answer, a failure or a refusal, 0 of 5 within the rate); now passes. Two of its cases were rewritten after the first run with the change: they took requests that the leaf got at equal cost for visits. Traces with the change, four runs: longest span without a request 1 s. The process test passed 12 of 12 times, 6 beside a build (load 45).

--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -51,6 +51,8 @@
   /// Until when no parts are handed over to peers, as one that reaches leafs
   /// has just failed to get an answer.
   TimePoint peers_failed_until = {};
+  /// Attempts sent to the leafs so far.
+  std::uint64_t sends = 0;
 };
 
 /// All services and leafs that are named by a route or registered.
--- a/src/request/relay_leaf.h
+++ b/src/request/relay_leaf.h
@@ -30,6 +30,10 @@
   std::optional<TimePoint> leaving_said_at = {};
   /// When this daemon first knew this run.
   TimePoint first_seen = {};
+  /// When this daemon last sent the leaf an attempt, and how many it had sent
+  /// to the leaf's service then.
+  TimePoint last_sent_at = {};
+  std::uint64_t sends_of_service = 0;
   LeafRateLimit rate_limit = {};
   LeafPause pause = {};
   /// Maximum number of attempts that this daemon has in flight at the leaf.
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "request/fan_out_admission.h"
+#include "request/neglected_leaf.h"
 #include "request/relay_engine.h"
 #include "request/relay_request.h"
 
@@ -142,9 +143,19 @@
   const auto tried = part.TriedLeafs();
   const LeafChoice best =
       ChooseLeaf(*part.service, route_name, tried, m_now, scope);
-  if (!best.leaf || best.leaf->is_near || !part.tried.empty()) {
+  if (!best.leaf || !part.tried.empty()) {
     return best;
   }
+  if (best.leaf->is_near) {
+    // An attempt that is delegated doesn't reach the leaf from this daemon.
+    const bool may_visit = scope == LeafScope::kAny && request.IsIdempotent() &&
+                           !request.IsOnTrial();
+    const auto neglected =
+        may_visit ? FindNeglectedLeaf(*part.service, route_name,
+                                      request.request.answer_by, m_now)
+                  : nullptr;
+    return neglected ? LeafChoice{neglected, false, std::nullopt} : best;
+  }
   const LeafChoice near =
       ChooseLeaf(*part.service, route_name, tried, m_now, LeafScope::kNear);
   if (!near.leaf) {
@@ -220,6 +231,8 @@
   leaf->load.OnSent(m_now);
   m_contact.OnSent(m_now);
   leaf->rate_limit.OnSent(m_now);
+  leaf->last_sent_at = m_now;
+  leaf->sends_of_service = ++part.service->sends;
   part.outstanding.push_back(number);
   part.tried.push_back(leaf);
   part.is_next_attempt_free = false;
