Take a crash back if the leaf answers on an older connection

Cause: a leaf at its limit closes a new connection with the request on it and refuses the next one, the same signs as a crash, and nothing but an answer to that very request took the crash back. Rule: connections end with their process. If the leaf answers, on a connection opened before the lost one, a request sent after the loss, the process that took the older connection ran before, during and after the lost request: it has not crashed. That takes back exactly this crash (by its id), at this daemon and, as a notice with the same id and no crashes, at peers, in whatever order notices arrive. Only crashes whose attempt was lost on a new connection, found by a refused one or by the leaf's entry, are taken back; crashes that counted together with it stay, and a refused request stays refused. Ruled out: any answer of the same registered run. Remains: a leaf to which the daemon has no older connection proves nothing, and its loss counts until another leaf answers the request.

--- a/src/process/crash_reports.cc
+++ b/src/process/crash_reports.cc
@@ -91,7 +91,7 @@
   EvidenceNotice notice;
   notice.service = crash.part.service;
   notice.fingerprint = crash.part.content;
-  notice.crashes = 1;
+  notice.crashes = crash.is_taken_back ? 0 : 1;
   notice.id = crash.id;
   notice.age = now - crash.at;
   notice.is_survived = crash.is_survived;
@@ -103,7 +103,8 @@
   return {{notice.fingerprint, notice.service, notice.resource},
           notice.id,
           now - notice.age,
-          notice.is_survived};
+          notice.is_survived,
+          notice.crashes == 0};
 }
 
 }  // namespace bramleyspoke
--- a/src/process/crash_reports.h
+++ b/src/process/crash_reports.h
@@ -57,7 +57,8 @@
   std::shared_ptr<CrashReports*> m_alive;
 };
 
-/// The notice that reports `crash` to peers.
+/// The notice that reports `crash` to peers. One that was taken back has none;
+/// a peer of an earlier version takes it for one that it knows already.
 EvidenceNotice MakeEvidenceNotice(const LeafCrash& crash, TimePoint now);
 /// The crash that a peer's notice reports.
 LeafCrash ReadEvidenceNotice(const EvidenceNotice& notice, TimePoint now);
--- a/src/process/notice_tracker.cc
+++ b/src/process/notice_tracker.cc
@@ -12,7 +12,7 @@
 
 std::string KeyOf(const EvidenceNotice& evidence) {
   return evidence.service + "#" + std::to_string(evidence.fingerprint) + "#" +
-         std::to_string(evidence.id);
+         std::to_string(evidence.id) + "#" + std::to_string(evidence.crashes);
 }
 
 std::string KeyOf(const DrainNotice& drain) {
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -39,6 +39,7 @@
     case CrashEvidenceStep::kReportedAgain:
     case CrashEvidenceStep::kExpired:
     case CrashEvidenceStep::kSurvived:
+    case CrashEvidenceStep::kTakenBack:
       break;
   }
   return LogLevel::kInfo;
--- a/src/request/crash_ledger.cc
+++ b/src/request/crash_ledger.cc
@@ -11,8 +11,9 @@
 namespace {
 
 constexpr std::size_t kMaxUnanswered = 1024;
+constexpr std::size_t kMaxRefutable = 1024;
 
-constexpr EnumNames<CrashEvidenceStep, 8> kStepNames{{{
+constexpr EnumNames<CrashEvidenceStep, 9> kStepNames{{{
     {CrashEvidenceStep::kUnanswered, "unanswered"},
     {CrashEvidenceStep::kCrashed, "crashed"},
     {CrashEvidenceStep::kCrashedTogether, "crashed_together"},
@@ -21,6 +22,7 @@
     {CrashEvidenceStep::kExpired, "expired"},
     {CrashEvidenceStep::kLeafAnswered, "leaf_answered"},
     {CrashEvidenceStep::kSurvived, "survived"},
+    {CrashEvidenceStep::kTakenBack, "taken_back"},
 }}};
 
 std::uint64_t FingerprintOf(const RequestPart& part) {
@@ -146,12 +148,14 @@
 
 void CrashLedger::OnUnanswered(const RequestPart& part,
                                const std::shared_ptr<const RelayLeaf>& leaf,
+                               std::optional<std::uint64_t> closed_connection,
                                TimePoint now) {
   DropExpired(now);
   if (m_unanswered.size() >= kMaxUnanswered) {
     m_unanswered.erase(m_unanswered.begin());
   }
-  m_unanswered.push_back({part, leaf, now, std::nullopt, false, false});
+  m_unanswered.push_back(
+      {part, leaf, now, closed_connection, std::nullopt, false, false});
   Report(CrashEvidenceStep::kUnanswered, part, leaf->registration.id,
          Duration::zero(), now);
 }
@@ -189,6 +193,7 @@
 }
 
 void CrashLedger::OnAnswered(const RelayLeaf& leaf,
+                             std::uint64_t connection,
                              TimePoint sent,
                              TimePoint now) {
   for (UnansweredAttempt& attempt : m_unanswered) {
@@ -200,6 +205,42 @@
     Report(CrashEvidenceStep::kLeafAnswered, attempt.part, leaf.registration.id,
            now - attempt.at, now);
   }
+  TakeBackCrashes(leaf, connection, sent, now);
+}
+
+void CrashLedger::TakeBackCrashes(const RelayLeaf& leaf,
+                                  std::uint64_t connection,
+                                  TimePoint sent,
+                                  TimePoint now) {
+  std::vector<LeafCrash> refuted;
+  std::erase_if(m_refutable, [&](const RefutableCrash& entry) {
+    const bool is_refuted = entry.leaf.get() == &leaf &&
+                            entry.crash.at < sent &&
+                            connection <= entry.connection;
+    if (is_refuted) {
+      refuted.push_back(entry.crash);
+    }
+    return is_refuted || now - entry.crash.at >= CrashTable::kCrashRetention;
+  });
+  for (LeafCrash& crash : refuted) {
+    crash.is_taken_back = true;
+    // Peers know a crash that others of its part counted together with, but not
+    // the others.
+    if (RemoveCrash(crash)) {
+      m_unreported_crashes.push_back(crash);
+    }
+    Report(CrashEvidenceStep::kTakenBack, crash.part, leaf.registration.id,
+           now - crash.at, now);
+  }
+}
+
+bool CrashLedger::RemoveCrash(const LeafCrash& crash) {
+  const RequestPart& part = crash.part;
+  m_content_crashes.TakeBack(part.content, crash.id);
+  if (part.resource != 0) {
+    m_content_crashes.TakeBack(part.resource, crash.id);
+  }
+  return m_part_crashes.TakeBack(FingerprintOf(part), crash.id);
 }
 
 void CrashLedger::OnContactLost(std::optional<TimePoint> since) {
@@ -209,12 +250,27 @@
 }
 
 void CrashLedger::OnPeerCrash(const LeafCrash& crash, TimePoint now) {
-  const CrashEvidenceStep step = AddCrash(crash)
-                                     ? CrashEvidenceStep::kReported
-                                     : CrashEvidenceStep::kReportedAgain;
+  if (crash.is_taken_back) {
+    OnPeerTookBack(crash, now);
+    return;
+  }
+  const bool is_new = !m_taken_back.contains(crash.id) && AddCrash(crash);
+  const CrashEvidenceStep step =
+      is_new ? CrashEvidenceStep::kReported : CrashEvidenceStep::kReportedAgain;
   Report(step, crash.part, "", now - crash.at, now);
 }
 
+void CrashLedger::OnPeerTookBack(const LeafCrash& crash, TimePoint now) {
+  std::erase_if(m_taken_back, [&](const auto& entry) {
+    return now - entry.second >= CrashTable::kCrashRetention;
+  });
+  if (m_taken_back.size() < CrashTable::kMaxFingerprints) {
+    m_taken_back.emplace(crash.id, now);
+  }
+  RemoveCrash(crash);
+  Report(CrashEvidenceStep::kTakenBack, crash.part, "", now - crash.at, now);
+}
+
 std::vector<LeafCrash> CrashLedger::TakeCrashes() {
   return std::exchange(m_unreported_crashes, {});
 }
@@ -252,12 +308,13 @@
     const LeafCrash crash{
         attempt.part,
         MakeCrashId(attempt.part, attempt.leaf->registration, attempt.at),
-        attempt.at, attempt.is_survived};
+        attempt.at, attempt.is_survived, false};
     const bool is_new = AddCrash(crash);
     if (is_new) {
       m_unreported_crashes.push_back(crash);
       ReportIfSuspect(crash.part, now);
     }
+    AddRefutable(attempt, crash);
     Report(is_new ? CrashEvidenceStep::kCrashed
                   : CrashEvidenceStep::kCrashedTogether,
            attempt.part, attempt.leaf->registration.id, now - attempt.at, now);
@@ -265,6 +322,17 @@
   });
 }
 
+void CrashLedger::AddRefutable(const UnansweredAttempt& attempt,
+                               const LeafCrash& crash) {
+  if (!attempt.closed_connection) {
+    return;
+  }
+  if (m_refutable.size() >= kMaxRefutable) {
+    m_refutable.erase(m_refutable.begin());
+  }
+  m_refutable.push_back({crash, attempt.leaf, *attempt.closed_connection});
+}
+
 bool CrashLedger::AddCrash(const LeafCrash& crash) {
   const RequestPart& part = crash.part;
   bool is_new = m_part_crashes.Add(FingerprintOf(part), crash.id, crash.at);
--- a/src/request/crash_ledger.h
+++ b/src/request/crash_ledger.h
@@ -52,6 +52,8 @@
   kLeafAnswered,
   /// A leaf answered the same request, which takes back one crash.
   kSurvived,
+  /// The leaf of a crash proved that it had not crashed, here or at a peer.
+  kTakenBack,
 };
 
 std::string_view ToString(CrashEvidenceStep step);
@@ -59,7 +61,8 @@
 struct CrashEvidenceEvent {
   CrashEvidenceStep step = CrashEvidenceStep::kUnanswered;
   RequestPart part;
-  /// Empty for `kReported`, `kReportedAgain` and `kSurvived`.
+  /// Empty for `kReported`, `kReportedAgain`, `kSurvived` and what a peer took
+  /// back.
   std::string leaf_id;
   /// Time since the attempt ended; zero if not known.
   Duration age{0};
@@ -75,6 +78,8 @@
   TimePoint at;
   /// Whether a leaf has answered the request since.
   bool is_survived = false;
+  /// Whether the leaf has proved since that it had not crashed.
+  bool is_taken_back = false;
 };
 
 /// Counts the leafs that crashed while they ran the same request.
@@ -84,6 +89,15 @@
 /// An attempt that ended without an answer, in whatever way, counts as a crash
 /// if the leaf is found unreachable, no longer registered or restarted within
 /// `kConfirmationTimeout`.
+///
+/// A leaf at its connection limit closes a new connection and refuses the next
+/// one, like a leaf that has crashed. An attempt lost on a new connection is
+/// therefore no crash once the leaf has responded, on a connection that was
+/// opened before that one, to an attempt sent after the loss: the process that
+/// took the older connection took the lost one, too, and still runs. This holds
+/// without knowledge of the leaf's entry, which may be late or lack the run. A
+/// response on a later connection, of another leaf or to an earlier attempt
+/// takes no crash back, and a suspect stays one.
 class CrashLedger {
  public:
   /// How long requests that differ from one another in their query only are
@@ -118,9 +132,11 @@
   /// request.
   void OnSurvived(const RequestPart& part, TimePoint now);
   /// Records that an attempt ended without an answer while the leaf may have
-  /// been running the request.
+  /// been running the request. `closed_connection` is the number of its
+  /// connection if that was new and closed before any data arrived.
   void OnUnanswered(const RequestPart& part,
                     const std::shared_ptr<const RelayLeaf>& leaf,
+                    std::optional<std::uint64_t> closed_connection,
                     TimePoint now);
   /// Records that nothing listens at the leaf's address.
   void OnUnreachable(const Endpoint& address, TimePoint now);
@@ -131,16 +147,20 @@
   void OnLeafsChanged(TimePoint now);
   /// Records that the leaf responded to an attempt sent at `sent`: attempts
   /// that ended before that were no crashes, unless a later run has responded.
-  void OnAnswered(const RelayLeaf& leaf, TimePoint sent, TimePoint now);
+  /// Connections are numbered in the order in which they were opened.
+  void OnAnswered(const RelayLeaf& leaf,
+                  std::uint64_t connection,
+                  TimePoint sent,
+                  TimePoint now);
 
   /// This daemon has reached no leaf since `since` (if ever): that it cannot
   /// connect to the leafs of attempts that ended since then is no evidence.
   /// That they have started again still is.
   void OnContactLost(std::optional<TimePoint> since);
 
-  /// Records a crash that a peer reported.
+  /// Records a crash that a peer reported, or took back.
   void OnPeerCrash(const LeafCrash& crash, TimePoint now);
-  /// The crashes observed by this daemon since the last call.
+  /// The crashes observed or taken back by this daemon since the last call.
   std::vector<LeafCrash> TakeCrashes();
   /// The changes of the evidence since the last call, for log and metrics.
   std::vector<CrashEvidenceEvent> TakeEvents();
@@ -150,6 +170,9 @@
     RequestPart part;
     std::shared_ptr<const RelayLeaf> leaf;
     TimePoint at;
+    /// Number of its connection if that was new and closed before any data
+    /// arrived.
+    std::optional<std::uint64_t> closed_connection;
     /// Time of the leaf's next answer.
     std::optional<TimePoint> leaf_answered_at;
     /// Whether a leaf has answered the request since.
@@ -158,10 +181,25 @@
     bool is_cut_off = false;
   };
 
+  /// A crash that counts until the leaf proves that it had not crashed.
+  struct RefutableCrash {
+    LeafCrash crash;
+    std::shared_ptr<const RelayLeaf> leaf;
+    std::uint64_t connection = 0;
+  };
+
   template <typename Predicate>
   void ConfirmCrashes(Predicate is_crash, TimePoint now);
   /// Returns false if the crash is known or counts together with another one.
   bool AddCrash(const LeafCrash& crash);
+  void AddRefutable(const UnansweredAttempt& attempt, const LeafCrash& crash);
+  void TakeBackCrashes(const RelayLeaf& leaf,
+                       std::uint64_t connection,
+                       TimePoint sent,
+                       TimePoint now);
+  /// Returns false if its part has crashes that counted together with it.
+  bool RemoveCrash(const LeafCrash& crash);
+  void OnPeerTookBack(const LeafCrash& crash, TimePoint now);
   bool IsKnownSuspect(const CrashSuspect& suspect,
                       Duration lifetime,
                       TimePoint now) const;
@@ -179,6 +217,11 @@
 
   /// Attempts not confirmed as crashes yet, the oldest first.
   std::vector<UnansweredAttempt> m_unanswered;
+  /// The oldest first.
+  std::vector<RefutableCrash> m_refutable;
+  /// Crashes that peers took back, by id, with the time of that: their reports
+  /// may arrive later.
+  std::unordered_map<std::uint64_t, TimePoint> m_taken_back;
   /// By the part's fingerprint.
   CrashTable m_part_crashes;
   /// Crashes since the last answer to the request, by the fingerprints of its
--- a/src/request/crash_table.cc
+++ b/src/request/crash_table.cc
@@ -18,20 +18,47 @@
     return at - crash.at >= kCrashRetention;
   });
   const bool is_known =
-      std::any_of(crashes.begin(), crashes.end(), [&](const Crash& crash) {
-        return crash.id == id || (crash.at - at < kMinCrashSpacing &&
-                                  at - crash.at < kMinCrashSpacing);
+      std::any_of(crashes.begin(), crashes.end(), [id](const Crash& crash) {
+        return std::find(crash.ids.begin(), crash.ids.end(), id) !=
+               crash.ids.end();
       });
   if (is_known) {
     return false;
   }
+  const auto together =
+      std::find_if(crashes.begin(), crashes.end(), [at](const Crash& crash) {
+        return crash.at - at < kMinCrashSpacing &&
+               at - crash.at < kMinCrashSpacing;
+      });
+  if (together != crashes.end()) {
+    together->ids.push_back(id);
+    return false;
+  }
   const auto place = std::upper_bound(
       crashes.begin(), crashes.end(), at,
       [](TimePoint time, const Crash& crash) { return time < crash.at; });
-  crashes.insert(place, Crash{id, at});
+  crashes.insert(place, Crash{{id}, at});
   return true;
 }
 
+bool CrashTable::TakeBack(std::uint64_t fingerprint, std::uint64_t id) {
+  const auto found = m_crashes.find(fingerprint);
+  if (found == m_crashes.end()) {
+    return false;
+  }
+  std::vector<Crash>& crashes = found->second;
+  for (Crash& crash : crashes) {
+    std::erase(crash.ids, id);
+  }
+  const bool is_removed = std::erase_if(crashes, [](const Crash& crash) {
+                            return crash.ids.empty();
+                          }) > 0;
+  if (crashes.empty()) {
+    m_crashes.erase(found);
+  }
+  return is_removed;
+}
+
 bool CrashTable::RemoveOldest(std::uint64_t fingerprint) {
   const auto found = m_crashes.find(fingerprint);
   if (found == m_crashes.end()) {
--- a/src/request/crash_table.h
+++ b/src/request/crash_table.h
@@ -22,6 +22,9 @@
   /// Adds the crash `id`; returns false if it is known or counts together with
   /// another one.
   bool Add(std::uint64_t fingerprint, std::uint64_t id, TimePoint at);
+  /// Takes the crash `id` back; returns false if others that counted together
+  /// with it remain, or it is not known.
+  bool TakeBack(std::uint64_t fingerprint, std::uint64_t id);
   /// Removes the oldest crash; false if there was none.
   bool RemoveOldest(std::uint64_t fingerprint);
   /// Removes all crashes; false if there was none.
@@ -33,8 +36,9 @@
   std::optional<TimePoint> Last(std::uint64_t fingerprint) const;
 
  private:
+  /// Crashes that count as one.
   struct Crash {
-    std::uint64_t id = 0;
+    std::vector<std::uint64_t> ids;
     TimePoint at;
   };
 
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -305,8 +305,10 @@
   bool HadTimeToAnswer(const Attempt& attempt) const;
   void AddFailedAttempt(const Attempt& attempt, const LeafReply& reply);
   void RecordContact(const Attempt& attempt, LeafReplyKind kind);
-  void RecordCrashEvidence(const Attempt& attempt, LeafReplyKind kind);
-  void RecordUnansweredAttempt(const Attempt& attempt);
+  void RecordCrashEvidence(const Attempt& attempt, const LeafReply& reply);
+  void RecordUnansweredAttempt(
+      const Attempt& attempt,
+      std::optional<std::uint64_t> closed_connection = std::nullopt);
   /// Nothing listens at a leaf's address, as far as this daemon can tell, which
   /// may be at fault itself.
   void RecordLeafLoss(const Endpoint& address);
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -36,7 +36,7 @@
     attempt.leaf->OnConnectionRefused(m_now);
   }
   RecordContact(attempt, reply.kind);
-  RecordCrashEvidence(attempt, reply.kind);
+  RecordCrashEvidence(attempt, reply);
   if (reply.announcement) {
     RecordAnnouncement(attempt, *reply.announcement);
   }
@@ -169,18 +169,23 @@
 }
 
 void RelayEngine::RecordCrashEvidence(const Attempt& attempt,
-                                      LeafReplyKind kind) {
+                                      const LeafReply& reply) {
   const RequestPart& part = attempt.request_part;
-  switch (kind) {
+  const std::uint64_t connection = reply.position.connection;
+  switch (reply.kind) {
     case LeafReplyKind::kSucceeded:
       m_crashes.OnSurvived(part, m_now);
-      m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
+      m_crashes.OnAnswered(*attempt.leaf, connection, attempt.sent_at, m_now);
       return;
     case LeafReplyKind::kFailed:
     case LeafReplyKind::kRefused:
-      m_crashes.OnAnswered(*attempt.leaf, attempt.sent_at, m_now);
+      m_crashes.OnAnswered(*attempt.leaf, connection, attempt.sent_at, m_now);
       return;
     case LeafReplyKind::kLost:
+      RecordUnansweredAttempt(attempt, reply.is_connection_refused
+                                           ? std::optional(connection)
+                                           : std::nullopt);
+      return;
     case LeafReplyKind::kTimedOut:
     case LeafReplyKind::kMalformed:
       RecordUnansweredAttempt(attempt);
@@ -192,9 +197,12 @@
 }
 
 // A daemon that is cut off has no evidence against the requests that it sent.
-void RelayEngine::RecordUnansweredAttempt(const Attempt& attempt) {
+void RelayEngine::RecordUnansweredAttempt(
+    const Attempt& attempt,
+    std::optional<std::uint64_t> closed_connection) {
   if (m_contact.State() != ContactState::kCutOff) {
-    m_crashes.OnUnanswered(attempt.request_part, attempt.leaf, m_now);
+    m_crashes.OnUnanswered(attempt.request_part, attempt.leaf,
+                           closed_connection, m_now);
   }
 }
 
--- a/tests/crash_reports_test.cc
+++ b/tests/crash_reports_test.cc
@@ -123,6 +123,22 @@
   CHECK(calls_to_each <= milliseconds(100) / CrashReports::kBatchDelay + 1);
 }
 
+TEST_CASE("that a crash is taken back is reported after the crash") {
+  ReportsFixture fixture;
+  LeafCrash crash{{7, "service"}, 1, fixture.clock.Now()};
+  fixture.reports.Add(crash);
+  for (const auto& call : fixture.Send()) {
+    fixture.Answer(call, true);
+  }
+  crash.is_taken_back = true;
+  fixture.reports.Add(crash);
+  const auto calls = fixture.Send();
+  REQUIRE(calls.size() == 2);
+  REQUIRE(calls.front().evidence.size() == 1);
+  CHECK(ReadEvidenceNotice(calls.front().evidence.front(), fixture.clock.Now())
+            .is_taken_back);
+}
+
 TEST_CASE("a crash report has the age of the crash when it is sent again") {
   ReportsFixture fixture;
   const TimePoint at = fixture.clock.Now();
