Hold a request for the retry budget only while it can be refilled in time

Callers saw: one daemon, one leaf, three callers one request at a time, a sixth of the requests rejected once. From the moment at which the slack is used up, a rejected request was held to its deadline and then answered 503 without Retry-After, while the leaf stood idle.

Cause: only new requests refill the budget. A request without a retry asked for a token every 15 ms until its deadline. Once every caller had one that waited, no new request came, so nobody could refill it. A leaf's failure answer was kept back as well, and replaced by the deadline's refusal.

Change: requests to a single service that lack a retry wait in order of priority and arrival, and only while the recent rate of new requests refills the budget within a quarter of the time left. If that is not so, or new requests have stopped for four of their mean intervals, the request ends at once: with the leaf's failure answer, else "overloaded", not run, with Retry-After, or 502 if it may have run. The caller's next try is a new request, needs no retry and refills the budget. A credit wakes the first one that waits. Attempts that are out go on. Fan-outs wait as before. Hand-overs of such requests, which waited in the same way, use the same rule. The log has `request_held` (once a wait, sampled as other lines about requests): what is waited for, and until when; `odd` of `request_end` has how long it was.

--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -210,6 +210,11 @@
     m_log.WriteFailedAttempt(request_id, send);
   }
 
+  void OnRequestHeld(std::string_view request_id,
+                     const HeldRequest& held) override {
+    m_log.WriteHeldRequest(request_id, held);
+  }
+
   void OnResponseSkipped(const SkippedResponse& response) override {
     m_metrics->Observe(response);
     m_log.WriteSkippedResponse(response);
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -267,6 +267,7 @@
     m_exchanges.Probe(leaf);
   }
   ReportFailedAttempts();
+  ReportHeldRequests();
   ReportCrashes();
   ReportLeafNotices();
   ReportContactChanges();
@@ -358,6 +359,16 @@
   }
 }
 
+void RelayFront::ReportHeldRequests() {
+  for (const HeldRequest& held : m_engine.TakeHeldRequests()) {
+    const auto found = m_in_flight.find(held.request);
+    m_observer.OnRequestHeld(found == m_in_flight.end()
+                                 ? std::string_view()
+                                 : found->second.request_id,
+                             held);
+  }
+}
+
 void RelayFront::ReportLeafNotices() {
   bool is_any_leaving = false;
   for (const LeafNotice& notice : m_engine.TakeLeafNotices()) {
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -54,6 +54,9 @@
   virtual void OnRequestEnd(const RelayEnd& end) = 0;
   virtual void OnAttemptFailed(std::string_view request_id,
                                const FailedAttempt& send) = 0;
+  /// A request begins to wait for the retry budget.
+  virtual void OnRequestHeld(std::string_view request_id,
+                             const HeldRequest& held) = 0;
   virtual void OnResponseSkipped(const SkippedResponse& response) = 0;
   /// A leaf crashed while it ran this part of a request.
   virtual void OnLeafCrash(const LeafCrash& crash) = 0;
@@ -191,6 +194,7 @@
   ShardAnswer MakePeerAnswer(const RequestInFlight& request,
                              const RelayOutcome& outcome);
   void ReportFailedAttempts();
+  void ReportHeldRequests();
   void ReportLeafNotices();
   void ReportContactChanges();
   void ReportCrashes();
--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -60,6 +60,12 @@
   return route == nullptr ? std::string_view() : route->name;
 }
 
+std::string DescribeHold(Duration held) {
+  return held > Duration::zero()
+             ? " after " + std::to_string(ToMilliseconds(held)) + " ms"
+             : std::string();
+}
+
 }  // namespace
 
 std::string DescribePartReports(const std::vector<PartReport>& parts) {
@@ -76,7 +82,8 @@
       text += " " + leaf;
     }
     text += " (hedges " + std::to_string(part.hedges) + ", budget " +
-            std::to_string(static_cast<int>(part.budget)) + ")";
+            std::to_string(static_cast<int>(part.budget)) +
+            DescribeHold(part.held) + ")";
     if (part.answered_on.connection > 0) {
       text += " on connection " + std::to_string(part.answered_on.connection) +
               ", exchange " + std::to_string(part.answered_on.exchange);
@@ -130,6 +137,20 @@
             Field("exchange", send.position.exchange)});
 }
 
+// Written once for each wait; `request_end` tells how it ended.
+void RelayLog::WriteHeldRequest(std::string_view request_id,
+                                const HeldRequest& held) {
+  if (!ShouldWrite(LogLevel::kInfo, request_id, LogPriority::kOther)) {
+    return;
+  }
+  WriteLog(LogLevel::kInfo, "request_held",
+           {Field("request_id", request_id), Field("waits_for", "retry_budget"),
+            Field("service", held.service), Field("budget", held.budget),
+            Field("ahead", held.ahead),
+            Field("expected_ms", ToMilliseconds(held.expected)),
+            Field("time_left_ms", ToMilliseconds(held.time_left))});
+}
+
 void RelayLog::WriteSkippedResponse(const SkippedResponse& response) {
   if (!ShouldWrite(LogLevel::kInfo, response.request_id, LogPriority::kOther)) {
     return;
--- a/src/process/relay_log.h
+++ b/src/process/relay_log.h
@@ -25,6 +25,7 @@
   void WriteRequestEnd(const RelayEnd& end);
   void WriteFailedAttempt(std::string_view request_id,
                           const FailedAttempt& send);
+  void WriteHeldRequest(std::string_view request_id, const HeldRequest& held);
   void WriteSkippedResponse(const SkippedResponse& response);
   void WriteCrashEvidence(const CrashEvidenceEvent& event);
   void WriteLeafNotice(const LeafNotice& notice);
@@ -42,7 +43,8 @@
 /// One phrase per part that was not answered or needed several attempts: its
 /// state, the leaf that answered, whether it is pending at a peer, the leafs
 /// attempted (without an attempt, all leafs with their state), its hedges, the
-/// tokens left in the retry budget, and the exchange that answered it.
+/// tokens left in the retry budget and the time for which it waited for it, and
+/// the exchange that answered it.
 std::string DescribePartReports(const std::vector<PartReport>& parts);
 
 }  // namespace bramleyspoke
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -180,7 +180,7 @@
   auto& service = m_services[name];
   if (!service) {
     service = std::make_unique<RelayService>(RelayService{
-        name, {}, RetryBudget(m_allowance, DaemonCount()), {}, {}, {}});
+        name, {}, RetryBudget(m_allowance, DaemonCount()), {}, {}, {}, {}, {}});
   }
   return *service;
 }
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -12,6 +12,7 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "request/relay_leaf.h"
+#include "request/request_rate.h"
 #include "request/retry_budget.h"
 #include "version/leaf_registration.h"
 #include "version/route_table.h"
@@ -46,6 +47,10 @@
   std::vector<std::shared_ptr<RelayLeaf>> leafs;
   RetryBudget budget;
   std::set<WaitingPart> waiting;
+  /// Parts that wait for the retry budget, in the order in which they get it.
+  std::set<WaitingPart> held;
+  /// Of the requests that refill the retry budget.
+  RequestRate request_rate;
   /// When a leaf was last added or removed.
   TimePoint leafs_changed_at = {};
   /// Until when no parts are handed over to peers, as one that reaches leafs
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -132,6 +132,8 @@
   std::uint32_t hedges = 0;
   /// Retries and hedges that the service's retry budget had left.
   double budget = 0;
+  /// Time that it waited for the retry budget.
+  Duration held{0};
 };
 
 /// How a relayed request ended: with answers of leafs, or with a refusal.
@@ -225,6 +227,20 @@
   ExchangePosition position;
 };
 
+/// A request that begins to wait for the retry budget; for the log.
+struct HeldRequest {
+  RelayNumber request = 0;
+  std::string service;
+  /// Retries and hedges that the service's retry budget has left.
+  double budget = 0;
+  /// Requests that get a retry before it.
+  std::size_t ahead = 0;
+  /// Time in which new requests are expected to refill the budget.
+  Duration expected{0};
+  /// Time in which a retry could still be answered.
+  Duration time_left{0};
+};
+
 /// A leaf's response that does not belong to the request for which one is
 /// awaited; for the log.
 struct SkippedResponse {
--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -75,7 +75,11 @@
   std::optional<HttpResponse>& response =
       part.answer ? part.answer : part.failure;
   if (!response && part.verdict == Verdict::kNotRun) {
-    FinishRefused(request, RefusalWithoutLeafs(request));
+    FinishRefused(request, request.lacks_retry
+                               ? RelayRefusal{RefusalReason::kOverloaded,
+                                              VerdictOfParts(request),
+                                              kOverloadedRetryAfter}
+                               : RefusalWithoutLeafs(request));
     return;
   }
   if (!response) {
@@ -220,6 +224,7 @@
   }
   report.hedges = hedges;
   report.budget = service->budget.Tokens();
+  report.held = held_for + (held ? now - held->since : Duration::zero());
   return report;
 }
 
@@ -261,6 +266,9 @@
   if (request.timer) {
     m_timers.erase({*request.timer, request.number});
   }
+  for (Part& part : request.parts) {
+    EndHold(part);
+  }
   m_requests.erase(request.number);
 }
 
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -154,7 +154,7 @@
     part.delegation = m_last_attempt + 1;
     part.is_next_attempt_free = false;
     if (!std::exchange(part.is_delegation_credited, true)) {
-      part.service->budget.OnRequest(kDelegatorBudgetShare);
+      CreditBudget(*part.service, kDelegatorBudgetShare);
     }
     delegation.max_attempts =
         std::min(delegation.max_attempts, AttemptsLeft(part, route));
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -65,8 +65,8 @@
 }
 
 void RelayEngine::CreditRetryBudget(const Request& request, Part& part) {
-  part.service->budget.OnRequest(
-      request.request.is_for_peer ? 1 - kDelegatorBudgetShare : 1);
+  CreditBudget(*part.service,
+               request.request.is_for_peer ? 1 - kDelegatorBudgetShare : 1);
 }
 
 RelayActions RelayEngine::OnReply(RelayAttemptNumber number,
@@ -292,6 +292,7 @@
     }
   }
   HandOverParts(request);
+  EndOldHolds(request);
   if (!FinishIfDone(request)) {
     ScheduleTimer(request);
   }
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -152,8 +152,12 @@
                                         TimePoint now);
   /// Returns the attempts and delegations that failed since the last call.
   std::vector<FailedAttempt> TakeFailedAttempts();
+  /// Returns the requests that began to wait for the retry budget since the
+  /// last call.
+  std::vector<HeldRequest> TakeHeldRequests();
 
  private:
+  struct HeldPart;
   struct Part;
   struct Request;
   struct Attempt;
@@ -175,7 +179,7 @@
   /// Delegates or dispatches all open parts that have not been sent yet.
   void SendParts(Request& request);
   /// Credits a part that this daemon sends to the service's retry budget.
-  static void CreditRetryBudget(const Request& request, Part& part);
+  void CreditRetryBudget(const Request& request, Part& part);
   bool RefuseIfUnservable(Request& request);
   /// The leafs that could get a new request's parts, here or through a peer.
   static LeafScope FirstScope(const Request& request);
@@ -208,6 +212,21 @@
                                      const Attempt& attempt) const;
   void Retry(Request& request, std::size_t index);
 
+  // Wait for the retry budget.
+  /// Credits a share of a request to a service's retry budget.
+  void CreditBudget(RelayService& service, double share);
+  /// Takes a token for a retry unless the parts that wait before this one need
+  /// it.
+  bool TakeRetryToken(Part& part);
+  /// Lets a part wait for the retry budget, or fails it if that is not refilled
+  /// in time for a retry that takes `latency`.
+  void HoldOrFail(Request& request, std::size_t index, Duration latency);
+  /// Expected time until the part gets a token; empty if it gets none.
+  std::optional<Duration> ExpectedHold(const Part& part) const;
+  void EndHold(Part& part) const;
+  /// Ends the holds of parts that no longer wait.
+  void EndOldHolds(Request& request) const;
+
   // Contact to the leafs.
   std::vector<OutstandingAttempt> OutstandingAttempts() const;
   void CheckContact();
@@ -373,6 +392,7 @@
   std::set<std::pair<TimePoint, RelayAttemptNumber>> m_cancellations;
   std::vector<FailedAttempt> m_failed_attempts;
   std::vector<LeafNotice> m_leaf_notices;
+  std::vector<HeldRequest> m_held_requests;
   RelayCounters m_counters;
   RelayAttemptNumber m_last_attempt = 0;
   std::uint64_t m_last_sequence = 0;
--- a/src/request/relay_hand_over.cc
+++ b/src/request/relay_hand_over.cc
@@ -18,9 +18,6 @@
 // How long an overdue peer is passed over: what one that is cut off takes to
 // find out.
 constexpr std::chrono::milliseconds kOverdueTime{250};
-// Delay before a hand-over is considered again while the retry budget is
-// exhausted.
-constexpr Duration kBudgetRetryDelay = std::chrono::milliseconds(15);
 
 }  // namespace
 
@@ -68,9 +65,9 @@
     if (!std::exchange(part.awaits_hand_over, false) || !part.IsOpen()) {
       continue;
     }
-    if (!part.is_next_attempt_free && !part.service->budget.TakeForRetry()) {
+    if (!part.is_next_attempt_free && !TakeRetryToken(part)) {
       ++m_counters.budget_refusals;
-      part.retry_at = m_now + kBudgetRetryDelay;
+      HoldOrFail(request, index, Duration::zero());
       continue;
     }
     ++part.hand_overs;
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -11,6 +11,12 @@
 
 namespace bramleyspoke {
 
+/// A part that waits for the retry budget.
+struct RelayEngine::HeldPart {
+  WaitingPart place;
+  TimePoint since;
+};
+
 /// One service's part of a request: the whole request, or one shard of it.
 struct RelayEngine::Part {
   RelayService* service = nullptr;
@@ -44,6 +50,10 @@
   /// An answer to the delegating peer has included the part.
   bool is_delivered = false;
   std::optional<WaitingPart> waiting;
+  /// Set while it waits for the retry budget.
+  std::optional<HeldPart> held;
+  /// Time that it waited for the retry budget before.
+  Duration held_for{0};
   std::optional<TimePoint> hedge_at;
   std::optional<TimePoint> retry_at;
   /// To be handed over to a peer, as no leaf is in reach.
@@ -96,6 +106,8 @@
   bool is_trial_lost = false;
   /// Whether a part was not sent because of a planned stop.
   bool is_ended_by_stop = false;
+  /// Whether it was given up because the retry budget is not refilled in time.
+  bool lacks_retry = false;
   std::optional<TimePoint> timer;
   /// Set while a peer that got an incomplete answer may send a continuation.
   std::optional<TimePoint> continuation_deadline;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -8,9 +8,9 @@
 namespace bramleyspoke {
 namespace {
 
-// Delay before a retry or hedge that could not start is considered again: the
-// retry budget was exhausted, or no leaf could take the hedge.
-constexpr Duration kBudgetRetryDelay = std::chrono::milliseconds(15);
+// Delay before a hedge that could not start is considered again: the retry
+// budget was exhausted, or no leaf could take it.
+constexpr Duration kHedgeRetryDelay = std::chrono::milliseconds(15);
 // Estimated number of requests at a leaf at and above which it gets no hedge.
 constexpr double kMaxHedgeOccupancy = 4;
 // Time for the reply of a leaf that gave an attempt up to arrive before a
@@ -183,7 +183,7 @@
     }
     return;
   }
-  if (!part.is_next_attempt_free && !part.service->budget.TakeForRetry()) {
+  if (!part.is_next_attempt_free && !TakeRetryToken(part)) {
     ++m_counters.budget_refusals;
     if (IsLimitedByStop(request)) {
       request.is_ended_by_stop = true;
@@ -191,7 +191,9 @@
     } else if (request.IsLate(m_now)) {
       FailUnlessOutstanding(part);
     } else {
-      part.retry_at = m_now + kBudgetRetryDelay;
+      HoldOrFail(request, index,
+                 choice.leaf->load.ExpectedLatency(request.MatchedRoute().name,
+                                                   m_now));
     }
     return;
   }
@@ -326,7 +328,7 @@
       *part.service, request.MatchedRoute().name, part.TriedLeafs(), m_now);
   const bool can_take = choice.leaf && CanTakeHedge(request, *choice.leaf);
   if (!can_take || !part.service->budget.TakeForHedge()) {
-    part.hedge_at = m_now + kBudgetRetryDelay;
+    part.hedge_at = m_now + kHedgeRetryDelay;
     return;
   }
   ++m_counters.hedges;
--- a/src/request/retry_budget.h
+++ b/src/request/retry_budget.h
@@ -43,6 +43,8 @@
   bool TakeForRetry();
   bool TakeForHedge();
   double Tokens() const { return m_tokens; }
+  /// Tokens that one request adds.
+  double TokensPerRequest() const { return m_allowance.ratio * kRatioFraction; }
 
  private:
   double Capacity() const;
