--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -89,6 +89,9 @@
   # Identifies the delegation at the querying daemon, together with the request
   # id; a continuation has its delegation's.
   delegation @16 :UInt64;
+  # By shard, whether the request was credited to the retry budget before, here
+  # or at another peer; a request is credited once.
+  credited @17 :List(Bool);
 }
 
 # The last stall of a leaf near the peer.
@@ -109,6 +112,8 @@
   runs @1 :UInt16;
   # Whether the shard is still queried; a continuation can get its response.
   isPending @2 :Bool;
+  # Whether it may have reached a leaf, which may have rejected it.
+  isSent @3 :Bool;
 }
 
 struct ShardAnswer {
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -120,6 +120,8 @@
   bool is_idempotent = true;
   /// By shard, whether the querying daemon may also send it to leafs.
   std::vector<bool> bypassable;
+  /// By shard, whether the request was credited to the retry budget before.
+  std::vector<bool> credited;
   std::uint32_t max_attempts = 1;
   std::uint32_t result_limit = 0;
   std::uint32_t priority = 0;
@@ -144,6 +146,10 @@
   std::uint32_t possible_runs = 0;
   /// Whether the shard is still queried; a continuation can get its response.
   bool is_pending = false;
+  /// Whether it may have reached a leaf, which may have rejected it.
+  bool is_sent = false;
+
+  bool MayHaveArrived() const { return is_sent || possible_runs > 0; }
 };
 
 /// The last stall of a leaf near a peer.
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -229,6 +229,10 @@
   for (unsigned i = 0; i < bypassable.size(); ++i) {
     bypassable.set(i, query.bypassable[i]);
   }
+  auto credited = builder.initCredited(query.credited.size());
+  for (unsigned i = 0; i < credited.size(); ++i) {
+    credited.set(i, query.credited[i]);
+  }
 }
 
 ShardQuery ReadShardQuery(wire::ShardQuery::Reader reader) {
@@ -252,6 +256,9 @@
   for (const bool is_bypassable : reader.getBypassable()) {
     query.bypassable.push_back(is_bypassable);
   }
+  for (const bool is_credited : reader.getCredited()) {
+    query.credited.push_back(is_credited);
+  }
   return query;
 }
 
@@ -276,6 +283,7 @@
     uncovered[i].setPlace(static_cast<std::uint16_t>(shard.place));
     uncovered[i].setRuns(static_cast<std::uint16_t>(shard.possible_runs));
     uncovered[i].setIsPending(shard.is_pending);
+    uncovered[i].setIsSent(shard.is_sent);
   }
   auto stalls = builder.initStalls(answer.stalls.size());
   for (unsigned i = 0; i < stalls.size(); ++i) {
@@ -303,8 +311,8 @@
   answer.response.status = reader.getStatus();
   answer.is_cut_off = reader.getIsCutOff();
   for (const auto shard : reader.getUncovered()) {
-    answer.uncovered.push_back(
-        {shard.getPlace(), shard.getRuns(), shard.getIsPending()});
+    answer.uncovered.push_back({shard.getPlace(), shard.getRuns(),
+                                shard.getIsPending(), shard.getIsSent()});
   }
   for (const auto stall : reader.getStalls()) {
     answer.stalls.push_back({stall.getShard(), stall.getLeaf(),
--- a/src/process/relay_front_peers.cc
+++ b/src/process/relay_front_peers.cc
@@ -53,6 +53,7 @@
   request.answer_by = now + query.answer_time_left;
   request.is_for_peer = true;
   request.bypassable = std::move(query.bypassable);
+  request.credited = std::move(query.credited);
   m_in_flight.emplace(
       number,
       RequestInFlight{nullptr, std::move(query.request), query.delegation,
@@ -123,6 +124,7 @@
     query.is_idempotent = request.route->kind == RequestKind::kIdempotent;
   }
   query.bypassable = delegation.bypassable;
+  query.credited = delegation.credited;
   query.max_attempts = delegation.max_attempts;
   query.result_limit = request.route->result_limit;
   query.priority = request.route->priority;
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -47,6 +47,9 @@
   /// By shard, whether the delegating daemon may also send it to leafs; empty
   /// if it may not.
   std::vector<bool> bypassable;
+  /// By shard, whether the request was credited to the retry budget before, by
+  /// the delegating daemon or another peer.
+  std::vector<bool> credited;
 };
 
 /// How an attempt ended.
@@ -184,6 +187,8 @@
   std::size_t shard_count = 0;
   /// By shard, whether this daemon may also send it to leafs.
   std::vector<bool> bypassable;
+  /// By shard, whether the request was credited to the retry budget before.
+  std::vector<bool> credited;
   /// Maximum number of leafs to which the peer may send each shard.
   std::uint32_t max_attempts = 1;
   TimePoint deadline;
--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -184,7 +184,8 @@
     const Part& part = request.parts[index];
     if (!part.is_delivered) {
       const auto out = static_cast<std::uint32_t>(part.outstanding.size());
-      uncovered.push_back({index, part.runs + out, part.IsOpen()});
+      uncovered.push_back(
+          {index, part.runs + out, part.IsOpen(), part.has_arrived || out > 0});
     }
   }
   return uncovered;
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -153,9 +153,9 @@
     Part& part = request.parts[index];
     part.delegation = m_last_attempt + 1;
     part.is_next_attempt_free = false;
-    if (!std::exchange(part.is_delegation_credited, true)) {
-      part.service->budget.OnRequest(kDelegatorBudgetShare);
-    }
+    delegation.credited.push_back(part.credit > 0);
+    CreditRetryBudget(part, kDelegatorBudgetShare);
+    part.max_credit = part.credit;
     delegation.max_attempts =
         std::min(delegation.max_attempts, AttemptsLeft(part, route));
     part.is_peer_bypassable = AreLeafsSettled(part, route);
@@ -338,7 +338,8 @@
     Part& part = request.parts[index];
     if (part.delegation == number) {
       part.delegation.reset();
-      part.is_next_attempt_free = reply.kind == LeafReplyKind::kNotSent;
+      part.is_next_attempt_free =
+          reply.kind == LeafReplyKind::kNotSent && !delegation_state.continued;
       delegated_parts.push_back(index);
     }
   }
@@ -359,10 +360,15 @@
       continue;
     }
     const std::size_t index = delegation_state.parts[shard.place];
+    Part& part = request.parts[index];
+    // What reached no leaf was no attempt; a peer that still has the part may
+    // send it yet.
+    part.is_next_attempt_free =
+        part.is_next_attempt_free ||
+        (part.IsOpen() && !shard.is_pending && !shard.MayHaveArrived());
     const bool is_not_run = !shard.is_pending && shard.possible_runs == 0;
     if (is_not_run && delegation_state.is_hand_over && !reply.is_cut_off) {
-      delegation_state.peer
-          ->unreachable_services[request.parts[index].service->name] =
+      delegation_state.peer->unreachable_services[part.service->name] =
           m_now + kServiceUnreachableTime;
     }
     if (is_not_run && (reply.is_cut_off || delegation_state.is_hand_over)) {
@@ -428,8 +434,6 @@
   }
   // A continuation's answer counts the leafs of the first answer again.
   part.runs = std::max(part.runs, shard.possible_runs);
-  // What reached no leaf was no attempt.
-  part.is_next_attempt_free = part.is_next_attempt_free || part.runs == 0;
   if (shard.possible_runs > 0) {
     part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
   }
--- a/src/request/relay_engine.cc
+++ b/src/request/relay_engine.cc
@@ -58,15 +58,20 @@
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     Part& part = request.parts[index];
     if (part.IsUnsent() && !MarkForHandOver(request, part)) {
-      CreditRetryBudget(request, part);
+      CreditRetryBudget(part, 1);
       DispatchPart(request, index);
     }
   }
 }
 
-void RelayEngine::CreditRetryBudget(const Request& request, Part& part) {
-  part.service->budget.OnRequest(
-      request.request.is_for_peer ? 1 - kDelegatorBudgetShare : 1);
+// A part that a peer gave back, or that goes to one peer after the other, is
+// the same request to its service.
+void RelayEngine::CreditRetryBudget(Part& part, double share) {
+  const double credit = std::min(share, part.max_credit);
+  if (credit > part.credit) {
+    part.service->budget.OnRequest(credit - part.credit);
+    part.credit = credit;
+  }
 }
 
 RelayActions RelayEngine::OnReply(RelayAttemptNumber number,
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -174,8 +174,9 @@
   void AddPart(Request& request, const std::string& service);
   /// Delegates or dispatches all open parts that have not been sent yet.
   void SendParts(Request& request);
-  /// Credits a part that this daemon sends to the service's retry budget.
-  static void CreditRetryBudget(const Request& request, Part& part);
+  /// Credits a part that this daemon sends or delegates to the service's retry
+  /// budget, up to this share of a request.
+  static void CreditRetryBudget(Part& part, double share);
   bool RefuseIfUnservable(Request& request);
   /// The leafs that could get a new request's parts, here or through a peer.
   static LeafScope FirstScope(const Request& request);
--- a/src/request/relay_hand_over.cc
+++ b/src/request/relay_hand_over.cc
@@ -169,7 +169,6 @@
                              const std::vector<std::size_t>& parts) {
   for (const std::size_t index : parts) {
     Part& part = request.parts[index];
-    part.is_next_attempt_free = part.is_next_attempt_free || part.runs == 0;
     const bool is_retry = request.IsOnTrial() || !part.IsUnsent();
     if (is_retry && part.IsOpen()) {
       Retry(request, index);
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -226,6 +226,7 @@
   }
   part.verdict = Combine(part.verdict, verdict);
   part.runs += verdict == Verdict::kNotRun ? 0 : 1;
+  part.has_arrived = part.has_arrived || reply.kind != LeafReplyKind::kNotSent;
   if (reply.kind == LeafReplyKind::kSucceeded) {
     part.answer = std::move(reply.response);
     part.answered_by = attempt.leaf;
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -21,6 +21,8 @@
   /// Number of leafs at which the part ran or may have run.
   std::uint32_t runs = 0;
   std::uint32_t attempts = 0;
+  /// Whether an attempt that has ended may have reached a leaf.
+  bool has_arrived = false;
   /// Whether the next attempt is not charged to the retry budget: it is the
   /// first one, or the first attempt or a delegation could not be sent.
   bool is_next_attempt_free = true;
@@ -50,8 +52,10 @@
   bool awaits_hand_over = false;
   /// Number of delegations that were made for lack of a leaf in reach.
   std::uint32_t hand_overs = 0;
-  /// Whether this daemon's share of a delegation's retry budget was credited.
-  bool is_delegation_credited = false;
+  /// What this daemon has credited to the retry budget, and what it may credit
+  /// at most: a request is credited once, at all daemons together.
+  double credit = 0;
+  double max_credit = 1;
   /// Waits for the outcome of a trial of the request.
   bool is_held = false;
   Verdict verdict = Verdict::kNotRun;
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -25,6 +25,11 @@
   part.service = &m_leaf_table.Service(service);
   part.is_shared_with_peer = index < request.request.bypassable.size() &&
                              request.request.bypassable[index];
+  const bool is_credited = index < request.request.credited.size() &&
+                           request.request.credited[index];
+  if (request.request.is_for_peer) {
+    part.max_credit = is_credited ? 0 : 1 - kDelegatorBudgetShare;
+  }
 }
 
 bool RelayEngine::IsSuspect(const Request& request, const Part& part) const {
--- a/src/request/relay_trials.cc
+++ b/src/request/relay_trials.cc
@@ -90,7 +90,7 @@
       continue;
     }
     if (part.IsUnsent()) {
-      CreditRetryBudget(request, part);
+      CreditRetryBudget(part, 1);
     }
     DispatchPart(request, *next);
   }
--- a/tests/peer_contract_test.cc
+++ b/tests/peer_contract_test.cc
@@ -132,7 +132,7 @@
     }
     ShardAnswer answer;
     answer.covered = {1};
-    answer.uncovered = {{0, 2, true}};
+    answer.uncovered = {{0, 2, true, true}};
     answer.version = 12;
     answer.response.status = 404;
     answer.response.headers = {{"Content-Type", "text/csv"}};
@@ -313,6 +313,7 @@
   query.route = "sweep";
   query.shards = {"s0", "s1"};
   query.bypassable = {true, false};
+  query.credited = {false, true};
   query.service = "one";
   query.is_idempotent = false;
   query.delegation = 7;
@@ -328,6 +329,7 @@
   REQUIRE(outcome.answer.uncovered.size() == 1);
   CHECK(outcome.answer.uncovered.front().possible_runs == 2);
   CHECK(outcome.answer.uncovered.front().is_pending);
+  CHECK(outcome.answer.uncovered.front().is_sent);
   CHECK(outcome.answer.version == 12);
   CHECK(outcome.answer.response.status == 404);
   CHECK(outcome.answer.response.content_type == "text/csv");
@@ -338,6 +340,7 @@
   CHECK(received.request.body == query.request.body);
   CHECK(received.shards == query.shards);
   CHECK(received.bypassable == query.bypassable);
+  CHECK(received.credited == query.credited);
   CHECK(received.max_attempts == query.max_attempts);
   CHECK(received.service == "one");
   CHECK_FALSE(received.is_idempotent);
--- a/tests/relay_delegation_test.cc
+++ b/tests/relay_delegation_test.cc
@@ -40,6 +40,70 @@
 
 }  // namespace
 
+// The first arrival is free, also if a peer's leaf rejected it.
+TEST_CASE("a retry of what leafs rejected at a peer is charged") {
+  FarShards fixture(RetryAllowance{0, 0});
+  fixture.Submit(4);
+
+  SUBCASE("rejected at the peer") {
+    fixture.ReplyFromPeer({0, 1}, {{2, 0, false, true}, {3, 0, false, true}});
+    fixture.Advance(milliseconds(300));
+    CHECK(fixture.sends.empty());
+  }
+  SUBCASE("not sent by the peer") {
+    fixture.ReplyFromPeer({0, 1}, {{2, 0, false, false}, {3, 0, false, false}});
+    fixture.Advance(milliseconds(300));
+    CHECK(fixture.sends.size() == 2);
+  }
+  SUBCASE("pending at the peer, which can no longer be asked") {
+    fixture.ReplyFromPeer({0}, {{1, 0, true}, {2, 0, true}, {3, 0, true}});
+    fixture.Advance(milliseconds(200));
+    REQUIRE(fixture.delegations.back().is_continuation);
+    fixture.CollectActions(fixture.engine.OnDelegationReply(
+        fixture.delegations.back().number, {}, fixture.now));
+    fixture.Advance(milliseconds(50));
+    CHECK(fixture.sends.empty());
+  }
+}
+
+TEST_CASE("a request that a peer gives back is credited once") {
+  FarShards fixture(RetryAllowance{1, 0});
+  DelegationReply reply;
+  reply.kind = LeafReplyKind::kSucceeded;
+  reply.is_cut_off = true;
+  reply.uncovered = {{0}, {1}, {2}, {3}};
+  const auto give_back = [&] {
+    fixture.CollectActions(fixture.engine.OnDelegationReply(
+        fixture.delegations.back().number, reply, fixture.now));
+  };
+
+  SUBCASE("and goes to another peer") {
+    fixture.Submit(4);
+    const double credit = fixture.engine.Leafs().LeastBudget();
+    CHECK(fixture.delegations.back().credited == std::vector<bool>(4, false));
+    give_back();
+    CHECK(fixture.engine.Leafs().LeastBudget() == credit);
+    REQUIRE(fixture.delegations.size() == 2);
+    CHECK(fixture.delegations.back().credited == std::vector<bool>(4, true));
+  }
+  SUBCASE("and goes to the leafs") {
+    fixture.engine.SetPeers({{{"127.0.0.2", 1}, "r2", "d2"}});
+    fixture.Submit(4);
+    REQUIRE(fixture.delegations.size() == 1);
+    const double credit = fixture.engine.Leafs().LeastBudget();
+    give_back();
+    CHECK(fixture.sends.size() == 4);
+    CHECK(fixture.engine.Leafs().LeastBudget() == credit);
+  }
+  SUBCASE("and was credited before it reached this daemon") {
+    fixture.is_for_peer = true;
+    fixture.credited = std::vector<bool>(4, true);
+    fixture.Submit(4);
+    CHECK(fixture.sends.size() == 4);
+    CHECK(fixture.engine.Leafs().LeastBudget() == 0);
+  }
+}
+
 TEST_CASE("shards of another region are requested in one delegation") {
   FarShards fixture;
   const RelayNumber number = fixture.Submit(4);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -95,6 +95,7 @@
     request.answer_by = now + milliseconds(190);
     request.is_for_peer = is_for_peer;
     request.bypassable = bypassable;
+    request.credited = credited;
     CollectActions(engine.Submit(++last_number, std::move(request), now));
     return last_number;
   }
@@ -190,6 +191,7 @@
   Duration time_left = milliseconds(2000);
   bool is_for_peer = false;
   std::vector<bool> bypassable;
+  std::vector<bool> credited;
   /// Request rates that leafs name in their responses, by leaf.
   std::map<std::string, double> named_rates;
   /// Pauses that leafs ask for with each refusal, by leaf.
--- /dev/null
+++ b/tests/retry_fleet.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "request/relay_engine.h"
+
+namespace bramleyspoke {
+
+/// What happens in a part of a run of `RetryFleet`. Shares are in percent of
+/// the attempts.
+struct RetryPhase {
+  Duration length{0};
+  /// Requests to each daemon.
+  int per_second = 0;
+  int rejected = 0;
+  int failed = 0;
+  int lost = 0;
+  /// Attempts for which no connection can be opened.
+  int unsent = 0;
+  /// Daemon that reaches no leafs, if any.
+  std::optional<std::size_t> cut_off;
+  /// Daemon that is restarted when the phase begins, if any.
+  std::optional<std::size_t> restarted;
+};
+
+/// The most arrivals beyond the first of each request that a service got above
+/// what was allowed in any window; negative while the rule is kept.
+struct RetryExcess {
+  std::string service;
+  std::size_t extra = 0;
+  std::size_t requests = 0;
+  double above = 0;
+};
+
+/// Relay engines of three regions with simulated time. Each of the services has
+/// a leaf in two of the regions; what reaches the leafs is counted. Requests
+/// name four shards, or one service.
+class RetryFleet {
+ public:
+  static constexpr std::size_t kDaemons = 3;
+  static constexpr std::size_t kShards = 4;
+  static constexpr Duration kWindow = std::chrono::seconds(4);
+
+  RetryFleet(const RetryAllowance& allowance, std::uint32_t seed);
+
+  void Run(const RetryPhase& phase);
+  /// The window, of all services, in which the rule is exceeded the most.
+  RetryExcess MostExcess() const;
+  std::size_t Arrivals() const { return m_arrivals; }
+  std::size_t Extra() const;
+  std::size_t Delegations() const { return m_delegations; }
+
+ private:
+  using ClientRequest = std::uint64_t;
+  /// A request that a daemon has, as its caller or its peer sent it.
+  struct Held {
+    ClientRequest request = 0;
+    std::optional<std::size_t> delegator;
+    RelayAttemptNumber delegation = 0;
+    TimePoint since;
+  };
+  struct Daemon {
+    std::unique_ptr<RelayEngine> engine;
+    std::uint32_t run = 0;
+    std::map<RelayNumber, Held> held;
+    /// Requests of peers by delegator and number of the first delegation.
+    std::map<std::pair<std::size_t, RelayAttemptNumber>, RelayNumber> by_origin;
+  };
+  struct Service {
+    std::set<ClientRequest> arrived;
+    std::vector<TimePoint> requests;
+    std::vector<TimePoint> extra;
+  };
+
+  void Start(std::size_t daemon);
+  void Tick(const RetryPhase& phase);
+  void SubmitFromCaller(std::size_t daemon);
+  void Submit(std::size_t daemon, Held held, RelayRequest request);
+  void Apply(std::size_t daemon, const RelayActions& actions);
+  void Send(std::size_t daemon, const RelayAttempt& attempt);
+  void Delegate(std::size_t daemon, const RelayDelegation& delegation);
+  void Deliver(std::size_t from,
+               std::size_t peer,
+               ClientRequest request,
+               const RelayDelegation& delegation);
+  void AnswerPeer(std::size_t daemon, const RelayFinish& finish);
+  void ReplyToDelegation(std::size_t daemon,
+                         RelayAttemptNumber number,
+                         DelegationReply reply);
+  LeafReplyKind DrawReply(std::size_t daemon);
+  int Draw(int below);
+  /// Carries `action` out unless the daemon is restarted before.
+  void After(Duration delay, std::size_t daemon, std::function<void()> action);
+
+  RetryAllowance m_allowance;
+  std::mt19937 m_random;
+  TimePoint m_now{std::chrono::hours(1)};
+  RetryPhase m_phase;
+  std::vector<LeafRegistration> m_leafs;
+  std::shared_ptr<const RouteTable> m_table;
+  std::array<Daemon, kDaemons> m_daemons;
+  std::map<std::string, Service> m_services;
+  std::map<std::string, std::string> m_service_of;
+  std::multimap<TimePoint, std::function<void()>> m_events;
+  RelayNumber m_last_number = 0;
+  std::size_t m_arrivals = 0;
+  std::size_t m_delegations = 0;
+};
+
+}  // namespace bramleyspoke
