--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -29,6 +29,11 @@
     // The delegating daemon may not know of changes for as long.
     part.shared_since = m_now - kLeafSetSettleTime;
   }
+  const bool is_credited = index < request.request.credited.size() &&
+                           request.request.credited[index];
+  if (request.request.is_for_peer) {
+    part.max_credit = is_credited ? 0 : 1 - kDelegatorBudgetShare;
+  }
 }
 
 bool RelayEngine::IsSuspect(const Request& request, const Part& part) const {
