--- a/tests/relay_retry_budget_test.cc
+++ b/tests/relay_retry_budget_test.cc
@@ -10,6 +10,7 @@
 
 using std::chrono::milliseconds;
 
+// NOLINTNEXTLINE(readability-identifier-naming): rapidcheck looks it up.
 void showValue(const RetryPhase& phase, std::ostream& out) {
   out << phase.length / milliseconds(1) << " ms, " << phase.per_second
       << " requests/s; of 100 attempts " << phase.rejected << " rejected, "
