Report the service nearest to its limit in the property of the retry budget

Cause: MostExcess reported no service unless one used more than ratio x requests without the slack, so the check that the budget is used failed on the joined code with no figures. Now the service nearest to its limit is reported, whatever it used; the checks are the same.

--- a/tests/retry_fleet.cc
+++ b/tests/retry_fleet.cc
@@ -1,6 +1,7 @@
 #include "retry_fleet.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bramleyspoke {
 namespace {
@@ -349,7 +350,7 @@
 // that begins half a window earlier, whichever are most.
 RetryExcess RetryFleet::MostExcess() const {
   RetryExcess most;
-  most.above = -m_allowance.slack;
+  most.above = -std::numeric_limits<double>::infinity();
   for (const auto& [name, service] : m_services) {
     for (const TimePoint from : service.extra) {
       std::size_t requests = 0;
