Forget expired requests before a connection is full

With 2,048 unexpired requests the next look for expired ones came at 4,096 or later, when the connection carries no more and is not asked: it stayed unused until its idle time. Change: the look comes at half of the bound at the latest. Measured: the new case of carried_requests_test failed before (a connection with 4,095 expired requests carried one more and then none), and passes now.

--- a/src/connection/carried_requests.cc
+++ b/src/connection/carried_requests.cc
@@ -37,7 +37,8 @@
              m_ids.end();
 }
 
-// Doubling the bound keeps the cost of a request constant.
+// Doubling the bound keeps the cost of a request constant. A connection that is
+// full is not asked again, so those that have expired are forgotten before.
 void CarriedRequests::Forget(TimePoint now) {
   std::size_t kept = 0;
   for (std::size_t index = 0; index < m_ids.size(); ++index) {
@@ -49,7 +50,7 @@
   }
   m_ids.resize(kept);
   m_until.resize(kept);
-  m_forget_at = std::max(m_forget_at, 2 * kept);
+  m_forget_at = std::clamp(2 * kept, m_forget_at, kMaxRequests / 2);
 }
 
 }  // namespace bramleyspoke
--- a/tests/carried_requests_test.cc
+++ b/tests/carried_requests_test.cc
@@ -46,6 +46,21 @@
   CHECK(carried.MayCarry("0"));
 }
 
+TEST_CASE(
+    "a connection that was nearly full carries more once requests expire") {
+  CarriedRequests carried;
+  std::size_t number = 0;
+  for (; number + 1 < CarriedRequests::kMaxRequests; ++number) {
+    carried.Add(std::to_string(number), kNow + seconds(60), kNow);
+  }
+  const TimePoint later = kNow + seconds(62);
+  for (int more = 0; more < 10000; ++more, ++number) {
+    REQUIRE(carried.MayCarry(std::to_string(number)));
+    carried.Add(std::to_string(number), later + seconds(2),
+                later + std::chrono::milliseconds(10 * more));
+  }
+}
+
 TEST_CASE("a connection that has carried too many requests carries no more") {
   CarriedRequests carried;
   for (std::size_t number = 0; number < CarriedRequests::kMaxRequests;
