--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -416,29 +416,6 @@
   }
 }
 
-// Entries of leafs that run may be missing for a time, at this daemon or at the
-// peer.
-bool RelayEngine::AreLeafsSettled(const Part& part, const Route& route) const {
-  return part.service->leafs.size() <= route.max_attempts &&
-         m_now - part.service->leafs_changed_at >= kLeafSetSettleTime;
-}
-
-// A lost peer may have made as many attempts as the route allows. Only if the
-// service has no more leafs than that can further attempts by this daemon not
-// exceed that number of leafs; the peer has been told so.
-bool RelayEngine::MayBypassPeer(const Part& part, const Route& route) const {
-  return part.is_peer_bypassable && AreLeafsSettled(part, route);
-}
-
-bool RelayEngine::CouldExceedAttempts(const Request& request,
-                                      const Part& part) const {
-  if (!part.shared_since) {
-    return false;
-  }
-  return part.service->leafs.size() > request.MatchedRoute().max_attempts ||
-         part.service->leafs_changed_at > *part.shared_since;
-}
-
 void RelayEngine::ApplyUncovered(
     Request& request,
     const std::shared_ptr<const DelegationState>& delegation_state,
