--- a/src/process/relay_log.cc
+++ b/src/process/relay_log.cc
@@ -67,6 +67,13 @@
              : std::string();
 }
 
+std::string DescribeRuns(const PartReport& part) {
+  const std::string peers =
+      part.runs_at_peers > 0 ? "+" + std::to_string(part.runs_at_peers) : "";
+  return std::to_string(part.runs_here) + peers + " of " +
+         std::to_string(part.max_attempts);
+}
+
 }  // namespace
 
 std::string DescribePartReports(const std::vector<PartReport>& parts) {
@@ -82,7 +89,8 @@
     for (const std::string& leaf : part.leafs) {
       text += " " + leaf;
     }
-    text += " (hedges " + std::to_string(part.hedges) + ", budget " +
+    text += " (runs " + DescribeRuns(part) + ", hedges " +
+            std::to_string(part.hedges) + ", budget " +
             std::to_string(static_cast<int>(part.budget)) +
             DescribeHold(part.held) + ")";
     if (part.answered_on.connection > 0) {
--- a/src/request/relay.h
+++ b/src/request/relay.h
@@ -131,6 +131,11 @@
   ExchangePosition answered_on;
   /// Delegated to a peer that has not answered for it yet.
   bool is_at_peer = false;
+  /// Leafs at which it ran or may have run by attempts of this daemon, those by
+  /// attempts of peers, and the maximum that the route allows.
+  std::uint32_t runs_here = 0;
+  std::uint32_t runs_at_peers = 0;
+  std::uint32_t max_attempts = 0;
   /// Attempts that were hedges.
   std::uint32_t hedges = 0;
   /// Retries and hedges that the service's retry budget had left.
--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -205,7 +205,8 @@
   return is_failed ? PartState::kFailed : PartState::kOpen;
 }
 
-PartReport RelayEngine::Part::Describe(TimePoint now) const {
+PartReport RelayEngine::Part::Describe(const Route& route,
+                                       TimePoint now) const {
   PartReport report;
   report.service = service->name;
   report.end = State();
@@ -223,6 +224,10 @@
     report.answered_by = answered_by->registration.id;
     report.answered_on = answered_on;
   }
+  report.runs_at_peers = runs_at_peers;
+  report.runs_here = runs - std::min(runs, runs_at_peers) +
+                     static_cast<std::uint32_t>(outstanding.size());
+  report.max_attempts = route.max_attempts;
   report.hedges = hedges;
   report.budget = service->budget.Tokens();
   report.held = held_for + (held ? now - held->since : Duration::zero());
@@ -240,7 +245,8 @@
     if (part.IsReportable()) {
       ++outcome.reportable_parts;
       if (outcome.part_reports.size() < kMaxPartReports) {
-        outcome.part_reports.push_back(part.Describe(m_now));
+        outcome.part_reports.push_back(
+            part.Describe(request.MatchedRoute(), m_now));
       }
     }
   }
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -428,6 +428,7 @@
   }
   // A continuation's answer counts the leafs of the first answer again.
   part.runs = std::max(part.runs, shard.possible_runs);
+  part.runs_at_peers = std::max(part.runs_at_peers, shard.possible_runs);
   if (part.attempts == 0 && !shard.is_pending) {
     // All attempts are the peer's, which has counted them.
     part.shared_since.reset();
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -26,6 +26,8 @@
   std::vector<std::shared_ptr<RelayLeaf>> tried;
   /// Number of leafs at which the part ran or may have run.
   std::uint32_t runs = 0;
+  /// Those that peers have reported; for the log.
+  std::uint32_t runs_at_peers = 0;
   std::uint32_t attempts = 0;
   /// Whether an attempt that has ended may have reached a leaf.
   bool has_arrived = false;
@@ -90,8 +92,10 @@
   PartState State() const;
   std::vector<const RelayLeaf*> TriedLeafs() const;
   /// Whether the part was not answered, or needed more than one attempt.
-  bool IsReportable() const { return !IsAnswered() || attempts > 1; }
-  PartReport Describe(TimePoint now) const;
+  bool IsReportable() const {
+    return !IsAnswered() || attempts > 1 || runs_at_peers > 0;
+  }
+  PartReport Describe(const Route& route, TimePoint now) const;
 };
 
 /// A request in flight.
--- a/tests/relay_log_test.cc
+++ b/tests/relay_log_test.cc
@@ -89,7 +89,8 @@
   const std::string text = DescribePartReports(outcome.part_reports);
   CHECK(text.find("s0 answered by " + second + " after " + first + " " +
                   second) == 0);
-  CHECK(text.find("s3 open after s3-leaf (hedges 0") != std::string::npos);
+  CHECK(text.find("s3 open after s3-leaf (runs 1 of 2, hedges 0") !=
+        std::string::npos);
 }
 
 }  // namespace bramleyspoke
