--- a/tests/relay_retry_budget_test.cc
+++ b/tests/relay_retry_budget_test.cc
@@ -1,7 +1,6 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <ostream>
 #include <vector>
 
 #include "retry_fleet.h"
@@ -10,20 +9,6 @@
 
 using std::chrono::milliseconds;
 
-// NOLINTNEXTLINE(readability-identifier-naming): rapidcheck looks it up.
-void showValue(const RetryPhase& phase, std::ostream& out) {
-  out << phase.length / milliseconds(1) << " ms, " << phase.per_second
-      << " requests/s; of 100 attempts " << phase.rejected << " rejected, "
-      << phase.failed << " failed, " << phase.lost << " lost, " << phase.unsent
-      << " unsent";
-  if (phase.cut_off) {
-    out << "; daemon " << *phase.cut_off << " cut off";
-  }
-  if (phase.restarted) {
-    out << "; daemon " << *phase.restarted << " restarted";
-  }
-}
-
 namespace {
 
 const RetryAllowance kAllowance{0.2, 12};
--- a/tests/retry_fleet.cc
+++ b/tests/retry_fleet.cc
@@ -34,11 +34,11 @@
           {{"d0", "r0"}, {"d1", "r1"}, {"d2", "r2"}}};
 }
 
-std::vector<Route> Routes() {
+std::vector<Route> Routes(std::uint32_t max_attempts) {
   Route fan_out;
   fan_out.name = "fan-out";
   fan_out.kind = RequestKind::kIdempotent;
-  fan_out.max_attempts = 2;
+  fan_out.max_attempts = max_attempts;
   fan_out.timeout = kTimeout;
   fan_out.target_latency = kTargetLatency;
   fan_out.min_coverage = 0.75;
@@ -68,23 +68,35 @@
 
 }  // namespace
 
-RetryFleet::RetryFleet(const RetryAllowance& allowance, std::uint32_t seed)
-    : m_allowance(allowance), m_random(seed) {
-  const std::vector<Route> routes = Routes();
+// NOLINTNEXTLINE(readability-identifier-naming): rapidcheck looks it up.
+void showValue(const RetryPhase& phase, std::ostream& out) {
+  out << phase.length / milliseconds(1) << " ms, " << phase.per_second
+      << " requests/s; of 100 attempts " << phase.rejected << " rejected, "
+      << phase.failed << " failed, " << phase.lost << " lost, " << phase.unsent
+      << " unsent, " << phase.unanswered << " unanswered; of 100 answers "
+      << phase.lost_answers << " lost";
+  if (phase.cut_off) {
+    out << "; daemon " << *phase.cut_off << " cut off";
+  }
+  if (phase.restarted) {
+    out << "; daemon " << *phase.restarted << " restarted";
+  }
+  if (phase.adds_leafs) {
+    out << "; leafs added";
+  }
+}
+
+RetryFleet::RetryFleet(const RetryAllowance& allowance,
+                       std::uint32_t seed,
+                       const RetryFleetOptions& options)
+    : m_allowance(allowance), m_options(options), m_random(seed) {
+  const std::vector<Route> routes = Routes(options.max_attempts);
   std::vector<RoutedService> services;
-  std::uint16_t port = 1;
   for (const Route& route : routes) {
     for (const std::string& service : NamesOf(route)) {
       services.push_back({service, "/health", 100});
-      for (std::size_t region = 0; region < 2; ++region) {
-        LeafRegistration leaf;
-        leaf.id = service + "-" + std::to_string(region);
-        leaf.service = service;
-        leaf.address = {"127.0.0.1", port++};
-        leaf.failure_domain = DomainOf(region);
-        leaf.slots = kSlots;
-        m_leafs.push_back(leaf);
-        m_service_of[leaf.id] = service;
+      for (std::size_t leaf = 0; leaf < options.leafs_per_service; ++leaf) {
+        AddLeaf(service);
       }
     }
   }
@@ -96,6 +108,31 @@
   m_now += RelayEngine::kLeafSetSettleTime;
 }
 
+// The leafs of a service are in the first two regions in turn.
+void RetryFleet::AddLeaf(const std::string& service) {
+  const std::size_t place = m_leafs_of[service]++;
+  LeafRegistration leaf;
+  leaf.id = service + "-" + std::to_string(place);
+  leaf.service = service;
+  leaf.address = {"127.0.0.1", static_cast<std::uint16_t>(m_leafs.size() + 1)};
+  leaf.failure_domain = DomainOf(place % 2);
+  leaf.slots = kSlots;
+  m_leafs.push_back(leaf);
+  m_service_of[leaf.id] = service;
+}
+
+void RetryFleet::AddLeafs() {
+  for (const auto& [service, count] : m_leafs_of) {
+    AddLeaf(service);
+  }
+  const int max_delay = static_cast<int>(kMaxDiscoveryDelay / kTick);
+  for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+    After(kTick * Draw(max_delay), daemon, [this, daemon, leafs = m_leafs] {
+      Apply(daemon, m_daemons.at(daemon).engine->SetLeafs(leafs, m_now));
+    });
+  }
+}
+
 void RetryFleet::Start(std::size_t daemon) {
   Daemon& started = m_daemons.at(daemon);
   started.engine =
@@ -130,6 +167,9 @@
   if (phase.restarted) {
     Start(*phase.restarted);
   }
+  if (phase.adds_leafs) {
+    AddLeafs();
+  }
   const TimePoint end = m_now + phase.length;
   while (m_now < end) {
     Tick(phase);
@@ -210,18 +250,31 @@
     if (!service.arrived.insert(request).second) {
       service.extra.push_back(m_now);
     }
+    if (VerdictOf(kind) != Verdict::kNotRun) {
+      service.ran_on[request].insert(attempt.leaf_id);
+    }
+  }
+  After(DrawLatency(kind, attempt), daemon,
+        [this, daemon, kind, number = attempt.number] {
+          LeafReply reply;
+          reply.kind = kind;
+          reply.round_trip = kTick;
+          Apply(daemon, m_daemons.at(daemon).engine->OnReply(
+                            number, std::move(reply), m_now));
+        });
+}
+
+Duration RetryFleet::DrawLatency(LeafReplyKind kind,
+                                 const RelayAttempt& attempt) {
+  switch (kind) {
+    case LeafReplyKind::kSucceeded:
+    case LeafReplyKind::kLost:
+      return milliseconds(kMinLeafLatencyMs + Draw(kMaxLeafLatencyMs));
+    case LeafReplyKind::kTimedOut:
+      return std::max<Duration>(attempt.leaf_deadline - m_now, kTick);
+    default:
+      return kTick;
   }
-  const Duration latency =
-      kind == LeafReplyKind::kSucceeded || kind == LeafReplyKind::kLost
-          ? milliseconds(kMinLeafLatencyMs + Draw(kMaxLeafLatencyMs))
-          : Duration(kTick);
-  After(latency, daemon, [this, daemon, kind, number = attempt.number] {
-    LeafReply reply;
-    reply.kind = kind;
-    reply.round_trip = kTick;
-    Apply(daemon, m_daemons.at(daemon).engine->OnReply(number, std::move(reply),
-                                                       m_now));
-  });
 }
 
 LeafReplyKind RetryFleet::DrawReply(std::size_t daemon) {
@@ -229,11 +282,12 @@
     return LeafReplyKind::kNotSent;
   }
   int drawn = Draw(100);
-  const std::array<std::pair<int, LeafReplyKind>, 4> shares{{
+  const std::array<std::pair<int, LeafReplyKind>, 5> shares{{
       {m_phase.rejected, LeafReplyKind::kRefused},
       {m_phase.failed, LeafReplyKind::kFailed},
       {m_phase.lost, LeafReplyKind::kLost},
       {m_phase.unsent, LeafReplyKind::kNotSent},
+      {m_phase.unanswered, LeafReplyKind::kTimedOut},
   }};
   for (const auto& [share, kind] : shares) {
     if (drawn < share) {
@@ -305,6 +359,11 @@
     return;
   }
   DelegationReply reply;
+  if (Draw(100) < m_phase.lost_answers) {
+    reply.kind = LeafReplyKind::kLost;
+    ReplyToDelegation(*held.delegator, held.delegation, std::move(reply));
+    return;
+  }
   reply.kind = LeafReplyKind::kSucceeded;
   reply.covered = finish.outcome.covered;
   reply.uncovered = finish.outcome.uncovered;
@@ -338,6 +397,26 @@
   });
 }
 
+std::size_t RetryFleet::RequestsOnTooManyLeafs() const {
+  std::size_t requests = 0;
+  for (const auto& [name, service] : m_services) {
+    for (const auto& [request, leafs] : service.ran_on) {
+      requests += leafs.size() > m_options.max_attempts ? 1 : 0;
+    }
+  }
+  return requests;
+}
+
+std::size_t RetryFleet::MostLeafs() const {
+  std::size_t most = 0;
+  for (const auto& [name, service] : m_services) {
+    for (const auto& [request, leafs] : service.ran_on) {
+      most = std::max(most, leafs.size());
+    }
+  }
+  return most;
+}
+
 std::size_t RetryFleet::Extra() const {
   std::size_t extra = 0;
   for (const auto& [name, service] : m_services) {
--- a/tests/retry_fleet.h
+++ b/tests/retry_fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <random>
 #include <set>
 #include <string>
@@ -28,10 +29,26 @@
   int lost = 0;
   /// Attempts for which no connection can be opened.
   int unsent = 0;
+  /// Attempts that a leaf runs and does not answer.
+  int unanswered = 0;
+  /// Answers to delegations that are lost, in percent.
+  int lost_answers = 0;
   /// Daemon that reaches no leafs, if any.
   std::optional<std::size_t> cut_off;
   /// Daemon that is restarted when the phase begins, if any.
   std::optional<std::size_t> restarted;
+  /// Whether each service gets another leaf when the phase begins. Daemons
+  /// learn of it within `RetryFleet::kMaxDiscoveryDelay`.
+  bool adds_leafs = false;
+};
+
+// NOLINTNEXTLINE(readability-identifier-naming): rapidcheck looks it up.
+void showValue(const RetryPhase& phase, std::ostream& out);
+
+/// Size of a `RetryFleet`.
+struct RetryFleetOptions {
+  std::size_t leafs_per_service = 2;
+  std::uint32_t max_attempts = 2;
 };
 
 /// The most arrivals beyond the first of each request that a service got above
@@ -43,16 +60,19 @@
   double above = 0;
 };
 
-/// Relay engines of three regions with simulated time. Each of the services has
-/// a leaf in two of the regions; what reaches the leafs is counted. Requests
-/// name four shards, or one service.
+/// Relay engines of three regions with simulated time. The leafs of each
+/// service are in two of the regions; what reaches the leafs is counted.
+/// Requests name four shards, or one service.
 class RetryFleet {
  public:
   static constexpr std::size_t kDaemons = 3;
   static constexpr std::size_t kShards = 4;
   static constexpr Duration kWindow = std::chrono::seconds(4);
+  static constexpr Duration kMaxDiscoveryDelay = std::chrono::seconds(3);
 
-  RetryFleet(const RetryAllowance& allowance, std::uint32_t seed);
+  RetryFleet(const RetryAllowance& allowance,
+             std::uint32_t seed,
+             const RetryFleetOptions& options = {});
 
   void Run(const RetryPhase& phase);
   /// The window, of all services, in which the rule is exceeded the most.
@@ -60,6 +80,10 @@
   std::size_t Arrivals() const { return m_arrivals; }
   std::size_t Extra() const;
   std::size_t Delegations() const { return m_delegations; }
+  /// Requests that ran on more leafs of a service than their route allows.
+  std::size_t RequestsOnTooManyLeafs() const;
+  /// The most leafs of a service on which one request ran.
+  std::size_t MostLeafs() const;
 
  private:
   using ClientRequest = std::uint64_t;
@@ -79,10 +103,14 @@
   };
   struct Service {
     std::set<ClientRequest> arrived;
+    /// By request, the leafs on which it ran.
+    std::map<ClientRequest, std::set<std::string>> ran_on;
     std::vector<TimePoint> requests;
     std::vector<TimePoint> extra;
   };
 
+  void AddLeafs();
+  void AddLeaf(const std::string& service);
   void Start(std::size_t daemon);
   void Tick(const RetryPhase& phase);
   void SubmitFromCaller(std::size_t daemon);
@@ -99,11 +127,13 @@
                          RelayAttemptNumber number,
                          DelegationReply reply);
   LeafReplyKind DrawReply(std::size_t daemon);
+  Duration DrawLatency(LeafReplyKind kind, const RelayAttempt& attempt);
   int Draw(int below);
   /// Carries `action` out unless the daemon is restarted before.
   void After(Duration delay, std::size_t daemon, std::function<void()> action);
 
   RetryAllowance m_allowance;
+  RetryFleetOptions m_options;
   std::mt19937 m_random;
   TimePoint m_now{std::chrono::hours(1)};
   RetryPhase m_phase;
@@ -112,6 +142,7 @@
   std::array<Daemon, kDaemons> m_daemons;
   std::map<std::string, Service> m_services;
   std::map<std::string, std::string> m_service_of;
+  std::map<std::string, std::size_t> m_leafs_of;
   std::multimap<TimePoint, std::function<void()>> m_events;
   RelayNumber m_last_number = 0;
   std::size_t m_arrivals = 0;
