--- a/src/request/relay_completion.cc
+++ b/src/request/relay_completion.cc
@@ -187,9 +187,8 @@
   for (std::size_t index = 0; index < request.parts.size(); ++index) {
     const Part& part = request.parts[index];
     if (!part.is_delivered) {
-      const auto out = static_cast<std::uint32_t>(part.outstanding.size());
-      uncovered.push_back(
-          {index, part.runs + out, part.IsOpen(), part.has_arrived || out > 0});
+      uncovered.push_back({index, part.quota.RunsHere(), part.IsOpen(),
+                           part.has_arrived || !part.outstanding.empty()});
     }
   }
   return uncovered;
@@ -224,9 +223,8 @@
     report.answered_by = answered_by->registration.id;
     report.answered_on = answered_on;
   }
-  report.runs_at_peers = runs_at_peers;
-  report.runs_here = runs - std::min(runs, runs_at_peers) +
-                     static_cast<std::uint32_t>(outstanding.size());
+  report.runs_here = quota.RunsHere();
+  report.runs_at_peers = quota.ReportedRuns();
   report.max_attempts = route.max_attempts;
   report.hedges = hedges;
   report.budget = service->budget.Tokens();
--- a/src/request/relay_contact.cc
+++ b/src/request/relay_contact.cc
@@ -134,10 +134,10 @@
   }
   Part& part = request->parts[attempt.part];
   std::erase(part.outstanding, number);
+  part.quota.OnEnded(true);
   if (!part.IsOpen()) {
     return;
   }
-  ++part.runs;
   part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
   // What was sent since the last sign of a leaf has hardly arrived anywhere, so
   // the next attempt adds no load.
--- a/src/request/relay_delegations.cc
+++ b/src/request/relay_delegations.cc
@@ -157,16 +157,19 @@
     CreditRetryBudget(part, kDelegatorBudgetShare);
     part.max_credit = part.credit;
     delegation.max_attempts =
-        std::min(delegation.max_attempts, AttemptsLeft(part, route));
-    part.is_peer_bypassable = AreLeafsSettled(part, route);
-    delegation.bypassable.push_back(part.is_peer_bypassable);
-    if (part.is_peer_bypassable) {
+        std::min(delegation.max_attempts, AttemptsToDelegate(part, route));
+    const bool is_bypassable = AreLeafsSettled(part, route);
+    delegation.bypassable.push_back(is_bypassable);
+    if (is_bypassable) {
       part.shared_since = part.shared_since.value_or(m_now);
       part.hedge_at = m_now + overdue + kPeerOverdueMargin;
     }
     delegation_state.services.push_back(part.service);
     delegation.shards.push_back(part.service->name);
   }
+  for (const std::size_t index : parts) {
+    request.parts[index].quota.OnDelegated(delegation.max_attempts);
+  }
   ++m_counters.delegations;
   delegation_state.is_hand_over = std::any_of(
       parts.begin(), parts.end(),
@@ -351,9 +354,13 @@
   for (const std::size_t index : delegation_state.parts) {
     Part& part = request.parts[index];
     if (part.delegation == number) {
-      part.delegation.reset();
-      part.is_next_attempt_free =
+      const bool is_not_sent =
           reply.kind == LeafReplyKind::kNotSent && !delegation_state.continued;
+      part.delegation.reset();
+      part.is_next_attempt_free = is_not_sent;
+      if (is_not_sent) {
+        part.quota.OnDelegationNotSent();
+      }
       delegated_parts.push_back(index);
     }
   }
@@ -375,6 +382,7 @@
     }
     const std::size_t index = delegation_state.parts[shard.place];
     Part& part = request.parts[index];
+    part.quota.OnPeerReport(shard.possible_runs, !shard.is_pending);
     // What reached no leaf was no attempt; a peer that still has the part may
     // send it yet.
     part.is_next_attempt_free =
@@ -402,18 +410,14 @@
 
 void RelayEngine::OnDelegationLost(Request& request, std::size_t index) {
   Part& part = request.parts[index];
+  part.quota.OnDelegationLost();
   if (!part.IsOpen() || !part.outstanding.empty()) {
     return;
   }
   if (!part.is_next_attempt_free) {
     part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
   }
-  if (part.is_next_attempt_free ||
-      MayBypassPeer(part, request.MatchedRoute())) {
-    Retry(request, index);
-  } else {
-    FailUnlessOutstanding(part);
-  }
+  Retry(request, index);
 }
 
 void RelayEngine::ApplyUncovered(
@@ -426,9 +430,6 @@
   if (!part.IsOpen()) {
     return;
   }
-  // A continuation's answer counts the leafs of the first answer again.
-  part.runs = std::max(part.runs, shard.possible_runs);
-  part.runs_at_peers = std::max(part.runs_at_peers, shard.possible_runs);
   if (part.attempts == 0 && !shard.is_pending) {
     // All attempts are the peer's, which has counted them.
     part.shared_since.reset();
@@ -467,6 +468,10 @@
 // answer then needs the part.
 void RelayEngine::RetryIfInTime(Request& request, std::size_t index) {
   Part& part = request.parts[index];
+  if (!MayReachAnotherLeaf(request, part)) {
+    Retry(request, index);
+    return;
+  }
   const std::string& route_name = request.MatchedRoute().name;
   const LeafChoice choice = ChooseLeaf(*part.service, route_name, {}, m_now);
   const bool is_in_time =
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -188,9 +188,13 @@
   /// requests now.
   RelayRefusal RefusalWithoutLeafs(const Request& request) const;
   bool IsSuspect(const Request& request, const Part& part) const;
-  /// Whether another attempt by this daemon could bring the leafs that the part
-  /// reaches above the route's maximum.
-  bool CouldExceedAttempts(const Request& request, const Part& part) const;
+  /// Whether the part may run at another leaf, as far as its runs so far do no
+  /// harm: it is idempotent or has not run, and is not suspected of crashing
+  /// leafs.
+  bool MayRunAgain(const Request& request, const Part& part) const;
+  /// Whether this daemon may send the part to another leaf, by any way: it may
+  /// run again, and not on more leafs than the route allows.
+  bool MayReachAnotherLeaf(const Request& request, const Part& part) const;
   LeafChoice SelectLeaf(const Request& request,
                         const Part& part,
                         LeafScope scope = LeafScope::kAny) const;
@@ -260,9 +264,8 @@
   std::shared_ptr<PeerState> ChooseHandOverPeer(const RelayService& service,
                                                 const HandOvers& chosen);
   std::string RegionOfLeafs(const RelayService& service) const;
-  /// Number of further leafs that may get the part; the leafs that had it
-  /// before do not count if the service has no others.
-  std::uint32_t AttemptsLeft(const Part& part, const Route& route) const;
+  /// Number of attempts that a peer which gets the part now may make.
+  std::uint32_t AttemptsToDelegate(const Part& part, const Route& route) const;
   /// Sends parts that a peer did not send to any leaf.
   void SendNotRun(Request& request, const std::vector<std::size_t>& parts);
 
@@ -297,7 +300,9 @@
   void ContinuePendingDelegations(Request& request);
   void OnDelegationLost(Request& request, std::size_t index);
   bool AreLeafsSettled(const Part& part, const Route& route) const;
-  bool MayBypassPeer(const Part& part, const Route& route) const;
+  /// Whether this daemon and a peer may both send the part to leafs, as the
+  /// service has no more of them than the route allows.
+  static bool IsBoundedByLeafs(const Part& part, const Route& route);
   void ApplyUncovered(
       Request& request,
       const std::shared_ptr<const DelegationState>& delegation_state,
--- a/src/request/relay_hand_over.cc
+++ b/src/request/relay_hand_over.cc
@@ -30,24 +30,14 @@
 
 // A request on trial may crash the leafs of one daemon after the other.
 bool RelayEngine::CanHandOver(const Request& request, const Part& part) const {
-  const bool may_run_again =
-      part.verdict == Verdict::kNotRun || request.IsIdempotent();
-  return may_run_again && !request.request.is_for_peer &&
+  return MayRunAgain(request, part) && !request.request.is_for_peer &&
          !request.IsOnTrial() && part.hand_overs < kMaxHandOvers &&
          part.outstanding.empty() && !part.delegation &&
-         AttemptsLeft(part, request.MatchedRoute()) > 0 &&
+         AttemptsToDelegate(part, request.MatchedRoute()) > 0 &&
          m_now >= part.service->peers_failed_until &&
          IsOutOfReach(*part.service) && m_peers.IsAnyInContact(m_now);
 }
 
-std::uint32_t RelayEngine::AttemptsLeft(const Part& part,
-                                        const Route& route) const {
-  if (AreLeafsSettled(part, route)) {
-    return route.max_attempts;
-  }
-  return route.max_attempts - std::min(part.runs, route.max_attempts);
-}
-
 bool RelayEngine::MarkForHandOver(const Request& request, Part& part) {
   if (!CanHandOver(request, part)) {
     return false;
@@ -95,7 +85,7 @@
   const auto is_lost = [&](std::size_t index) {
     const Part& part = request.parts[index];
     return part.delegation != delegation ||
-           MayBypassPeer(part, request.MatchedRoute());
+           IsBoundedByLeafs(part, request.MatchedRoute());
   };
   const std::vector<std::size_t> parts = found->second.parts;
   if (!request.IsIdempotent() ||
@@ -116,6 +106,7 @@
       continue;
     }
     part.delegation.reset();
+    part.quota.OnDelegationLost();
     part.verdict = Combine(part.verdict, Verdict::kMayHaveRun);
     if (part.IsOpen()) {
       Retry(request, index);
--- a/src/request/relay_replies.cc
+++ b/src/request/relay_replies.cc
@@ -12,9 +12,6 @@
 // Delay before a request is retried at leafs that refused it, multiplied by the
 // number of attempts so far.
 constexpr Duration kRefusedRetryDelay = std::chrono::milliseconds(30);
-// Attempts that a part may make beyond the route's limit, as refused ones have
-// not run.
-constexpr std::uint32_t kMaxRefusals = 6;
 // Time that a new connection costs a leaf, with a margin.
 constexpr Duration kReconnectCost = std::chrono::milliseconds(15);
 
@@ -225,15 +222,15 @@
                              LeafReply reply) {
   const std::size_t index = attempt.part;
   Part& part = request.parts[index];
+  const Verdict verdict = VerdictOf(reply.kind);
+  part.quota.OnEnded(verdict != Verdict::kNotRun);
   if (!part.IsOpen()) {
     return;
   }
-  const Verdict verdict = VerdictOf(reply.kind);
   if (verdict == Verdict::kMayHaveRun) {
     RecordUnanswered(request, attempt, reply.kind);
   }
   part.verdict = Combine(part.verdict, verdict);
-  part.runs += verdict == Verdict::kNotRun ? 0 : 1;
   part.has_arrived = part.has_arrived || reply.kind != LeafReplyKind::kNotSent;
   if (reply.kind == LeafReplyKind::kSucceeded) {
     part.answer = std::move(reply.response);
@@ -282,14 +279,10 @@
     return;
   }
   const Route& route = request.MatchedRoute();
-  const bool may_have_run = part.verdict != Verdict::kNotRun;
-  const bool has_attempts_left =
-      part.runs < route.max_attempts &&
-      part.attempts < route.max_attempts + kMaxRefusals;
   if (MarkForHandOver(request, part)) {
     return;
   }
-  if ((may_have_run && !request.IsIdempotent()) || !has_attempts_left) {
+  if (!MayReachAnotherLeaf(request, part)) {
     FailUnlessOutstanding(part);
     return;
   }
--- a/src/request/relay_request.h
+++ b/src/request/relay_request.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "request/attempt_quota.h"
 #include "request/leaf_table.h"
 #include "request/relay.h"
 #include "request/relay_engine.h"
@@ -24,10 +25,7 @@
   std::vector<RelayAttemptNumber> outstanding;
   /// Leafs that were attempted.
   std::vector<std::shared_ptr<RelayLeaf>> tried;
-  /// Number of leafs at which the part ran or may have run.
-  std::uint32_t runs = 0;
-  /// Those that peers have reported; for the log.
-  std::uint32_t runs_at_peers = 0;
+  AttemptQuota quota;
   std::uint32_t attempts = 0;
   /// Whether an attempt that has ended may have reached a leaf.
   bool has_arrived = false;
@@ -40,9 +38,6 @@
   std::uint32_t hedges = 0;
   /// A peer's answer covers it.
   bool is_covered = false;
-  /// Set when the part is delegated: whether this daemon may also send it to
-  /// leafs.
-  bool is_peer_bypassable = false;
   /// Set while this daemon and a peer may both send the part to leafs, without
   /// knowing of each other's attempts: leafs that changed later must not get
   /// it.
@@ -93,7 +88,7 @@
   std::vector<const RelayLeaf*> TriedLeafs() const;
   /// Whether the part was not answered, or needed more than one attempt.
   bool IsReportable() const {
-    return !IsAnswered() || attempts > 1 || runs_at_peers > 0;
+    return !IsAnswered() || attempts > 1 || quota.ReportedRuns() > 0;
   }
   PartReport Describe(const Route& route, TimePoint now) const;
 };
--- a/src/request/relay_sends.cc
+++ b/src/request/relay_sends.cc
@@ -24,6 +24,7 @@
   Part& part = request.parts.emplace_back();
   const std::size_t index = request.parts.size() - 1;
   part.service = &m_leaf_table.Service(service);
+  part.quota = AttemptQuota(request.MatchedRoute().max_attempts);
   if (index < request.request.bypassable.size() &&
       request.request.bypassable[index]) {
     // The delegating daemon may not know of changes for as long.
@@ -180,7 +181,10 @@
 
 void RelayEngine::DispatchPart(Request& request, std::size_t index) {
   Part& part = request.parts[index];
-  if (IsSuspect(request, part) || CouldExceedAttempts(request, part)) {
+  if (part.IsSent()) {
+    return;
+  }
+  if (!MayReachAnotherLeaf(request, part)) {
     FailUnlessOutstanding(part);
     return;
   }
@@ -244,6 +248,7 @@
   leaf->last_sent_at = m_now;
   leaf->sends_of_service = ++part.service->sends;
   part.outstanding.push_back(number);
+  part.quota.OnStarted();
   part.tried.push_back(leaf);
   part.is_next_attempt_free = false;
   ++part.attempts;
@@ -337,12 +342,7 @@
     HandOverElsewhere(request, *part.delegation);
     return;
   }
-  if (out != 1 ||
-      part.runs + part.outstanding.size() >=
-          request.MatchedRoute().max_attempts ||
-      IsSuspect(request, part) || request.IsOnTrial() ||
-      CouldExceedAttempts(request, part) ||
-      (part.delegation && !MayBypassPeer(part, request.MatchedRoute()))) {
+  if (out != 1 || request.IsOnTrial() || !MayReachAnotherLeaf(request, part)) {
     return;
   }
   const LeafChoice choice = ChooseLeaf(
--- a/tests/relay_attempt_limit_test.cc
+++ b/tests/relay_attempt_limit_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <utility>
 #include <vector>
 
 #include "retry_fleet.h"
@@ -47,6 +48,28 @@
       });
 }
 
+rc::Gen<RetryFleetOptions> ArbitraryOptions() {
+  return rc::gen::map(
+      rc::gen::pair(InRange(2, 7), InRange(1, 5)),
+      [](const std::pair<int, int>& drawn) {
+        RetryFleetOptions options;
+        options.leafs_per_service = static_cast<std::size_t>(drawn.first);
+        options.max_attempts = static_cast<std::uint32_t>(drawn.second);
+        return options;
+      });
+}
+
+RetryFleet RunArbitraryPhases(const RetryFleetOptions& options) {
+  const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+  const auto phases = *rc::gen::container<std::vector<RetryPhase>>(
+      static_cast<std::size_t>(*InRange(1, 5)), ArbitraryPhase());
+  RetryFleet fleet(kAmpleAllowance, seed, options);
+  for (const RetryPhase& phase : phases) {
+    fleet.Run(phase);
+  }
+  return fleet;
+}
+
 }  // namespace
 
 // A daemon sent a part again that a peer had sent to all leafs that the route
@@ -68,16 +91,8 @@
 
 TEST_CASE("no request runs on more leafs of a shard than its route allows") {
   CHECK(rc::check([] {
-    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-    RetryFleetOptions options;
-    options.leafs_per_service = static_cast<std::size_t>(*InRange(2, 7));
-    options.max_attempts = static_cast<std::uint32_t>(*InRange(1, 5));
-    const auto phases = *rc::gen::container<std::vector<RetryPhase>>(
-        static_cast<std::size_t>(*InRange(1, 5)), ArbitraryPhase());
-    RetryFleet fleet(kAmpleAllowance, seed, options);
-    for (const RetryPhase& phase : phases) {
-      fleet.Run(phase);
-    }
+    const RetryFleetOptions options = *ArbitraryOptions();
+    const RetryFleet fleet = RunArbitraryPhases(options);
     RC_LOG() << options.leafs_per_service << " leafs a service, "
              << options.max_attempts << " attempts allowed, "
              << fleet.MostLeafs() << " leafs reached" << std::endl;
@@ -85,4 +100,14 @@
   }));
 }
 
+// A peer's report that the request may have run did not end it.
+TEST_CASE("a non-idempotent request that is handed over runs at most once") {
+  CHECK(rc::check([] {
+    RetryFleetOptions options = *ArbitraryOptions();
+    options.has_non_idempotent = true;
+    const RetryFleet fleet = RunArbitraryPhases(options);
+    RC_ASSERT(fleet.RequestsRunTwice() == 0U);
+  }));
+}
+
 }  // namespace bramleyspoke
--- a/tests/retry_fleet.cc
+++ b/tests/retry_fleet.cc
@@ -15,6 +15,7 @@
 constexpr Duration kTimeout = milliseconds(1500);
 constexpr Duration kTargetLatency = milliseconds(200);
 constexpr std::uint32_t kSlots = 8;
+constexpr const char* kOnceService = "once";
 
 std::string RegionOf(std::size_t daemon) {
   return "r" + std::to_string(daemon);
@@ -34,11 +35,11 @@
           {{"d0", "r0"}, {"d1", "r1"}, {"d2", "r2"}}};
 }
 
-std::vector<Route> Routes(std::uint32_t max_attempts) {
+std::vector<Route> Routes(const RetryFleetOptions& options) {
   Route fan_out;
   fan_out.name = "fan-out";
   fan_out.kind = RequestKind::kIdempotent;
-  fan_out.max_attempts = max_attempts;
+  fan_out.max_attempts = options.max_attempts;
   fan_out.timeout = kTimeout;
   fan_out.target_latency = kTargetLatency;
   fan_out.min_coverage = 0.75;
@@ -49,7 +50,15 @@
   for (std::size_t shard = 0; shard < RetryFleet::kShards; ++shard) {
     fan_out.shards.push_back("s" + std::to_string(shard));
   }
-  return {fan_out, single};
+  std::vector<Route> routes{fan_out, single};
+  if (options.has_non_idempotent) {
+    Route once = single;
+    once.name = "once";
+    once.kind = RequestKind::kNonIdempotent;
+    once.services = {{kOnceService, 1}};
+    routes.push_back(once);
+  }
+  return routes;
 }
 
 std::vector<std::string> NamesOf(const Route& route) {
@@ -68,7 +77,7 @@
 
 }  // namespace
 
-// NOLINTNEXTLINE(readability-identifier-naming): rapidcheck looks it up.
+// NOLINTBEGIN(readability-identifier-naming): rapidcheck looks them up.
 void showValue(const RetryPhase& phase, std::ostream& out) {
   out << phase.length / milliseconds(1) << " ms, " << phase.per_second
       << " requests/s; of 100 attempts " << phase.rejected << " rejected, "
@@ -86,11 +95,17 @@
   }
 }
 
+void showValue(const RetryFleetOptions& options, std::ostream& out) {
+  out << options.leafs_per_service << " leafs a service, "
+      << options.max_attempts << " attempts allowed";
+}
+// NOLINTEND(readability-identifier-naming)
+
 RetryFleet::RetryFleet(const RetryAllowance& allowance,
                        std::uint32_t seed,
                        const RetryFleetOptions& options)
     : m_allowance(allowance), m_options(options), m_random(seed) {
-  const std::vector<Route> routes = Routes(options.max_attempts);
+  const std::vector<Route> routes = Routes(options);
   std::vector<RoutedService> services;
   for (const Route& route : routes) {
     for (const std::string& service : NamesOf(route)) {
@@ -194,8 +209,16 @@
   }
 }
 
+const Route& RetryFleet::DrawRoute() {
+  const std::vector<Route>& routes = m_table->Routes();
+  if (routes.size() > 2 && Draw(4) == 0) {
+    return routes.at(2);
+  }
+  return routes.at(Draw(4) == 0 ? 1 : 0);
+}
+
 void RetryFleet::SubmitFromCaller(std::size_t daemon) {
-  const Route& route = m_table->Routes().at(Draw(4) == 0 ? 1 : 0);
+  const Route& route = DrawRoute();
   RelayRequest request;
   request.request_id = "id";
   request.table = m_table;
@@ -252,6 +275,7 @@
     }
     if (VerdictOf(kind) != Verdict::kNotRun) {
       service.ran_on[request].insert(attempt.leaf_id);
+      ++service.runs[request];
     }
   }
   After(DrawLatency(kind, attempt), daemon,
@@ -331,9 +355,13 @@
     Apply(peer, receiver.engine->OnTimer(m_now));
     return;
   }
-  const bool is_single = delegation.shards.front() == "one";
-  Route route = m_table->Routes().at(is_single ? 1 : 0);
-  if (!is_single) {
+  const std::string& name = delegation.shards.front();
+  Route route = m_table->Routes().at(0);
+  if (name == "one") {
+    route = m_table->Routes().at(1);
+  } else if (name == kOnceService) {
+    route = m_table->Routes().at(2);
+  } else {
     route.shards = delegation.shards;
   }
   route.max_attempts = delegation.max_attempts;
@@ -407,6 +435,17 @@
   return requests;
 }
 
+std::size_t RetryFleet::RequestsRunTwice() const {
+  const auto found = m_services.find(kOnceService);
+  if (found == m_services.end()) {
+    return 0;
+  }
+  const auto& runs = found->second.runs;
+  return static_cast<std::size_t>(
+      std::count_if(runs.begin(), runs.end(),
+                    [](const auto& entry) { return entry.second > 1; }));
+}
+
 std::size_t RetryFleet::MostLeafs() const {
   std::size_t most = 0;
   for (const auto& [name, service] : m_services) {
--- a/tests/retry_fleet.h
+++ b/tests/retry_fleet.h
@@ -42,15 +42,19 @@
   bool adds_leafs = false;
 };
 
-// NOLINTNEXTLINE(readability-identifier-naming): rapidcheck looks it up.
-void showValue(const RetryPhase& phase, std::ostream& out);
-
 /// Size of a `RetryFleet`.
 struct RetryFleetOptions {
   std::size_t leafs_per_service = 2;
   std::uint32_t max_attempts = 2;
+  /// Whether there are non-idempotent requests as well, to a service of theirs.
+  bool has_non_idempotent = false;
 };
 
+// NOLINTBEGIN(readability-identifier-naming): rapidcheck looks them up.
+void showValue(const RetryPhase& phase, std::ostream& out);
+void showValue(const RetryFleetOptions& options, std::ostream& out);
+// NOLINTEND(readability-identifier-naming)
+
 /// The most arrivals beyond the first of each request that a service got above
 /// what was allowed in any window; negative while the rule is kept.
 struct RetryExcess {
@@ -84,6 +88,8 @@
   std::size_t RequestsOnTooManyLeafs() const;
   /// The most leafs of a service on which one request ran.
   std::size_t MostLeafs() const;
+  /// Non-idempotent requests that ran more than once.
+  std::size_t RequestsRunTwice() const;
 
  private:
   using ClientRequest = std::uint64_t;
@@ -105,6 +111,7 @@
     std::set<ClientRequest> arrived;
     /// By request, the leafs on which it ran.
     std::map<ClientRequest, std::set<std::string>> ran_on;
+    std::map<ClientRequest, std::size_t> runs;
     std::vector<TimePoint> requests;
     std::vector<TimePoint> extra;
   };
@@ -113,6 +120,7 @@
   void AddLeaf(const std::string& service);
   void Start(std::size_t daemon);
   void Tick(const RetryPhase& phase);
+  const Route& DrawRoute();
   void SubmitFromCaller(std::size_t daemon);
   void Submit(std::size_t daemon, Held held, RelayRequest request);
   void Apply(std::size_t daemon, const RelayActions& actions);
