--- a/src/process/relay_daemon.cc
+++ b/src/process/relay_daemon.cc
@@ -345,7 +345,7 @@
       SetStoreRole(fleet);
     }
     m_reports->SetPeers(fleet.PeerAddresses());
-    m_front->SetHolders(std::move(fleet.by_region),
+    m_front->SetHolders(std::move(fleet.by_region), fleet.is_known,
                         m_holders.Role().IsHolder());
     m_front->SetPeers(fleet.peers);
   }
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -221,8 +221,9 @@
 }
 
 void RelayFront::SetHolders(std::map<std::string, std::size_t> by_region,
+                            bool are_daemons_known,
                             bool is_holder) {
-  m_engine.SetDaemons(std::move(by_region));
+  m_engine.SetDaemons(std::move(by_region), are_daemons_known);
   m_is_holder = is_holder;
   UpdatePoolSizes();
 }
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -116,7 +116,9 @@
   void SetLeafs(const std::vector<LeafRegistration>& leafs);
   /// Sets the number of holders by region, and whether this daemon is one. Only
   /// holders keep connections to leafs.
-  void SetHolders(std::map<std::string, std::size_t> by_region, bool is_holder);
+  void SetHolders(std::map<std::string, std::size_t> by_region,
+                  bool are_daemons_known,
+                  bool is_holder);
   void SetPeers(const std::vector<RelayPeer>& peers);
   /// A peer reported that a leaf crashed while it ran this part of a request.
   void OnPeerCrash(const LeafCrash& crash);
--- a/src/process/relay_holders.cc
+++ b/src/process/relay_holders.cc
@@ -28,6 +28,7 @@
     }
   }
   fleet.by_region[m_self.region] += is_chosen ? 0 : 1;
+  fleet.is_known = !m_daemons.empty();
   m_role.Update(IsRegistered(), is_chosen);
   return fleet;
 }
--- a/src/process/relay_holders.h
+++ b/src/process/relay_holders.h
@@ -24,6 +24,9 @@
     std::vector<DaemonEntry> holders;
     /// Number of holders by region; always includes this daemon.
     std::map<std::string, std::size_t> by_region;
+    /// Whether any daemon is registered, as far as this one has heard. Without
+    /// the store and peers it knows none.
+    bool is_known = false;
     /// The other holders.
     std::vector<RelayPeer> peers;
 
--- a/src/request/leaf_table.cc
+++ b/src/request/leaf_table.cc
@@ -139,10 +139,14 @@
   return departed == m_departed.end() ? nullptr : departed->second.leaf;
 }
 
-void LeafTable::SetDaemons(std::map<std::string, std::size_t> by_region) {
+void LeafTable::SetDaemons(std::map<std::string, std::size_t> by_region,
+                           bool are_known) {
   m_daemons = std::move(by_region);
+  if (are_known) {
+    m_slack_shares = DaemonCount();
+  }
   for (auto& [name, service] : m_services) {
-    service->budget.SetDaemons(DaemonCount());
+    service->budget.SetDaemons(m_slack_shares);
   }
   UpdateShares();
 }
@@ -179,8 +183,15 @@
 RelayService& LeafTable::Service(const std::string& name) {
   auto& service = m_services[name];
   if (!service) {
-    service = std::make_unique<RelayService>(RelayService{
-        name, {}, RetryBudget(m_allowance, DaemonCount()), {}, {}, {}, {}, {}});
+    service = std::make_unique<RelayService>(
+        RelayService{name,
+                     {},
+                     RetryBudget(m_allowance, m_slack_shares),
+                     {},
+                     {},
+                     {},
+                     {},
+                     {}});
   }
   return *service;
 }
--- a/src/request/leaf_table.h
+++ b/src/request/leaf_table.h
@@ -85,8 +85,10 @@
   void SetRouteTable(std::shared_ptr<const RouteTable> table);
   void SetLeafs(const std::vector<LeafRegistration>& leafs, TimePoint now);
   /// Sets the number of daemons by region, this one included. They share the
-  /// leafs' connections and the retry allowance.
-  void SetDaemons(std::map<std::string, std::size_t> by_region);
+  /// leafs' connections and the retry allowance, of which this one takes only
+  /// what requests add until the others are known.
+  void SetDaemons(std::map<std::string, std::size_t> by_region,
+                  bool are_known = true);
   void OnReachable(const Endpoint& address, bool is_reachable, TimePoint now);
 
   /// Sets whether this daemon can reach any leaf.
@@ -145,6 +147,9 @@
   RetryAllowance m_allowance;
   std::shared_ptr<const RouteTable> m_route_table;
   std::map<std::string, std::size_t> m_daemons;
+  /// Number of daemons that share the slack of the retry allowance; 0 while it
+  /// is not known.
+  std::size_t m_slack_shares = 0;
   std::shared_ptr<FleetStatistics> m_fleet =
       std::make_shared<FleetStatistics>();
   std::map<std::string, std::unique_ptr<RelayService>> m_services;
--- a/src/request/relay_engine.h
+++ b/src/request/relay_engine.h
@@ -107,9 +107,11 @@
                            bool is_reachable,
                            TimePoint now,
                            std::optional<TimePoint> tried_at = std::nullopt);
-  /// Sets the number of daemons by region, this daemon included.
-  void SetDaemons(std::map<std::string, std::size_t> by_region) {
-    m_leaf_table.SetDaemons(std::move(by_region));
+  /// Sets the number of daemons by region, this daemon included. Until others
+  /// are known, it takes nothing of the retry allowance's slack.
+  void SetDaemons(std::map<std::string, std::size_t> by_region,
+                  bool are_known = true) {
+    m_leaf_table.SetDaemons(std::move(by_region), are_known);
   }
   void SetPeers(const std::vector<RelayPeer>& peers) {
     m_peers.SetPeers(peers);
--- a/src/request/retry_budget.cc
+++ b/src/request/retry_budget.cc
@@ -5,13 +5,18 @@
 namespace bramleyspoke {
 
 RetryBudget::RetryBudget(const RetryAllowance& allowance, std::size_t daemons)
-    : m_allowance(allowance), m_daemons(std::max<std::size_t>(daemons, 1)) {
-  m_tokens = Capacity() * kInitialFraction;
+    : m_allowance(allowance) {
+  SetDaemons(daemons);
 }
 
 void RetryBudget::SetDaemons(std::size_t daemons) {
-  m_daemons = std::max<std::size_t>(daemons, 1);
-  m_tokens = std::min(m_tokens, Capacity());
+  const bool was_known = m_daemons > 0;
+  m_daemons = daemons;
+  if (!was_known) {
+    m_tokens = std::max(m_tokens, Capacity() * kInitialFraction);
+  } else {
+    m_tokens = std::min(m_tokens, Capacity());
+  }
 }
 
 void RetryBudget::OnRequest(double share) {
@@ -31,6 +36,9 @@
 }
 
 double RetryBudget::Capacity() const {
+  if (m_daemons == 0) {
+    return 0;
+  }
   const double share = m_allowance.slack / static_cast<double>(m_daemons);
   return share * kSlackFraction;
 }
--- a/src/request/retry_budget.h
+++ b/src/request/retry_budget.h
@@ -33,7 +33,8 @@
   /// Tokens that hedges leave for retries.
   static constexpr double kRetryReserve = 0.5;
 
-  /// `daemons` is the number of daemons that share the allowance.
+  /// `daemons` is the number of daemons that share the slack; 0 if it is not
+  /// known, so that this one takes nothing of it.
   RetryBudget(const RetryAllowance& allowance, std::size_t daemons);
 
   void SetDaemons(std::size_t daemons);
@@ -51,7 +52,7 @@
   bool TakeToken(double floor);
 
   RetryAllowance m_allowance;
-  std::size_t m_daemons = 1;
+  std::size_t m_daemons = 0;
   double m_tokens = 0;
 };
 
--- a/tests/relay_holders_test.cc
+++ b/tests/relay_holders_test.cc
@@ -42,6 +42,14 @@
   CHECK_FALSE(fleet.PeerAddresses().contains(self.peer));
 }
 
+TEST_CASE("a daemon that has heard of no daemon does not know how many share") {
+  const DaemonEntry self = Daemon(1, "r1");
+  RelayHolders holders(self);
+  CHECK_FALSE(holders.Update(kHolderCount).is_known);
+  holders.SetDaemons({self});
+  CHECK(holders.Update(kHolderCount).is_known);
+}
+
 TEST_CASE("callers get the addresses of daemons that can serve them") {
   const DaemonEntry self = Daemon(1, "r1");
   const DaemonEntry other = Daemon(2, "r1");
--- a/tests/relay_limits_test.cc
+++ b/tests/relay_limits_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <memory>
 #include <vector>
 
 #include "request/coverage_wait.h"
@@ -68,6 +69,38 @@
   }));
 }
 
+// Each daemon that started while the store was away brought half of the slack.
+TEST_CASE("daemons that do not know of each other take nothing of the slack") {
+  const RetryAllowance allowance{0.2, 630};
+  constexpr std::size_t kDaemons = 20;
+  std::vector<std::unique_ptr<LeafTable>> tables;
+  for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+    tables.push_back(
+        std::make_unique<LeafTable>(Locality{"d1", "r1", {}}, allowance));
+    tables.back()->SetDaemons({{"r1", 1}}, false);
+    CHECK_FALSE(tables.back()->Service("s").budget.TakeForRetry());
+  }
+
+  SUBCASE("and their parts of it once they do") {
+    double tokens = 0;
+    for (const auto& table : tables) {
+      table->SetDaemons({{"r1", kDaemons}});
+      tokens += table->Service("s").budget.Tokens();
+    }
+    CHECK(tokens > 0.25 * allowance.slack);
+    CHECK(tokens < allowance.slack);
+  }
+  SUBCASE("and keep what they know if they lose sight of the others") {
+    LeafTable& table = *tables.front();
+    table.SetDaemons({{"r1", kDaemons}});
+    const double tokens = table.Service("s").budget.Tokens();
+    table.SetDaemons({{"r1", 1}}, false);
+    CHECK(table.Service("s").budget.Tokens() == tokens);
+    table.Service("s").budget.OnRequest(1000);
+    CHECK(table.Service("s").budget.Tokens() <= allowance.slack / kDaemons);
+  }
+}
+
 TEST_CASE("a fan-out stops waiting when its answer is due or cannot improve") {
   const CoverageTimes times{kNow + milliseconds(100), kNow + milliseconds(900)};
   struct Row {
