--- a/src/connection/peer.capnp
+++ b/src/connection/peer.capnp
@@ -92,6 +92,9 @@
   # By shard, whether the request was credited to the retry budget before, here
   # or at another peer; a request is credited once.
   credited @17 :List(Bool);
+  # When the query was written, by the sender's clock that also runs while its
+  # VM is suspended; 0 if not known. Tells how long it waited on the way.
+  sentAtUs @18 :Int64;
 }
 
 # The last stall of a leaf near the peer.
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -125,10 +125,12 @@
   std::uint32_t max_attempts = 1;
   std::uint32_t result_limit = 0;
   std::uint32_t priority = 0;
-  /// Time left until the caller's deadline.
-  Duration time_left{0};
-  /// Time left until the peer should respond with the shards covered by then.
-  Duration answer_time_left{0};
+  /// Time until which the caller waits.
+  TimePoint deadline;
+  /// When the peer should respond with the shards covered by then.
+  TimePoint answer_by;
+  /// At the peer, when the query arrived: before it was read, if it waited.
+  TimePoint arrived;
   /// Identifies the delegation at the querying daemon; a continuation has its
   /// delegation's. A request may be delegated to one peer more than once.
   std::uint64_t delegation = 0;
--- a/src/connection/peer_client.cc
+++ b/src/connection/peer_client.cc
@@ -4,8 +4,10 @@
 #include <capnp/rpc-twoparty.h>
 #include <netinet/in.h>
 
+#include <algorithm>
 #include <utility>
 
+#include "base/boot_time.h"
 #include "connection/knowledge_messages.h"
 #include "connection/peer_messages.h"
 #include "connection/socket_address.h"
@@ -387,10 +389,14 @@
                              std::function<void(ShardOutcome)> done) {
   const ConnectionPtr connection = FindOrConnect(peer);
   auto call = SendCall<ShardAnswer>(
-      peer, query.time_left,
+      peer,
+      std::max<Duration>(query.deadline - std::chrono::steady_clock::now(),
+                         Duration::zero()),
       [query](wire::Peer::Client server) {
         auto request = server.queryShardsRequest();
-        WriteShardQuery(query, request.initQuery());
+        // The connection may have taken a while to open.
+        WriteShardQuery(query, std::chrono::steady_clock::now(),
+                        TimeSinceBoot(), request.initQuery());
         return request.send().then([](auto&& response) {
           return std::optional<ShardAnswer>(
               ReadShardAnswer(response.getAnswer()));
--- a/src/connection/peer_messages.cc
+++ b/src/connection/peer_messages.cc
@@ -208,6 +208,8 @@
 }
 
 void WriteShardQuery(const ShardQuery& query,
+                     TimePoint now,
+                     Duration since_boot,
                      wire::ShardQuery::Builder builder) {
   builder.setRequestId(query.request_id);
   builder.setMethod(query.request.method);
@@ -219,8 +221,11 @@
   builder.setMaxAttempts(query.max_attempts);
   builder.setResultLimit(query.result_limit);
   builder.setPriority(query.priority);
-  builder.setDeadlineMs(ToWireMilliseconds(query.time_left));
-  builder.setAnswerByMs(ToWireMilliseconds(query.answer_time_left));
+  builder.setDeadlineMs(ToWireMilliseconds(query.deadline - now));
+  builder.setAnswerByMs(ToWireMilliseconds(query.answer_by - now));
+  builder.setSentAtUs(
+      std::chrono::duration_cast<std::chrono::microseconds>(since_boot)
+          .count());
   builder.setIsContinuation(query.is_continuation);
   builder.setService(query.service);
   builder.setIsIdempotent(query.is_idempotent);
@@ -235,7 +240,7 @@
   }
 }
 
-ShardQuery ReadShardQuery(wire::ShardQuery::Reader reader) {
+ShardQuery ReadShardQuery(wire::ShardQuery::Reader reader, TimePoint arrived) {
   ShardQuery query;
   query.request_id = ToStd(reader.getRequestId());
   query.request.method = ToStd(reader.getMethod());
@@ -247,8 +252,9 @@
   query.max_attempts = reader.getMaxAttempts();
   query.result_limit = reader.getResultLimit();
   query.priority = reader.getPriority();
-  query.time_left = std::chrono::milliseconds(reader.getDeadlineMs());
-  query.answer_time_left = std::chrono::milliseconds(reader.getAnswerByMs());
+  query.deadline = arrived + std::chrono::milliseconds(reader.getDeadlineMs());
+  query.answer_by = arrived + std::chrono::milliseconds(reader.getAnswerByMs());
+  query.arrived = arrived;
   query.is_continuation = reader.getIsContinuation();
   query.service = ToStd(reader.getService());
   query.is_idempotent = reader.getIsIdempotent();
--- a/src/connection/peer_messages.h
+++ b/src/connection/peer_messages.h
@@ -19,9 +19,14 @@
 /// malformed.
 std::optional<GossipMessage> ReadGossip(wire::Gossip::Reader reader);
 
+/// The time that is left is written as of `now`; `since_boot` is the same
+/// moment.
 void WriteShardQuery(const ShardQuery& query,
+                     TimePoint now,
+                     Duration since_boot,
                      wire::ShardQuery::Builder builder);
-ShardQuery ReadShardQuery(wire::ShardQuery::Reader reader);
+/// Sets the query's times from the time that was left when it `arrived`.
+ShardQuery ReadShardQuery(wire::ShardQuery::Reader reader, TimePoint arrived);
 void WriteShardAnswer(const ShardAnswer& answer,
                       wire::ShardAnswer::Builder builder);
 ShardAnswer ReadShardAnswer(wire::ShardAnswer::Reader reader);
--- a/src/connection/peer_service.cc
+++ b/src/connection/peer_service.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "base/boot_time.h"
 #include "connection/knowledge_messages.h"
 
 namespace bramleyspoke {
@@ -126,10 +127,22 @@
       });
 }
 
+// A query waits in the socket while this daemon has no processor time. Its
+// caller waits meanwhile.
+TimePoint PeerService::ArrivalOf(wire::ShardQuery::Reader query) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  if (query.getSentAtUs() == 0) {
+    return now;
+  }
+  const Duration sent = std::chrono::microseconds(query.getSentAtUs());
+  return now - m_transit_delay.OnMessage(sent, TimeSinceBoot());
+}
+
 // Cancelling the call destroys its promise, which notifies the handler. The
 // notification also comes after a reply, where it has no effect.
 kj::Promise<void> PeerService::queryShards(QueryShardsContext context) {
-  ShardQuery query = ReadShardQuery(context.getParams().getQuery());
+  const wire::ShardQuery::Reader message = context.getParams().getQuery();
+  ShardQuery query = ReadShardQuery(message, ArrivalOf(message));
   context.releaseParams();
   context.allowCancellation();
   std::function<void()> on_cancel;
--- a/src/connection/peer_service.h
+++ b/src/connection/peer_service.h
@@ -9,6 +9,7 @@
 #include "connection/kj_queue.h"
 #include "connection/peer.h"
 #include "connection/peer_messages.h"
+#include "connection/transit_delay.h"
 
 namespace bramleyspoke {
 
@@ -41,11 +42,13 @@
   template <typename Reply>
   kj::Promise<Reply> CallHandler(
       const std::function<void(std::function<void(Reply)>)>& call);
+  TimePoint ArrivalOf(wire::ShardQuery::Reader query);
 
   std::shared_ptr<KjQueue> m_queue;
   PeerHandler& m_handler;
   kj::Timer& m_timer;
   std::shared_ptr<CallActivity> m_activity;
+  TransitDelay m_transit_delay;
 };
 
 }  // namespace bramleyspoke
--- a/src/process/relay_front.cc
+++ b/src/process/relay_front.cc
@@ -200,6 +200,7 @@
                                               m_table,
                                               &route,
                                               arrived,
+                                              Duration::zero(),
                                               request.answer_by,
                                               request.fingerprint,
                                               request.resource});
--- a/src/process/relay_front.h
+++ b/src/process/relay_front.h
@@ -29,6 +29,8 @@
   std::uint64_t version = 0;
   int status = 0;
   Duration taken{0};
+  /// How long a peer's request had waited for this daemon when it was handled.
+  Duration waited{0};
   /// From the arrival of the request to the time its answer was due.
   Duration time_for_answer{0};
   std::size_t missing_shards = 0;
@@ -152,6 +154,8 @@
     std::shared_ptr<const RouteTable> table;
     const Route* route = nullptr;
     TimePoint arrived;
+    /// How long a peer's request waited after it had arrived.
+    Duration waited{0};
     TimePoint answer_by;
     std::uint64_t fingerprint = 0;
     std::uint64_t resource = 0;
--- a/src/process/relay_front_peers.cc
+++ b/src/process/relay_front_peers.cc
@@ -38,8 +38,8 @@
   route.max_attempts = query.max_attempts;
   route.result_limit = query.result_limit;
   route.priority = query.priority;
-  route.timeout = query.time_left;
-  route.target_latency = query.answer_time_left;
+  route.timeout = query.deadline - query.arrived;
+  route.target_latency = query.answer_by - query.arrived;
   auto table = std::make_shared<const RouteTable>(
       0, std::vector{std::move(route)}, std::vector<RoutedService>(),
       CallerLimits());
@@ -49,17 +49,17 @@
   request.resource = ResourceFingerprintOf(query.request);
   request.table = table;
   request.route = &table->Routes().front();
-  request.deadline = now + query.time_left;
-  request.answer_by = now + query.answer_time_left;
+  request.deadline = query.deadline;
+  request.answer_by = query.answer_by;
   request.is_for_peer = true;
   request.bypassable = std::move(query.bypassable);
   request.credited = std::move(query.credited);
   m_in_flight.emplace(
-      number,
-      RequestInFlight{nullptr, std::move(query.request), query.delegation,
-                      std::move(reply), std::move(query.request_id), table,
-                      request.route, now, request.answer_by,
-                      request.fingerprint, request.resource});
+      number, RequestInFlight{
+                  nullptr, std::move(query.request), query.delegation,
+                  std::move(reply), std::move(query.request_id), table,
+                  request.route, query.arrived, now - query.arrived,
+                  request.answer_by, request.fingerprint, request.resource});
   Apply(m_engine.Submit(number, std::move(request), now));
   return MakeCancellation(number);
 }
@@ -89,7 +89,7 @@
   const auto pending =
       m_pending_for_peers.find({query.request_id, query.delegation});
   if (pending == m_pending_for_peers.end() ||
-      !m_engine.Continue(pending->second, now + query.time_left, now)) {
+      !m_engine.Continue(pending->second, query.deadline, now)) {
     reply(ShardAnswer());
     return [] {};
   }
@@ -97,7 +97,8 @@
   m_pending_for_peers.erase(pending);
   RequestInFlight& request = m_in_flight.at(number);
   request.peer_reply = std::move(reply);
-  request.arrived = now;
+  request.arrived = query.arrived;
+  request.waited = now - query.arrived;
   Apply(m_engine.OnTimer(now));
   return MakeCancellation(number);
 }
@@ -108,7 +109,6 @@
     return;
   }
   const RequestInFlight& request = found->second;
-  const TimePoint now = Now();
   ShardQuery query;
   query.request_id = request.request_id;
   query.is_continuation = delegation.is_continuation;
@@ -128,9 +128,8 @@
   query.max_attempts = delegation.max_attempts;
   query.result_limit = request.route->result_limit;
   query.priority = request.route->priority;
-  query.time_left = std::max(delegation.deadline - now, Duration::zero());
-  query.answer_time_left =
-      std::max(delegation.answer_by - now, Duration::zero());
+  query.deadline = delegation.deadline;
+  query.answer_by = delegation.answer_by;
   m_peer_calls[delegation.number] = m_peers.QueryShards(
       delegation.peer, query,
       [this, weak = std::weak_ptr(m_self), &loop = m_loop,
@@ -218,6 +217,7 @@
   end.request_id = request.request_id;
   end.route = request.route;
   end.taken = answer.processing_time;
+  end.waited = request.waited;
   end.time_for_answer = request.answer_by - request.arrived;
   end.missing_shards = outcome.uncovered.size();
   end.outcome = &outcome;
