--- a/review/lab2/fraction.cc
+++ b/review/lab2/fraction.cc
@@ -8,7 +8,7 @@
 
 constexpr std::int64_t kRecoveryMs = 12000;
 // Time for which killed processes are down; that of the site's `kill_all`.
-constexpr std::int64_t kDownMs = 1600;
+constexpr std::int64_t kDownMs = 900;
 // Delay after which the platform restarts a process that has ended by itself.
 constexpr std::int64_t kRestartDelayMs = 500;
 
