--- a/review/lab2/lab.h
+++ b/review/lab2/lab.h
@@ -693,6 +693,9 @@
     const std::int64_t until =
         deadline.empty() ? kForever : arrived + std::stoll(deadline);
     std::unique_lock lock(m_mutex);
+    if (m_running >= m_slots && m_waiting >= kQueue) {
+      return Response(503, "", {{"Not-Executed", "1"}, {"Request-Id", id}});
+    }
     ++m_waiting;
     while (m_running >= m_slots && NowMs() < until) {
       m_free.wait_for(lock, std::chrono::milliseconds(5));
@@ -725,6 +728,9 @@
                      {"Content-Type", "text/plain"}});
   }
 
+  // Requests that wait for a slot at most.
+  static constexpr int kQueue = 12;
+
   Store& m_store;
   std::string m_id;
   std::string m_service;
